Workspace, checked fleet document, platform client and peer messages

Cause: the parts are to be built side by side, so the toolchain, the one document and the interfaces between parts come first. Conclusion: parts meet only in ports.ts, platform.ts and the peer protocol.

--- /dev/null
+++ b/packages/daemon/src/index.ts
@@ -0,0 +1,2 @@
+/** Public entry of this package. */
+export const packageName = '@hickorywalk/daemon';
--- /dev/null
+++ b/packages/router/src/index.ts
@@ -0,0 +1,3 @@
+/** The library's front door: the parts most programs need. */
+export * from './configuration.js';
+export * from './platform.js';
--- /dev/null
+++ b/packages/router/src/lib/configuration/parse-document.ts
@@ -0,0 +1,151 @@
+/** Checks a document: its fields first, then what they say of each other. */
+import {type z} from 'zod';
+import {type DocumentFault, DocumentInvalidError, DocumentTooNewError} from './configuration-errors.js';
+import {documentLayout, documentSchema, type FleetDocument} from './document.js';
+
+/**
+ * Parses and checks a document.
+ *
+ * @throws {DocumentTooNewError} when its layout is newer than this build.
+ * @throws {DocumentInvalidError} with every fault and its field.
+ */
+export function parseDocument(input: unknown): FleetDocument {
+	refuseNewerLayout(input);
+	const result = documentSchema.safeParse(input);
+	if (!result.success) {
+		throw new DocumentInvalidError(result.error.issues.map(issue => faultOf(issue)));
+	}
+
+	const faults = findCrossFaults(result.data);
+	if (faults.length > 0) {
+		throw new DocumentInvalidError(faults);
+	}
+
+	return result.data;
+}
+
+/**
+ * A newer layout may carry meaning that this build would drop in silence, so
+ * it is refused before any field is looked at.
+ */
+function refuseNewerLayout(input: unknown): void {
+	if (typeof input !== 'object' || input === null || !('layout' in input)) {
+		return;
+	}
+
+	if (typeof input.layout === 'number' && input.layout > documentLayout) {
+		throw new DocumentTooNewError(`The document has layout ${input.layout}; this build knows up to ${documentLayout}. Upgrade every daemon first.`);
+	}
+}
+
+function faultOf(issue: z.core.$ZodIssue): DocumentFault {
+	return {path: formatPath(issue.path), message: issue.message};
+}
+
+/** Formats a path as operators write it: `workspaces[2].name`. */
+export function formatPath(path: readonly PropertyKey[]): string {
+	let text = '';
+	for (const part of path) {
+		if (typeof part === 'number') {
+			text += `[${part}]`;
+			continue;
+		}
+
+		text += text === '' ? String(part) : `.${String(part)}`;
+	}
+
+	return text === '' ? '(document)' : text;
+}
+
+type Named = {name: string};
+
+function findDoubles(list: readonly Named[], path: string): DocumentFault[] {
+	const seen = new Set<string>();
+	const faults: DocumentFault[] = [];
+	for (const [index, item] of list.entries()) {
+		if (seen.has(item.name)) {
+			faults.push({path: `${path}[${index}].name`, message: `"${item.name}" stands twice`});
+		}
+
+		seen.add(item.name);
+	}
+
+	return faults;
+}
+
+function findCrossFaults(document: FleetDocument): DocumentFault[] {
+	return [
+		...findDoubles(document.dataCentres, 'dataCentres'),
+		...findDoubles(document.workspaces, 'workspaces'),
+		...findDoubles(document.services, 'services'),
+		...findDoubles(document.endpoints, 'endpoints'),
+		...findWorkspaceFaults(document),
+		...findEndpointFaults(document),
+		...findServiceFaults(document),
+	];
+}
+
+function findWorkspaceFaults(document: FleetDocument): DocumentFault[] {
+	const services = new Set(document.services.map(service => service.name));
+	const faults: DocumentFault[] = [];
+	const digests = new Set<string>();
+	for (const [index, workspace] of document.workspaces.entries()) {
+		for (const [at, service] of workspace.services.entries()) {
+			if (!services.has(service)) {
+				faults.push({path: `workspaces[${index}].services[${at}]`, message: `there is no service "${service}"`});
+			}
+		}
+
+		for (const [at, objective] of workspace.objectives.entries()) {
+			if (!workspace.services.includes(objective.service)) {
+				faults.push({path: `workspaces[${index}].objectives[${at}].service`, message: `the workspace may not call "${objective.service}"`});
+			}
+		}
+
+		for (const [at, key] of workspace.keys.entries()) {
+			if (digests.has(key.digest)) {
+				faults.push({path: `workspaces[${index}].keys[${at}].digest`, message: 'another key has this digest'});
+			}
+
+			digests.add(key.digest);
+		}
+	}
+
+	return faults;
+}
+
+function findEndpointFaults(document: FleetDocument): DocumentFault[] {
+	const services = new Set(document.services.map(service => service.name));
+	const dataCentres = new Set(document.dataCentres.map(dataCentre => dataCentre.name));
+	const faults: DocumentFault[] = [];
+	for (const [index, endpoint] of document.endpoints.entries()) {
+		if (!services.has(endpoint.service)) {
+			faults.push({path: `endpoints[${index}].service`, message: `there is no service "${endpoint.service}"`});
+		}
+
+		if (!dataCentres.has(endpoint.dataCentre)) {
+			faults.push({path: `endpoints[${index}].dataCentre`, message: `there is no data centre "${endpoint.dataCentre}"`});
+		}
+	}
+
+	return faults;
+}
+
+function findServiceFaults(document: FleetDocument): DocumentFault[] {
+	const models = new Map<string, string>();
+	const faults: DocumentFault[] = [];
+	for (const [index, service] of document.services.entries()) {
+		if (service.kind !== 'model') {
+			continue;
+		}
+
+		const other = models.get(service.model);
+		if (other !== undefined) {
+			faults.push({path: `services[${index}].model`, message: `service "${other}" serves this model already`});
+		}
+
+		models.set(service.model, service.name);
+	}
+
+	return faults;
+}
