Escape the hyphen in the name pattern

Cause: the v flag of regular expressions refuses a bare hyphen in a class, so every test file that loads the schema failed at import.

--- a/packages/router/src/lib/configuration/document.ts
+++ b/packages/router/src/lib/configuration/document.ts
@@ -10,7 +10,7 @@
 const longestName = 64;
 
 /** A name that is fit for table keys, metric tags and paths. */
-const name = z.string().max(longestName).regex(/^[a-z\d](?:[a-z\d.-]*[a-z\d])?$/v, 'use lower-case letters, digits, dots and hyphens');
+const name = z.string().max(longestName).regex(/^[a-z\d](?:[a-z\d.\-]*[a-z\d])?$/v, 'use lower-case letters, digits, dots and hyphens');
 
 /** SHA-256 of a key, in hexadecimal. The key itself is kept nowhere. */
 const digest = z.string().regex(/^[\da-f]{64}$/v, 'use the SHA-256 of the key in hexadecimal');
