Name table for benchmarks

Cause: each part brings its own benchmark, and all are started the same way. Conclusion: one line for each benchmark, loaded only when asked for.

--- /dev/null
+++ b/packages/traces/src/bench.ts
@@ -0,0 +1,16 @@
+/** Runs a benchmark by name: `npm run bench -- NAME [ARGUMENTS]`. */
+import process from 'node:process';
+
+type Bench = (args: string[]) => Promise<void>;
+
+/** Every benchmark prints JSON lines; its own page says what they mean. */
+const benches: Record<string, Bench> = {};
+
+const [name, ...args] = process.argv.slice(2);
+const bench = Object.hasOwn(benches, name ?? '') ? benches[name] : undefined;
+if (bench === undefined) {
+	console.error(`There is no benchmark "${name ?? ''}". Choose one of: ${Object.keys(benches).join(', ')}.`);
+	process.exitCode = 2;
+} else {
+	await bench(args);
+}
