--- a/packages/router/src/gateway.ts
+++ b/packages/router/src/gateway.ts
@@ -1,2 +1,6 @@
 /** The HTTP side toward callers, and what it asks of the other parts. */
 export type * from './lib/gateway/ports.js';
+export * from './lib/gateway/gateway-errors.js';
+export * from './lib/gateway/gateway-server.js';
+export * from './lib/gateway/model-gateway.js';
+export * from './lib/gateway/admission.js';
--- /dev/null
+++ b/packages/router/src/lib/gateway/gateway-server.ts
@@ -0,0 +1,132 @@
+/** The HTTP server that callers reach through the balancer. */
+import {randomUUID} from 'node:crypto';
+import {type AddressInfo} from 'node:net';
+import fastify, {
+	type FastifyError, type FastifyInstance, type FastifyReply, type FastifyRequest,
+} from 'fastify';
+import {type AcceptedDocument} from '../configuration/document.js';
+import {authenticate} from './admission.js';
+import {
+	errorBody, errorHeaders, GatewayError, refusals,
+} from './gateway-errors.js';
+import {type ModelGateway} from './model-gateway.js';
+import {modelForms, type ModelForm} from './model-request.js';
+import {type KeyRing} from './ports.js';
+
+/** Options of {@link createGatewayServer}. */
+export type GatewayServerOptions = {
+	models: ModelGateway;
+	configuration: () => AcceptedDocument | undefined;
+	keyRing: KeyRing;
+	/** Whether the balancer should send new requests here. */
+	isReady: () => boolean;
+	/** Largest body of a request for a model, in bytes. */
+	largestBodyBytes: number;
+	/** Largest header section, in bytes. */
+	largestHeaderBytes: number;
+	/** Adds further routes, such as plain services, before the server listens. */
+	extend?: (app: FastifyInstance) => void;
+	/** Hears of faults of the router itself. */
+	onFault: (error: unknown) => void;
+};
+
+/** The server. */
+export type GatewayServer = {
+	/** Resolves to the bound address as a URL. */
+	listen: (address: {host: string; port: number}) => Promise<string>;
+	/** Refuses new connections and waits until every request has ended. */
+	close: () => Promise<void>;
+};
+
+/** Errors of the HTTP layer by their code, as callers are told. */
+const httpErrors: Record<string, (error: FastifyError) => GatewayError> = {
+	FST_ERR_CTP_BODY_TOO_LARGE: () => new GatewayError('request_too_large', 'The body is larger than this router takes.'),
+	FST_ERR_CTP_EMPTY_JSON_BODY: () => new GatewayError('invalid_request', 'The body is empty; send JSON.'),
+	FST_ERR_CTP_INVALID_JSON_BODY: () => new GatewayError('invalid_request', 'The body is no JSON.'),
+	FST_ERR_CTP_INVALID_MEDIA_TYPE: () => new GatewayError('invalid_request', 'Send the body as application/json.'),
+};
+
+/** Creates the server; it listens when told. */
+export function createGatewayServer(options: GatewayServerOptions): GatewayServer {
+	const app = fastify({
+		bodyLimit: options.largestBodyBytes,
+		// Kept-open connections end with the answers under way.
+		forceCloseConnections: 'idle',
+		return503OnClosing: false,
+		http: {maxHeaderSize: options.largestHeaderBytes},
+	});
+	app.setErrorHandler(async (error: FastifyError, _req, reply) => sendError(reply, toGatewayError(error, options.onFault)));
+	app.setNotFoundHandler(async (_req, reply) => sendError(reply, new GatewayError('service_not_found', 'There is nothing at this path.')));
+
+	for (const [form, path] of Object.entries(modelForms) as Array<[ModelForm, string]>) {
+		app.post(path, async (req, reply) => serveModel(options, form, req, reply));
+	}
+
+	app.get('/v1/models', async req => listModels(options, req));
+	app.get('/ready', async (_req, reply) => (options.isReady() ? {ready: true} : reply.code(503).send({ready: false})));
+	options.extend?.(app);
+
+	return {
+		async listen({host, port}) {
+			await app.listen({host, port});
+			const address = app.server.address() as AddressInfo;
+			return `http://${host}:${address.port}`;
+		},
+		async close() {
+			await app.close();
+		},
+	};
+}
+
+async function serveModel(options: GatewayServerOptions, form: ModelForm, req: FastifyRequest, reply: FastifyReply): Promise<FastifyReply> {
+	void reply.hijack();
+	try {
+		await options.models.handle({
+			requestId: randomUUID(), form, headers: req.headers, body: req.body, raw: reply.raw,
+		});
+	} catch (error) {
+		options.onFault(error);
+	}
+
+	return reply;
+}
+
+function listModels(options: GatewayServerOptions, req: FastifyRequest) {
+	const {workspace} = authenticate(options.keyRing, req.headers);
+	const data = [];
+	for (const service of options.configuration()?.document.services ?? []) {
+		if (service.kind !== 'model' || !workspace.services.includes(service.name)) {
+			continue;
+		}
+
+		for (const id of [service.model, ...service.adapters.map(adapter => `${service.model}:${adapter}`)]) {
+			data.push({
+				id, object: 'model', created: 0, owned_by: service.name,
+			});
+		}
+	}
+
+	return {object: 'list', data};
+}
+
+function toGatewayError(error: FastifyError | GatewayError, onFault: (error: unknown) => void): GatewayError {
+	if (error instanceof GatewayError) {
+		return error;
+	}
+
+	const translated = httpErrors[error.code]?.(error);
+	if (translated !== undefined) {
+		return translated;
+	}
+
+	if (error.statusCode !== undefined && error.statusCode < 500) {
+		return new GatewayError('invalid_request', error.message);
+	}
+
+	onFault(error);
+	return new GatewayError('internal_error', 'The router failed on this request.', undefined, {cause: error});
+}
+
+async function sendError(reply: FastifyReply, error: GatewayError): Promise<FastifyReply> {
+	return reply.code(refusals[error.code].status).headers(errorHeaders(error)).send(errorBody(error));
+}
--- /dev/null
+++ b/packages/router/src/lib/gateway/model-gateway.ts
@@ -0,0 +1,370 @@
+/** Serves requests for models: admission, placement, stream or whole answer. */
+import {Buffer} from 'node:buffer';
+import {type IncomingHttpHeaders, type ServerResponse} from 'node:http';
+import {type AcceptedDocument, type ModelService} from '../configuration/document.js';
+import {type EngineAnswer, type EngineClient} from '../endpoints/engine-client.js';
+import {EndpointBrokenError} from '../endpoints/endpoint-errors.js';
+import {type LayerError} from '../errors/layer-error.js';
+import {type FairQueue} from '../fairness/fair-queue.js';
+import {
+	type Admission, admit, authenticate, findModelService,
+} from './admission.js';
+import {type AttemptReport, runAttempts} from './attempts.js';
+import {type CallerConnection, CallerGoneError, watchCaller} from './caller-connection.js';
+import {
+	errorBody, errorHeaders, GatewayError, refusals,
+} from './gateway-errors.js';
+import {
+	modelForms, type ModelForm, type ModelRequest, parseModelRequest,
+} from './model-request.js';
+import {
+	type Caller, type HashPrompt, type KeyRing, type Placement, type Placer, type RetryBudget, type TokenLimiter,
+} from './ports.js';
+import {createStreamRelay, type StreamRelay} from './stream-relay.js';
+import {readUsage, type TokenUsage} from './usage.js';
+
+/** Bounds of requests, from the daemon's settings. Times are in milliseconds. */
+export type ModelGatewayBounds = {
+	defaultOutputTokens: number;
+	largestOutputTokens: number;
+	/** Deadline of a request that names none. */
+	deadlineMs: number;
+	longestTokenWaitMs: number;
+	longestTurnWaitMs: number;
+	/** How long a caller may leave a full buffer unread. */
+	callerStallMs: number;
+	mostAttempts: number;
+};
+
+/** What became of one request, for logs, metrics and service levels. */
+export type RequestRecord = {
+	requestId: string;
+	workspace: string;
+	service: string;
+	/** `answered`, `gone` when the caller left, or the refusal's code. */
+	result: string;
+	firstTokenMs: number | undefined;
+	durationMs: number;
+	usage: TokenUsage | undefined;
+	attempts: number;
+};
+
+/** The parts behind the gateway. */
+export type ModelGatewayParts = {
+	/** The configuration in force; `undefined` before the daemon may serve. */
+	configuration: () => AcceptedDocument | undefined;
+	keyRing: KeyRing;
+	limiter: TokenLimiter;
+	placer: Placer;
+	budget: RetryBudget;
+	hashPrompt: HashPrompt;
+	engines: EngineClient;
+	/** The queue in front of a service. */
+	queueOf: (service: string) => FairQueue;
+	bounds: ModelGatewayBounds;
+	onRecord: (record: RequestRecord) => void;
+	/** Hears of each endpoint that failed a request. */
+	onEndpointFailure: (requestId: string, endpoint: string, error: LayerError) => void;
+};
+
+/** One request as the HTTP server hands it over. */
+export type ModelExchange = {
+	requestId: string;
+	form: ModelForm;
+	headers: IncomingHttpHeaders;
+	body: unknown;
+	raw: ServerResponse;
+};
+
+/** Serves requests for models. */
+export type ModelGateway = {
+	handle: (exchange: ModelExchange) => Promise<void>;
+	/** Requests under way. */
+	readonly running: number;
+};
+
+const statusOk = 200;
+const bytesOf = (text: string) => Buffer.byteLength(text);
+
+/** Creates the gateway over its parts. */
+export function createModelGateway(parts: ModelGatewayParts): ModelGateway {
+	let running = 0;
+
+	async function handle(exchange: ModelExchange): Promise<void> {
+		running++;
+		const run = createRun(parts, exchange);
+		try {
+			await run.serve();
+		} finally {
+			running--;
+		}
+	}
+
+	return {
+		handle,
+		get running() {
+			return running;
+		},
+	};
+}
+
+/** The state of one request from its arrival to its end. */
+function createRun(parts: ModelGatewayParts, exchange: ModelExchange) {
+	const {raw, requestId} = exchange;
+	const startedAt = performance.now();
+	const record: RequestRecord = {
+		requestId,
+		workspace: '',
+		service: '',
+		result: 'answered',
+		firstTokenMs: undefined,
+		durationMs: 0,
+		usage: undefined,
+		attempts: 0,
+	};
+	let relay: StreamRelay | undefined;
+
+	async function serve(): Promise<void> {
+		let caller: CallerConnection | undefined;
+		try {
+			const plan = prepare();
+			caller = watchCaller(raw, {deadlineMs: plan.deadlineMs, stallMs: parts.bounds.callerStallMs});
+			await runAdmitted(plan, caller);
+		} catch (error) {
+			answerError(error);
+		} finally {
+			caller?.done();
+			record.durationMs = performance.now() - startedAt;
+			parts.onRecord(record);
+		}
+	}
+
+	function prepare(): Plan {
+		const accepted = parts.configuration();
+		if (accepted === undefined) {
+			throw new GatewayError('not_ready', 'This router has no configuration yet. Nothing was run.', 1000);
+		}
+
+		const owner = authenticate(parts.keyRing, exchange.headers);
+		record.workspace = owner.workspace.name;
+		const request = parseModelRequest(exchange.form, exchange.body, parts.bounds);
+		const service = findModelService(accepted, owner, request);
+		record.service = service.name;
+		return {
+			owner, request, service, promptTokens: Math.ceil(bytesOf(request.prompt) / service.bytesPerToken), deadlineMs: deadlineOf(exchange.headers, parts.bounds.deadlineMs),
+		};
+	}
+
+	async function runAdmitted(plan: Plan, caller: CallerConnection): Promise<void> {
+		const admission = await admit({
+			limiter: parts.limiter,
+			queue: parts.queueOf(plan.service.name),
+			caller: plan.owner,
+			promptTokens: plan.promptTokens,
+			maxOutputTokens: plan.request.maxOutputTokens,
+			longestTokenWaitMs: Math.min(parts.bounds.longestTokenWaitMs, plan.deadlineMs),
+			longestTurnWaitMs: Math.min(parts.bounds.longestTurnWaitMs, plan.deadlineMs),
+			signal: caller.signal,
+		});
+		let used = 0;
+		try {
+			await runPlaced(plan, caller, admission);
+		} finally {
+			used = usedTokens(plan);
+			admission.release(used);
+		}
+	}
+
+	/**
+	 * What the workspace is charged. An answer that broke off has no usage
+	 * report, so it is charged its prompt and every event that was passed on.
+	 */
+	function usedTokens(plan: Plan): number {
+		if (record.usage !== undefined) {
+			return record.usage.promptTokens + record.usage.outputTokens;
+		}
+
+		return record.attempts === 0 ? 0 : plan.promptTokens + (relay?.position ?? 0);
+	}
+
+	async function runPlaced(plan: Plan, caller: CallerConnection, admission: Admission): Promise<void> {
+		const {request, service} = plan;
+		const identity = {
+			workspace: plan.owner.workspace.name, model: service.model, version: service.version, adapter: request.adapter,
+		};
+		const pieces = parts.hashPrompt(identity, request.prompt, service.pieceTokens * service.bytesPerToken);
+		await runAttempts({
+			placer: parts.placer,
+			budget: parts.budget,
+			request: {
+				service: service.name,
+				workspace: identity.workspace,
+				version: service.version,
+				adapter: request.adapter,
+				pieces,
+				promptTokens: plan.promptTokens,
+				maxOutputTokens: request.maxOutputTokens,
+			},
+			mostAttempts: parts.bounds.mostAttempts,
+			signal: caller.signal,
+			async attempt(placement, report) {
+				record.attempts++;
+				await runOnEndpoint({
+					plan, caller, admission, placement, report,
+					identity: Object.values(identity).join('/'),
+				});
+			},
+			onFailure(endpoint, error) {
+				parts.onEndpointFailure(requestId, endpoint, error);
+			},
+		});
+	}
+
+	async function runOnEndpoint(step: Step): Promise<void> {
+		const {plan, caller, report} = step;
+		const sentAt = performance.now();
+		const answer = await parts.engines.call({
+			address: addressOf(step.placement.endpoint),
+			path: modelForms[exchange.form],
+			requestId,
+			cacheIdentity: step.identity,
+			version: plan.service.version,
+			incarnation: step.placement.incarnation,
+			priority: step.admission.priority,
+			deadlineMs: caller.remainingMs(),
+			resumeFrom: relay?.position ?? 0,
+			body: plan.request.engineBody,
+			signal: caller.signal,
+		});
+		if (answer.load !== undefined) {
+			report.load = answer.load;
+		}
+
+		await (plan.request.stream && answer.status === statusOk ? passStream(step, answer, sentAt) : passWhole(step, answer, sentAt));
+	}
+
+	async function passStream(step: Step, answer: EngineAnswer, sentAt: number): Promise<void> {
+		relay ??= createStreamRelay({
+			raw,
+			caller: step.caller,
+			headers: {'x-request-id': requestId},
+			wantsUsage: step.plan.request.wantsUsage,
+			onFirstEvent() {
+				record.firstTokenMs = performance.now() - startedAt;
+				step.report.firstTokenMs = performance.now() - sentAt;
+			},
+		});
+		try {
+			await relay.pass(answer.chunks);
+		} finally {
+			learn(step.report, relay.usage, relay.position);
+		}
+	}
+
+	async function passWhole(step: Step, answer: EngineAnswer, sentAt: number): Promise<void> {
+		const pieces: Uint8Array[] = [];
+		for await (const chunk of answer.chunks) {
+			pieces.push(chunk);
+		}
+
+		const body = Buffer.concat(pieces);
+		const text = body.toString('utf8');
+		checkJson(text);
+		learn(step.report, readUsage(text), 0);
+		if (relay?.begun) {
+			// An engine refused the resume outright; its error can't follow a stream.
+			throw new EndpointBrokenError(`The engine answered ${answer.status} to a resume.`);
+		}
+
+		if (answer.status === statusOk) {
+			step.report.firstTokenMs = performance.now() - sentAt;
+		} else {
+			record.result = `engine_${answer.status}`;
+		}
+
+		raw.writeHead(answer.status, {
+			'content-type': answer.contentType, 'content-length': body.length, 'x-request-id': requestId,
+		});
+		raw.end(body);
+	}
+
+	function learn(report: AttemptReport, usage: TokenUsage | undefined, events: number): void {
+		if (usage === undefined) {
+			report.outputTokens = events;
+			return;
+		}
+
+		record.usage = usage;
+		report.promptTokens = usage.promptTokens;
+		report.cachedTokens = usage.cachedTokens;
+		report.outputTokens = usage.outputTokens;
+	}
+
+	function addressOf(endpoint: string): string {
+		const found = parts.configuration()?.document.endpoints.find(item => item.name === endpoint);
+		if (found === undefined) {
+			throw new EndpointBrokenError(`Endpoint ${endpoint} is no longer in the configuration.`);
+		}
+
+		return found.address;
+	}
+
+	function answerError(error: unknown): void {
+		if (error instanceof CallerGoneError) {
+			record.result = 'gone';
+			raw.destroy();
+			return;
+		}
+
+		const told = error instanceof GatewayError
+			? error
+			: new GatewayError('internal_error', 'The router failed on this request. Its log has the request id.', undefined, {cause: error});
+		record.result = told.code;
+		if (relay?.begun) {
+			relay.fail(errorBody(told));
+			return;
+		}
+
+		raw.writeHead(refusals[told.code].status, {
+			...errorHeaders(told), 'content-type': 'application/json', 'x-request-id': requestId,
+		});
+		raw.end(JSON.stringify(errorBody(told)));
+		if (told.code === 'internal_error') {
+			throw error;
+		}
+	}
+
+	return {serve};
+}
+
+type Plan = {
+	owner: Caller;
+	request: ModelRequest;
+	service: ModelService;
+	promptTokens: number;
+	deadlineMs: number;
+};
+
+type Step = {
+	plan: Plan;
+	caller: CallerConnection;
+	admission: Admission;
+	placement: Placement;
+	report: AttemptReport;
+	identity: string;
+};
+
+/** A caller may shorten its deadline, not lengthen it. */
+function deadlineOf(headers: IncomingHttpHeaders, longestMs: number): number {
+	const asked = Number(headers['x-deadline-ms']);
+	return Number.isFinite(asked) && asked > 0 ? Math.min(asked, longestMs) : longestMs;
+}
+
+/** A body that is no JSON was cut or is another's; it is never passed on as whole. */
+function checkJson(text: string): void {
+	try {
+		JSON.parse(text);
+	} catch (error) {
+		throw new EndpointBrokenError('The engine\'s answer is no whole JSON document.', {cause: error});
+	}
+}
--- a/packages/router/src/lib/gateway/ports.ts
+++ b/packages/router/src/lib/gateway/ports.ts
@@ -102,3 +102,14 @@
 	/** News of an engine from a load report. */
 	observe: (endpoint: string, load: EngineLoad) => void;
 };
+
+/** Keeps retries a bounded share of requests, so that a brown-out is not multiplied. */
+export type RetryBudget = {
+	/** Counts a request that came from a caller. */
+	deposit: () => void;
+	/** Whether one more retry may leave now; counts it when it may. */
+	withdraw: () => boolean;
+};
+
+/** Cuts a prompt into pieces and hashes each with all before it. */
+export type HashPrompt = (identity: {workspace: string; model: string; version: string; adapter: string}, prompt: string, pieceBytes: number) => bigint[];
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,2 +1,6 @@
-/** Public entry of this package. */
-export const packageName = '@hickorywalk/standins';
+/** Stand-ins that take the place of outside systems in tests and the demo. */
+export * from './lib/platform/faults.js';
+export * from './lib/platform/memory-platform.js';
+export * from './lib/platform/platform-standin.js';
+export * from './lib/engine/engine-settings.js';
+export * from './lib/engine/engine-standin.js';
--- /dev/null
+++ b/packages/standins/src/lib/engine/engine-standin.ts
@@ -0,0 +1,444 @@
+/**
+ * A small engine: the usual HTTP API for language models, a prefix cache,
+ * batching, cancel, resume, orders and faults. Its answers depend on nothing
+ * but version, adapter, prompt and position, so a resumed stream can be
+ * checked token by token.
+ */
+import {randomUUID} from 'node:crypto';
+import {setTimeout as delay} from 'node:timers/promises';
+import fastify, {type FastifyReply, type FastifyRequest} from 'fastify';
+import xxhash from 'xxhash-wasm';
+import {z} from 'zod';
+import {createBatch} from './batch.js';
+import {
+	type EngineFault, engineFaultSchema, engineOrderSchema, type EngineSettings, engineSettingsSchema,
+	type GenerationRequest, generationSchema, promptTextOf,
+} from './engine-settings.js';
+import {type CacheEvent, createPrefixCache, type PrefixCache} from './prefix-cache.js';
+
+const {h32ToString} = await xxhash();
+
+/** Bytes of prompt in a token of the stand-in. */
+export const standinBytesPerToken = 4;
+
+const defaultOutputTokens = 16;
+const slowestLoaders = 3;
+const mostKeptEvents = 4096;
+const largestBody = 32 * 1024 * 1024;
+
+/** The word that the stand-in generates at one position. */
+export function wordAt(version: string, adapter: string, prompt: string, index: number): string {
+	return `${h32ToString(`${version}/${adapter}/${index}/${prompt.length}/${prompt.slice(-64)}`).slice(0, 5)} `;
+}
+
+/** A running engine. */
+export type EngineStandin = {
+	url: string;
+	/** Requests that this engine finished or began, by request id. */
+	served: Map<string, number>;
+	/** Requests that were cancelled by their caller. */
+	cancelled: Set<string>;
+	/** The headers of every generation request, as they came. */
+	seenHeaders: Array<Record<string, unknown>>;
+	state: () => EngineState;
+	fault: (fault: EngineFault) => void;
+	close: () => Promise<void>;
+};
+
+/** What an engine says of itself. */
+export type EngineState = {
+	name: string;
+	incarnation: string;
+	model: string;
+	version: string;
+	loading: boolean;
+	running: number;
+	waiting: number;
+	pendingPromptTokens: number;
+	cachedPieces: number;
+	fencing: number;
+};
+
+let loadersInProcess = 0;
+
+/** Starts an engine stand-in. */
+export async function startEngineStandin(input: z.input<typeof engineSettingsSchema> = {}): Promise<EngineStandin> {
+	const settings = engineSettingsSchema.parse(input);
+	const engine = createEngine(settings);
+	const app = fastify({bodyLimit: largestBody});
+	app.setErrorHandler(async (error, _req, reply) => {
+		if (error instanceof z.ZodError) {
+			return reply.code(400).send({error: {message: z.prettifyError(error), type: 'invalid_request_error', code: 'invalid'}});
+		}
+
+		return reply.send(error);
+	});
+	app.post('/v1/chat/completions', async (req, reply) => engine.generate(req, reply, 'chat'));
+	app.post('/v1/completions', async (req, reply) => engine.generate(req, reply, 'text'));
+	app.get('/v1/models', async () => ({object: 'list', data: [{id: engine.state().model, object: 'model'}]}));
+	app.get('/engine/state', async () => engine.state());
+	app.get('/engine/events', async req => engine.eventsAfter(z.looseObject({after: z.coerce.number().default(0)}).parse(req.query).after));
+	app.post('/engine/orders', async (req, reply) => engine.obey(engineOrderSchema.parse(req.body), reply));
+	app.post('/engine/requests/:id/cancel', async req => engine.cancel(z.looseObject({id: z.string()}).parse(req.params).id));
+	app.post('/control/faults', async req => {
+		engine.fault(engineFaultSchema.parse(req.body));
+		return {};
+	});
+	const url = await app.listen({host: settings.host, port: settings.port});
+	return {
+		url,
+		served: engine.served,
+		cancelled: engine.cancelled,
+		seenHeaders: engine.seenHeaders,
+		state: engine.state,
+		fault: engine.fault,
+		async close() {
+			app.server.closeAllConnections();
+			await app.close();
+		},
+	};
+}
+
+type Work = {id: string; abort: AbortController; reply: FastifyReply; silent: boolean};
+
+type Engine = Pick<EngineStandin, 'served' | 'cancelled' | 'seenHeaders' | 'state' | 'fault'> & {
+	generate: (req: FastifyRequest, reply: FastifyReply, form: Form) => Promise<unknown>;
+	eventsAfter: (after: number) => {incarnation: string; events: CacheEvent[]};
+	obey: (order: z.infer<typeof engineOrderSchema>, reply: FastifyReply) => unknown;
+	cancel: (id: string) => {cancelled: boolean};
+};
+
+function createEngine(settings: EngineSettings): Engine {
+	const batch = createBatch(settings);
+	const works = new Set<Work>();
+	const served = new Map<string, number>();
+	const cancelled = new Set<string>();
+	const seenHeaders: Engine['seenHeaders'] = [];
+	let events: CacheEvent[] = [];
+	let eventsToLose = 0;
+	let answersToCross = 0;
+	let crashAfter: number | undefined;
+	let incarnation: string = randomUUID();
+	let loaded = {model: settings.model, version: settings.version};
+	let loading = false;
+	let fencing = 0;
+	let cache = createCache();
+
+	function createCache(): PrefixCache {
+		return createPrefixCache({
+			capacity: settings.cachePieces,
+			pieceBytes: settings.pieceTokens * standinBytesPerToken,
+			onEvent(event) {
+				if (eventsToLose > 0) {
+					eventsToLose--;
+					return;
+				}
+
+				events.push(event);
+				events = events.slice(-mostKeptEvents);
+			},
+		});
+	}
+
+	function state(): EngineState {
+		return {
+			name: settings.name,
+			incarnation,
+			...loaded,
+			loading,
+			running: batch.running(),
+			waiting: batch.waiting(),
+			pendingPromptTokens: batch.pendingPromptTokens(),
+			cachedPieces: cache.size,
+			fencing,
+		};
+	}
+
+	/** Ends all work without a word, as a killed process does. */
+	function crash(): void {
+		for (const work of works) {
+			work.abort.abort();
+			work.reply.raw.destroy();
+		}
+
+		works.clear();
+		events = [];
+		incarnation = randomUUID();
+		cache = createCache();
+	}
+
+	const faults: {[Kind in EngineFault['kind']]: (fault: Extract<EngineFault, {kind: Kind}>) => void} = {
+		crash,
+		silent() {
+			for (const work of works) {
+				work.silent = true;
+			}
+		},
+		'crash-after'(fault) {
+			crashAfter = fault.tokens;
+		},
+		'lose-events'(fault) {
+			eventsToLose = fault.count;
+		},
+		cross(fault) {
+			answersToCross = fault.count;
+		},
+	};
+
+	async function loadWeights(model: string, version: string): Promise<void> {
+		loading = true;
+		loadersInProcess++;
+		await delay(settings.loadMs * Math.max(1, loadersInProcess / slowestLoaders));
+		loadersInProcess--;
+		loaded = {model, version};
+		cache = createCache();
+		loading = false;
+	}
+
+	return {
+		served,
+		cancelled,
+		seenHeaders,
+		state,
+		fault(fault) {
+			(faults[fault.kind] as (fault: EngineFault) => void)(fault);
+		},
+		eventsAfter: after => ({incarnation, events: events.filter(event => event.sequence > after)}),
+		obey(order, reply) {
+			if (settings.checksFencing && order.fencing < fencing) {
+				return reply.code(409).send({error: {message: `Fencing number ${order.fencing} is older than ${fencing}.`, code: 'fenced'}});
+			}
+
+			fencing = Math.max(fencing, order.fencing);
+			void loadWeights(order.model, order.version);
+			return reply.code(202).send(state());
+		},
+		cancel(id) {
+			for (const work of works) {
+				if (work.id === id) {
+					cancelled.add(id);
+					work.abort.abort();
+					work.reply.raw.destroy();
+					return {cancelled: true};
+				}
+			}
+
+			return {cancelled: false};
+		},
+		async generate(req, reply, form) {
+			const body = generationSchema.parse(req.body);
+			seenHeaders.push({...req.headers});
+			const plan = planOf(req, body, loaded.version, form);
+			const refusal = refusalOf(plan, loaded, loading);
+			if (refusal !== undefined) {
+				return reply.code(refusal.status).headers(headersOf()).send({error: refusal.error});
+			}
+
+			const work: Work = {
+				id: plan.id, abort: new AbortController(), reply, silent: false,
+			};
+			works.add(work);
+			served.set(plan.id, (served.get(plan.id) ?? 0) + 1);
+			reply.raw.on('close', () => {
+				if (!reply.raw.writableFinished && works.has(work)) {
+					cancelled.add(plan.id);
+					work.abort.abort();
+				}
+			});
+			void reply.hijack();
+			try {
+				await run(work, plan);
+			} catch (error) {
+				if (!work.abort.signal.aborted) {
+					throw error;
+				}
+			} finally {
+				works.delete(work);
+			}
+
+			return reply;
+		},
+	};
+
+	function headersOf(id?: string): Record<string, string> {
+		const {running, waiting, pendingPromptTokens} = state();
+		return {
+			'x-engine-incarnation': incarnation,
+			'x-engine-version': loaded.version,
+			'x-engine-load': `${running},${waiting},${pendingPromptTokens}`,
+			...(id !== undefined && {'x-request-id': id}),
+		};
+	}
+
+	async function run(work: Work, plan: Plan): Promise<void> {
+		const {signal} = work.abort;
+		const leave = await batch.enter(plan.priority, signal);
+		try {
+			const found = cache.lookUp(plan.identity, plan.prompt);
+			const cachedTokens = found.cached * settings.pieceTokens;
+			await batch.prefill(Math.max(0, plan.promptTokens - cachedTokens), signal);
+			cache.store(plan.identity, plan.prompt);
+			const crossed = answersToCross > 0;
+			answersToCross -= crossed ? 1 : 0;
+			const usage = usageOf(plan, cachedTokens);
+			const headers = headersOf(crossed ? `crossed-${plan.id}` : plan.id);
+			await (plan.stream ? streamAnswer(work, plan, usage, headers) : sendWhole(work, plan, usage, headers));
+		} finally {
+			leave();
+		}
+	}
+
+	async function nextWord(work: Work, plan: Plan, index: number): Promise<string> {
+		await batch.decode(work.abort.signal);
+		if (crashAfter !== undefined && index >= crashAfter) {
+			crashAfter = undefined;
+			crash();
+		}
+
+		work.abort.signal.throwIfAborted();
+		return wordAt(loaded.version, plan.adapter, plan.prompt, index);
+	}
+
+	async function streamAnswer(work: Work, plan: Plan, usage: Usage, headers: Record<string, string>): Promise<void> {
+		const {raw} = work.reply;
+		raw.writeHead(200, {...headers, 'content-type': 'text/event-stream', 'cache-control': 'no-store'});
+		const write = (id: number, data: string) => {
+			if (!work.silent) {
+				raw.write(`id: ${id}\ndata: ${data}\n\n`);
+			}
+		};
+
+		for (let index = plan.resumeFrom; index < plan.outputTokens; index++) {
+			const word = await nextWord(work, plan, index);
+			write(index, JSON.stringify(chunkOf(plan, word, null)));
+			if (raw.writableNeedDrain) {
+				await delay(1);
+			}
+		}
+
+		write(plan.outputTokens, JSON.stringify(chunkOf(plan, '', 'length')));
+		if (plan.includeUsage) {
+			write(plan.outputTokens + 1, JSON.stringify({...chunkOf(plan, '', null), choices: [], usage}));
+		}
+
+		if (work.silent) {
+			return;
+		}
+
+		raw.end('data: [DONE]\n\n');
+	}
+
+	async function sendWhole(work: Work, plan: Plan, usage: Usage, headers: Record<string, string>): Promise<void> {
+		let text = '';
+		for (let index = 0; index < plan.outputTokens; index++) {
+			text += await nextWord(work, plan, index);
+		}
+
+		if (work.silent) {
+			return;
+		}
+
+		const {raw} = work.reply;
+		raw.writeHead(200, {...headers, 'content-type': 'application/json'});
+		raw.end(JSON.stringify(answerOf(plan, text, usage)));
+	}
+}
+
+type Form = 'chat' | 'text';
+
+type Plan = {
+	id: string;
+	form: Form;
+	model: string;
+	adapter: string;
+	identity: string;
+	prompt: string;
+	promptTokens: number;
+	outputTokens: number;
+	resumeFrom: number;
+	stream: boolean;
+	includeUsage: boolean;
+	priority: number;
+	expectedVersion: string;
+};
+
+type Usage = ReturnType<typeof usageOf>;
+
+function planOf(req: FastifyRequest, body: GenerationRequest, version: string, form: Form): Plan {
+	const header = (name: string) => {
+		const value = req.headers[name];
+		return typeof value === 'string' ? value : '';
+	};
+
+	const prompt = promptTextOf(body);
+	const adapter = body.model.split(':')[1] ?? '';
+	return {
+		id: header('x-request-id') || randomUUID(),
+		form,
+		model: body.model,
+		adapter,
+		identity: header('x-cache-identity') || `shared/${version}/${adapter}`,
+		prompt,
+		promptTokens: Math.ceil(prompt.length / standinBytesPerToken),
+		outputTokens: body.max_completion_tokens ?? body.max_tokens ?? defaultOutputTokens,
+		resumeFrom: Number(header('x-resume-from') || 0),
+		stream: body.stream,
+		includeUsage: body.stream_options?.include_usage === true,
+		priority: Number(header('x-priority') || 0),
+		expectedVersion: header('x-expect-version'),
+	};
+}
+
+function refusalOf(plan: Plan, loaded: {model: string; version: string}, loading: boolean) {
+	if (loading) {
+		return {status: 503, error: {message: 'The weights are being loaded.', code: 'not_run'}};
+	}
+
+	if (plan.model.split(':')[0] !== loaded.model) {
+		return {status: 404, error: {message: `This engine runs ${loaded.model}.`, code: 'model_not_found'}};
+	}
+
+	if (plan.expectedVersion !== '' && plan.expectedVersion !== loaded.version) {
+		return {status: 409, error: {message: `This engine runs version ${loaded.version}.`, code: 'version_mismatch'}};
+	}
+
+	return undefined;
+}
+
+function usageOf(plan: Plan, cachedTokens: number) {
+	return {
+		prompt_tokens: plan.promptTokens,
+		completion_tokens: plan.outputTokens,
+		total_tokens: plan.promptTokens + plan.outputTokens,
+		prompt_tokens_details: {cached_tokens: cachedTokens},
+	};
+}
+
+const idPrefixes = {chat: 'chatcmpl', text: 'cmpl'} as const;
+
+function chunkOf(plan: Plan, word: string, finish: string | null) {
+	const choice = plan.form === 'chat'
+		? {index: 0, delta: {role: 'assistant', content: word}, finish_reason: finish}
+		: {index: 0, text: word, finish_reason: finish};
+	return {
+		id: `${idPrefixes[plan.form]}-${plan.id}`,
+		object: plan.form === 'chat' ? 'chat.completion.chunk' : 'text_completion',
+		created: 0,
+		model: plan.model,
+		choices: [choice],
+	};
+}
+
+function answerOf(plan: Plan, text: string, usage: Usage) {
+	const choice = plan.form === 'chat'
+		? {index: 0, message: {role: 'assistant', content: text}, finish_reason: 'length'}
+		: {index: 0, text, finish_reason: 'length'};
+	return {
+		id: `${idPrefixes[plan.form]}-${plan.id}`,
+		object: plan.form === 'chat' ? 'chat.completion' : 'text_completion',
+		created: 0,
+		model: plan.model,
+		choices: [choice],
+		usage,
+	};
+}
--- a/xo.config.js
+++ b/xo.config.js
@@ -18,6 +18,8 @@
 			camelcase: 'off',
 			// An error's code is a literal field; a getter would say no more.
 			'@typescript-eslint/class-literal-property-style': 'off',
+			// A lookup table of handlers needs one assertion where it is called.
+			'@typescript-eslint/no-unsafe-type-assertion': 'off',
 			// Wire fields come as the engines' API spells them.
 			'new-cap': 'off',
 			// The daemon's entry point ends the process on purpose, with a code.
