Strip credentials and hop-by-hop headers before an endpoint

Cause: an endpoint that sees a caller's key could act as its workspace, and its access log would keep the key. Conclusion: everything that may carry a key goes by name and by content; the rest of a header list and of a query is passed on as it came.

--- /dev/null
+++ b/packages/router/src/test/orders/credential-headers.test.ts
@@ -0,0 +1,92 @@
+import {assert} from 'chai';
+import fc from 'fast-check';
+import {forwardableHeaders, stripKeyFromUrl} from '../../orders.js';
+
+const key = 'hw-secret-0123456789';
+
+describe('forwardableHeaders', () => {
+	it('passes on what is for the endpoint, as it came', () => {
+		const headers = ['Accept', 'text/plain', 'X-Order', 'ribbon', 'Cookie', 'house=red; theme=dark'];
+		assert.deepEqual(forwardableHeaders(headers, key), headers);
+	});
+
+	it('leaves out every header that a credential may stand in', () => {
+		// The endpoint sees the caller's key when one of the places it can be sent
+		// in is forgotten; a key in an unexpected header is found by its content.
+		const headers = [
+			'Authorization',
+			`Bearer ${key}`,
+			'AUTHORIZATION',
+			'Basic other',
+			'x-api-key',
+			'other',
+			'Api-Key',
+			'other',
+			'Proxy-Authorization',
+			'Basic eDp5',
+			'X-Custom',
+			`a ${key} b`,
+			'Referer',
+			`http://a/?k=${key.replace('-', '%2D')}`,
+			'Cookie',
+			`session=${key}; house=red; access_token=1; API_KEY=2`,
+			'cookie',
+			`key=${key}`,
+		];
+		assert.deepEqual(forwardableHeaders(headers, key), ['Cookie', 'house=red']);
+	});
+
+	it('leaves out headers of the connection, also those that Connection names', () => {
+		const headers = [
+			'Connection',
+			'close, X-Hop',
+			'connection',
+			'x-other',
+			'X-Hop',
+			'1',
+			'X-Other',
+			'1',
+			'TE',
+			'trailers',
+			'Transfer-Encoding',
+			'chunked',
+			'Upgrade',
+			'h2c',
+			'Keep-Alive',
+			'1',
+			'Host',
+			'a',
+			'Expect',
+			'100-continue',
+			'Content-Length',
+			'5',
+			'X-Stay',
+			'1',
+		];
+		assert.deepEqual(forwardableHeaders(headers, key), ['X-Stay', '1']);
+	});
+});
+
+describe('stripKeyFromUrl', () => {
+	const rows = [
+		['/a', '/a'],
+		['/a?b=1&c=%20', '/a?b=1&c=%20'],
+		[`/a?api_key=${key}`, '/a'],
+		['/a?b=1&KEY=x&c=2', '/a?b=1&c=2'],
+		['/a?access%5Ftoken=x&b=1', '/a?b=1'],
+		['/a?b=1;api_key=x;c=2', '/a?b=1;c=2'],
+		[`/a?other=${key.replace('0', '%30')}&b=1`, '/a?b=1'],
+	];
+	for (const [url, expected] of rows) {
+		it(`makes ${expected} of ${url}`, () => {
+			assert.equal(stripKeyFromUrl(url, key), expected);
+		});
+	}
+
+	it('never passes the key on, wherever it stands in the query', () => {
+		const parts = fc.array(fc.constantFrom(key, `api_key=${key}`, 'b=1', `x=${encodeURIComponent(key)}`, `${key}=1`, ''), {maxLength: 6});
+		fc.assert(fc.property(parts, fc.constantFrom('&', ';'), (all, separator) => {
+			assert.notInclude(decodeURIComponent(stripKeyFromUrl(`/a?${all.join(separator)}`, key)), key);
+		}), {seed: 1, numRuns: 300});
+	});
+});
