--- /dev/null
+++ b/packages/daemon/src/hickorywalk.ts
@@ -0,0 +1,28 @@
+#!/usr/bin/env node
+/** The command line. Exit codes: 0 done, 1 failed, 2 called wrongly. */
+import process from 'node:process';
+import {LayerError} from 'hickorywalk';
+import yargs from 'yargs';
+import {hideBin} from 'yargs/helpers';
+import {serveCommand} from './lib/commands/serve.js';
+import {standinCommand} from './lib/commands/standin.js';
+
+const exitCodeFailed = 1;
+const exitCodeUsage = 2;
+
+await yargs(hideBin(process.argv))
+	.scriptName('hickorywalk')
+	.command(serveCommand)
+	.command(standinCommand)
+	.demandCommand(1, 'Name a command; --help lists them.')
+	.strict()
+	.fail((message, error) => {
+		console.error(error === undefined ? `${message}\nRun hickorywalk --help.` : describe(error));
+		process.exit(error === undefined ? exitCodeUsage : exitCodeFailed);
+	})
+	.help()
+	.parseAsync();
+
+function describe(error: Error): string {
+	return error instanceof LayerError ? `${error.code}: ${error.message}` : String(error.stack);
+}
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,2 +1,4 @@
-/** Public entry of this package. */
-export const packageName = '@hickorywalk/daemon';
+/** The daemon as a library, for programs that embed it. */
+export * from './lib/daemon.js';
+export * from './lib/settings.js';
+export * from './lib/daemon-errors.js';
--- /dev/null
+++ b/packages/daemon/src/lib/commands/serve.ts
@@ -0,0 +1,38 @@
+/** `hickorywalk serve`: runs one daemon until it is told to stop. */
+import process from 'node:process';
+import {type CommandModule} from 'yargs';
+import {startDaemon} from '../daemon.js';
+import {readSettings} from '../settings.js';
+
+type ServeArguments = {settings: string; check: boolean};
+
+/** The command. */
+export const serveCommand: CommandModule<unknown, ServeArguments> = {
+	command: 'serve',
+	describe: 'Run one daemon.',
+	builder: yargs => yargs
+		.option('settings', {type: 'string', demandOption: true, describe: 'Path of the settings file (JSON).'})
+		.option('check', {type: 'boolean', default: false, describe: 'Check the settings and exit.'})
+		.example('$0 serve --settings vm-1.json', 'Serve until SIGTERM, then drain.')
+		.example('$0 serve --settings vm-1.json --check', 'Only check the settings.'),
+	async handler({settings: file, check}) {
+		const settings = await readSettings(file);
+		if (check) {
+			console.log(`${file} holds together.`);
+			return;
+		}
+
+		const daemon = await startDaemon(settings);
+		console.log(JSON.stringify({listening: daemon.callersUrl}));
+		const stop = () => {
+			void (async () => {
+				await daemon.stop();
+				process.exit(0);
+			})();
+		};
+
+		for (const name of ['SIGTERM', 'SIGINT'] as const) {
+			process.once(name, stop);
+		}
+	},
+};
--- /dev/null
+++ b/packages/daemon/src/lib/daemon-errors.ts
@@ -0,0 +1,12 @@
+/** Errors of the daemon and its command line. */
+import {LayerError} from 'hickorywalk';
+
+/** The settings can't be used; the text names each wrong field. */
+export class SettingsError extends LayerError {
+	readonly code = 'settings_invalid';
+}
+
+/** A command was called with what it can't use. */
+export class CommandError extends LayerError {
+	readonly code = 'command_invalid';
+}
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -4,3 +4,4 @@
 export * from './lib/platform/platform-standin.js';
 export * from './lib/engine/engine-settings.js';
 export * from './lib/engine/engine-standin.js';
+export * from './lib/service/service-standin.js';
