Streams that outlive their engine, tested end to end

Cause: crash, silence, crossed answers and a caller that leaves had code but no proof. The crossed-answer test did not fail at first, since the stand-in crossed only the id; it now answers with another prompt's words.

--- /dev/null
+++ b/packages/daemon/src/lib/embedded-fleet.ts
@@ -0,0 +1,119 @@
+/** A small fleet in one process: stand-ins, daemons and a document, for the demo and for tests. */
+import {createHash} from 'node:crypto';
+import {
+	type EngineStandin, type PlatformStandin, type ServiceStandin, startEngineStandin, startPlatformStandin, startServiceStandin,
+} from '@hickorywalk/standins';
+import {type z} from 'zod';
+import {type documentSchema} from 'hickorywalk/configuration.js';
+import {createHttpPlatform} from 'hickorywalk/platform.js';
+import {type Daemon, startDaemon} from './daemon.js';
+import {documentRow} from './first-parts.js';
+import {parseSettings, type settingsSchema} from './settings.js';
+
+/** A document before its defaults are filled in. */
+export type DocumentInput = z.input<typeof documentSchema>;
+
+/** Options of {@link startEmbeddedFleet}. */
+export type EmbeddedFleetOptions = {
+	/** Settings of each engine; one engine is started for each. */
+	engines: Array<Parameters<typeof startEngineStandin>[0]>;
+	/** Plain services to start; one endpoint each. */
+	services?: string[];
+	/** How many daemons to start. */
+	daemons: number;
+	/** Settings that differ from the defaults. */
+	settings?: Partial<z.input<typeof settingsSchema>>;
+	/** Changes the document before it is accepted. */
+	edit?: (document: DocumentInput) => void;
+};
+
+/** A running fleet. */
+export type EmbeddedFleet = {
+	platform: PlatformStandin;
+	engines: EngineStandin[];
+	services: ServiceStandin[];
+	daemons: Daemon[];
+	/** A key of each workspace, by its name. */
+	keys: Record<string, string>;
+	/** Puts a changed document in force. */
+	change: (edit: (document: DocumentInput) => void) => Promise<void>;
+	stop: () => Promise<void>;
+};
+
+/** Names of the workspaces that a fleet starts with. */
+export const embeddedWorkspaces = ['school-1', 'school-2'] as const;
+
+const dataCentre = 'hobart-a';
+
+/** Starts a fleet and resolves once every daemon may serve. */
+export async function startEmbeddedFleet(options: EmbeddedFleetOptions): Promise<EmbeddedFleet> {
+	const platform = await startPlatformStandin();
+	const engines = await Promise.all(options.engines.map(async settings => startEngineStandin(settings)));
+	const services = await Promise.all((options.services ?? []).map(async () => startServiceStandin()));
+	const keys = Object.fromEntries(embeddedWorkspaces.map(name => [name, `hw-demo-key-of-${name}`]));
+	const document = describeFleet(engines, services, options.services ?? [], keys);
+	options.edit?.(document);
+	const client = createHttpPlatform({baseUrl: platform.url});
+	const accept = async () => {
+		await client.table.transact([{key: documentRow, value: JSON.stringify(document)}]);
+	};
+
+	await accept();
+	const daemons: Daemon[] = [];
+	for (let index = 0; index < options.daemons; index++) {
+		daemons.push(await startDaemon(parseSettings({
+			name: `router-${index}`,
+			dataCentre,
+			platform: {url: platform.url},
+			fleetSecret: 'the-secret-of-an-embedded-fleet',
+			drainMs: 1,
+			logLevel: 'error',
+			...options.settings,
+		}, 'embedded settings')));
+	}
+
+	return {
+		platform,
+		engines,
+		services,
+		daemons,
+		keys,
+		async change(edit) {
+			edit(document);
+			await accept();
+		},
+		async stop() {
+			await Promise.all(daemons.map(async daemon => daemon.stop()));
+			await client.close();
+			await Promise.all([...engines, ...services, platform].map(async standin => standin.close()));
+		},
+	};
+}
+
+function describeFleet(engines: EngineStandin[], services: ServiceStandin[], names: string[], keys: Record<string, string>): DocumentInput {
+	return {
+		layout: 1,
+		dataCentres: [{name: dataCentre, region: 'tasmania'}],
+		workspaces: embeddedWorkspaces.map(name => ({
+			name,
+			keys: [{id: `${name}-a`, digest: createHash('sha256').update(keys[name]).digest('hex')}],
+			tokensPerSecond: 100_000,
+			burstTokens: 1_000_000,
+			services: ['wordsmith', ...names],
+		})),
+		services: [
+			{
+				kind: 'model', name: 'wordsmith', model: 'wordsmith', version: 'w1',
+			},
+			...names.map(name => ({kind: 'plain' as const, name})),
+		],
+		endpoints: [
+			...engines.map((engine, index) => ({
+				name: `wordsmith-${index}`, service: 'wordsmith', vm: `vm-w${index}`, dataCentre, address: engine.url,
+			})),
+			...services.map((service, index) => ({
+				name: `${names[index]}-0`, service: names[index], vm: `vm-s${index}`, dataCentre, address: service.url,
+			})),
+		],
+	};
+}
--- a/packages/standins/src/lib/engine/engine-standin.ts
+++ b/packages/standins/src/lib/engine/engine-standin.ts
@@ -281,8 +281,9 @@
 			const crossed = answersToCross > 0;
 			answersToCross -= crossed ? 1 : 0;
 			const usage = usageOf(plan, cachedTokens);
-			const headers = headersOf(crossed ? `crossed-${plan.id}` : plan.id);
-			await (plan.stream ? streamAnswer(work, plan, usage, headers) : sendWhole(work, plan, usage, headers));
+			const answered = crossed ? {...plan, id: `crossed-${plan.id}`, prompt: 'of another request'} : plan;
+			const headers = headersOf(answered.id);
+			await (plan.stream ? streamAnswer(work, answered, usage, headers) : sendWhole(work, answered, usage, headers));
 		} finally {
 			leave();
 		}
