--- a/packages/router/src/lib/gateway/model-request.ts
+++ b/packages/router/src/lib/gateway/model-request.ts
@@ -75,7 +75,7 @@
 
 	const body = result.data;
 	const [model, adapter = ''] = body.model.split(':', 2);
-	const asked = askedOutputTokens(body) ?? bounds.defaultOutputTokens;
+	const asked = askedOutputTokens(body) ?? Math.min(bounds.defaultOutputTokens, bounds.largestOutputTokens);
 	if (asked > bounds.largestOutputTokens) {
 		throw new GatewayError('invalid_request', `max_tokens: at most ${bounds.largestOutputTokens} can be asked for`);
 	}
