Accept configurations by compare-and-set and bring them into force

Cause: operators race, answers get lost and daemons restart or are cut off; an accepted version must come into force everywhere and never revert, and a withdrawn key must fail for the next request.

--- a/packages/router/src/configuration.ts
+++ b/packages/router/src/configuration.ts
@@ -2,3 +2,13 @@
 export * from './lib/configuration/document.js';
 export * from './lib/configuration/parse-document.js';
 export * from './lib/configuration/configuration-errors.js';
+export * from './lib/configuration/configuration-store.js';
+export * from './lib/configuration/configuration-follower.js';
+export * from './lib/configuration/confirmations.js';
+export * from './lib/configuration/document-difference.js';
+export * from './lib/configuration/key-ring.js';
+export {
+	applyDelta, deltaTo, emptySectionSet, wholeDelta, type SectionDelta, type SectionSet,
+} from './lib/configuration/section-set.js';
+export type {ConfigurationLoader, HeldConfiguration, StoredHead} from './lib/configuration/configuration-loader.js';
+export type {VersionRecord} from './lib/configuration/configuration-records.js';
--- a/packages/router/src/lib/configuration/document.ts
+++ b/packages/router/src/lib/configuration/document.ts
@@ -88,6 +88,9 @@
 	endpoints: z.array(endpointSchema),
 });
 
+/** The fields of a document that belong to no list of named things. */
+export const fleetSchema = documentSchema.pick({layout: true, dataCentres: true});
+
 /** A whole, checked document. */
 export type FleetDocument = z.infer<typeof documentSchema>;
 export type DataCentre = z.infer<typeof dataCentreSchema>;
--- a/packages/router/src/lib/configuration/parse-document.ts
+++ b/packages/router/src/lib/configuration/parse-document.ts
@@ -16,19 +16,27 @@
 		throw new DocumentInvalidError(result.error.issues.map(issue => faultOf(issue)));
 	}
 
-	const faults = findCrossFaults(result.data);
+	checkReferences(result.data);
+	return result.data;
+}
+
+/**
+ * Checks what the fields of a document say of each other.
+ *
+ * @throws {DocumentInvalidError} with every fault and its field.
+ */
+export function checkReferences(document: FleetDocument): void {
+	const faults = findCrossFaults(document);
 	if (faults.length > 0) {
 		throw new DocumentInvalidError(faults);
 	}
-
-	return result.data;
 }
 
 /**
  * A newer layout may carry meaning that this build would drop in silence, so
  * it is refused before any field is looked at.
  */
-function refuseNewerLayout(input: unknown): void {
+export function refuseNewerLayout(input: unknown): void {
 	if (typeof input !== 'object' || input === null || !('layout' in input)) {
 		return;
 	}
