--- a/packages/router/src/configuration.ts
+++ b/packages/router/src/configuration.ts
@@ -12,3 +12,6 @@
 } from './lib/configuration/section-set.js';
 export type {ConfigurationLoader, HeldConfiguration, StoredHead} from './lib/configuration/configuration-loader.js';
 export type {VersionRecord} from './lib/configuration/configuration-records.js';
+export {
+	answerRequest, createStepHistory, type StepHistory, type VersionStep,
+} from './lib/configuration/section-exchange.js';
--- a/packages/router/src/links.ts
+++ b/packages/router/src/links.ts
@@ -1,6 +1,7 @@
 /** Links between daemons, and the messages they carry. */
 export type * from './lib/links/peer-link.js';
 export * from './lib/links/dispatch.js';
+export * from './lib/links/body-size.js';
 export * from './gen/hickorywalk/v1/configuration_pb.js';
 export * from './gen/hickorywalk/v1/limits_pb.js';
 export * from './gen/hickorywalk/v1/membership_pb.js';
--- a/packages/traces/src/bench.ts
+++ b/packages/traces/src/bench.ts
@@ -4,7 +4,12 @@
 type Bench = (args: string[]) => Promise<void>;
 
 /** Every benchmark prints JSON lines; its own page says what they mean. */
-const benches: Record<string, Bench> = {};
+const benches: Record<string, Bench> = {
+	async configuration() {
+		const {runConfigurationBench} = await import('./lib/bench/configuration-bench.js');
+		await runConfigurationBench();
+	},
+};
 
 const [name, ...args] = process.argv.slice(2);
 const bench = Object.hasOwn(benches, name ?? '') ? benches[name] : undefined;
