Calls to plain services: failure tables, record of orders, proxy

Cause: a retried order is printed twice, and an order refused as not run that did run is lost to its caller. Conclusion: a first whole form for wiring.

--- /dev/null
+++ b/packages/router/src/lib/orders/group-commit.ts
@@ -0,0 +1,168 @@
+/**
+ * Batches conditional writes into transactions of the table service, which
+ * takes only several hundred a second.
+ *
+ * While a transaction is under way, further groups wait for the next one, so a
+ * busy process writes fuller transactions and an idle one waits for nobody.
+ */
+import {PlatformUnavailableError} from '../platform/platform-errors.js';
+import {type TableClient, type TableRow, type TableWrite} from '../platform/platform.js';
+import {OrderStoreError} from './orders-errors.js';
+
+/** Writes that must take effect together. */
+export type WriteGroup = {
+	writes: TableWrite[];
+	/** Key of the row that tells, when an answer was lost, whether the group took effect. */
+	proofKey: string;
+	/** Whether that row, as it is now, shows that the group took effect. */
+	isProof: (row: TableRow) => boolean;
+};
+
+/** What became of a group. */
+export type GroupResult
+	= | {committed: true; version: number}
+	/** A condition did not hold: another writer came first. */
+		| {committed: false};
+
+/** Options of {@link createGroupCommit}. */
+export type GroupCommitOptions = {
+	table: TableClient;
+	/** Transactions under way at once; 4 by default. */
+	mostUnderWay?: number;
+	/** Told of each transaction, with the number of its writes. */
+	onTransaction?: (writes: number) => void;
+};
+
+/** Commits groups of writes. */
+export type GroupCommit = {
+	/**
+	 * Commits a group, sharing a transaction with others.
+	 *
+	 * @throws {OrderStoreError} The store gave no answer, and reading back did not
+	 * show the group. It may still take effect later.
+	 */
+	commit: (group: WriteGroup) => Promise<GroupResult>;
+};
+
+type Pending = {
+	group: WriteGroup;
+	resolve: (result: GroupResult) => void;
+	reject: (error: unknown) => void;
+};
+
+const mostWrites = 25;
+const defaultMostUnderWay = 4;
+
+/** Takes from the queue what fits one transaction; a key is written once in it. */
+function takeBatch(queue: Pending[]): Pending[] {
+	const batch: Pending[] = [];
+	const keys = new Set<string>();
+	let count = 0;
+	while (queue.length > 0) {
+		const {writes} = queue[0].group;
+		if (batch.length > 0 && (count + writes.length > mostWrites || writes.some(write => keys.has(write.key)))) {
+			break;
+		}
+
+		for (const write of writes) {
+			keys.add(write.key);
+		}
+
+		count += writes.length;
+		batch.push(queue.shift()!);
+	}
+
+	return batch;
+}
+
+/** Creates the committer of one process. */
+export function createGroupCommit(options: GroupCommitOptions): GroupCommit {
+	const {table} = options;
+	const queue: Pending[] = [];
+	const mostUnderWay = options.mostUnderWay ?? defaultMostUnderWay;
+	let underWay = 0;
+
+	/** Settles a lost answer by reading back each group's own row. */
+	const readBack = async ({group, resolve, reject}: Pending, cause: unknown) => {
+		try {
+			const row = await table.get(group.proofKey);
+			if (row !== undefined && group.isProof(row)) {
+				resolve({committed: true, version: row.version});
+				return;
+			}
+
+			reject(new OrderStoreError('The table gave no answer to a write, and the write does not show. It may show later.', {cause}));
+		} catch (error) {
+			reject(new OrderStoreError('The table answers neither writes nor reads. Nothing is dispatched without a record.', {cause: error}));
+		}
+	};
+
+	const commitBatch = async (batch: Pending[]) => {
+		let rest = batch;
+		while (rest.length > 0) {
+			const writes = rest.flatMap(pending => pending.group.writes);
+			options.onTransaction?.(writes.length);
+			const result = await table.transact(writes);
+			if (result.committed) {
+				for (const {group, resolve} of rest) {
+					resolve({committed: true, version: result.versions[group.proofKey]});
+				}
+
+				return;
+			}
+
+			// One lost race must not fail the others of the batch: they go again.
+			const conflicts = new Set(result.conflicts.map(conflict => conflict.key));
+			const again: Pending[] = [];
+			for (const pending of rest) {
+				if (pending.group.writes.some(write => conflicts.has(write.key))) {
+					pending.resolve({committed: false});
+				} else {
+					again.push(pending);
+				}
+			}
+
+			if (again.length === rest.length) {
+				throw new OrderStoreError('The table named a conflict on a row that was not written.');
+			}
+
+			rest = again;
+		}
+	};
+
+	const run = async () => {
+		underWay++;
+		const batch = takeBatch(queue);
+		try {
+			await commitBatch(batch);
+		} catch (error) {
+			const lost = error instanceof PlatformUnavailableError;
+			await Promise.all(batch.map(async pending => {
+				if (lost) {
+					await readBack(pending, error);
+				} else {
+					pending.reject(new OrderStoreError('The table did not take a write of the record of orders.', {cause: error}));
+				}
+			}));
+		} finally {
+			underWay--;
+			pump();
+		}
+	};
+
+	const pump = () => {
+		for (let free = mostUnderWay - underWay; free > 0 && queue.length > 0; free--) {
+			void run();
+		}
+	};
+
+	return {
+		async commit(group) {
+			return new Promise((resolve, reject) => {
+				queue.push({group, resolve, reject});
+				// Groups of one turn of the loop share a transaction.
+				setImmediate(pump);
+			});
+		},
+	};
+}
--- /dev/null
+++ b/packages/router/src/lib/orders/orders-errors.ts
@@ -0,0 +1,26 @@
+/** Errors of calls to plain services. */
+import {LayerError} from '../errors/layer-error.js';
+
+/** An exchange with an endpoint was given up or refused. */
+export class EndpointExchangeError extends LayerError {
+	readonly code = 'endpoint_exchange';
+}
+
+/** The record of orders could not be read or written; nothing was dispatched. */
+export class OrderStoreError extends LayerError {
+	readonly code = 'order_store_unavailable';
+}
+
+/** The order to settle is not one whose outcome is unknown. */
+export class OrderNotUnknownError extends LayerError {
+	readonly code = 'order_not_unknown';
+}
+
+/** It is too early to rule that an order never ran. */
+export class OrderTooRecentError extends LayerError {
+	readonly code = 'order_too_recent';
+
+	constructor(message: string, readonly settleableAtMs: number) {
+		super(message);
+	}
+}
--- /dev/null
+++ b/packages/router/src/lib/orders/request-body.ts
@@ -0,0 +1,107 @@
+/**
+ * The body of a caller's request, read once from its connection and opened for
+ * one or more attempts in bounded memory.
+ */
+import {Buffer} from 'node:buffer';
+
+/** A body that is on its way in. */
+export type RequestBody = {
+	/** Length in bytes; `undefined` when the body comes in chunks. */
+	length: number | undefined;
+	/** Whether {@link open} would give the whole body from its first byte. */
+	canOpen: () => boolean;
+	/** The body from its first byte; one reader at a time. */
+	open: () => AsyncIterable<Uint8Array>;
+	/** The whole body; `undefined` when it is longer than `limit` bytes. */
+	readAll: (limit: number) => Promise<Uint8Array | undefined>;
+};
+
+/** Options of {@link createRequestBody}. */
+export type RequestBodyOptions = {
+	/** Where chunks come from; read only as fast as the attempt takes them. */
+	source: AsyncIterator<Uint8Array>;
+	/** Length in bytes, when the caller stated it. */
+	length?: number;
+	/** Bytes that are kept for a further attempt; a longer body opens once. */
+	replayBytes: number;
+};
+
+/** Creates the body of one call. */
+export function createRequestBody(options: RequestBodyOptions): RequestBody {
+	const kept: Uint8Array[] = [];
+	let keptBytes = 0;
+	let droppedChunks = 0;
+	let replayable = true;
+	let ended = false;
+	let pulling: Promise<void> | undefined;
+
+	const pull = async () => {
+		const next = await options.source.next();
+		if (next.done) {
+			ended = true;
+			return;
+		}
+
+		kept.push(next.value);
+		keptBytes += next.value.byteLength;
+		replayable &&= keptBytes <= options.replayBytes;
+	};
+
+	// An abandoned attempt may still wait for the chunk that the next one needs:
+	// both wait for the same pull, and each finds the chunk in `kept`.
+	const pullOnce = async () => {
+		pulling ??= pull().finally(() => {
+			pulling = undefined;
+		});
+		await pulling;
+	};
+
+	const dropBefore = (position: number) => {
+		if (!replayable) {
+			kept.splice(0, position - droppedChunks);
+			droppedChunks = Math.max(droppedChunks, position);
+		}
+	};
+
+	async function * open(): AsyncGenerator<Uint8Array> {
+		let position = 0;
+		for (;;) {
+			while (position - droppedChunks < kept.length) {
+				const chunk = kept[position - droppedChunks];
+				position++;
+				dropBefore(position);
+				yield chunk;
+			}
+
+			if (ended) {
+				return;
+			}
+
+			await pullOnce();
+		}
+	}
+
+	return {
+		length: options.length,
+		canOpen: () => replayable,
+		open,
+		async readAll(limit) {
+			if (options.length !== undefined && options.length > limit) {
+				return undefined;
+			}
+
+			const chunks: Uint8Array[] = [];
+			let bytes = 0;
+			for await (const chunk of open()) {
+				bytes += chunk.byteLength;
+				if (bytes > limit) {
+					return undefined;
+				}
+
+				chunks.push(chunk);
+			}
+
+			return Buffer.concat(chunks);
+		},
+	};
+}
--- /dev/null
+++ b/packages/router/src/lib/orders/undici-transport.ts
@@ -0,0 +1,226 @@
+/** Sends requests to endpoints over HTTP/1.1. */
+import {Buffer} from 'node:buffer';
+import {type Readable} from 'node:stream';
+import {LRUCache} from 'lru-cache';
+import {Client, Pool, type Dispatcher} from 'undici';
+import {type Endpoint} from '../configuration/document.js';
+import {
+	type EndpointTransport, type Exchange, type ExchangeEvents, type OutgoingRequest,
+} from './endpoint-transport.js';
+import {EndpointExchangeError} from './orders-errors.js';
+
+/** Options of {@link createUndiciTransport}. */
+export type UndiciTransportOptions = {
+	/** Milliseconds for a connection to come about; 1,000 by default. */
+	connectMs?: number;
+	/** Endpoints to which idle connections are kept; 256 by default. */
+	mostPools?: number;
+	/** Connections to one endpoint that are reused; 32 by default. */
+	connectionsPerPool?: number;
+};
+
+const defaultConnectMs = 1000;
+const defaultMostPools = 256;
+const defaultConnectionsPerPool = 32;
+const firstFinalStatus = 200;
+
+function textsOf(raw: unknown): string[] {
+	const texts: string[] = [];
+	for (const item of Array.isArray(raw) ? raw : []) {
+		texts.push(Buffer.isBuffer(item) ? item.toString('latin1') : String(item));
+	}
+
+	return texts;
+}
+
+async function * withProgress(chunks: AsyncIterable<Uint8Array>, progress: () => void): AsyncGenerator<Uint8Array> {
+	for await (const chunk of chunks) {
+		progress();
+		yield chunk;
+	}
+}
+
+function outgoingBody({body}: OutgoingRequest, events: ExchangeEvents): Dispatcher.DispatchOptions['body'] {
+	if (body?.kind !== 'stream') {
+		return body === undefined ? null : Buffer.from(body.content);
+	}
+
+	const chunks: unknown = withProgress(body.open(), events.progress);
+	// Undici sends any async iterable; its types tell only of streams.
+	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
+	return chunks as Readable;
+}
+
+function dispatchOptions(request: OutgoingRequest, events: ExchangeEvents, own: boolean): Dispatcher.DispatchOptions {
+	const {pathname} = new URL(request.endpoint.address);
+	const headers = [...request.headers];
+	const {body} = request;
+	if (body?.kind === 'stream' && body.length !== undefined) {
+		headers.push('content-length', String(body.length));
+	}
+
+	return {
+		path: `${pathname.replace(/\/$/v, '')}${request.path}`,
+		method: request.method,
+		headers,
+		// The limits on silence are the caller's own timers.
+		headersTimeout: 0,
+		bodyTimeout: 0,
+		reset: own,
+		body: outgoingBody(request, events),
+	};
+}
+
+type ExchangeState = {
+	/** The connection carries other requests before or after. */
+	shared: boolean;
+	/** The request was handed to a connected socket. */
+	left: boolean;
+	cancelled: boolean;
+	ended: boolean;
+	controller?: Dispatcher.DispatchController;
+};
+
+function createHandler(state: ExchangeState, events: ExchangeEvents, finish: () => void): Dispatcher.DispatchHandler {
+	return {
+		onRequestStart(controller) {
+			// Undici writes a request a second time when its connection closes in some
+			// ways while it runs. The endpoint would then run an order twice; refusing
+			// the second start leaves one write at most.
+			if (state.left) {
+				controller.abort(new EndpointExchangeError('The connection closed while the request ran. It is not sent again.'));
+				return;
+			}
+
+			if (state.cancelled || !events.leaving(state.shared)) {
+				state.cancelled = true;
+				controller.abort(new EndpointExchangeError('The request was withdrawn before its first byte.'));
+				return;
+			}
+
+			state.left = true;
+			state.controller = controller;
+		},
+		onResponseStart(controller, status) {
+			if (status >= firstFinalStatus) {
+				events.head({status, headers: textsOf(controller.rawHeaders)});
+			}
+		},
+		onResponseData(_controller, chunk) {
+			events.data(chunk);
+		},
+		onResponseEnd(controller) {
+			state.ended = true;
+			events.end(textsOf(controller.rawTrailers));
+			finish();
+		},
+		onResponseError(_controller, error) {
+			if (!state.ended) {
+				state.ended = true;
+				events.failed(failureOf(state, error), error);
+			}
+
+			finish();
+		},
+	};
+}
+
+function failureOf(state: ExchangeState, error: Error) {
+	if (state.left) {
+		return 'reset';
+	}
+
+	if (state.cancelled) {
+		return 'withdrawn';
+	}
+
+	return 'code' in error && error.code === 'UND_ERR_INVALID_ARG' ? 'unsendable' : 'connect_failed';
+}
+
+/**
+ * Creates a transport on undici.
+ *
+ * A connection is reused only toward endpoints whose answers carry the request
+ * id (see `trustIds`): on any other, the late answer to an abandoned request
+ * could be taken for the answer to the next one.
+ *
+ * @example
+ * const transport = createUndiciTransport({connectMs: 500});
+ */
+export function createUndiciTransport(options: UndiciTransportOptions = {}): EndpointTransport {
+	const connect = {timeout: options.connectMs ?? defaultConnectMs};
+	const pools = new LRUCache<string, Pool>({
+		max: options.mostPools ?? defaultMostPools,
+		dispose(pool) {
+			void pool.close();
+		},
+	});
+	const own = new Set<Client>();
+
+	const openClient = (origin: string) => {
+		const client = new Client(origin, {connect, pipelining: 1});
+		own.add(client);
+		return client;
+	};
+
+	const closeClient = (client: Client) => {
+		own.delete(client);
+		void client.destroy();
+	};
+
+	const send = (request: OutgoingRequest, events: ExchangeEvents): Exchange => {
+		const {origin} = new URL(request.endpoint.address);
+		const pool = request.ownConnection ? undefined : pools.get(origin);
+		const state: ExchangeState = {
+			shared: pool !== undefined, left: false, cancelled: false, ended: false,
+		};
+		const client = pool === undefined ? openClient(origin) : undefined;
+		const finish = () => {
+			if (client !== undefined) {
+				closeClient(client);
+			}
+		};
+
+		const handler = createHandler(state, events, finish);
+		(pool ?? client!).dispatch(dispatchOptions(request, events, pool === undefined), handler);
+		return {
+			pause() {
+				state.controller?.pause();
+			},
+			resume() {
+				state.controller?.resume();
+			},
+			abort(reason, suspect) {
+				state.cancelled = true;
+				state.controller?.abort(reason);
+				finish();
+				if (suspect && pool !== undefined && pools.peek(origin) === pool) {
+					pools.delete(origin);
+				}
+			},
+		};
+	};
+
+	return {
+		send,
+		trustIds(endpoint: Endpoint) {
+			const {origin} = new URL(endpoint.address);
+			if (!pools.has(origin)) {
+				pools.set(origin, new Pool(origin, {
+					connect, pipelining: 1, connections: options.connectionsPerPool ?? defaultConnectionsPerPool,
+				}));
+			}
+		},
+		async close() {
+			const closing: Array<Promise<void>> = [];
+			for (const pool of pools.values()) {
+				closing.push(pool.close());
+			}
+
+			await Promise.all(closing);
+			for (const client of own) {
+				closeClient(client);
+			}
+		},
+	};
+}
--- /dev/null
+++ b/packages/router/src/lib/orders/unkeyed-call.ts
@@ -0,0 +1,85 @@
+/** Calls without a key: answered, truly "not run", or listed as unknown. */
+import {type Endpoint, type PlainService} from '../configuration/document.js';
+import {type AnswerSink} from './answer-sink.js';
+import {sendProblem} from './call-problems.js';
+import {type OrderBook, type OrderEnd} from './order-book.js';
+import {unkeyedOrderKey} from './order-rows.js';
+import {type CallResult, type ReadyCall} from './run-call.js';
+import {type IncomingCall, type ServiceEvent} from './service-options.js';
+import {type KnownRun} from './status-look-up.js';
+
+/** What {@link createUnkeyedCalls} works with. */
+export type UnkeyedCallsOptions = {
+	book: OrderBook;
+	run: (call: ReadyCall, sink: AnswerSink) => Promise<CallResult>;
+	lookUp: (service: PlainService, endpoint: Endpoint, requestId: string) => Promise<KnownRun | undefined>;
+	newToken: () => string;
+	/** An unknown outcome could not be listed. */
+	onUnrecorded: (service: string) => void;
+};
+
+/** Creates the handling of calls without a key. */
+export function createUnkeyedCalls(options: UnkeyedCallsOptions) {
+	const list = async ({context, call}: IncomingCall, result: CallResult & {kind: 'unknown'}) => {
+		const now = Date.now();
+		const end: OrderEnd = {state: 'unknown', endpoint: result.endpoint.name, reason: result.failure};
+		const isListed = await options.book.recordUnknown(unkeyedOrderKey(context.workspace, call.service, call.requestId), {
+			state: 'pending',
+			token: options.newToken(),
+			digest: '',
+			requestId: call.requestId,
+			workspace: context.workspace,
+			service: call.service,
+			method: call.method,
+			path: call.path,
+			createdMs: now,
+			giveUpMs: now,
+		}, end);
+		if (!isListed) {
+			options.onUnrecorded(call.service);
+		}
+	};
+
+	const endOrder = async (incoming: IncomingCall, result: CallResult & {kind: 'unknown'}): Promise<ServiceEvent> => {
+		const {context, call, sink} = incoming;
+		const known = await options.lookUp(context.service, result.endpoint, call.requestId);
+		if (known === undefined) {
+			void list(incoming, result);
+		}
+
+		if (!result.begun) {
+			sendProblem(sink, known === undefined ? 'outcome_unknown' : 'answer_not_kept', {
+				requestId: call.requestId,
+				...(known === undefined ? {} : {endpointStatus: known.status}),
+			});
+		}
+
+		return 'unknown';
+	};
+
+	return {
+		/** Runs one call and answers it. */
+		async handle(incoming: IncomingCall): Promise<ServiceEvent> {
+			const {call, sink} = incoming;
+			const result = await options.run(call, sink);
+			if (result.kind === 'answered') {
+				return 'answered';
+			}
+
+			if (result.kind === 'not_run') {
+				sendProblem(sink, 'not_run', {requestId: call.requestId});
+				return 'not_run';
+			}
+
+			if (call.kind === 'once') {
+				return endOrder(incoming, result);
+			}
+
+			if (!result.begun) {
+				sendProblem(sink, 'no_answer', {requestId: call.requestId});
+			}
+
+			return 'no_answer';
+		},
+	};
+}
--- /dev/null
+++ b/packages/router/src/lib/orders/unknown-orders.ts
@@ -0,0 +1,209 @@
+/** Orders whose outcome is unknown: listed, asked after, settled, and in the end deleted. */
+import {type Endpoint, type PlainService} from '../configuration/document.js';
+import {type TableClient, type TableRow} from '../platform/platform.js';
+import {type GroupCommit} from './group-commit.js';
+import {endedRow, type FoundOrder, type OrderEnd} from './order-book.js';
+import {
+	closingWrites, expiryPrefix, indexedOrder, indexTime, openPrefix, parseOrder,
+} from './order-rows.js';
+import {OrderNotUnknownError, OrderStoreError, OrderTooRecentError} from './orders-errors.js';
+import {type StatusLookUp} from './status-look-up.js';
+
+/** Finds a plain service and its endpoints; `undefined` when there is none of this name. */
+export type ServiceDirectory = (service: string) => {service: PlainService; endpoints: readonly Endpoint[]} | undefined;
+
+/** An order that left for an endpoint, or may have, and has no known outcome. */
+export type UnknownOrder = {
+	/** Names the order to {@link UnknownOrders.settleUnknownOrder}. */
+	id: string;
+	workspace: string;
+	service: string;
+	/** Id under which the request went to the endpoint. */
+	requestId: string;
+	method: string;
+	path: string;
+	/** Wall clock, in milliseconds. */
+	createdMs: number;
+	/** Endpoint that it went to; empty when its dispatcher was lost. */
+	endpoint: string;
+	/** Why the outcome is unknown. */
+	reason: string;
+};
+
+/** What an operator found out about an order. */
+export type Settlement = 'ran' | 'not_run';
+
+/** The operator's side of the record of orders. */
+export type UnknownOrders = {
+	/**
+	 * Orders without a known outcome, oldest first. Endpoints that offer a status
+	 * look-up are asked before, and what they know to have run is settled.
+	 *
+	 * @throws {OrderStoreError}
+	 */
+	listUnknownOrders: () => Promise<UnknownOrder[]>;
+	/**
+	 * Records what an operator found out.
+	 *
+	 * @throws {OrderNotUnknownError} The order has an outcome, or is in progress.
+	 * @throws {OrderTooRecentError} It may still be on its way: too early for `not_run`.
+	 * @throws {OrderStoreError}
+	 */
+	settleUnknownOrder: (id: string, outcome: Settlement, who: string) => Promise<void>;
+	/** Deletes orders whose time is up; resolves to their number. To be called now and then. */
+	sweepExpiredOrders: () => Promise<number>;
+};
+
+/** What {@link createUnknownOrders} works with. */
+export type UnknownOrdersOptions = {
+	table: TableClient;
+	groupCommit: GroupCommit;
+	directory: ServiceDirectory;
+	lookUp: StatusLookUp;
+	/** In milliseconds; see the limits of the service proxy. */
+	limits: {clockMarginMs: number; settleAfterMs: number; keepMs: number};
+};
+
+const pageRows = 500;
+
+/** Creates the operator's side of the record of orders. */
+export function createUnknownOrders(options: UnknownOrdersOptions): UnknownOrders {
+	const {limits} = options;
+
+	const read = async <Result>(work: () => Promise<Result>): Promise<Result> => {
+		try {
+			return await work();
+		} catch (error) {
+			throw new OrderStoreError('The record of orders cannot be read.', {cause: error});
+		}
+	};
+
+	const find = async (id: string): Promise<FoundOrder | undefined> => {
+		const row = await read(async () => options.table.get(id));
+		return row === undefined ? undefined : {row: parseOrder(row.value), version: row.version};
+	};
+
+	const isUnknown = ({row}: FoundOrder) => row.state === 'unknown'
+		|| (row.state === 'pending' && Date.now() > row.giveUpMs + limits.clockMarginMs);
+
+	const settle = async (id: string, found: FoundOrder, end: OrderEnd): Promise<boolean> => {
+		const row = endedRow(found.row, end);
+		const result = await options.groupCommit.commit({
+			writes: closingWrites(id, row, found.version, Date.now() + limits.keepMs),
+			proofKey: id,
+			isProof(shown) {
+				const now = parseOrder(shown.value);
+				return now.token === row.token && now.state === row.state;
+			},
+		});
+		return result.committed;
+	};
+
+	/** Asks endpoints that may know; `true` when one settled the order. */
+	const askEndpoints = async (id: string, found: FoundOrder): Promise<boolean> => {
+		const entry = options.directory(found.row.service);
+		for (const endpoint of entry?.endpoints ?? []) {
+			const known = await options.lookUp(entry!.service, endpoint, found.row.requestId);
+			if (known !== undefined) {
+				return settle(id, found, {
+					state: 'answered', status: known.status, headers: [], body: null, trailers: [], by: 'status look-up',
+				});
+			}
+		}
+
+		return false;
+	};
+
+	const pages = async function * (prefix: string): AsyncGenerator<TableRow> {
+		let after: string | undefined;
+		for (;;) {
+			const range = {prefix, limit: pageRows, ...(after === undefined ? {} : {after})};
+			const rows = await read(async () => options.table.list(range));
+			yield * rows;
+			if (rows.length < pageRows) {
+				return;
+			}
+
+			after = rows.at(-1)!.key;
+		}
+	};
+
+	const deleteExpired = async (index: TableRow): Promise<boolean> => {
+		const id = indexedOrder(index.value);
+		const found = await find(id);
+		const token = index.key.split('/').at(-1);
+		// A released key may have a newer order by now, which stays.
+		const isDue = found?.row.token === token && (found?.row.state === 'answered' || found?.row.state === 'released');
+		const result = await options.groupCommit.commit({
+			writes: [
+				{key: index.key, value: null},
+				...(isDue ? [{key: id, value: null, ifVersion: found.version}] : []),
+			],
+			proofKey: index.key,
+			isProof: () => false,
+		});
+		return isDue && result.committed;
+	};
+
+	return {
+		async listUnknownOrders() {
+			const unknown: UnknownOrder[] = [];
+			for await (const index of pages(openPrefix)) {
+				const id = indexedOrder(index.value);
+				const found = await find(id);
+				if (found === undefined || !isUnknown(found) || await askEndpoints(id, found)) {
+					continue;
+				}
+
+				const {row} = found;
+				unknown.push({
+					id,
+					workspace: row.workspace,
+					service: row.service,
+					requestId: row.requestId,
+					method: row.method,
+					path: row.path,
+					createdMs: row.createdMs,
+					endpoint: row.state === 'unknown' ? row.endpoint : '',
+					reason: row.state === 'unknown' ? row.reason : 'dispatcher_lost',
+				});
+			}
+
+			return unknown;
+		},
+		async settleUnknownOrder(id, outcome, who) {
+			const found = await find(id);
+			if (found === undefined || !isUnknown(found)) {
+				throw new OrderNotUnknownError(`Order ${id} is not one whose outcome is unknown. List the unknown orders again.`);
+			}
+
+			// A dispatcher that wakes from a pause must find its time to dispatch long
+			// over, and its idle connection closed, before the order counts as never run.
+			const settleableAtMs = found.row.giveUpMs + limits.settleAfterMs;
+			if (outcome === 'not_run' && Date.now() < settleableAtMs) {
+				throw new OrderTooRecentError(`Order ${id} may still be on its way. Settle it as never run from ${new Date(settleableAtMs).toISOString()} on.`, settleableAtMs);
+			}
+
+			const end: OrderEnd = outcome === 'not_run'
+				? {state: 'released', by: who}
+				: {
+					state: 'answered', status: null, headers: [], body: null, trailers: [], by: who,
+				};
+			if (!await settle(id, found, end)) {
+				throw new OrderNotUnknownError(`Order ${id} got an outcome meanwhile. List the unknown orders again.`);
+			}
+		},
+		async sweepExpiredOrders() {
+			let deleted = 0;
+			for await (const index of pages(expiryPrefix)) {
+				if (indexTime(index.key) > Date.now()) {
+					break;
+				}
+
+				deleted += await deleteExpired(index) ? 1 : 0;
+			}
+
+			return deleted;
+		},
+	};
+}
