--- /dev/null
+++ b/packages/router/src/lib/routing/health.ts
@@ -0,0 +1,192 @@
+/**
+ * Which endpoints are kept out for a while because requests to them failed.
+ *
+ * Ejection needs evidence, ends by itself, and is limited to a share of a
+ * service: when everything fails, the fault is not in single endpoints, and
+ * taking them out would load the rest still more until none is left.
+ */
+
+/** How endpoints are ejected and taken back. */
+export type HealthOptions = {
+	/** Failures in a row that eject. Default 3. */
+	consecutiveFailures?: number;
+	/** Share of failed requests in the window that ejects. Default 0.5. */
+	failedShare?: number;
+	/** Fewest requests in the window for the share to count. Default 10. */
+	fewestRequests?: number;
+	/** Length of the window in milliseconds. Default 10,000. */
+	windowMs?: number;
+	/** First ejection in milliseconds; each further one doubles. Default 2,000. */
+	ejectionMs?: number;
+	/** Longest ejection in milliseconds. Default 60,000. */
+	longestEjectionMs?: number;
+	/** Largest share of a service that is ejected at once. Default 0.34; one endpoint of several always may be. */
+	maxEjectedShare?: number;
+	/** Time in milliseconds in which a returning endpoint comes back to a full share. Default 10,000. */
+	returnMs?: number;
+};
+
+/** Whether an endpoint may be used, and how far. */
+export type EndpointHealth = 'healthy' | 'returning' | 'ejected';
+
+/** Keeps the health of endpoints; time is the monotonic clock. */
+export type HealthTracker = {
+	/** The endpoints of a service; those left out are forgotten. */
+	setEndpoints: (service: string, endpoints: readonly string[]) => void;
+	/** A request was answered. */
+	succeeded: (endpoint: string) => void;
+	/** A request failed, and the endpoint is to blame. */
+	failed: (endpoint: string) => void;
+	/** The endpoint's health now. */
+	healthOf: (endpoint: string) => EndpointHealth;
+	/** Requests that may run there at once; infinite for a healthy endpoint. */
+	roomOf: (endpoint: string) => number;
+	/** Endpoints of a service that are ejected now. */
+	ejectedOf: (service: string) => string[];
+};
+
+type Entry = {
+	service: string;
+	failuresInRow: number;
+	windowFrom: number;
+	requests: number;
+	failures: number;
+	ejections: number;
+	ejectedUntil: number;
+	returnedAt: number;
+};
+
+const never = Number.NEGATIVE_INFINITY;
+
+const newEntry = (service: string): Entry => ({
+	service, failuresInRow: 0, windowFrom: never, requests: 0, failures: 0, ejections: 0, ejectedUntil: never, returnedAt: never,
+});
+
+const longestDoubling = 10;
+const requestsWhileReturning = 8;
+
+/**
+ * Opens a health tracker.
+ *
+ * @example
+ * const health = createHealthTracker({maxEjectedShare: 0.3});
+ * health.setEndpoints('wordsmith', ['ws-1', 'ws-2']);
+ * health.failed('ws-1');
+ */
+export const createHealthTracker = (options: HealthOptions = {}): HealthTracker => {
+	const {
+		consecutiveFailures = 3, failedShare = 0.5, fewestRequests = 10, windowMs = 10_000, ejectionMs = 2000,
+		longestEjectionMs = 60_000, maxEjectedShare = 0.34, returnMs = 10_000,
+	} = options;
+	const entries = new Map<string, Entry>();
+	const services = new Map<string, readonly string[]>();
+
+	const ejectedOf = (service: string, now: number): string[] =>
+		(services.get(service) ?? []).filter(name => entries.get(name)!.ejectedUntil > now);
+
+	const mayEject = (service: string, now: number): boolean => {
+		const total = services.get(service)?.length ?? 0;
+		const most = total > 1 ? Math.max(1, Math.floor(total * maxEjectedShare)) : 0;
+		return ejectedOf(service, now).length < most;
+	};
+
+	const isReturning = (entry: Entry, now: number): boolean =>
+		entry.ejectedUntil <= now && now < entry.returnedAt + returnMs;
+
+	const eject = (entry: Entry, now: number): void => {
+		const duration = Math.min(longestEjectionMs, ejectionMs * (2 ** Math.min(longestDoubling, entry.ejections)));
+		entry.ejections++;
+		entry.ejectedUntil = now + duration;
+		entry.returnedAt = entry.ejectedUntil;
+		entry.failuresInRow = 0;
+		entry.requests = 0;
+		entry.failures = 0;
+	};
+
+	const count = (entry: Entry, now: number): void => {
+		if (now - entry.windowFrom > windowMs) {
+			entry.windowFrom = now;
+			entry.requests = 0;
+			entry.failures = 0;
+		}
+
+		entry.requests++;
+	};
+
+	const isGuilty = (entry: Entry, now: number): boolean =>
+		entry.failuresInRow >= consecutiveFailures
+		|| isReturning(entry, now)
+		|| (entry.requests >= fewestRequests && entry.failures >= entry.requests * failedShare);
+
+	const healthOf = (entry: Entry | undefined, now: number): EndpointHealth => {
+		if (entry === undefined) {
+			return 'healthy';
+		}
+
+		if (entry.ejectedUntil > now) {
+			return 'ejected';
+		}
+
+		return isReturning(entry, now) ? 'returning' : 'healthy';
+	};
+
+	return {
+		setEndpoints(service, endpoints) {
+			for (const name of services.get(service) ?? []) {
+				if (!endpoints.includes(name)) {
+					entries.delete(name);
+				}
+			}
+
+			services.set(service, [...endpoints]);
+			for (const name of endpoints) {
+				if (!entries.has(name)) {
+					entries.set(name, newEntry(service));
+				}
+			}
+		},
+		succeeded(endpoint) {
+			const entry = entries.get(endpoint);
+			if (entry === undefined) {
+				return;
+			}
+
+			const now = performance.now();
+			count(entry, now);
+			entry.failuresInRow = 0;
+			if (healthOf(entry, now) === 'healthy' && now > entry.returnedAt + (2 * returnMs)) {
+				entry.ejections = 0;
+			}
+		},
+		failed(endpoint) {
+			const entry = entries.get(endpoint);
+			if (entry === undefined) {
+				return;
+			}
+
+			const now = performance.now();
+			count(entry, now);
+			entry.failures++;
+			entry.failuresInRow++;
+			if (entry.ejectedUntil <= now && isGuilty(entry, now) && mayEject(entry.service, now)) {
+				eject(entry, now);
+			}
+		},
+		healthOf: endpoint => healthOf(entries.get(endpoint), performance.now()),
+		roomOf(endpoint) {
+			const entry = entries.get(endpoint);
+			const now = performance.now();
+			if (entry === undefined || entry.returnedAt === never) {
+				return Number.POSITIVE_INFINITY;
+			}
+
+			if (entry.ejectedUntil > now) {
+				return 0;
+			}
+
+			const since = now - entry.returnedAt;
+			return since >= returnMs ? Number.POSITIVE_INFINITY : 1 + Math.floor(requestsWhileReturning * since / returnMs);
+		},
+		ejectedOf: service => ejectedOf(service, performance.now()),
+	};
+};
--- /dev/null
+++ b/packages/router/src/lib/routing/service-table.ts
@@ -0,0 +1,100 @@
+/** The endpoints of each service, prepared for quick decisions. */
+import {createEngineRecord, type EngineRecord} from './engine-record.js';
+import {createHomeOrder, type HomeOrder} from './home-order.js';
+import {type FilledPlacerOptions, type PlacementEndpoint} from './placement-options.js';
+
+/** One service with its endpoints. */
+export type ServiceEntry = {
+	name: string;
+	/** Sorted by name. */
+	engines: readonly EngineRecord[];
+	homes: HomeOrder;
+	pieceTokens: number;
+	/** Learned share of a prompt's unknown pieces that its first home has cached. */
+	homeTrust: number;
+};
+
+/** All services. */
+export type ServiceTable = {
+	serviceOf: (name: string) => ServiceEntry | undefined;
+	engineOf: (name: string) => EngineRecord | undefined;
+	/** Replaces the list; what was learned of endpoints that stay is kept. */
+	set: (endpoints: readonly PlacementEndpoint[]) => void;
+	/** All services. */
+	all: () => Iterable<ServiceEntry>;
+};
+
+const rememberedOrders = 1024;
+
+/** Trust in computed homes before anything was learned. */
+const initialHomeTrust = 0.5;
+
+/**
+ * Opens an empty table.
+ * @internal
+ */
+export const createServiceTable = (options: FilledPlacerOptions): ServiceTable => {
+	const services = new Map<string, ServiceEntry>();
+	let engines = new Map<string, {engine: EngineRecord; service: string}>();
+
+	const engineFor = (endpoint: PlacementEndpoint): EngineRecord => {
+		const known = engines.get(endpoint.name);
+		const engine = known?.service === endpoint.service ? known.engine : createEngineRecord(endpoint.name, options);
+		engine.usable = endpoint.usable;
+		engine.roundTripMs = options.roundTripMs(endpoint.dataCentre);
+		if (endpoint.version !== undefined && endpoint.version !== engine.version) {
+			if (engine.version !== '') {
+				engine.forget(performance.now());
+			}
+
+			engine.version = endpoint.version;
+		}
+
+		return engine;
+	};
+
+	/** A new order only when names changed: it costs the ranks of hot prefixes. */
+	const replace = (name: string, members: EngineRecord[]): void => {
+		const former = services.get(name);
+		if (former?.engines.length === members.length && former.engines.every((engine, index) => engine === members[index])) {
+			return;
+		}
+
+		services.set(name, {
+			name,
+			engines: members,
+			homes: createHomeOrder(members, options.longestHomeList, rememberedOrders),
+			pieceTokens: options.pieceTokensOf(name),
+			homeTrust: former?.homeTrust ?? initialHomeTrust,
+		});
+	};
+
+	return {
+		serviceOf: name => services.get(name),
+		engineOf: name => engines.get(name)?.engine,
+		set(endpoints) {
+			const next = new Map<string, {engine: EngineRecord; service: string}>();
+			const members = new Map<string, EngineRecord[]>();
+			const sorted = endpoints.toSorted((a, b) => a.name < b.name ? -1 : 1);
+			for (const endpoint of sorted) {
+				const engine = engineFor(endpoint);
+				next.set(endpoint.name, {engine, service: endpoint.service});
+				const list = members.get(endpoint.service) ?? [];
+				list.push(engine);
+				members.set(endpoint.service, list);
+			}
+
+			engines = next;
+			for (const name of services.keys()) {
+				if (!members.has(name)) {
+					services.delete(name);
+				}
+			}
+
+			for (const [name, list] of members) {
+				replace(name, list);
+			}
+		},
+		all: () => services.values(),
+	};
+};
