Service levels: mergeable counts that daemons flush to the object store

Each daemon counts by workspace and service and writes one object an interval (60 s by default); any daemon merges them by ten minutes, then hours, and removes parts and old merges. At 650 daemons and 60 s that is 10.8 writes a second plus as many removals (arithmetic, not a run). A lost VM loses its open interval. In an outage one sealed interval waits and the open one goes on, so memory is bounded and nothing else is lost.

--- a/packages/router/src/observability.ts
+++ b/packages/router/src/observability.ts
@@ -2,3 +2,7 @@
 export * from './lib/observability/log.js';
 export * from './lib/observability/metrics.js';
 export * from './lib/observability/collecting-metrics.js';
+export * from './lib/observability/service-levels/interval.js';
+export * from './lib/observability/service-levels/recorder.js';
+export * from './lib/observability/service-levels/merger.js';
+export * from './lib/observability/service-levels/reader.js';
