--- a/packages/router/src/lib/observability/service-levels/interval.ts
+++ b/packages/router/src/lib/observability/service-levels/interval.ts
@@ -151,6 +151,21 @@
 	return runs;
 }
 
+/** How many of the recorded values are at most `ms`, to the histogram's 1 in 100. */
+export function countWithin(histogram: hdr.Histogram, ms: number): number {
+	if (!(histogram instanceof hdr.JsHistogram)) {
+		return 0;
+	}
+
+	const last = histogram.countsArrayIndex(Math.min(ms, longestFirstTokenMs));
+	let within = 0;
+	for (let index = 0; index <= last; index++) {
+		within += histogram.getCountAtIndex(index);
+	}
+
+	return within;
+}
+
 type OpenRow = {row: ServiceLevelRow; histogram?: hdr.Histogram};
 
 /** Adds intervals up; see {@link createMerge}. */
--- a/packages/router/src/observability.ts
+++ b/packages/router/src/observability.ts
@@ -6,3 +6,5 @@
 export * from './lib/observability/service-levels/recorder.js';
 export * from './lib/observability/service-levels/merger.js';
 export * from './lib/observability/service-levels/reader.js';
+export * from './lib/observability/burn-report.js';
+export * from './lib/observability/burn-text.js';
