--- a/packages/router/src/gateway.ts
+++ b/packages/router/src/gateway.ts
@@ -4,3 +4,4 @@
 export * from './lib/gateway/gateway-server.js';
 export * from './lib/gateway/model-gateway.js';
 export * from './lib/gateway/admission.js';
+export * from './lib/gateway/event-reader.js';
