Wire the real configuration, key ring, placer, retry budget and order path

Cause: the thin path ran on the plainest parts. Placement, keys, versions and at-most-once calls now come from the real ones; only the token limiter still grants everything. Conclusion: a request asks for the version that its workspace has moved to, so a change of weights neither fails requests nor floods the first new replica.

--- a/packages/daemon/src/lib/embedded-fleet.ts
+++ b/packages/daemon/src/lib/embedded-fleet.ts
@@ -4,10 +4,9 @@
 	type EngineStandin, type PlatformStandin, type ServiceStandin, startEngineStandin, startPlatformStandin, startServiceStandin,
 } from '@hickorywalk/standins';
 import {type z} from 'zod';
-import {type documentSchema} from 'hickorywalk/configuration.js';
+import {createConfigurationStore, type documentSchema} from 'hickorywalk/configuration.js';
 import {createHttpPlatform} from 'hickorywalk/platform.js';
 import {type Daemon, startDaemon} from './daemon.js';
-import {documentRow} from './first-parts.js';
 import {parseSettings, type settingsSchema} from './settings.js';
 
 /** A document before its defaults are filled in. */
@@ -54,8 +53,10 @@
 	const document = describeFleet(engines, services, options.services ?? [], keys);
 	options.edit?.(document);
 	const client = createHttpPlatform({baseUrl: platform.url});
+	const store = createConfigurationStore({platform: client});
+	let version = 0;
 	const accept = async () => {
-		await client.table.transact([{key: documentRow, value: JSON.stringify(document)}]);
+		({version} = await store.propose(document, {expectedVersion: version, who: 'embedded-fleet'}));
 	};
 
 	await accept();
@@ -72,6 +73,8 @@
 		}, 'embedded settings')));
 	}
 
+	await Promise.all(daemons.map(async daemon => daemon.ready()));
+
 	return {
 		platform,
 		engines,
--- a/packages/daemon/src/lib/settings.ts
+++ b/packages/daemon/src/lib/settings.ts
@@ -41,6 +41,7 @@
 		silenceMs: ms('Longest silence inside an answer.', 5000),
 		slotsPerEndpoint: z.number().int().positive().default(8).describe('Requests that an endpoint runs well at once.'),
 		probeMs: ms('Time between two load probes of one endpoint.', 1000),
+		mostProbesPerSecond: z.number().int().positive().default(20).describe('Most load probes in a second, over all endpoints.'),
 	}).prefault({}),
 	queue: z.strictObject({
 		mostWaitingPerWorkspace: z.number().int().positive().default(512).describe('Most requests of one workspace that wait for one service.'),
--- a/packages/daemon/src/test/whole-path.test.ts
+++ b/packages/daemon/src/test/whole-path.test.ts
@@ -2,14 +2,26 @@
 import {mkdtemp, rm, writeFile} from 'node:fs/promises';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
+import {setTimeout as delay} from 'node:timers/promises';
 import {assert} from 'chai';
+import {createConfigurationStore} from 'hickorywalk/configuration.js';
 import {createHttpPlatform} from 'hickorywalk/platform.js';
 import OpenAI from 'openai';
-import {documentRow} from '../lib/first-parts.js';
 import {startProcess, type StartedProcess} from './processes.js';
 
 const key = 'hw-test-key-of-school-1';
 
+async function untilReady(url: string): Promise<void> {
+	for (;;) {
+		const res = await fetch(`${url}/ready`);
+		if (res.ok) {
+			return;
+		}
+
+		await delay(20);
+	}
+}
+
 describe('the whole path, each part as its own process', () => {
 	let directory: string;
 	const started: StartedProcess[] = [];
@@ -36,34 +48,31 @@
 		const engines = [await start('standin', 'engine'), await start('standin', 'engine')];
 		const service = await start('standin', 'service');
 		const client = createHttpPlatform({baseUrl: platform.url});
-		await client.table.transact([{
-			key: documentRow,
-			value: JSON.stringify({
-				layout: 1,
-				dataCentres: [{name: 'hobart-a', region: 'tasmania'}],
-				workspaces: [{
-					name: 'school-1',
-					keys: [{id: 'school-1-a', digest: createHash('sha256').update(key).digest('hex')}],
-					tokensPerSecond: 100_000,
-					burstTokens: 1_000_000,
-					services: ['wordsmith', 'orderdesk'],
-				}],
-				services: [
-					{
-						kind: 'model', name: 'wordsmith', model: 'wordsmith', version: 'w1',
-					},
-					{kind: 'plain', name: 'orderdesk'},
-				],
-				endpoints: [
-					...engines.map((engine, index) => ({
-						name: `ws-${index}`, service: 'wordsmith', vm: `vm-${index}`, dataCentre: 'hobart-a', address: engine.url,
-					})),
-					{
-						name: 'od-0', service: 'orderdesk', vm: 'vm-9', dataCentre: 'hobart-a', address: service.url,
-					},
-				],
-			}),
-		}]);
+		await createConfigurationStore({platform: client}).propose({
+			layout: 1,
+			dataCentres: [{name: 'hobart-a', region: 'tasmania'}],
+			workspaces: [{
+				name: 'school-1',
+				keys: [{id: 'school-1-a', digest: createHash('sha256').update(key).digest('hex')}],
+				tokensPerSecond: 100_000,
+				burstTokens: 1_000_000,
+				services: ['wordsmith', 'orderdesk'],
+			}],
+			services: [
+				{
+					kind: 'model', name: 'wordsmith', model: 'wordsmith', version: 'w1',
+				},
+				{kind: 'plain', name: 'orderdesk'},
+			],
+			endpoints: [
+				...engines.map((engine, index) => ({
+					name: `ws-${index}`, service: 'wordsmith', vm: `vm-${index}`, dataCentre: 'hobart-a', address: engine.url,
+				})),
+				{
+					name: 'od-0', service: 'orderdesk', vm: 'vm-9', dataCentre: 'hobart-a', address: service.url,
+				},
+			],
+		}, {expectedVersion: 0, who: 'ana'});
 		await client.close();
 		const routers: StartedProcess[] = [];
 		for (const name of ['router-a', 'router-b']) {
@@ -71,7 +80,9 @@
 			await writeFile(file, JSON.stringify({
 				name, dataCentre: 'hobart-a', platform: {url: platform.url}, fleetSecret: 'a-secret-for-this-test',
 			}));
-			routers.push(await start('serve', '--settings', file));
+			const router = await start('serve', '--settings', file);
+			await untilReady(router.url);
+			routers.push(router);
 		}
 
 		for (const router of routers) {
--- a/packages/router/src/configuration.ts
+++ b/packages/router/src/configuration.ts
@@ -15,3 +15,4 @@
 export {
 	answerRequest, createStepHistory, type StepHistory, type VersionStep,
 } from './lib/configuration/section-exchange.js';
+export * from './lib/configuration/document-index.js';
--- a/packages/router/src/gateway.ts
+++ b/packages/router/src/gateway.ts
@@ -5,3 +5,4 @@
 export * from './lib/gateway/model-gateway.js';
 export * from './lib/gateway/admission.js';
 export * from './lib/gateway/event-reader.js';
+export * from './lib/gateway/plain-route.js';
--- /dev/null
+++ b/packages/router/src/lib/endpoints/engine-probe.ts
@@ -0,0 +1,44 @@
+/** Reads what an engine says of itself. */
+import {Agent, request} from 'undici';
+import {z} from 'zod';
+import {EndpointBrokenError} from './endpoint-errors.js';
+import {type EngineReport} from './endpoint-watch.js';
+
+const stateSchema = z.looseObject({
+	incarnation: z.string(),
+	version: z.string(),
+	loading: z.boolean().default(false),
+	running: z.number(),
+	waiting: z.number(),
+	pendingPromptTokens: z.number(),
+});
+
+/** Asks engines for their state. */
+export type EngineProbe = {
+	probe: (address: string) => Promise<EngineReport>;
+	close: () => Promise<void>;
+};
+
+/**
+ * Creates a probe. Each question takes a new connection: an old one may have
+ * gone silent, and would then speak for the path instead of the engine.
+ */
+export function createEngineProbe(options: {timeoutMs: number}): EngineProbe {
+	const agent = new Agent({pipelining: 0, connect: {timeout: options.timeoutMs}});
+	return {
+		async probe(address) {
+			try {
+				const res = await request(new URL('/engine/state', address), {
+					dispatcher: agent, signal: AbortSignal.timeout(options.timeoutMs),
+				});
+				const state = stateSchema.parse(await res.body.json());
+				return {...state, ready: !state.loading};
+			} catch (error) {
+				throw new EndpointBrokenError(`${address} did not tell its state.`, {cause: error});
+			}
+		},
+		async close() {
+			await agent.destroy();
+		},
+	};
+}
--- a/packages/router/src/lib/gateway/admission.ts
+++ b/packages/router/src/lib/gateway/admission.ts
@@ -1,6 +1,7 @@
 /** Decides whether a request may run: its key, its service, its tokens, its turn. */
 import {type IncomingHttpHeaders} from 'node:http';
-import {type AcceptedDocument, type ModelService} from '../configuration/document.js';
+import {type ModelService} from '../configuration/document.js';
+import {type DocumentIndex} from '../configuration/document-index.js';
 import {type FairQueue, type QueueTicket} from '../fairness/fair-queue.js';
 import {GatewayError} from './gateway-errors.js';
 import {type ModelRequest} from './model-request.js';
@@ -36,24 +37,44 @@
  *
  * @throws {GatewayError} `model_not_found` or `service_forbidden`.
  */
-export function findModelService(accepted: AcceptedDocument, caller: Caller, request: ModelRequest): ModelService {
-	for (const service of accepted.document.services) {
-		if (service.kind !== 'model' || service.model !== request.model) {
-			continue;
-		}
+export function findModelService(index: DocumentIndex, caller: Caller, request: ModelRequest): ModelService {
+	const service = index.modelService(request.model);
+	if (service === undefined) {
+		throw new GatewayError('model_not_found', `There is no model ${request.model}. GET /v1/models lists them.`);
+	}
 
-		if (!caller.workspace.services.includes(service.name)) {
-			throw new GatewayError('service_forbidden', `Workspace ${caller.workspace.name} may not call ${service.name}.`);
-		}
+	requireAccess(caller, service.name);
+	if (request.adapter !== '' && !service.adapters.includes(request.adapter)) {
+		throw new GatewayError('model_not_found', `Model ${request.model} has no adapter ${request.adapter}.`);
+	}
 
-		if (request.adapter !== '' && !service.adapters.includes(request.adapter)) {
-			throw new GatewayError('model_not_found', `Model ${request.model} has no adapter ${request.adapter}.`);
-		}
+	return service;
+}
 
-		return service;
+/**
+ * Checks that a workspace may call a service.
+ *
+ * @throws {GatewayError} `service_forbidden`.
+ */
+export function requireAccess(caller: Caller, service: string): void {
+	if (!caller.workspace.services.includes(service)) {
+		throw new GatewayError('service_forbidden', `Workspace ${caller.workspace.name} may not call ${service}.`);
+	}
+}
+
+const comeBackMs = 1000;
+
+/**
+ * Takes the configuration in force.
+ *
+ * @throws {GatewayError} `not_ready` while there is none that may be served by.
+ */
+export function requireConfiguration(index: DocumentIndex | undefined): DocumentIndex {
+	if (index === undefined) {
+		throw new GatewayError('not_ready', 'This router can\'t serve now. Nothing was run.', comeBackMs);
 	}
 
-	throw new GatewayError('model_not_found', `There is no model ${request.model}. GET /v1/models lists them.`);
+	return index;
 }
 
 /** Options of {@link admit}. */
--- a/packages/router/src/lib/gateway/gateway-server.ts
+++ b/packages/router/src/lib/gateway/gateway-server.ts
@@ -4,8 +4,8 @@
 import fastify, {
 	type FastifyError, type FastifyInstance, type FastifyReply, type FastifyRequest,
 } from 'fastify';
-import {type AcceptedDocument} from '../configuration/document.js';
-import {authenticate} from './admission.js';
+import {type DocumentIndex} from '../configuration/document-index.js';
+import {authenticate, requireConfiguration} from './admission.js';
 import {
 	errorBody, errorHeaders, GatewayError, refusals,
 } from './gateway-errors.js';
@@ -16,7 +16,8 @@
 /** Options of {@link createGatewayServer}. */
 export type GatewayServerOptions = {
 	models: ModelGateway;
-	configuration: () => AcceptedDocument | undefined;
+	/** The configuration in force; `undefined` while the daemon may not serve. */
+	configuration: () => DocumentIndex | undefined;
 	keyRing: KeyRing;
 	/** Whether the balancer should send new requests here. */
 	isReady: () => boolean;
@@ -92,9 +93,10 @@
 }
 
 function listModels(options: GatewayServerOptions, req: FastifyRequest) {
+	const {document} = requireConfiguration(options.configuration()).accepted;
 	const {workspace} = authenticate(options.keyRing, req.headers);
 	const data = [];
-	for (const service of options.configuration()?.document.services ?? []) {
+	for (const service of document.services) {
 		if (service.kind !== 'model' || !workspace.services.includes(service.name)) {
 			continue;
 		}
--- a/packages/router/src/lib/gateway/model-gateway.ts
+++ b/packages/router/src/lib/gateway/model-gateway.ts
@@ -1,13 +1,15 @@
 /** Serves requests for models: admission, placement, stream or whole answer. */
 import {Buffer} from 'node:buffer';
 import {type IncomingHttpHeaders, type ServerResponse} from 'node:http';
-import {type AcceptedDocument, type ModelService} from '../configuration/document.js';
+import {type ModelService} from '../configuration/document.js';
+import {type DocumentIndex} from '../configuration/document-index.js';
 import {type EngineAnswer, type EngineClient} from '../endpoints/engine-client.js';
 import {EndpointBrokenError} from '../endpoints/endpoint-errors.js';
+import {chooseVersion, type ReadyVersions} from '../endpoints/version-choice.js';
 import {type LayerError} from '../errors/layer-error.js';
 import {type FairQueue} from '../fairness/fair-queue.js';
 import {
-	type Admission, admit, authenticate, findModelService,
+	type Admission, admit, authenticate, findModelService, requireConfiguration,
 } from './admission.js';
 import {type AttemptReport, runAttempts} from './attempts.js';
 import {type CallerConnection, CallerGoneError, watchCaller} from './caller-connection.js';
@@ -51,8 +53,10 @@
 
 /** The parts behind the gateway. */
 export type ModelGatewayParts = {
-	/** The configuration in force; `undefined` before the daemon may serve. */
-	configuration: () => AcceptedDocument | undefined;
+	/** The configuration in force; `undefined` while the daemon may not serve. */
+	configuration: () => DocumentIndex | undefined;
+	/** Ready replicas of a service by version. */
+	versionsOf: (service: string) => ReadyVersions;
 	keyRing: KeyRing;
 	limiter: TokenLimiter;
 	placer: Placer;
@@ -140,18 +144,19 @@
 	}
 
 	function prepare(): Plan {
-		const accepted = parts.configuration();
-		if (accepted === undefined) {
-			throw new GatewayError('not_ready', 'This router has no configuration yet. Nothing was run.', 1000);
-		}
-
+		const index = requireConfiguration(parts.configuration());
 		const owner = authenticate(parts.keyRing, exchange.headers);
 		record.workspace = owner.workspace.name;
 		const request = parseModelRequest(exchange.form, exchange.body, parts.bounds);
-		const service = findModelService(accepted, owner, request);
+		const service = findModelService(index, owner, request);
 		record.service = service.name;
 		return {
-			owner, request, service, promptTokens: Math.ceil(bytesOf(request.prompt) / service.bytesPerToken), deadlineMs: deadlineOf(exchange.headers, parts.bounds.deadlineMs),
+			owner,
+			request,
+			service,
+			version: chooseVersion(service, owner.workspace.name, parts.versionsOf(service.name)),
+			promptTokens: Math.ceil(bytesOf(request.prompt) / service.bytesPerToken),
+			deadlineMs: deadlineOf(exchange.headers, parts.bounds.deadlineMs),
 		};
 	}
 
@@ -190,7 +195,7 @@
 	async function runPlaced(plan: Plan, caller: CallerConnection, admission: Admission): Promise<void> {
 		const {request, service} = plan;
 		const identity = {
-			workspace: plan.owner.workspace.name, model: service.model, version: service.version, adapter: request.adapter,
+			workspace: plan.owner.workspace.name, model: service.model, version: plan.version, adapter: request.adapter,
 		};
 		const pieces = parts.hashPrompt(identity, request.prompt, service.pieceTokens * service.bytesPerToken);
 		await runAttempts({
@@ -199,7 +204,7 @@
 			request: {
 				service: service.name,
 				workspace: identity.workspace,
-				version: service.version,
+				version: plan.version,
 				adapter: request.adapter,
 				pieces,
 				promptTokens: plan.promptTokens,
@@ -228,7 +233,7 @@
 			path: modelForms[exchange.form],
 			requestId,
 			cacheIdentity: step.identity,
-			version: plan.service.version,
+			version: plan.version,
 			incarnation: step.placement.incarnation,
 			priority: step.admission.priority,
 			deadlineMs: caller.remainingMs(),
@@ -301,7 +306,7 @@
 	}
 
 	function addressOf(endpoint: string): string {
-		const found = parts.configuration()?.document.endpoints.find(item => item.name === endpoint);
+		const found = parts.configuration()?.endpoint(endpoint);
 		if (found === undefined) {
 			throw new EndpointBrokenError(`Endpoint ${endpoint} is no longer in the configuration.`);
 		}
@@ -341,6 +346,8 @@
 	owner: Caller;
 	request: ModelRequest;
 	service: ModelService;
+	/** Weights version that every attempt asks for, so that a resume can follow. */
+	version: string;
 	promptTokens: number;
 	deadlineMs: number;
 };
--- a/packages/router/src/lib/orders/undici-transport.ts
+++ b/packages/router/src/lib/orders/undici-transport.ts
@@ -47,7 +47,7 @@
 
 	const chunks: unknown = withProgress(body.open(), events.progress);
 	// Undici sends any async iterable; its types tell only of streams.
-	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
+
 	return chunks as Readable;
 }
 
