Rates and bursts over all VMs by shares of a ledger

Cause: a workspace's rate and burst hold over all VMs together, while a table row per daemon and workspace would cost 78,000 writes a second at the target size.

Daemons hold shares of rate and burst and admit from them alone. Per shard of workspaces one daemon issues the shares and keeps the ledger; the table only says which daemon that is, by a lease with a generation. A new issuer asks every registered daemon before it issues what did not come back to itself. Wishes and grants go one at a time per workspace, so lost, doubled and late messages move nothing twice.

Conclusion: the interfaces are stable enough to wire; sizes of shares are not measured yet.

--- /dev/null
+++ b/packages/router/src/lib/limits/shard-issuer.ts
@@ -0,0 +1,389 @@
+/**
+ * Issues the shares of one shard's workspaces. One daemon at a time does, by
+ * a lease on the shard's row in the table.
+ *
+ * A new issuer knows nothing of who holds what. It calls all registered
+ * daemons for reports and until every one has reported, is known to have
+ * ended, or must have let its lease lapse, it gives out only what came back to
+ * itself. Holders go on with what they have meanwhile.
+ */
+import {create} from '@bufbuild/protobuf';
+import {
+	ShardCallSchema, ShareGrantSchema, ShareNoticeSchema, type ShareWish,
+} from '../../gen/hickorywalk/v1/limits_pb.js';
+import {type PeerOrigin} from '../links/peer-link.js';
+import {type LimiterSettings, type WorkspaceLimit} from './limiter-settings.js';
+import {type LivenessEvidence} from './liveness-evidence.js';
+import {type Outbox} from './outbox.js';
+import {
+	type Claim, createShareAccount, dropHolding, giveShare, type Holding, setHolding, type ShareAccount, updateReserve,
+} from './share-account.js';
+import {msUntil} from './token-level.js';
+
+/** What {@link createShardIssuer} needs. */
+export type ShardIssuerOptions = {
+	shard: number;
+	generation: number;
+	/** Name of the issuing daemon. */
+	name: string;
+	/** Registered daemons, each of which may hold shares of earlier issuers. */
+	holders: Iterable<string>;
+	/** Tokens that each workspace starts with once all holders are known. */
+	inherited: ReadonlyMap<string, number>;
+	/** `performance.now()` until which the lease allows issuing. */
+	leaseEnd: number;
+	settings: LimiterSettings;
+	evidence: LivenessEvidence;
+	outbox: Outbox;
+	/** Runs what a timer called for; tests hold it back while a daemon is paused. */
+	run: (callback: () => void) => void;
+};
+
+/** The issuer of one shard. */
+export type ShardIssuer = {
+	readonly generation: number;
+	extendLease: (leaseEnd: number) => void;
+	/** Takes in one wish and answers it by a grant or a notice. */
+	takeWish: (origin: PeerOrigin, wish: ShareWish) => void;
+	/** The daemon has listed all that it holds of this shard. */
+	takeReport: (origin: PeerOrigin) => void;
+	/** A workspace whose limit is new here; `fresh` when it never had tokens before. */
+	setLimit: (limit: WorkspaceLimit, fresh: boolean) => void;
+	/** The workspace is no longer configured: all of its shares are called back. */
+	removeLimit: (workspace: string) => void;
+	/** Serves claims, ends lapsed holdings and repeats calls. */
+	tick: () => void;
+	/** Gives nothing out any more; returns the tokens left in each reserve. */
+	stop: () => Map<string, number>;
+	/** Whether every possible holder is known. */
+	isComplete: () => boolean;
+	/** Asks a daemon for a report. */
+	call: (name: string) => void;
+};
+
+/** Largest figure that a notice can carry. */
+const mostAhead = 2_147_483_647;
+
+/** Repeats of a claim that may be lost before it counts as given up. */
+const claimRepeats = 3;
+
+/** Creates an issuer whose lease was just confirmed by the table. */
+export function createShardIssuer(options: ShardIssuerOptions): ShardIssuer {
+	const {settings, evidence, outbox, generation, shard} = options;
+	const startedAt = performance.now();
+	const unreported = new Set(options.holders);
+	const accounts = new Map<string, ShareAccount>();
+	const timers = new Map<string, NodeJS.Timeout>();
+	let {leaseEnd} = options;
+	let stopped = false;
+	let calledAt = Number.NEGATIVE_INFINITY;
+
+	const holderLeaseMs = settings.leaseMs + settings.marginMs;
+	const isComplete = () => unreported.size === 0;
+	const mayIssue = () => !stopped && performance.now() < leaseEnd;
+
+	function accountOf(workspace: string): ShareAccount {
+		let account = accounts.get(workspace);
+		if (!account) {
+			account = createShareAccount(workspace, options.inherited.get(workspace) ?? 0, performance.now());
+			accounts.set(workspace, account);
+		}
+
+		return account;
+	}
+
+	function refresh(account: ShareAccount): void {
+		updateReserve(account, isComplete(), performance.now());
+	}
+
+	function answer(account: ShareAccount, name: string, claim: Claim): void {
+		const given = giveShare(account, name, claim, settings);
+		const holding = account.holdings.get(name);
+		if (!holding) {
+			return;
+		}
+
+		holding.answeredAt = performance.now();
+		holding.grant = create(ShareGrantSchema, {
+			workspace: account.workspace, generation, sequence: holding.sequence, ...given,
+		});
+		outbox.grant(name, holding.incarnation, holding.grant);
+		refresh(account);
+	}
+
+	/** Comes back as soon as the reserve can pay for the claim at the front. */
+	function arm(account: ShareAccount, tokens: number): void {
+		clearTimeout(timers.get(account.workspace));
+		const wait = msUntil(account.reserve, tokens);
+		if (Number.isFinite(wait)) {
+			timers.set(account.workspace, setTimeout(() => {
+				options.run(() => {
+					if (mayIssue()) {
+						refresh(account);
+						serveClaims(account);
+					}
+				});
+			}, Math.max(1, Math.ceil(wait))));
+		}
+	}
+
+	/** Gives to claims in their order; stops at the first that must wait on. */
+	function serveClaims(account: ShareAccount): void {
+		for (const [name, claim] of account.claims) {
+			if (performance.now() > claim.at + (settings.resendMs * claimRepeats)) {
+				// The holder would have repeated it: nobody waits for these tokens any more.
+				account.claims.delete(name);
+				continue;
+			}
+
+			if (claim.answered) {
+				continue;
+			}
+
+			const needed = Math.min(claim.first, claim.tokens);
+			if (account.reserve.tokens < needed) {
+				arm(account, needed);
+				return;
+			}
+
+			const given = Math.min(Math.floor(account.reserve.tokens), claim.tokens);
+			if (given >= claim.tokens) {
+				account.claims.delete(name);
+				answer(account, name, claim);
+			} else {
+				answer(account, name, claim);
+				// The rest keeps its place until the holder wishes again.
+				claim.tokens -= given;
+				claim.answered = true;
+			}
+		}
+	}
+
+	function notify(account: ShareAccount, name: string): void {
+		let ahead = -account.reserve.tokens;
+		for (const [other, claim] of account.claims) {
+			if (other === name) {
+				break;
+			}
+
+			ahead += claim.tokens;
+		}
+
+		const holding = account.holdings.get(name);
+		if (holding && isComplete()) {
+			outbox.notice(name, holding.incarnation, create(ShareNoticeSchema, {
+				workspace: account.workspace,
+				generation,
+				sequence: holding.sequence,
+				ahead: Math.ceil(Math.max(-mostAhead, Math.min(mostAhead, ahead))),
+				rate: Math.floor(account.reserve.rate),
+			}));
+		}
+	}
+
+	function isNews(origin: PeerOrigin, wish: ShareWish, before: Holding): boolean {
+		if (origin.incarnation === before.incarnation) {
+			return wish.sequence > before.sequence;
+		}
+
+		// With time alone to rely on, the old process may still run until its lease ends.
+		return settings.trustRestarts && origin.incarnation > before.incarnation;
+	}
+
+	/** The wish came again: its answer may be lost. It is sent as it was, so it moves nothing twice. */
+	function repeatAnswer(account: ShareAccount, name: string, holding: Holding): void {
+		if (holding.grant) {
+			outbox.grant(name, holding.incarnation, holding.grant);
+			return;
+		}
+
+		const claim = account.claims.get(name);
+		if (claim) {
+			claim.at = performance.now();
+			refresh(account);
+			notify(account, name);
+		}
+	}
+
+	function placeClaim(account: ShareAccount, name: string, claim: Claim): void {
+		const standing = account.claims.get(name);
+		if (standing) {
+			Object.assign(standing, claim);
+		} else {
+			account.claims.set(name, claim);
+		}
+
+		serveClaims(account);
+		if (account.claims.get(name)?.answered === false) {
+			notify(account, name);
+		}
+	}
+
+	function forget(name: string): void {
+		unreported.delete(name);
+		for (const account of accounts.values()) {
+			refresh(account);
+			dropHolding(account, name);
+			refresh(account);
+		}
+	}
+
+	/** Takes holders off the ledger that can do nothing with their shares any more. */
+	function endHoldings(now: number): void {
+		for (const name of unreported) {
+			if (evidence.isGone(name) || now >= startedAt + holderLeaseMs) {
+				forget(name);
+			}
+		}
+
+		for (const account of accounts.values()) {
+			refresh(account);
+			for (const [name, holding] of account.holdings) {
+				if (evidence.hasEnded(name, holding.incarnation) || now >= holding.answeredAt + holderLeaseMs) {
+					dropHolding(account, name);
+				}
+			}
+
+			refresh(account);
+		}
+	}
+
+	function call(name: string): void {
+		outbox.call(name, create(ShardCallSchema, {shard, generation, issuer: options.name}));
+	}
+
+	function repeatCalls(now: number): void {
+		if (now < calledAt + settings.resendMs) {
+			return;
+		}
+
+		calledAt = now;
+		const due = new Set(unreported);
+		for (const account of accounts.values()) {
+			if (account.rateOut > account.wholeRate || account.burstOut > account.wholeBurst) {
+				for (const name of account.holdings.keys()) {
+					due.add(name);
+				}
+			}
+		}
+
+		for (const name of due) {
+			call(name);
+		}
+	}
+
+	function setWhole(account: ShareAccount, rate: number, burst: number): void {
+		refresh(account);
+		account.wholeRate = rate;
+		account.wholeBurst = burst;
+		refresh(account);
+	}
+
+	return {
+		generation,
+		extendLease(end) {
+			leaseEnd = end;
+		},
+		takeWish(origin, wish) {
+			if (!mayIssue() || wish.generation !== generation || evidence.isGone(origin.name)) {
+				return;
+			}
+
+			const account = accountOf(wish.workspace);
+			const before = account.holdings.get(origin.name);
+			if (before && !isNews(origin, wish, before)) {
+				if (origin.incarnation === before.incarnation && wish.sequence === before.sequence) {
+					repeatAnswer(account, origin.name, before);
+				}
+
+				return;
+			}
+
+			refresh(account);
+			setHolding(account, origin.name, {
+				incarnation: origin.incarnation,
+				sequence: wish.sequence,
+				rate: wish.rate,
+				burst: wish.burst,
+				answeredAt: performance.now(),
+			});
+			refresh(account);
+			account.reserve.tokens = Math.min(account.reserve.burst, account.reserve.tokens + wish.returned);
+			const claim: Claim = {
+				tokens: wish.claim,
+				first: wish.first,
+				wantedRate: wish.wantedRate,
+				wantedTokens: wish.wantedTokens,
+				answered: false,
+				at: performance.now(),
+			};
+			if (claim.tokens > 0) {
+				placeClaim(account, origin.name, claim);
+				return;
+			}
+
+			account.claims.delete(origin.name);
+			if (!wish.quiet) {
+				answer(account, origin.name, claim);
+			}
+
+			serveClaims(account);
+		},
+		takeReport(origin) {
+			// With time alone to rely on, an older process of that name may still hold shares.
+			if (!mayIssue() || !settings.trustRestarts || evidence.isGone(origin.name)) {
+				return;
+			}
+
+			unreported.delete(origin.name);
+
+			for (const account of accounts.values()) {
+				refresh(account);
+				serveClaims(account);
+			}
+		},
+		setLimit(limit, fresh) {
+			const account = accountOf(limit.name);
+			if (fresh) {
+				account.inherited = limit.burstTokens;
+			}
+
+			setWhole(account, limit.tokensPerSecond, limit.burstTokens);
+			calledAt = Number.NEGATIVE_INFINITY;
+		},
+		removeLimit(workspace) {
+			const account = accounts.get(workspace);
+			if (account) {
+				setWhole(account, 0, 0);
+			}
+		},
+		tick() {
+			if (!mayIssue()) {
+				return;
+			}
+
+			const now = performance.now();
+			endHoldings(now);
+			repeatCalls(now);
+			for (const account of accounts.values()) {
+				serveClaims(account);
+			}
+		},
+		stop() {
+			stopped = true;
+			for (const timer of timers.values()) {
+				clearTimeout(timer);
+			}
+
+			const left = new Map<string, number>();
+			for (const account of accounts.values()) {
+				refresh(account);
+				left.set(account.workspace, Math.floor(account.reserve.tokens + account.inherited));
+			}
+
+			return left;
+		},
+		isComplete,
+		call,
+	};
+}
--- /dev/null
+++ b/packages/router/src/lib/limits/token-limiter.ts
@@ -0,0 +1,328 @@
+/**
+ * Keeps each workspace inside its rate and burst over all VMs together.
+ *
+ * Every daemon holds shares of rate and burst and admits from them without
+ * asking anyone. A shard's issuer keeps the ledger of its workspaces' shares;
+ * the table only says which daemon issues which shard, so it sees no write per
+ * request, workspace or daemon. docs/design/limits.md has the argument why no
+ * window of any length t admits more than burst + rate x t.
+ */
+import {create} from '@bufbuild/protobuf';
+import {ShardReportSchema, type ShareTransfer} from '../../gen/hickorywalk/v1/limits_pb.js';
+import {type TokenLimiter} from '../gateway/ports.js';
+import {type PeerHandlers, type PeerOrigin, type SendToPeer} from '../links/peer-link.js';
+import {type TableClient, type VmList} from '../platform/platform.js';
+import {createIssuedShards} from './issued-shards.js';
+import {createLimitRows} from './limit-rows.js';
+import {
+	defaultLimiterSettings, type LimiterPeer, type LimiterSettings, type WorkspaceLimit,
+} from './limiter-settings.js';
+import {createLivenessEvidence} from './liveness-evidence.js';
+import {createOutbox} from './outbox.js';
+import {createShardKeeper} from './shard-keeper.js';
+import {shardOf} from './shard-map.js';
+import {createShareHolder, type KnownIssuer} from './share-holder.js';
+
+/** Options of {@link createTokenLimiter}. */
+export type TokenLimiterOptions = {
+	/** Name of this daemon; it must be the name of its VM in the platform's list. */
+	name: string;
+	/** Process of this daemon; grows with each start, as peers see it. */
+	incarnation: bigint;
+	/** Sends to other daemons. */
+	send: SendToPeer;
+	/** Where the shards' rows are kept. */
+	table: TableClient;
+	/** Told of table faults; the work is tried again by itself. */
+	onError?: (error: unknown) => void;
+	/** Runs what a timer called for; tests hold it back while a daemon is paused. */
+	run?: (callback: () => void) => void;
+	/** Changes to {@link defaultLimiterSettings}; the same on every daemon. */
+	settings?: Partial<LimiterSettings>;
+};
+
+/** A limiter with what the daemon connects to it. */
+export type FleetTokenLimiter = TokenLimiter & {
+	/** Handlers of `shareRequest` and `shareTransfer`. */
+	handlers: PeerHandlers;
+	/** Takes over the limits of the document in force. */
+	setWorkspaces: (workspaces: Iterable<WorkspaceLimit>) => void;
+	/** Names the other daemons that are thought to run. */
+	setPeers: (peers: Iterable<LimiterPeer>) => void;
+	/** News from the platform's VM list. */
+	observeVmList: (list: VmList) => void;
+	/** Starts the timers; resolves when the first exchange with the table ended, either way. */
+	start: () => Promise<void>;
+	/** Whether this daemon is registered and knows who issues every workspace's shares. */
+	isReady: () => boolean;
+	/** One round of work; `start` calls it each `tickMs`. */
+	tick: () => void;
+	/** For a graceful stop, after the last request ended: returns shares and issued shards. */
+	returnShares: () => Promise<void>;
+	/** Stops timers and refuses all that wait. */
+	close: () => void;
+};
+
+const maintainMs = 1000;
+const returnMs = 2000;
+const mostRetryMs = 5000;
+
+/**
+ * Creates the limiter of one daemon.
+ *
+ * @example
+ * const limiter = createTokenLimiter({name: 'entry-1', incarnation, send, table: platform.table});
+ * limiter.setWorkspaces([{name: 'school-1', tokensPerSecond: 1000, burstTokens: 20_000}]);
+ * await limiter.start();
+ * const result = await limiter.reserve('school-1', 1500, 500);
+ */
+export function createTokenLimiter(options: TokenLimiterOptions): FleetTokenLimiter {
+	const settings = {...defaultLimiterSettings, ...options.settings};
+	const {name, incarnation} = options;
+	const run = options.run ?? (callback => {
+		callback();
+	});
+	const rows = createLimitRows(options.table);
+	const evidence = createLivenessEvidence(settings);
+	evidence.observeProcess(name, incarnation);
+	const known = new Map<number, KnownIssuer>();
+	let limits = new Map<string, WorkspaceLimit>();
+	let workspacesByShard = new Map<number, string[]>();
+	let peers: LimiterPeer[] = [];
+	let registered = false;
+	let writtenListing: number | undefined;
+	let busy = false;
+	let closed = false;
+	let stopping = false;
+	let nextMaintain = Number.NEGATIVE_INFINITY;
+	let nextRefresh = Number.NEGATIVE_INFINITY;
+	let flushTimer: NodeJS.Timeout | undefined;
+	let tickTimer: NodeJS.Timeout | undefined;
+
+	const outbox = createOutbox(deliver, () => {
+		flushTimer ??= setTimeout(run, settings.flushMs, flush);
+	});
+	const issued = createIssuedShards({
+		name, settings, evidence, outbox, rows, run, limits: () => limits,
+	});
+	const keeper = createShardKeeper({
+		name,
+		incarnation,
+		settings,
+		rows,
+		evidence,
+		candidates: () => [name, ...peers.map(peer => peer.name)],
+		workspacesOf: () => workspacesByShard,
+		isIssuing: issued.has,
+	});
+	const holder = createShareHolder({
+		settings,
+		outbox,
+		run,
+		limitOf: workspace => limits.get(workspace),
+		// Whoever holds shares must stand in the table: a new issuer asks those only.
+		issuerOf: shard => registered ? known.get(shard) : undefined,
+	});
+
+	function flush(): void {
+		flushTimer = undefined;
+		if (!closed) {
+			outbox.flush();
+		}
+	}
+
+	function deliver(...[to, body]: Parameters<SendToPeer>): void {
+		if (to !== name) {
+			options.send(to, body);
+			return;
+		}
+
+		if (body.case === 'shareRequest') {
+			issued.takeRequest({name, incarnation}, body.value);
+		} else if (body.case === 'shareTransfer') {
+			takeTransfer({name, incarnation}, body.value);
+		}
+	}
+
+	/** Follows the issuer with the highest generation; never goes back. */
+	function adopt(shard: number, found: KnownIssuer): boolean {
+		const before = known.get(shard);
+		if (found.issuer === '' || (before && before.generation >= found.generation)) {
+			return false;
+		}
+
+		known.set(shard, found);
+		return true;
+	}
+
+	function takeTransfer(origin: PeerOrigin, transfer: ShareTransfer): void {
+		for (const call of transfer.calls) {
+			// Only daemons that stand in the table are called.
+			registered = true;
+			const isNew = adopt(call.shard, call);
+			const current = known.get(call.shard);
+			if (isNew || (current?.issuer === origin.name && current.generation === call.generation)) {
+				holder.report(call.shard);
+			}
+		}
+
+		if (transfer.toIncarnation !== incarnation) {
+			return;
+		}
+
+		for (const grant of transfer.grants) {
+			holder.applyGrant(grant);
+		}
+
+		for (const notice of transfer.notices) {
+			holder.applyNotice(notice);
+		}
+	}
+
+	async function register(): Promise<void> {
+		const listedIn = evidence.listedIn(name);
+		// That this VM was listed is written down once: after that, its absence proves its end to all.
+		const isListingNew = writtenListing === 0 && listedIn > 0;
+		if (writtenListing === undefined || isListingNew) {
+			await rows.writeHolder(name, {incarnation: String(incarnation), listedIn});
+			registered = true;
+			writtenListing = listedIn;
+		}
+	}
+
+	function knowsAllIssuers(): boolean {
+		for (const shard of workspacesByShard.keys()) {
+			if (!known.has(shard)) {
+				return false;
+			}
+		}
+
+		return true;
+	}
+
+	async function refresh(): Promise<void> {
+		const now = performance.now();
+		if (now < nextRefresh && knowsAllIssuers()) {
+			return;
+		}
+
+		await keeper.refresh();
+		nextRefresh = now + settings.refreshMs;
+	}
+
+	function adoptWatched(): void {
+		for (const shard of workspacesByShard.keys()) {
+			const watched = keeper.watched(shard);
+			if (watched && adopt(shard, watched.row)) {
+				holder.report(shard);
+			}
+		}
+	}
+
+	/** Tells peers that no issuer is known here while the table gives no answer. */
+	function askPeers(): void {
+		for (const peer of peers) {
+			outbox.report(peer.name, create(ShardReportSchema, {shard: 0, generation: 0}));
+		}
+	}
+
+	async function maintain(): Promise<void> {
+		if (busy || closed || stopping) {
+			return;
+		}
+
+		busy = true;
+		nextMaintain = performance.now() + maintainMs;
+		try {
+			await register();
+			await refresh();
+			adoptWatched();
+			await issued.maintain(keeper);
+			adoptWatched();
+		} catch (error) {
+			nextMaintain = performance.now() + Math.min(mostRetryMs, maintainMs * 2);
+			if (!registered || !knowsAllIssuers()) {
+				askPeers();
+			}
+
+			options.onError?.(error);
+		} finally {
+			busy = false;
+		}
+	}
+
+	function tick(): void {
+		if (closed) {
+			return;
+		}
+
+		issued.tick();
+		holder.tick();
+		if (performance.now() >= nextMaintain) {
+			void maintain();
+		}
+	}
+
+	return {
+		reserve: holder.reserve,
+		handlers: {
+			shareRequest(origin, request) {
+				evidence.observeProcess(origin.name, origin.incarnation);
+				issued.takeRequest(origin, request);
+			},
+			shareTransfer(origin, transfer) {
+				evidence.observeProcess(origin.name, origin.incarnation);
+				takeTransfer(origin, transfer);
+			},
+		},
+		setWorkspaces(workspaces) {
+			limits = new Map();
+			workspacesByShard = new Map();
+			for (const {name: workspace, tokensPerSecond, burstTokens} of workspaces) {
+				limits.set(workspace, {name: workspace, tokensPerSecond, burstTokens});
+				const shard = shardOf(workspace, settings.shards);
+				workspacesByShard.set(shard, [...workspacesByShard.get(shard) ?? [], workspace]);
+			}
+
+			issued.applyLimits();
+			nextMaintain = Number.NEGATIVE_INFINITY;
+		},
+		setPeers(next) {
+			peers = [...next].filter(peer => peer.name !== name);
+		},
+		observeVmList(list) {
+			evidence.observeList(list);
+		},
+		async start() {
+			await maintain();
+			if (!closed) {
+				tickTimer ??= setInterval(run, settings.tickMs, tick);
+			}
+		},
+		isReady: () => registered && knowsAllIssuers(),
+		tick,
+		async returnShares() {
+			stopping = true;
+			holder.giveBack();
+			const deadline = performance.now() + returnMs;
+			while (!holder.isEmpty() && performance.now() < deadline) {
+				await new Promise<void>(resolve => {
+					setTimeout(resolve, settings.tickMs);
+				});
+			}
+
+			try {
+				await issued.release(keeper);
+			} catch (error) {
+				options.onError?.(error);
+			}
+		},
+		close() {
+			closed = true;
+			clearInterval(tickTimer);
+			clearTimeout(flushTimer);
+			holder.close();
+			issued.close();
+		},
+	};
+}
--- /dev/null
+++ b/packages/router/src/limits.ts
@@ -0,0 +1,6 @@
+/** Rates and bursts in tokens over all VMs together. */
+export * from './lib/limits/limiter-settings.js';
+export * from './lib/limits/limits-errors.js';
+export * from './lib/limits/liveness-evidence.js';
+export * from './lib/limits/token-level.js';
+export * from './lib/limits/token-limiter.js';
