Links between daemons: one stream a pair, batched, with a silence limit

Cause: daemons have to talk all the time within 4.8% of a core, connections go silent without an error, and a message that waited must not pass for news.

--- a/packages/router/src/lib/configuration/configuration-follower.ts
+++ b/packages/router/src/lib/configuration/configuration-follower.ts
@@ -249,7 +249,7 @@
 			}
 		},
 		configurationRequest(origin, req) {
-			for (const value of answerRequest(Number(req.heldVersion), held, steps, freshnessAgeMs())) {
+			for (const value of answerRequest(Number(req.heldVersion), held, steps)) {
 				send(origin.name, {case: 'configurationSections', value});
 			}
 		},
@@ -266,7 +266,8 @@
 			}
 
 			takeOver(assembled.version, assembled.set, assembled.fromVersion, assembled.delta);
-			learn(assembled.version, decodeAge(part.ageMs));
+			// Sections say nothing of freshness: they may have waited long in a queue.
+			noteFreshness();
 		} catch (error) {
 			refuse(Number(part.version), error);
 		}
--- a/packages/router/src/lib/configuration/section-exchange.ts
+++ b/packages/router/src/lib/configuration/section-exchange.ts
@@ -65,7 +65,7 @@
 }
 
 /** Answers a peer that holds `heldVersion`; empty when it holds as much. */
-export function answerRequest(heldVersion: number, held: HeldConfiguration, steps: StepHistory, ageMs: number): ConfigurationSections[] {
+export function answerRequest(heldVersion: number, held: HeldConfiguration, steps: StepHistory): ConfigurationSections[] {
 	if (heldVersion >= held.version) {
 		return [];
 	}
@@ -81,7 +81,6 @@
 		removed: [...part.removed],
 		part: index,
 		parts: parts.length,
-		ageMs: encodeAge(ageMs),
 	}));
 }
 
--- /dev/null
+++ b/packages/router/src/lib/links/peer-server.ts
@@ -0,0 +1,105 @@
+/** Serves streams that peers open, over HTTP/2 cleartext. */
+import {createServer, Http2ServerRequest, type Http2Session} from 'node:http2';
+import {once} from 'node:events';
+import {
+	Code, ConnectError, createContextKey, createContextValues, type ConnectRouter,
+} from '@connectrpc/connect';
+import {connectNodeAdapter} from '@connectrpc/connect-node';
+import {type Batch, PeerService} from '../../gen/hickorywalk/v1/peer_pb.js';
+import {PeerListenError} from './link-errors.js';
+import {
+	isSameSecret, nameHeader, readMaxBytes, secretHeader,
+} from './protocol.js';
+
+/** A stream that a peer has opened. */
+export type AcceptedStream = {
+	/** Name that the peer gave. */
+	name: string;
+	/** What the peer sends. */
+	batches: AsyncIterable<Batch>;
+	/** Destroys the connection, with all that shares it. */
+	destroy: () => void;
+};
+
+/** Options of {@link createPeerServer}. */
+export type PeerServerOptions = {
+	secret: string;
+	/** Takes a stream and gives what goes back on it. */
+	accept: (stream: AcceptedStream) => AsyncIterable<Batch>;
+};
+
+/** The port for peers. */
+export type PeerServer = {
+	/** Resolves to the port. Throws {@link PeerListenError}. */
+	listen: (address: {host: string; port: number}) => Promise<number>;
+	close: () => Promise<void>;
+};
+
+const sessionKey = createContextKey<Http2Session | undefined>(undefined);
+
+/** Creates the server; it listens when asked. */
+export function createPeerServer(options: PeerServerOptions): PeerServer {
+	const sessions = new Set<Http2Session>();
+	const routes = (router: ConnectRouter) => {
+		router.service(PeerService, {
+			// Checked on each call: a connection alone proves nothing.
+			exchange(batches, context) {
+				if (!isSameSecret(context.requestHeader.get(secretHeader) ?? '', options.secret)) {
+					throw new ConnectError('Wrong fleet secret.', Code.Unauthenticated);
+				}
+
+				const session = context.values.get(sessionKey);
+				return options.accept({
+					name: context.requestHeader.get(nameHeader) ?? '',
+					batches,
+					destroy() {
+						session?.destroy();
+					},
+				});
+			},
+		});
+	};
+
+	const server = createServer(connectNodeAdapter({
+		routes,
+		acceptCompression: [],
+		readMaxBytes,
+		contextValues: req => createContextValues().set(sessionKey, req instanceof Http2ServerRequest ? req.stream.session : undefined),
+	}));
+	server.on('session', session => {
+		sessions.add(session);
+		session.on('error', () => {
+			session.destroy();
+		});
+		session.on('close', () => {
+			sessions.delete(session);
+		});
+	});
+
+	return {
+		async listen({host, port}) {
+			server.listen(port, host);
+			try {
+				await once(server, 'listening');
+			} catch (error) {
+				throw new PeerListenError(`Can't listen for peers at ${host}:${port}. Another process may hold the port.`, {cause: error});
+			}
+
+			const address = server.address();
+			return typeof address === 'object' && address !== null ? address.port : port;
+		},
+		async close() {
+			if (!server.listening) {
+				return;
+			}
+
+			const closed = once(server, 'close');
+			server.close();
+			for (const session of sessions) {
+				session.destroy();
+			}
+
+			await closed;
+		},
+	};
+}
--- a/packages/traces/src/bench.ts
+++ b/packages/traces/src/bench.ts
@@ -9,6 +9,10 @@
 		const {runConfigurationBench} = await import('./lib/bench/configuration-bench.js');
 		await runConfigurationBench();
 	},
+	async links() {
+		const {runLinksBench} = await import('./lib/bench/links-bench.js');
+		await runLinksBench();
+	},
 };
 
 const [name, ...args] = process.argv.slice(2);
--- a/packages/traces/src/lib/bench/configuration-bench.ts
+++ b/packages/traces/src/lib/bench/configuration-bench.ts
@@ -66,7 +66,7 @@
 }
 
 function bytesOf(heldVersion: number, held: HeldConfiguration, steps: StepHistory): number {
-	const parts = answerRequest(heldVersion, held, steps, 0);
+	const parts = answerRequest(heldVersion, held, steps);
 	return parts.reduce((sum, value) => sum + bodySize({case: 'configurationSections', value}), 0);
 }
 
--- /dev/null
+++ b/packages/traces/src/lib/bench/links-bench.ts
@@ -0,0 +1,79 @@
+/**
+ * Processor time of links between daemons: real streams on loopback, both ends
+ * in this process, one message a second each way and link, beside links that
+ * carry only pings. Prints JSON lines; it takes some 20 s of real time.
+ */
+import process from 'node:process';
+import {setTimeout as pause} from 'node:timers/promises';
+import {createPeerNetwork, type PeerBody, type PeerNetwork} from 'hickorywalk/links.js';
+
+const secret = 'a secret for the benchmark';
+const linkCounts = [10, 30, 60] as const;
+const seconds = 6;
+const warmUpMs = 1500;
+const messagesPerSecond = 10;
+
+/** Runs the benchmark. */
+export async function runLinksBench(): Promise<void> {
+	for (const links of linkCounts) {
+		console.log(JSON.stringify(await measure(links)));
+	}
+}
+
+type Hub = {hub: PeerNetwork; spokes: PeerNetwork[]};
+
+async function measure(links: number): Promise<Record<string, number>> {
+	const {hub, spokes} = await connect(links);
+	await pause(warmUpMs);
+	const idleMs = await cpuMsPerSecond(() => undefined);
+	const once = await cpuMsPerSecond(() => {
+		exchange(hub, spokes);
+	}, 1);
+	const often = await cpuMsPerSecond(() => {
+		exchange(hub, spokes);
+	}, messagesPerSecond);
+	await Promise.all([hub, ...spokes].map(async network => network.close()));
+	// Each exchange puts one batch on each link each way, besides the pings.
+	return {
+		links,
+		idle_ms_per_s: idleMs,
+		idle_ms_per_link_end_and_s: idleMs / (2 * links),
+		one_message_ms_per_link_end_and_s: once / (2 * links),
+		ten_messages_ms_per_link_end_and_s: often / (2 * links),
+		ms_per_message: (often - idleMs) / (2 * links * messagesPerSecond),
+	};
+}
+
+async function connect(links: number): Promise<Hub> {
+	const hub = createPeerNetwork({name: 'hub', incarnation: 1n, secret});
+	const port = await hub.listen({host: '127.0.0.1', port: 0});
+	const spokes = Array.from({length: links}, (_, index) => {
+		const spoke = createPeerNetwork({name: `vm-${index}`, incarnation: 1n, secret});
+		spoke.setPeers([{name: 'hub', address: `127.0.0.1:${port}`}]);
+		return spoke;
+	});
+	exchange(hub, spokes);
+	return {hub, spokes};
+}
+
+function exchange(hub: PeerNetwork, spokes: PeerNetwork[]): void {
+	for (const [index, spoke] of spokes.entries()) {
+		spoke.send('hub', sampleMessage());
+		hub.send(`vm-${index}`, sampleMessage());
+	}
+}
+
+function sampleMessage(): PeerBody {
+	return {case: 'configurationHead', value: {$typeName: 'hickorywalk.v1.ConfigurationHead', version: 7n, ageMs: 20}};
+}
+
+async function cpuMsPerSecond(act: () => void, perSecond = 1): Promise<number> {
+	const before = process.cpuUsage();
+	for (let step = 0; step < seconds * perSecond; step++) {
+		act();
+		await pause(1000 / perSecond);
+	}
+
+	const used = process.cpuUsage(before);
+	return (used.user + used.system) / 1000 / seconds;
+}
