--- a/packages/traces/src/bench.ts
+++ b/packages/traces/src/bench.ts
@@ -13,6 +13,10 @@
 		const {runOverheadBench} = await import('./lib/bench/overhead-bench.js');
 		await runOverheadBench();
 	},
+	async links() {
+		const {runLinksBench} = await import('./lib/bench/links-bench.js');
+		await runLinksBench();
+	},
 };
 
 const [name, ...args] = process.argv.slice(2);
