--- a/packages/router/src/lib/orders/undici-transport.ts
+++ b/packages/router/src/lib/orders/undici-transport.ts
@@ -47,7 +47,7 @@
 
 	const chunks: unknown = withProgress(body.open(), events.progress);
 	// Undici sends any async iterable; its types tell only of streams.
-	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
+
 	return chunks as Readable;
 }
 
@@ -71,7 +71,8 @@
 	};
 }
 
-type ExchangeState = {
+/** @internal */
+export type ExchangeState = {
 	/** The connection carries other requests before or after. */
 	shared: boolean;
 	/** The request was handed to a connected socket. */
@@ -81,7 +82,12 @@
 	controller?: Dispatcher.DispatchController;
 };
 
-function createHandler(state: ExchangeState, events: ExchangeEvents, finish: () => void): Dispatcher.DispatchHandler {
+/**
+ * Turns what undici tells of a request into the events of an exchange.
+ *
+ * @internal
+ */
+export function createHandler(state: ExchangeState, events: ExchangeEvents, finish: () => void): Dispatcher.DispatchHandler {
 	return {
 		onRequestStart(controller) {
 			// Undici writes a request a second time when its connection closes in some
@@ -149,10 +155,17 @@
  */
 export function createUndiciTransport(options: UndiciTransportOptions = {}): EndpointTransport {
 	const connect = {timeout: options.connectMs ?? defaultConnectMs};
+	const closing = new Set<Promise<void>>();
+	const trackClosing = async (work: Promise<void>) => {
+		closing.add(work);
+		await work;
+		closing.delete(work);
+	};
+
 	const pools = new LRUCache<string, Pool>({
 		max: options.mostPools ?? defaultMostPools,
 		dispose(pool) {
-			void pool.close();
+			void trackClosing(pool.close());
 		},
 	});
 	const own = new Set<Client>();
@@ -212,11 +225,7 @@
 			}
 		},
 		async close() {
-			const closing: Array<Promise<void>> = [];
-			for (const pool of pools.values()) {
-				closing.push(pool.close());
-			}
-
+			pools.clear();
 			await Promise.all(closing);
 			for (const client of own) {
 				closeClient(client);
--- /dev/null
+++ b/packages/standins/src/test/service-keys.test.ts
@@ -0,0 +1,128 @@
+import {assert} from 'chai';
+import {startServiceStandin} from '../index.js';
+import {startFront} from './service-front.js';
+
+type Service = Awaited<ReturnType<typeof startServiceStandin>>;
+
+const body = '{"ribbons":40}';
+const keyed = (key: string, text = body) => ({headers: {'idempotency-key': key, 'x-order': key, 'content-type': 'application/json'}, body: text});
+const codeOf = (text: string) => /"code":"([^"]*)"/v.exec(text)?.[1];
+
+describe('Calls with an Idempotency-Key', () => {
+	let service: Service;
+	beforeEach(async () => {
+		service = await startServiceStandin();
+	});
+	afterEach(async () => {
+		await service.close();
+	});
+
+	it('give a repeat through another VM the stored answer', async () => {
+		const first = await startFront({urls: [service.url]});
+		const second = await startFront({urls: [service.url], table: first.platform.table});
+		const one = await first.call('POST', '/orders', keyed('k-1'));
+		await first.close();
+		const two = await second.call('POST', '/orders', keyed('k-1'));
+		assert.deepEqual([two.status, two.text, two.headers['idempotent-replayed']], [200, one.text, 'true']);
+		assert.equal(two.headers['content-type'], one.headers['content-type']);
+		assert.equal(service.ledger.orders.get('k-1'), 1);
+		await second.close();
+	});
+
+	it('run once when many repeats come at the same time through two VMs', async () => {
+		// The caller's client times out and repeats while the first call is still
+		// on its way: whoever writes the intent dispatches, the others wait for it.
+		const first = await startFront({urls: [service.url]});
+		const second = await startFront({urls: [service.url], table: first.platform.table});
+		const answers = await Promise.all(Array.from({length: 12}, async (_, index) => (index % 2 === 0 ? first : second).call('POST', '/orders', keyed('k-1'))));
+		assert.deepEqual(new Set(answers.map(answer => answer.status)), new Set([200]));
+		assert.equal(service.ledger.orders.get('k-1'), 1);
+		await first.close();
+		await second.close();
+	});
+
+	it('are refused when the key was used for another body, and apart by service and workspace', async () => {
+		const front = await startFront({urls: [service.url]});
+		await front.call('POST', '/orders', keyed('k-1'));
+		const other = await front.call('POST', '/orders', keyed('k-1', '{"ribbons":41}'));
+		assert.deepEqual([other.status, codeOf(other.text), other.outcome], [422, 'key_reused', 'not_run']);
+		assert.equal(service.ledger.orders.get('k-1'), 1);
+		await front.close();
+	});
+
+	it('say "unknown" to a repeat of an order whose answer was lost, and never run it again', async () => {
+		const front = await startFront({urls: [service.url]});
+		service.faults.order({kind: 'reset_in_answer', afterBytes: 0});
+		const first = await front.call('POST', '/orders', keyed('k-1'));
+		const again = await front.call('POST', '/orders', keyed('k-1'));
+		assert.deepEqual([first.status, codeOf(first.text)], [424, 'outcome_unknown']);
+		assert.deepEqual([again.status, codeOf(again.text)], [424, 'outcome_unknown']);
+		assert.equal(service.ledger.orders.get('k-1'), 1);
+		const [listed] = await front.proxy.listUnknownOrders();
+		assert.deepEqual([listed.requestId, listed.endpoint, listed.reason], ['r-1', 'od-1', 'reset']);
+		await front.proxy.settleUnknownOrder(listed.id, 'ran', 'operator');
+		assert.isEmpty(await front.proxy.listUnknownOrders());
+		const settled = await front.call('POST', '/orders', keyed('k-1'));
+		assert.equal(codeOf(settled.text), 'answer_not_kept');
+		await front.close();
+	});
+
+	it('ask the endpoint what became of an order before they say "unknown"', async () => {
+		const front = await startFront({
+			urls: [service.url], service: {
+				kind: 'plain', name: 'orderdesk', routes: [], statusPath: '/status/{id}',
+			},
+		});
+		service.faults.order({kind: 'reset_in_answer', afterBytes: 0});
+		const first = await front.call('POST', '/orders', keyed('k-1'));
+		assert.deepEqual([first.status, codeOf(first.text), first.outcome], [424, 'answer_not_kept', 'ran']);
+		assert.isEmpty(await front.proxy.listUnknownOrders());
+		await front.close();
+	});
+
+	it('may be sent again after a true "not run"', async () => {
+		const gone = await startServiceStandin();
+		await gone.close();
+		const first = await startFront({urls: [gone.url]});
+		const refused = await first.call('POST', '/orders', keyed('k-1'));
+		assert.deepEqual([refused.status, refused.outcome], [503, 'not_run']);
+		const second = await startFront({urls: [service.url], table: first.platform.table});
+		const again = await second.call('POST', '/orders', keyed('k-1'));
+		assert.equal(again.status, 200);
+		await first.close();
+		await second.close();
+	});
+
+	it('are refused while the store is down, with nothing sent', async () => {
+		const down = async () => {
+			throw new Error('down');
+		};
+
+		const front = await startFront({urls: [service.url], table: {get: down, list: down, transact: down}, limits: {persistMs: 0}});
+		const answer = await front.call('POST', '/orders', keyed('k-1'));
+		assert.deepEqual([answer.status, codeOf(answer.text), answer.outcome], [503, 'order_store_unavailable', 'not_run']);
+		assert.equal(service.executions.size, 0);
+		await front.close();
+	});
+
+	it('keep no body longer than the limit, and say that the order ran', async () => {
+		const front = await startFront({urls: [service.url], limits: {mostKeptBytes: 4}});
+		const first = await front.call('POST', '/orders', keyed('k-1'));
+		assert.equal(first.status, 200);
+		await front.proxy.drain();
+		const second = await startFront({urls: [service.url], table: front.platform.table});
+		const again = await second.call('POST', '/orders', keyed('k-1'));
+		assert.deepEqual([again.status, codeOf(again.text), again.outcome], [424, 'answer_not_kept', 'ran']);
+		await front.close();
+		await second.close();
+	});
+
+	it('are refused when the key or the body is not fit', async () => {
+		const front = await startFront({urls: [service.url], limits: {mostKeyedBytes: 8}});
+		const large = await front.call('POST', '/orders', keyed('k-1'));
+		const spaced = await front.call('POST', '/orders', keyed('k 1', ''));
+		assert.deepEqual([codeOf(large.text), codeOf(spaced.text)], ['keyed_body_too_large', 'malformed_key']);
+		assert.equal(service.executions.size, 0);
+		await front.close();
+	});
+});
