--- a/packages/traces/src/bench.ts
+++ b/packages/traces/src/bench.ts
@@ -9,6 +9,10 @@
 		const {runConfigurationBench} = await import('./lib/bench/configuration-bench.js');
 		await runConfigurationBench();
 	},
+	async slopes(args) {
+		const {runSlopesBench} = await import('./lib/bench/slopes-bench.js');
+		await runSlopesBench(args);
+	},
 };
 
 const [name, ...args] = process.argv.slice(2);
