--- a/packages/daemon/src/hickorywalk.ts
+++ b/packages/daemon/src/hickorywalk.ts
@@ -5,6 +5,7 @@
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
 import {serveCommand} from './lib/commands/serve.js';
+import {demoCommand} from './lib/commands/demo.js';
 import {standinCommand} from './lib/commands/standin.js';
 
 const exitCodeFailed = 1;
@@ -13,6 +14,7 @@
 await yargs(hideBin(process.argv))
 	.scriptName('hickorywalk')
 	.command(serveCommand)
+	.command(demoCommand)
 	.command(standinCommand)
 	.demandCommand(1, 'Name a command; --help lists them.')
 	.strict()
--- a/packages/daemon/src/lib/embedded-fleet.ts
+++ b/packages/daemon/src/lib/embedded-fleet.ts
@@ -94,6 +94,7 @@
 }
 
 function describeFleet(engines: EngineStandin[], services: ServiceStandin[], names: string[], keys: Record<string, string>): DocumentInput {
+	const models = [...new Set(engines.map(engine => engine.state().model))];
 	return {
 		layout: 1,
 		dataCentres: [{name: dataCentre, region: 'tasmania'}],
@@ -102,21 +103,23 @@
 			keys: [{id: `${name}-a`, digest: createHash('sha256').update(keys[name]).digest('hex')}],
 			tokensPerSecond: 100_000,
 			burstTokens: 1_000_000,
-			services: ['wordsmith', ...names],
+			services: [...models, ...names],
 		})),
 		services: [
-			{
-				kind: 'model', name: 'wordsmith', model: 'wordsmith', version: 'w1',
-			},
+			...models.map(model => ({
+				kind: 'model' as const, name: model, model, version: 'w1',
+			})),
 			...names.map(name => ({kind: 'plain' as const, name})),
 		],
 		endpoints: [
-			...engines.map((engine, index) => ({
-				name: `wordsmith-${index}`, service: 'wordsmith', vm: `vm-w${index}`, dataCentre, address: engine.url,
-			})),
-			...services.map((service, index) => ({
-				name: `${names[index]}-0`, service: names[index], vm: `vm-s${index}`, dataCentre, address: service.url,
-			})),
+			...engines.map((engine, index) => describeEndpoint(engine.state().model, index, engine.url)),
+			...services.map((service, index) => describeEndpoint(names[index], index, service.url)),
 		],
 	};
 }
+
+function describeEndpoint(service: string, index: number, address: string) {
+	return {
+		name: `${service}-${index}`, service, vm: `vm-${service}-${index}`, dataCentre, address,
+	};
+}
