Homes by share of requests, level by level, instead of random ways out

A report that lags behind an answer is now ignored; the test that reported at the answer's own moment was wrong there and now checks both orders.

--- a/packages/router/src/lib/routing/engine-record.ts
+++ b/packages/router/src/lib/routing/engine-record.ts
@@ -9,8 +9,6 @@
 export type EngineRecordOptions = {
 	/** Milliseconds to compute one prompt token before anything was learned. */
 	initialMsPerToken: number;
-	/** Age of a load report when it arrives. */
-	reportLagMs: number;
 	/** Age at which a load report says nothing any more. */
 	reportLifeMs: number;
 	/** How long a new process of an engine is kept from a full share of work. */
@@ -54,9 +52,11 @@
 	/** An own request ended, so that none of its prompt waits any more. */
 	finish: (start: OwnStart) => void;
 	/** A load report came. False, and nothing changes, when it is of a process known to be dead. */
-	report: (now: number, load: EngineLoad) => boolean;
+	report: (now: number, load: EngineLoad, lagMs: number) => boolean;
 	/** A request's first token came; `workedTokens` were computed for it. */
 	learnSpeed: (firstTokenMs: number, queuedMs: number, workedTokens: number) => void;
+	/** A request ended this long after it had left. */
+	learnDuration: (durationMs: number) => void;
 	/** A prefix last used `ageMs` ago was found cached or lost. */
 	learnSurvival: (ageMs: number, cached: boolean) => void;
 	/** Membership or configuration says that the cache is lost. */
@@ -68,6 +68,9 @@
 const fewestTokensToLearnFrom = 256;
 const deadProcessesRemembered = 8;
 const ownStartsKept = 256;
+/** An engine is quiet while the foreseen queue is less than this share of the time. */
+const quietShare = 0.1;
+const raiseStep = 0.02;
 
 /**
  * Opens the record of an endpoint.
@@ -86,11 +89,6 @@
 	/** Own starts that the newest report cannot have seen. */
 	let unreported: OwnStart[] = [];
 
-	const dropSeen = (now: number): void => {
-		const seenUntil = now - options.reportLagMs;
-		unreported = unreported.filter(start => start.at > seenUntil);
-	};
-
 	/** What the report left, worked off at the learned speed since. */
 	const reportedMs = (now: number): number => {
 		const ageMs = now - reportedAt;
@@ -150,7 +148,7 @@
 				unreported.splice(index, 1);
 			}
 		},
-		report(now, load) {
+		report(now, load, lagMs) {
 			if (dead.includes(load.incarnation)) {
 				return false;
 			}
@@ -170,30 +168,36 @@
 				record.forget(now);
 			}
 
-			reportedAt = now;
+			const takenAt = now - lagMs;
+			if (takenAt < reportedAt) {
+				return true;
+			}
+
+			reportedAt = takenAt;
 			reportedTokens = load.pendingPromptTokens;
 			reportedWaiting = load.waiting;
 			reportedRunning = load.running;
-			dropSeen(now);
+			unreported = unreported.filter(start => start.at > takenAt);
 			return true;
 		},
 		learnSpeed(firstTokenMs, queuedMs, workedTokens) {
-			requestMs = requestMs === 0 ? firstTokenMs : (requestMs * 0.9) + (firstTokenMs * 0.1);
 			if (workedTokens < fewestTokensToLearnFrom) {
 				return;
 			}
 
-			// Queueing that was not foreseen makes samples too large, never too
-			// small: the estimate follows a low quantile of them.
-			const sample = Math.max(firstTokenMs - queuedMs, firstTokenMs * 0.1) / workedTokens;
-			if (!speedKnown) {
+			// The time to the first token holds queueing, foreseen or not, so that
+			// it bounds the time of computing from above; only a request that met
+			// a quiet engine may raise the estimate.
+			const bound = firstTokenMs / workedTokens;
+			if (!speedKnown || bound < record.msPerToken) {
 				speedKnown = true;
-				record.msPerToken = sample;
-				return;
+				record.msPerToken = bound;
+			} else if (queuedMs < firstTokenMs * quietShare) {
+				record.msPerToken *= Math.min(1 + raiseStep, bound / record.msPerToken);
 			}
-
-			const step = sample < record.msPerToken ? 0.08 : 0.03;
-			record.msPerToken += Math.max(-step, Math.min(step, (sample / record.msPerToken) - 1)) * record.msPerToken;
+		},
+		learnDuration(durationMs) {
+			requestMs = requestMs === 0 ? durationMs : (requestMs * 0.9) + (durationMs * 0.1);
 		},
 		learnSurvival(ageMs, cached) {
 			if (cached && ageMs > record.survivalMs / 2) {
--- a/packages/router/src/lib/routing/placement-options.ts
+++ b/packages/router/src/lib/routing/placement-options.ts
@@ -27,17 +27,23 @@
 	rememberedPrefixes?: number;
 	/** Endpoints remembered for each prefix. Default 64. */
 	homesEach?: number;
-	/** Computed homes of a prefix that are looked at. Default 64. */
-	longestHomeList?: number;
+	/** Most computed homes of a prefix. Default 64. */
+	mostHomes?: number;
+	/** Homes that a prefix gets for each endpoint's worth of its share of requests. Default 2. */
+	homeHeadroom?: number;
+	/** Endpoints behind a prefix's homes that are looked at, too. Default 2. */
+	spareHomes?: number;
 	/** Time to compute one prompt token before it was learned. Default 0.1. */
 	initialMsPerToken?: number;
 	/** Time lost by an endpoint that loads an adapter. Default 50. */
 	adapterSwitchMs?: number;
-	/** Weight of a recomputed token against time spent queueing. Default 1. */
+	/** Weight of a recomputed token against time spent queueing. Default 4. */
 	recomputeWeight?: number;
-	/** Endpoints drawn at random as a way out of crowded homes. Default 2. */
-	randomCandidates?: number;
-	/** Age of load reports when they arrive. Default 50. */
+	/** Share of the prompt's unknown part that a computed home counts as having. Default 1: what it computes, it will have. */
+	homeCredit?: number;
+	/** Endpoints drawn at random for a prompt shorter than a piece. Default 4. */
+	drawnCandidates?: number;
+	/** Age of load reports when they arrive; loads that come with answers are fresh. Default 300. */
 	reportLagMs?: number;
 	/** Age at which a load report is dropped. Default 5,000. */
 	reportLifeMs?: number;
@@ -58,12 +64,15 @@
 	roundTripMs: () => 0,
 	rememberedPrefixes: 32_768,
 	homesEach: 64,
-	longestHomeList: 64,
+	mostHomes: 64,
+	homeHeadroom: 2,
+	spareHomes: 2,
 	initialMsPerToken: 0.1,
 	adapterSwitchMs: 50,
-	recomputeWeight: 1,
-	randomCandidates: 2,
-	reportLagMs: 50,
+	recomputeWeight: 4,
+	homeCredit: 1,
+	drawnCandidates: 4,
+	reportLagMs: 300,
 	reportLifeMs: 5000,
 	slowStartMs: 3000,
 	slowStartRequests: 2,
--- a/packages/router/src/lib/routing/placer.ts
+++ b/packages/router/src/lib/routing/placer.ts
@@ -5,13 +5,12 @@
  * prefix belongs is computed, and answers correct it (docs/design/routing.md).
  */
 import {type Placement, type PlacementRequest, type Placer} from '../gateway/ports.js';
-import {createCandidateFinder, type Candidate} from './candidates.js';
+import {createCandidateFinder, type Candidate, type CandidateSearch} from './candidates.js';
 import {type EngineRecord, type OwnStart} from './engine-record.js';
 import {createHealthTracker} from './health.js';
 import {fillPlacerOptions, type PlacementEndpoint, type PlacerOptions} from './placement-options.js';
-import {createPrefixMemory} from './prefix-memory.js';
+import {addFading, createPrefixMemory} from './prefix-memory.js';
 import {levelsOf, type PrefixLevel} from './prefix-levels.js';
-import {halvesOf, rankOf} from './rendezvous.js';
 import {createServiceTable, type ServiceEntry} from './service-table.js';
 
 /** A placer that learns from outcomes. */
@@ -37,13 +36,13 @@
 	levels: readonly PrefixLevel[];
 	candidate: Candidate;
 	queueMs: number;
-	/** Whether the endpoint was chosen as computed home of a part not known to be cached. */
-	trusted: boolean;
+	/** Milliseconds that the engine is thought to compute for the request. */
+	workMs: number;
 	/** Set once the request has left. */
 	start?: OwnStart;
 };
 
-const trustStep = 0.05;
+const trustStep = 0.01;
 const adaptersRemembered = 4;
 
 /**
@@ -63,63 +62,41 @@
 	const decisions = new WeakMap<Placement, Decision>();
 
 	/**
-	 * Of the endpoints that have the deepest known level, the computed home of
-	 * the level below it. All routers name the same one, so that what one of
-	 * them had cached there serves the others before they have learned of it.
+	 * Pieces that may be cached: those that answers have shown, and of the rest
+	 * what computed homes are trusted with, since peers place there as well.
 	 */
-	const findTrusted = (candidates: readonly Candidate[], levels: readonly PrefixLevel[]): Candidate | undefined => {
-		let deepest = 0;
-		for (const candidate of candidates) {
-			deepest = Math.max(deepest, candidate.depth);
-		}
-
-		const next = levels.find(level => level.depth > deepest);
-		if (next === undefined) {
-			return undefined;
-		}
-
-		const halves = halvesOf(next.hash);
-		let trusted: Candidate | undefined;
-		let best = Number.POSITIVE_INFINITY;
-		for (const candidate of candidates) {
-			const rank = rankOf(halves, candidate.engine.seed);
-			if (candidate.depth === deepest && rank < best) {
-				best = rank;
-				trusted = candidate;
-			}
-		}
-
-		return trusted;
+	const hopedPieces = (candidate: Candidate, pieces: number, trust: number): number => {
+		const shown = candidate.cachedPieces;
+		const hoped = candidate.isHome ? pieces : candidate.homeDepth;
+		return shown + (trust * Math.max(0, hoped - shown));
 	};
 
 	const adapterMs = (engine: EngineRecord, adapter: string): number =>
 		adapter === '' || engine.adapters.includes(adapter) ? 0 : options.adapterSwitchMs;
 
-	const choose = (request: PlacementRequest, service: ServiceEntry, levels: readonly PrefixLevel[], now: number): Decision | undefined => {
-		const candidates = finder.find(request, service, levels, now);
-		const trusted = findTrusted(candidates, levels);
+	const choose = (search: CandidateSearch): Decision | undefined => {
+		const {request, service, levels, now} = search;
 		let chosen: Candidate | undefined;
 		let least = Number.POSITIVE_INFINITY;
 		let queueMs = 0;
-		for (const candidate of candidates) {
+		let workMs = 0;
+		for (const candidate of finder.search(search)) {
 			const {engine} = candidate;
 			const queued = engine.queueMs(now);
-			let pieces = candidate.cachedPieces;
-			if (candidate === trusted) {
-				pieces += service.homeTrust * Math.max(0, request.pieces.length - pieces);
-			}
-
-			const missing = Math.max(0, request.promptTokens - (pieces * service.pieceTokens));
-			const cost = queued + (missing * engine.msPerToken * options.recomputeWeight) + adapterMs(engine, request.adapter) + engine.roundTripMs;
+			const missing = Math.max(0, request.promptTokens - (hopedPieces(candidate, request.pieces.length, service.metPieces / service.hopedPieces) * service.pieceTokens));
+			const computing = missing * engine.msPerToken;
+			const charged = Math.max(0, request.promptTokens - (hopedPieces(candidate, request.pieces.length, options.homeCredit) * service.pieceTokens)) * engine.msPerToken;
+			const cost = queued + (charged * options.recomputeWeight) + adapterMs(engine, request.adapter) + engine.roundTripMs;
 			if (cost < least) {
 				least = cost;
 				chosen = candidate;
 				queueMs = queued;
+				workMs = computing;
 			}
 		}
 
 		return chosen && {
-			engine: chosen.engine, generation: chosen.engine.generation, service, levels, candidate: chosen, queueMs, trusted: chosen === trusted,
+			engine: chosen.engine, generation: chosen.engine.generation, service, levels, candidate: chosen, queueMs, workMs,
 		};
 	};
 
@@ -134,15 +111,16 @@
 		engine.adapters = [...engine.adapters.filter(name => name !== adapter), adapter].slice(-adaptersRemembered);
 	};
 
-	/** How much of what was not known to be cached the computed home had after all. */
-	const learnTrust = (decision: Decision, cachedPieces: number, pieces: number): void => {
-		const unknown = pieces - decision.candidate.depth;
-		if (!decision.trusted || unknown <= 0) {
+	/** How much of what was not known to be cached a computed home had after all, by pieces. */
+	const learnTrust = ({candidate, service}: Decision, cachedPieces: number, pieces: number): void => {
+		const hoped = candidate.isHome ? pieces : candidate.homeDepth;
+		const unknown = hoped - candidate.depth;
+		if (unknown <= 0) {
 			return;
 		}
 
-		const share = Math.max(0, Math.min(1, (cachedPieces - decision.candidate.depth) / unknown));
-		decision.service.homeTrust += trustStep * (share - decision.service.homeTrust);
+		service.hopedPieces = (service.hopedPieces * (1 - trustStep)) + unknown;
+		service.metPieces = (service.metPieces * (1 - trustStep)) + Math.max(0, Math.min(unknown, cachedPieces - candidate.depth));
 	};
 
 	const learnFromAnswer = (request: PlacementRequest, decision: Decision, cachedTokens: number, firstTokenMs: number | undefined): void => {
@@ -156,8 +134,9 @@
 			engine.learnSurvival(candidate.ageMs, cachedPieces >= candidate.depth);
 		}
 
+		engine.learnDuration(performance.now() - decision.start!.at);
 		learnTrust(decision, cachedPieces, request.pieces.length);
-		memory.learn(decision.levels.map(level => level.hash), engine, performance.now());
+		memory.learn(decision.levels, engine, performance.now());
 	};
 
 	return {
@@ -173,7 +152,9 @@
 				return undefined;
 			}
 
-			const decision = choose(request, service, levelsOf(request.pieces), performance.now());
+			const decision = choose({
+				request, service, levels: levelsOf(request.pieces), now: performance.now(),
+			});
 			if (decision === undefined) {
 				return undefined;
 			}
@@ -183,7 +164,7 @@
 				endpoint: decision.engine.name,
 				incarnation: decision.engine.incarnation,
 				expectedCachedTokens,
-				expectedMs: decision.queueMs + ((request.promptTokens - expectedCachedTokens) * decision.engine.msPerToken) + decision.engine.roundTripMs,
+				expectedMs: decision.queueMs + decision.workMs + decision.engine.roundTripMs,
 			};
 			decisions.set(placement, decision);
 			return placement;
@@ -196,10 +177,12 @@
 
 			const {engine} = decision;
 			const now = performance.now();
-			decision.start = engine.start(now, (request.promptTokens - placement.expectedCachedTokens) * engine.msPerToken);
+			memory.count(decision.levels, decision.service.requests, now);
+			addFading(decision.service.requests, now, 1);
+			decision.start = engine.start(now, decision.workMs);
 			learnAdapter(engine, request.adapter);
 			// Requests that follow at once find the prefix computed by this one.
-			memory.learn(decision.levels.map(level => level.hash), engine, now);
+			memory.learn(decision.levels, engine, now);
 		},
 		finished(request, placement, outcome) {
 			const decision = decisions.get(placement);
@@ -210,7 +193,7 @@
 			decisions.delete(placement);
 			const {engine} = decision;
 			engine.finish(decision.start);
-			const isNews = outcome.load === undefined || engine.report(performance.now(), outcome.load);
+			const isNews = outcome.load === undefined || engine.report(performance.now(), outcome.load, 0);
 			if (outcome.result === 'failed') {
 				health.failed(engine.name);
 				memory.forget(decision.levels.map(level => level.hash), engine);
@@ -228,7 +211,7 @@
 			}
 		},
 		observe(endpoint, load) {
-			table.engineOf(endpoint)?.report(performance.now(), load);
+			table.engineOf(endpoint)?.report(performance.now(), load, options.reportLagMs);
 		},
 		evicted(endpoint, incarnation, pieces) {
 			const engine = table.engineOf(endpoint);
--- a/packages/router/src/lib/routing/rendezvous.ts
+++ b/packages/router/src/lib/routing/rendezvous.ts
@@ -34,3 +34,15 @@
 /** Rank of an endpoint for a prefix. One mix of each half is enough: seeds are mixed already. */
 export const rankOf = (halves: HashHalves, seed: number): number =>
 	mix(Math.imul(halves.low ^ seed, 0x9E_37_79_B1) ^ halves.high);
+
+const ranks = 2 ** 32;
+
+/** The rank as a number between 0 and 1, both excluded; the home is where it is highest. */
+export const uniformRankOf = (halves: HashHalves, seed: number): number =>
+	((ranks / 2) - rankOf(halves, seed) - 0.5) / ranks;
+
+/** Names in the order of their ranks for a hash, the home first. */
+export const homesByHash = (hash: bigint, names: readonly string[]): string[] => {
+	const halves = halvesOf(hash);
+	return names.toSorted((a, b) => rankOf(halves, seedOfName(a)) - rankOf(halves, seedOfName(b)));
+};
--- a/packages/router/src/lib/routing/service-table.ts
+++ b/packages/router/src/lib/routing/service-table.ts
@@ -1,6 +1,7 @@
 /** The endpoints of each service, prepared for quick decisions. */
 import {createEngineRecord, type EngineRecord} from './engine-record.js';
 import {createHomeOrder, type HomeOrder} from './home-order.js';
+import {type FadingCount} from './prefix-memory.js';
 import {type FilledPlacerOptions, type PlacementEndpoint} from './placement-options.js';
 
 /** One service with its endpoints. */
@@ -10,8 +11,12 @@
 	engines: readonly EngineRecord[];
 	homes: HomeOrder;
 	pieceTokens: number;
-	/** Learned share of a prompt's unknown pieces that its first home has cached. */
-	homeTrust: number;
+	/** Pieces that computed homes were hoped to have, older ones counting less. */
+	hopedPieces: number;
+	/** Of these, the pieces that they had. */
+	metPieces: number;
+	/** Requests placed, older ones counting less. */
+	requests: FadingCount;
 };
 
 /** All services. */
@@ -27,7 +32,7 @@
 const rememberedOrders = 1024;
 
 /** Trust in computed homes before anything was learned. */
-const initialHomeTrust = 0.5;
+const initialHomes = {hopedPieces: 40, metPieces: 20};
 
 /**
  * Opens an empty table.
@@ -63,9 +68,11 @@
 		services.set(name, {
 			name,
 			engines: members,
-			homes: createHomeOrder(members, options.longestHomeList, rememberedOrders),
+			homes: createHomeOrder(members, options.mostHomes + options.spareHomes + 16, rememberedOrders),
 			pieceTokens: options.pieceTokensOf(name),
-			homeTrust: former?.homeTrust ?? initialHomeTrust,
+			hopedPieces: former?.hopedPieces ?? initialHomes.hopedPieces,
+			metPieces: former?.metPieces ?? initialHomes.metPieces,
+			requests: former?.requests ?? {value: 0, at: 0},
 		});
 	};
 
--- a/packages/router/src/routing.ts
+++ b/packages/router/src/routing.ts
@@ -5,3 +5,4 @@
 export {type PlacementEndpoint, type PlacerOptions} from './lib/routing/placement-options.js';
 export * from './lib/routing/placer.js';
 export * from './lib/routing/prompt-pieces.js';
+export {homesByHash} from './lib/routing/rendezvous.js';
--- a/packages/router/src/test/routing/placer.test.ts
+++ b/packages/router/src/test/routing/placer.test.ts
@@ -144,6 +144,9 @@
 		const request = requestFor(pieces(1, 2));
 		const home = serve(placer, request);
 		placer.observe(home, {...idle, pendingPromptTokens: 10_000_000});
+		assert.equal(placer.place(request)!.endpoint, home, 'a report that lags is older than the answer before it');
+		clock.tick(400);
+		placer.observe(home, {...idle, pendingPromptTokens: 10_000_000});
 		assert.notEqual(placer.place(request)!.endpoint, home);
 		clock.tick(6000);
 		assert.equal(placer.place(request)!.endpoint, home);
