--- a/packages/traces/src/bench.ts
+++ b/packages/traces/src/bench.ts
@@ -13,6 +13,10 @@
 		const {runOverheadBench} = await import('./lib/bench/overhead-bench.js');
 		await runOverheadBench();
 	},
+	async policy(args) {
+		const {runPolicyBench} = await import('./lib/bench/policy-bench.js');
+		await runPolicyBench(args);
+	},
 };
 
 const [name, ...args] = process.argv.slice(2);
--- /dev/null
+++ b/packages/traces/src/lib/replay/policies.ts
@@ -0,0 +1,135 @@
+/**
+ * What a replay compares: the product's placer and the baselines. All have the
+ * same health tracker and know the same of membership, so that the comparison
+ * is of placement alone.
+ */
+import {type Placement, type PlacementRequest} from 'hickorywalk/gateway.js';
+import {
+	createHealthTracker, createPlacer, homesByHash, type LearningPlacer, type PlacementEndpoint, type PlacerOptions,
+} from 'hickorywalk/routing.js';
+
+/** What a replay asks of a policy. */
+export type ReplayPolicy = Pick<LearningPlacer, 'place' | 'started' | 'finished' | 'observe' | 'evicted' | 'setEndpoints'>;
+
+/** What policies are made with; one policy for each router. */
+export type PolicyContext = {
+	random: () => number;
+	pieceTokens: number;
+	/** Options of the product's placer to try in place of its defaults. */
+	options: Partial<PlacerOptions>;
+};
+
+/** Load of an endpoint as a baseline sees it. */
+type Seen = {
+	endpoint: PlacementEndpoint;
+	/** Requests that the engine last said it has, with own starts since. */
+	requests: number;
+};
+
+type Choose = (request: PlacementRequest, allowed: readonly Seen[]) => Seen;
+
+/** A policy that only chooses among the endpoints that may be used. */
+const createBaseline = (choose: Choose): ReplayPolicy => {
+	const health = createHealthTracker();
+	let seen: Seen[] = [];
+
+	const entryOf = (name: string): Seen | undefined => seen.find(entry => entry.endpoint.name === name);
+
+	return {
+		setEndpoints(endpoints) {
+			seen = endpoints.map(endpoint => ({endpoint, requests: entryOf(endpoint.name)?.requests ?? 0}));
+			health.setEndpoints('', endpoints.map(endpoint => endpoint.name));
+		},
+		place(request) {
+			const allowed = seen.filter(({endpoint}) =>
+				endpoint.usable && endpoint.service === request.service && !request.excluded.has(endpoint.name) && health.roomOf(endpoint.name) > 0);
+			if (allowed.length === 0) {
+				return undefined;
+			}
+
+			const placement: Placement = {
+				endpoint: choose(request, allowed).endpoint.name, incarnation: '', expectedCachedTokens: 0, expectedMs: 0,
+			};
+			return placement;
+		},
+		started(_request, placement) {
+			const entry = entryOf(placement.endpoint);
+			if (entry !== undefined) {
+				entry.requests++;
+			}
+		},
+		finished(_request, placement, outcome) {
+			const entry = entryOf(placement.endpoint);
+			if (entry !== undefined) {
+				entry.requests = outcome.load === undefined ? Math.max(0, entry.requests - 1) : outcome.load.running + outcome.load.waiting;
+			}
+
+			if (outcome.result === 'failed') {
+				health.failed(placement.endpoint);
+			} else if (outcome.result === 'answered') {
+				health.succeeded(placement.endpoint);
+			}
+		},
+		observe(endpoint, load) {
+			const entry = entryOf(endpoint);
+			if (entry !== undefined) {
+				entry.requests = load.running + load.waiting;
+			}
+		},
+		evicted() {
+			// Baselines keep no picture of caches.
+		},
+	};
+};
+
+const createRoundRobin = ({random}: PolicyContext): ReplayPolicy => {
+	let next = Math.floor(random() * 1000);
+	return createBaseline((_request, allowed) => {
+		next++;
+		return allowed[next % allowed.length];
+	});
+};
+
+const createLeastLoad = ({random}: PolicyContext): ReplayPolicy => createBaseline((_request, allowed) => {
+	let best = allowed[0];
+	let bestTie = 2;
+	for (const entry of allowed) {
+		const tie = random();
+		if (entry.requests < best.requests || (entry.requests === best.requests && tie < bestTie)) {
+			best = entry;
+			bestTie = tie;
+		}
+	}
+
+	return best;
+});
+
+/** Rendezvous hashing of one hash over whatever may be used. */
+const createHashed = (hashOf: (request: PlacementRequest) => bigint | undefined, random: () => number): ReplayPolicy =>
+	createBaseline((request, allowed) => {
+		const hash = hashOf(request);
+		if (hash === undefined) {
+			return allowed[Math.floor(random() * allowed.length)];
+		}
+
+		const [home] = homesByHash(hash, allowed.map(entry => entry.endpoint.name));
+		return allowed.find(entry => entry.endpoint.name === home)!;
+	});
+
+const createOurs = ({random, pieceTokens, options}: PolicyContext): ReplayPolicy =>
+	createPlacer({random, pieceTokensOf: () => pieceTokens, ...options});
+
+/** The policies by name; ours first. */
+export const policies = {
+	hickorywalk: createOurs,
+	'round-robin': createRoundRobin,
+	'least-load': createLeastLoad,
+	'whole-prompt-hash': ({random}) => createHashed(request => request.pieces.at(-1), random),
+	'prefix-hash': ({random}) => createHashed(request => request.pieces[0], random),
+} as const satisfies Record<string, (context: PolicyContext) => ReplayPolicy>;
+
+/** Name of a policy. */
+export type PolicyName = keyof typeof policies;
+
+/** All names, ours first. */
+export const policyNames = Object.keys(policies) as PolicyName[];
