--- a/packages/traces/src/bench.ts
+++ b/packages/traces/src/bench.ts
@@ -21,6 +21,10 @@
 		const {runSlopesBench} = await import('./lib/bench/slopes-bench.js');
 		await runSlopesBench(args);
 	},
+	async policy(args) {
+		const {runPolicyBench} = await import('./lib/bench/policy-bench.js');
+		await runPolicyBench(args);
+	},
 };
 
 const [name, ...args] = process.argv.slice(2);
