--- a/packages/router/src/lib/configuration/document.ts
+++ b/packages/router/src/lib/configuration/document.ts
@@ -20,7 +20,7 @@
 	region: name.describe('Region that the data centre belongs to.'),
 });
 
-const keySchema = z.strictObject({
+export const keySchema = z.strictObject({
 	id: name.describe('Public name of the key, safe for logs.'),
 	digest: digest.describe('SHA-256 of the key in hexadecimal.'),
 });
