--- a/packages/traces/src/bench.ts
+++ b/packages/traces/src/bench.ts
@@ -17,6 +17,10 @@
 		const {runLinksBench} = await import('./lib/bench/links-bench.js');
 		await runLinksBench();
 	},
+	async reference(args) {
+		const {runReferencePages} = await import('./lib/bench/reference-pages.js');
+		await runReferencePages(args);
+	},
 	async slopes(args) {
 		const {runSlopesBench} = await import('./lib/bench/slopes-bench.js');
 		await runSlopesBench(args);
