Tell the newest version also while the store is away

Cause: heads were told only after a successful read. A daemon that came back from a cut into a store outage heard a majority, none of which had news, and took that for proof: it would have served by the version it had before the cut. One that restarted in an outage heard no head and stayed unready. Conclusion: failed reads are followed by heads too, starters ask, and a majority counts only if none of it has a higher version in force.

--- a/packages/router/src/lib/configuration/configuration-follower.ts
+++ b/packages/router/src/lib/configuration/configuration-follower.ts
@@ -193,12 +193,13 @@
 			}
 
 			failures = 0;
-			announceTo(peers().nearby);
-			announceTo(pickDistant());
 		} catch (error) {
 			failures++;
 			refuse(knowledge.newest().version, error);
 		} finally {
+			// Also when the store is away: a peer back from a cut must hear what it missed.
+			announceTo(peers().nearby);
+			announceTo(pickDistant());
 			nextPollAt = performance.now() + pauseMs();
 			polling = undefined;
 		}
@@ -216,8 +217,26 @@
 		return pollMs * (1 + (Math.min(group, longestWaitSteps) * 2));
 	}
 
+	/** A daemon that has just started asks one peer after another, so that it need not wait for a poll of theirs. */
+	function askPeer(): void {
+		const {nearby, distant} = peers();
+		const candidates = [...nearby, ...distant];
+		if (candidates.length > 0) {
+			askedAt = performance.now();
+			requestFrom(candidates[Math.floor(random() * candidates.length)]);
+		}
+	}
+
+	function requestFrom(name: string): void {
+		send(name, {case: 'configurationRequest', value: create(ConfigurationRequestSchema, {heldVersion: BigInt(held.version)})});
+	}
+
 	function tick(): void {
 		const now = performance.now();
+		if (knowledge.newest().ageMs === Infinity && now - askedAt > pollMs) {
+			askPeer();
+		}
+
 		if (polling !== undefined || now < nextPollAt) {
 			return;
 		}
@@ -238,7 +257,7 @@
 			learn(version, decodeAge(head.ageMs));
 			if (version > held.version && performance.now() - askedAt > pollMs) {
 				askedAt = performance.now();
-				send(origin.name, {case: 'configurationRequest', value: create(ConfigurationRequestSchema, {heldVersion: BigInt(held.version)})});
+				requestFrom(origin.name);
 			}
 
 			const after = knowledge.newest();
@@ -249,6 +268,7 @@
 			}
 		},
 		configurationRequest(origin, req) {
+			announceTo([origin.name]);
 			for (const value of answerRequest(Number(req.heldVersion), held, steps)) {
 				send(origin.name, {case: 'configurationSections', value});
 			}
@@ -288,9 +308,14 @@
 				return false;
 			}
 
-			const {heard, listed} = options.reach();
-			const isNewest = knowledge.newest().version === held.version;
-			return ageMs <= isolationLimitMs || (isNewest && heard * 2 > listed);
+			if (ageMs <= isolationLimitMs) {
+				return true;
+			}
+
+			// A daemon back from a cut may hear a majority before it hears what it missed.
+			const {heard, listed, newestVersion = 0} = options.reach();
+			const isNewest = Math.max(knowledge.newest().version, newestVersion) === held.version;
+			return isNewest && heard * 2 > listed;
 		},
 		async refresh() {
 			await polling;
--- a/packages/router/src/lib/configuration/configuration-store.ts
+++ b/packages/router/src/lib/configuration/configuration-store.ts
@@ -26,6 +26,8 @@
 export type Reach = {
 	heard: number;
 	listed: number;
+	/** The highest version that one of them said to have in force; 0 when it isn't known. */
+	newestVersion?: number;
 };
 
 /** Options of {@link createConfigurationStore}. */
--- a/packages/router/src/test/configuration/configuration-follower.test.ts
+++ b/packages/router/src/test/configuration/configuration-follower.test.ts
@@ -47,7 +47,7 @@
 			loader: createConfigurationStore({platform: platform.through(() => options.storeFault?.(name) ?? 'none')}),
 			send: link.send,
 			peers: () => ({nearby, distant, rank}),
-			reach: () => options.reach?.(name) ?? {heard: options.daemons, listed: options.daemons},
+			reach: () => options.reach?.(name) ?? {heard: options.daemons, listed: options.daemons, newestVersion: 0},
 			random: () => (turn++ % 10) / 10,
 		});
 		link.handle(follower.handlers);
@@ -157,7 +157,7 @@
 			dataCentres: 1,
 			route: (from, to) => apart && cut(from) !== cut(to) ? [] : [2],
 			storeFault: name => apart && cut(name) ? 'down' : 'none',
-			reach: name => apart ? {heard: cut(name) ? 2 : 3, listed: 5} : {heard: 5, listed: 5},
+			reach: name => ({heard: apart ? (cut(name) ? 2 : 3) : 5, listed: 5, newestVersion: 0}),
 		});
 		await settle(clock, fleet.store.propose(sampleDocument(1), {expectedVersion: 0, who: 'ana'}));
 		await clock.tickAsync(5000);
@@ -185,6 +185,38 @@
 		assert.isBelow((fleet.platform.reads - readsBefore) / 10 / 9, 0.5, 'reads a second of each daemon in an outage');
 	});
 
+	it('does not serve by what it had when it comes back from a cut into a store outage', async () => {
+		// One daemon is cut off and misses a withdrawal; then the store goes down
+		// for all and the cut heals. It hears a majority again, none of which has
+		// news of the store, but it must not take that for "I missed nothing".
+		let apart = false;
+		let down = false;
+		const isCut = (name: string) => name === 'vm-4';
+		fleet = createFleet({
+			daemons: 5,
+			dataCentres: 1,
+			route: (from, to) => apart && isCut(from) !== isCut(to) ? [] : [2],
+			storeFault: name => down || (apart && isCut(name)) ? 'down' : 'none',
+			reach: name => ({heard: apart ? (isCut(name) ? 1 : 4) : 5, listed: 5, newestVersion: apart && isCut(name) ? 1 : 2}),
+		});
+		await settle(clock, fleet.store.propose(sampleDocument(1), {expectedVersion: 0, who: 'ana'}));
+		await clock.tickAsync(5000);
+		apart = true;
+		await settle(clock, fleet.store.propose(sampleDocument(2), {expectedVersion: 1, who: 'ana'}));
+		await clock.tickAsync(60_000);
+		down = true;
+		await clock.tickAsync(60_000);
+		apart = false;
+		const back = fleet.followers.get('vm-4');
+		for (let step = 0; step < 200; step++) {
+			assert.isFalse(back?.mayServe() && back.current()?.version === 1);
+			await clock.tickAsync(100);
+		}
+
+		assert.equal(back?.current()?.version, 2);
+		assert.isTrue(back?.mayServe());
+	});
+
 	it('does not serve by a snapshot or a stale peer alone after a restart', async () => {
 		// The store is down for all, and a daemon starts from an old snapshot. It
 		// can't know whether the snapshot is the newest version, so it must not guess.
--- a/packages/router/src/test/configuration/configuration-store.test.ts
+++ b/packages/router/src/test/configuration/configuration-store.test.ts
@@ -118,7 +118,7 @@
 	it('refuses a change through a daemon that hears no majority', async () => {
 		// Daemons that hear a majority serve on while the store is out of their
 		// reach. That is safe only if nobody commits without a majority.
-		const store = createConfigurationStore({platform: createFakePlatform(), reach: () => ({heard: 4, listed: 8})});
+		const store = createConfigurationStore({platform: createFakePlatform(), reach: () => ({heard: 4, listed: 8, newestVersion: 0})});
 		assert.instanceOf(await errorOf(store.propose(sampleDocument(), {expectedVersion: 0, who: 'ana'})), ConfigurationMinorityError);
 	});
 
