Membership by few neighbours and short counters

Cause: all-to-all heartbeats of 650 daemons need 32 KB/s each, above the whole budget, and 649 links too much processor time.

--- /dev/null
+++ b/packages/router/src/lib/membership/member-table.ts
@@ -0,0 +1,119 @@
+/**
+ * What a daemon knows of all daemons: for each the newest process, its phase,
+ * and when its heartbeat counter last went on.
+ */
+import {Buffer} from 'node:buffer';
+import {createHash} from 'node:crypto';
+import {create} from '@bufbuild/protobuf';
+import {type MemberState, MemberStateSchema, Phase} from '../../gen/hickorywalk/v1/membership_pb.js';
+
+/** One daemon as this one knows it. */
+export type KnownMember = {
+	state: MemberState;
+	/** Stands for name and incarnation in short heartbeats. */
+	id: number;
+	/** When its counter last went on, by this daemon's monotonic clock; `-Infinity` when it was only listed. */
+	heardAt: number;
+	/** When it was last told to daemons of this data centre, and to others. */
+	toldNearAt: number;
+	toldFarAt: number;
+};
+
+/** What came of a state that was heard. */
+export type StateChange = 'none' | 'beat' | 'state';
+
+/** Daemons by name. */
+export type MemberTable = {
+	get: (name: string) => KnownMember | undefined;
+	values: () => Iterable<KnownMember>;
+	/** Adds this daemon itself. */
+	add: (state: MemberState) => KnownMember;
+	/** Takes a whole state in; older processes and counters change nothing. */
+	apply: (state: MemberState) => StateChange;
+	/** Takes a counter in; `undefined` when the id is not known. */
+	applyBeat: (id: number, beat: number, configurationVersion: bigint) => {member: KnownMember; change: StateChange} | undefined;
+	/** Adds a daemon that is only listed so far. */
+	list: (name: string, dataCentre: string, peerAddress: string) => void;
+	remove: (name: string) => void;
+};
+
+/** Creates an empty table. */
+export function createMemberTable(): MemberTable {
+	const members = new Map<string, KnownMember>();
+	const byId = new Map<number, KnownMember>();
+
+	function put(state: MemberState, heardAt: number): KnownMember {
+		const before = members.get(state.name);
+		if (before !== undefined) {
+			byId.delete(before.id);
+		}
+
+		const member = {
+			state, id: idOf(state.name, state.incarnation), heardAt, toldNearAt: -Infinity, toldFarAt: -Infinity,
+		};
+		members.set(state.name, member);
+		byId.set(member.id, member);
+		return member;
+	}
+
+	function goOn(member: KnownMember, beat: number, version: bigint, heardAt: number): StateChange {
+		const {state} = member;
+		if (beat <= state.beat) {
+			return 'none';
+		}
+
+		state.beat = beat;
+		state.configurationVersion = version;
+		member.heardAt = Math.max(member.heardAt, heardAt);
+		return 'beat';
+	}
+
+	return {
+		get: name => members.get(name),
+		values: () => members.values(),
+		add: state => put(state, performance.now()),
+		apply(state) {
+			const known = members.get(state.name);
+			const heardAt = performance.now() - state.silentMs;
+			if (known === undefined || state.incarnation > known.state.incarnation) {
+				put(state, heardAt);
+				return 'state';
+			}
+
+			if (state.incarnation < known.state.incarnation) {
+				return 'none';
+			}
+
+			const change = goOn(known, state.beat, state.configurationVersion, heardAt);
+			// The phase of one process only goes forward, so that late news can't bring it back.
+			if (state.phase > known.state.phase) {
+				known.state.phase = state.phase;
+				return 'state';
+			}
+
+			return change;
+		},
+		applyBeat(id, beat, configurationVersion) {
+			const member = byId.get(id);
+			return member && {member, change: goOn(member, beat, configurationVersion, performance.now())};
+		},
+		list(name, dataCentre, peerAddress) {
+			if (!members.has(name)) {
+				put(create(MemberStateSchema, {
+					name, dataCentre, peerAddress, phase: Phase.UNSPECIFIED,
+				}), -Infinity);
+			}
+		},
+		remove(name) {
+			const known = members.get(name);
+			if (known !== undefined) {
+				members.delete(name);
+				byId.delete(known.id);
+			}
+		},
+	};
+}
+
+function idOf(name: string, incarnation: bigint): number {
+	return Buffer.from(createHash('sha256').update(`${name}/${incarnation}`).digest()).readUInt32BE();
+}
--- a/packages/traces/src/bench.ts
+++ b/packages/traces/src/bench.ts
@@ -29,6 +29,10 @@
 		const {runPolicyBench} = await import('./lib/bench/policy-bench.js');
 		await runPolicyBench(args);
 	},
+	async membership() {
+		const {runMembershipBench} = await import('./lib/bench/membership-bench.js');
+		await runMembershipBench();
+	},
 };
 
 const [name, ...args] = process.argv.slice(2);
