--- a/packages/traces/src/bench.ts
+++ b/packages/traces/src/bench.ts
@@ -21,6 +21,10 @@
 		const {runReferencePages} = await import('./lib/bench/reference-pages.js');
 		await runReferencePages(args);
 	},
+	async orders(args) {
+		const {runOrdersBench} = await import('./lib/bench/orders-bench.js');
+		await runOrdersBench(args);
+	},
 	async slopes(args) {
 		const {runSlopesBench} = await import('./lib/bench/slopes-bench.js');
 		await runSlopesBench(args);
