Test settlement, expiry, group commit and bodies; one outcome header on replays

Cause: a replayed answer carried its outcome header twice, callers got no request id, and settlement, expiry and batches had no tests of their own. Conclusion: two safeguards did nothing that another does not do (one pull at a time; the state of an expired row) and are out.

--- a/packages/router/src/lib/orders/http-sink.ts
+++ b/packages/router/src/lib/orders/http-sink.ts
@@ -113,6 +113,16 @@
 	};
 }
 
+/** Tells the caller under which id its request went, on every kind of answer. */
+export function createIdentifiedSink(sink: AnswerSink, requestId: string): AnswerSink {
+	return {
+		...sink,
+		start(head) {
+			sink.start({...head, headers: [...head.headers, requestIdHeader, requestId]});
+		},
+	};
+}
+
 /** Passes endpoints' answers on in the form that callers get. */
 export function createEndpointSink(sink: AnswerSink): AnswerSink {
 	return {
--- a/packages/router/src/lib/orders/keyed-call.ts
+++ b/packages/router/src/lib/orders/keyed-call.ts
@@ -5,7 +5,7 @@
 import {Buffer} from 'node:buffer';
 import {type Endpoint, type PlainService} from '../configuration/document.js';
 import {type AnswerSink, createKeepingSink, type KeptAnswer} from './answer-sink.js';
-import {outcomeHeader, sendProblem} from './call-problems.js';
+import {sendProblem} from './call-problems.js';
 import {
 	type ClaimedOrder, type FoundOrder, type OrderBook, type OrderEnd,
 } from './order-book.js';
@@ -77,7 +77,7 @@
 	const body = Buffer.from(order.body, 'base64');
 	sink.start({
 		status: order.status,
-		headers: [...order.headers, outcomeHeader, 'answered', 'idempotent-replayed', 'true', 'x-original-request-id', order.requestId],
+		headers: [...order.headers, 'idempotent-replayed', 'true', 'x-original-request-id', order.requestId],
 	});
 	if (body.byteLength > 0) {
 		sink.write(body);
--- a/packages/router/src/lib/orders/request-body.ts
+++ b/packages/router/src/lib/orders/request-body.ts
@@ -33,7 +33,6 @@
 	let droppedChunks = 0;
 	let replayable = true;
 	let ended = false;
-	let pulling: Promise<void> | undefined;
 
 	const pull = async () => {
 		const next = await options.source.next();
@@ -47,15 +46,6 @@
 		replayable &&= keptBytes <= options.replayBytes;
 	};
 
-	// An abandoned attempt may still wait for the chunk that the next one needs:
-	// both wait for the same pull, and each finds the chunk in `kept`.
-	const pullOnce = async () => {
-		pulling ??= pull().finally(() => {
-			pulling = undefined;
-		});
-		await pulling;
-	};
-
 	const dropBefore = (position: number) => {
 		if (!replayable) {
 			kept.splice(0, position - droppedChunks);
@@ -77,7 +67,8 @@
 				return;
 			}
 
-			await pullOnce();
+			// An abandoned attempt may wait for the same chunk: each finds it in `kept`.
+			await pull();
 		}
 	}
 
--- a/packages/router/src/lib/orders/service-calls.ts
+++ b/packages/router/src/lib/orders/service-calls.ts
@@ -8,7 +8,7 @@
 import {type ProblemCode, sendProblem} from './call-problems.js';
 import {forwardableHeaders, headerPairs, stripKeyFromUrl} from './credential-headers.js';
 import {createGroupCommit} from './group-commit.js';
-import {createEndpointSink} from './http-sink.js';
+import {createEndpointSink, createIdentifiedSink} from './http-sink.js';
 import {createKeyedCalls} from './keyed-call.js';
 import {createOrderBook} from './order-book.js';
 import {createRequestBody, type RequestBody} from './request-body.js';
@@ -198,7 +198,8 @@
 	};
 
 	return {
-		async handle(req, sink, context) {
+		async handle(req, callerSink, context) {
+			const sink = createIdentifiedSink(callerSink, context.requestId);
 			return stopping
 				? refuse(sink, 'stopping', context)
 				: track(handleCall(req, sink, context), context.service.name);
--- a/packages/router/src/lib/orders/unknown-orders.ts
+++ b/packages/router/src/lib/orders/unknown-orders.ts
@@ -65,6 +65,8 @@
 };
 
 const pageRows = 500;
+/** Deletions that fit one transaction of 25 writes. */
+const sweepBatch = 12;
 
 /** Creates the operator's side of the record of orders. */
 export function createUnknownOrders(options: UnknownOrdersOptions): UnknownOrders {
@@ -133,16 +135,16 @@
 		const found = await find(id);
 		const token = index.key.split('/').at(-1);
 		// A released key may have a newer order by now, which stays.
-		const isDue = found?.row.token === token && (found?.row.state === 'answered' || found?.row.state === 'released');
+		const due = found?.row.token === token ? found : undefined;
 		const result = await options.groupCommit.commit({
 			writes: [
 				{key: index.key, value: null},
-				...(isDue ? [{key: id, value: null, ifVersion: found.version}] : []),
+				...(due === undefined ? [] : [{key: id, value: null, ifVersion: due.version}]),
 			],
 			proofKey: index.key,
 			isProof: () => false,
 		});
-		return isDue && result.committed;
+		return due !== undefined && result.committed;
 	};
 
 	return {
@@ -195,14 +197,25 @@
 		},
 		async sweepExpiredOrders() {
 			let deleted = 0;
+			let batch: TableRow[] = [];
+			const deleteBatch = async () => {
+				const results = await Promise.all(batch.map(async index => deleteExpired(index)));
+				deleted += results.filter(Boolean).length;
+				batch = [];
+			};
+
 			for await (const index of pages(expiryPrefix)) {
 				if (indexTime(index.key) > Date.now()) {
 					break;
 				}
 
-				deleted += await deleteExpired(index) ? 1 : 0;
+				batch.push(index);
+				if (batch.length === sweepBatch) {
+					await deleteBatch();
+				}
 			}
 
+			await deleteBatch();
 			return deleted;
 		},
 	};
--- /dev/null
+++ b/packages/router/src/test/orders/group-commit.test.ts
@@ -0,0 +1,67 @@
+import {assert} from 'chai';
+import {createGroupCommit, type WriteGroup} from '../../lib/orders/group-commit.js';
+import {
+	PlatformUnavailableError, type TableClient, type TableRow, type TableWrite,
+} from '../../platform.js';
+
+/** A table that keeps rows, and loses the answers that a test tells it to. */
+function createTable(lose: (writes: TableWrite[]) => 'none' | 'applied' | 'dropped' = () => 'none') {
+	const rows = new Map<string, TableRow>();
+	const transactions: TableWrite[][] = [];
+	let version = 0;
+	const table: TableClient = {
+		get: async key => rows.get(key),
+		list: async () => [...rows.values()],
+		async transact(writes) {
+			transactions.push(writes);
+			const loss = lose(writes);
+			const conflicts = writes.filter(write => write.ifVersion !== undefined && write.ifVersion !== (rows.get(write.key)?.version ?? 0));
+			if (loss !== 'dropped' && conflicts.length === 0) {
+				for (const {key, value} of writes) {
+					rows.set(key, {key, value: value ?? '', version: ++version});
+				}
+			}
+
+			if (loss !== 'none') {
+				throw new PlatformUnavailableError('No answer.', true);
+			}
+
+			return conflicts.length > 0
+				? {committed: false, conflicts: conflicts.map(({key}) => ({key, version: rows.get(key)?.version ?? 0}))}
+				: {committed: true, versions: Object.fromEntries(writes.map(({key}) => [key, version]))};
+		},
+	};
+	return {table, transactions};
+}
+
+function groupOf(key: string, value = 'mine'): WriteGroup {
+	return {writes: [{key, value, ifVersion: 0}, {key: `index-${key}`, value: ''}], proofKey: key, isProof: row => row.value === value};
+}
+
+describe('createGroupCommit', () => {
+	it('puts groups of one moment into few transactions', async () => {
+		const {table, transactions} = createTable();
+		const {commit} = createGroupCommit({table});
+		await Promise.all(Array.from({length: 24}, async (_, index) => commit(groupOf(`k-${index}`))));
+		assert.deepEqual(transactions.map(writes => writes.length), [24, 24]);
+	});
+
+	it('lets one lost race fail alone', async () => {
+		// Two VMs write an intent for the same key; the slower one's batch holds the
+		// intents of other callers too, which must not be refused with it.
+		const {table} = createTable();
+		const {commit} = createGroupCommit({table});
+		await commit(groupOf('k-1', 'other'));
+		const results = await Promise.all(['k-0', 'k-1', 'k-2'].map(async key => commit(groupOf(key))));
+		assert.deepEqual(results.map(result => result.committed), [true, false, true]);
+	});
+
+	it('settles a lost answer by reading back, and says so when nothing shows', async () => {
+		const {commit} = createGroupCommit({table: createTable(() => 'applied').table});
+		const {committed} = await commit(groupOf('k-1'));
+		assert.isTrue(committed);
+		const dropped = createGroupCommit({table: createTable(() => 'dropped').table});
+		const error: unknown = await dropped.commit(groupOf('k-1')).then(() => undefined, (error_: unknown) => error_);
+		assert.propertyVal(error, 'code', 'order_store_unavailable');
+	});
+});
--- /dev/null
+++ b/packages/router/src/test/orders/request-body.test.ts
@@ -0,0 +1,45 @@
+import {Buffer} from 'node:buffer';
+import {assert} from 'chai';
+import {createRequestBody} from '../../lib/orders/request-body.js';
+
+async function * chunksOf(...texts: string[]): AsyncGenerator<Uint8Array> {
+	for (const text of texts) {
+		yield Buffer.from(text);
+	}
+}
+
+async function readText(body: AsyncIterable<Uint8Array>): Promise<string> {
+	let text = '';
+	for await (const chunk of body) {
+		text += Buffer.from(chunk).toString('utf8');
+	}
+
+	return text;
+}
+
+describe('createRequestBody', () => {
+	it('opens again from its first byte, also after an attempt that stopped half way', async () => {
+		// The first endpoint resets while the caller still sends. The second must get
+		// the bytes that the first one took.
+		const body = createRequestBody({source: chunksOf('ab', 'cd', 'ef'), replayBytes: 10});
+		const abandoned = body.open()[Symbol.asyncIterator]();
+		await abandoned.next();
+		const waiting = abandoned.next();
+		const text = await readText(body.open());
+		await waiting;
+		assert.deepEqual([text, await readText(body.open())], ['abcdef', 'abcdef']);
+	});
+
+	it('opens once when it is longer than what is kept, and says so', async () => {
+		const body = createRequestBody({source: chunksOf('ab', 'cd', 'ef'), replayBytes: 3});
+		assert.isTrue(body.canOpen());
+		const text = await readText(body.open());
+		assert.deepEqual([text, body.canOpen()], ['abcdef', false]);
+	});
+
+	it('is read whole up to a limit', async () => {
+		const fits = await createRequestBody({source: chunksOf('ab', 'cd'), replayBytes: 0}).readAll(4);
+		const tooLong = await createRequestBody({source: chunksOf('ab', 'cd'), replayBytes: 0}).readAll(3);
+		assert.deepEqual([fits?.toString(), tooLong], ['abcd', undefined]);
+	});
+});
--- a/packages/standins/src/test/service-front.ts
+++ b/packages/standins/src/test/service-front.ts
@@ -1,8 +1,11 @@
 /** A gateway with nothing but the service proxy, for tests over real sockets. */
 import {type IncomingHttpHeaders} from 'node:http';
+import {setImmediate as turn} from 'node:timers/promises';
 import fastify from 'fastify';
 import {type Endpoint, type PlainService} from 'hickorywalk/configuration.js';
-import {createServiceProxy, type ServiceEvent, type ServiceProxyOptions} from 'hickorywalk/orders.js';
+import {
+	createServiceProxy, type ServiceEvent, type ServiceProxyOptions, type UnknownOrder,
+} from 'hickorywalk/orders.js';
 import {Agent, request} from 'undici';
 import {createMemoryPlatform} from '../index.js';
 
@@ -89,6 +92,17 @@
 				};
 			}
 		},
+		/** The first order that is listed as unknown; its record may be on its way yet. */
+		async firstUnknown(): Promise<UnknownOrder> {
+			for (;;) {
+				const [listed] = await proxy.listUnknownOrders();
+				if (listed !== undefined) {
+					return listed;
+				}
+
+				await turn();
+			}
+		},
 		async close() {
 			await agent.destroy();
 			await proxy.drain();
