Bodies that break off, answers without a body, and repeats that wait on a stopping VM

Cause: a caller that broke off its upload made the endpoint look bad; a 304 that states a length was cut as truncated, since the client waits for that length; a drain waited for repeats of orders that run elsewhere, up to their deadline; an answer in 'gzip, chunked' would have lost its coding. Conclusion: such a caller is classed as cancelled; the rest ends at once.

--- a/packages/router/src/lib/orders/answer-checks.ts
+++ b/packages/router/src/lib/orders/answer-checks.ts
@@ -8,6 +8,11 @@
 const noContent = 204;
 const notModified = 304;
 
+/** Whether answers of this status have no body, whatever length they state. */
+export function isBodiless(status: number): boolean {
+	return status === noContent || status === notModified;
+}
+
 /** First value of a header; `undefined` when it is absent. */
 export function headerValue(headers: readonly string[], wanted: string): string | undefined {
 	for (const {name, value} of headerPairs(headers)) {
@@ -46,7 +51,7 @@
  * same when the endpoint died half way.
  */
 export function hasProvableEnd(head: AnswerHead, method: string): boolean {
-	if (method === 'HEAD' || head.status === noContent || head.status === notModified) {
+	if (method === 'HEAD' || isBodiless(head.status)) {
 		return true;
 	}
 
@@ -54,5 +59,5 @@
 		return true;
 	}
 
-	return headerValue(head.headers, 'transfer-encoding')?.toLowerCase().endsWith('chunked') ?? false;
+	return headerValue(head.headers, 'transfer-encoding')?.toLowerCase() === 'chunked';
 }
--- a/packages/router/src/lib/orders/http-sink.ts
+++ b/packages/router/src/lib/orders/http-sink.ts
@@ -1,7 +1,7 @@
 /** The caller's side of a call over Node's HTTP server. */
 import {type ServerResponse} from 'node:http';
 import {type AnswerSink} from './answer-sink.js';
-import {requestIdHeader} from './answer-checks.js';
+import {isBodiless, requestIdHeader} from './answer-checks.js';
 import {outcomeHeader} from './call-problems.js';
 import {connectionOptions, headerPairs} from './credential-headers.js';
 import {type AnswerHead} from './endpoint-transport.js';
@@ -35,7 +35,9 @@
 export function endpointAnswer(head: AnswerHead): AnswerHead {
 	const headers: string[] = [];
 	for (const {name, sentName, value} of headerPairs(callerHeaders(head.headers))) {
-		if (name !== outcomeHeader) {
+		// Some clients wait for a body of the stated length where none may follow.
+		const isUnfounded = name === 'content-length' && isBodiless(head.status);
+		if (name !== outcomeHeader && !isUnfounded) {
 			headers.push(sentName, value);
 		}
 	}
--- a/packages/router/src/lib/orders/keyed-call.ts
+++ b/packages/router/src/lib/orders/keyed-call.ts
@@ -36,6 +36,8 @@
 	limits: KeyedLimits;
 	/** A new random token for each intent. */
 	newToken: () => string;
+	/** Whether this process is stopping: repeats then wait elsewhere. */
+	isStopping: () => boolean;
 	/** An outcome could not be recorded; repeats will hear that it is unknown. */
 	onUnrecorded: (service: string) => void;
 };
@@ -162,7 +164,7 @@
 		const key = keyOf(keyed);
 		let found = first;
 		let pollMs = firstPollMs;
-		while (found.row.state === 'pending' && !sink.isGone()) {
+		while (found.row.state === 'pending' && !sink.isGone() && !options.isStopping()) {
 			const leftMs = keyed.call.deadline - performance.now();
 			if (leftMs <= pollMs || Date.now() > found.row.giveUpMs + limits.clockMarginMs) {
 				break;
--- a/packages/router/src/lib/orders/service-calls.ts
+++ b/packages/router/src/lib/orders/service-calls.ts
@@ -122,7 +122,7 @@
 	});
 	const onUnrecorded = (service: string) => options.onEvent?.('unrecorded', service);
 	const keyed = createKeyedCalls({
-		book, run, lookUp, limits, newToken, onUnrecorded,
+		book, run, lookUp, limits, newToken, onUnrecorded, isStopping: () => stopping,
 	});
 	const unkeyed = createUnkeyedCalls({
 		book, run, lookUp, newToken, onUnrecorded,
--- a/packages/router/src/lib/orders/undici-transport.ts
+++ b/packages/router/src/lib/orders/undici-transport.ts
@@ -7,6 +7,8 @@
 import {
 	type EndpointTransport, type Exchange, type ExchangeEvents, type OutgoingRequest,
 } from './endpoint-transport.js';
+import {isBodiless} from './answer-checks.js';
+import {type FailureClass} from './failure-classes.js';
 import {EndpointExchangeError} from './orders-errors.js';
 
 /** Options of {@link createUndiciTransport}. */
@@ -33,25 +35,31 @@
 	return texts;
 }
 
-async function * withProgress(chunks: AsyncIterable<Uint8Array>, progress: () => void): AsyncGenerator<Uint8Array> {
-	for await (const chunk of chunks) {
-		progress();
-		yield chunk;
+/** Chunks of the caller's body, with word of each one, and of a body that breaks off. */
+async function * watchedBody(chunks: AsyncIterable<Uint8Array>, state: ExchangeState, progress: () => void): AsyncGenerator<Uint8Array> {
+	try {
+		for await (const chunk of chunks) {
+			progress();
+			yield chunk;
+		}
+	} catch (error) {
+		state.callerBroke = true;
+		throw error;
 	}
 }
 
-function outgoingBody({body}: OutgoingRequest, events: ExchangeEvents): Dispatcher.DispatchOptions['body'] {
+function outgoingBody({body}: OutgoingRequest, state: ExchangeState, events: ExchangeEvents): Dispatcher.DispatchOptions['body'] {
 	if (body?.kind !== 'stream') {
 		return body === undefined ? null : Buffer.from(body.content);
 	}
 
-	const chunks: unknown = withProgress(body.open(), events.progress);
+	const chunks: unknown = watchedBody(body.open(), state, events.progress);
 	// Undici sends any async iterable; its types tell only of streams.
 
 	return chunks as Readable;
 }
 
-function dispatchOptions(request: OutgoingRequest, events: ExchangeEvents, own: boolean): Dispatcher.DispatchOptions {
+function dispatchOptions(request: OutgoingRequest, state: ExchangeState, events: ExchangeEvents): Dispatcher.DispatchOptions {
 	const {pathname} = new URL(request.endpoint.address);
 	const headers = [...request.headers];
 	const {body} = request;
@@ -66,8 +74,8 @@
 		// The limits on silence are the caller's own timers.
 		headersTimeout: 0,
 		bodyTimeout: 0,
-		reset: own,
-		body: outgoingBody(request, events),
+		reset: !state.shared,
+		body: outgoingBody(request, state, events),
 	};
 }
 
@@ -79,6 +87,10 @@
 	left: boolean;
 	cancelled: boolean;
 	ended: boolean;
+	/** The caller's own body broke off. */
+	callerBroke: boolean;
+	/** Status of the answer, once its head came. */
+	status?: number;
 	controller?: Dispatcher.DispatchController;
 };
 
@@ -109,6 +121,7 @@
 		},
 		onResponseStart(controller, status) {
 			if (status >= firstFinalStatus) {
+				state.status = status;
 				events.head({status, headers: textsOf(controller.rawHeaders)});
 			}
 		},
@@ -123,7 +136,11 @@
 		onResponseError(_controller, error) {
 			if (!state.ended) {
 				state.ended = true;
-				events.failed(failureOf(state, error), error);
+				if (isWholeWithoutBody(state, error)) {
+					events.end([]);
+				} else {
+					events.failed(failureOf(state, error), error);
+				}
 			}
 
 			finish();
@@ -131,16 +148,26 @@
 	};
 }
 
-function failureOf(state: ExchangeState, error: Error) {
+function hasCode(error: Error, code: string): boolean {
+	return 'code' in error && error.code === code;
+}
+
+/** Undici looks for the stated length even where the status says that no body follows. */
+function isWholeWithoutBody(state: ExchangeState, error: Error): boolean {
+	return state.status !== undefined && isBodiless(state.status) && hasCode(error, 'UND_ERR_RES_CONTENT_LENGTH_MISMATCH');
+}
+
+function failureOf(state: ExchangeState, error: Error): FailureClass {
+	// A caller that breaks off its own body must not make the endpoint look bad.
 	if (state.left) {
-		return 'reset';
+		return state.callerBroke ? 'cancelled' : 'reset';
 	}
 
 	if (state.cancelled) {
 		return 'withdrawn';
 	}
 
-	return 'code' in error && error.code === 'UND_ERR_INVALID_ARG' ? 'unsendable' : 'connect_failed';
+	return hasCode(error, 'UND_ERR_INVALID_ARG') ? 'unsendable' : 'connect_failed';
 }
 
 /**
@@ -185,7 +212,7 @@
 		const {origin} = new URL(request.endpoint.address);
 		const pool = request.ownConnection ? undefined : pools.get(origin);
 		const state: ExchangeState = {
-			shared: pool !== undefined, left: false, cancelled: false, ended: false,
+			shared: pool !== undefined, left: false, cancelled: false, ended: false, callerBroke: false,
 		};
 		const client = pool === undefined ? openClient(origin) : undefined;
 		const finish = () => {
@@ -195,7 +222,7 @@
 		};
 
 		const handler = createHandler(state, events, finish);
-		(pool ?? client!).dispatch(dispatchOptions(request, events, pool === undefined), handler);
+		(pool ?? client!).dispatch(dispatchOptions(request, state, events), handler);
 		return {
 			pause() {
 				state.controller?.pause();
--- a/packages/router/src/test/orders/undici-transport.test.ts
+++ b/packages/router/src/test/orders/undici-transport.test.ts
@@ -7,7 +7,7 @@
 		// request on a new connection by itself. Its bytes may have run already: the
 		// second start must be refused, and the order counts as perhaps run.
 		const state: ExchangeState = {
-			shared: false, left: false, cancelled: false, ended: false,
+			shared: false, left: false, cancelled: false, ended: false, callerBroke: false,
 		};
 		const failures: string[] = [];
 		const nothing = () => undefined;
--- a/packages/standins/src/lib/service/service-standin.ts
+++ b/packages/standins/src/lib/service/service-standin.ts
@@ -86,7 +86,8 @@
 /**
  * Starts a service. `POST /orders` places the order that the header `x-order`
  * names, `/status/ID` tells whether a request ran, `/large/BYTES` answers in
- * chunks with a trailer, and `/count` counts a body's bytes.
+ * chunks with a trailer, `/count` counts a body's bytes, `/unread` reads none, and
+ * `/bodiless/STATUS` states a length that no body follows.
  */
 export async function startServiceStandin(options: {host?: string; port?: number} = {}): Promise<ServiceStandin> {
 	const ledger = createExecutionLedger();
@@ -139,6 +140,14 @@
 			done(null, bytes);
 		}).send(Readable.from(blocks(Number(bytes), count), {objectMode: false}));
 	});
+	app.all('/unread', async (_req, reply) => reply.hijack());
+	app.get('/bodiless/:status', async (req, reply) => {
+		const {status} = req.params as {status: string};
+		answerRaw(reply, Buffer.from(`HTTP/1.1 ${status} Bodiless\r\nx-request-id: ${idOf(req)}\r\ncontent-length: 10\r\n\r\n`), () => {
+			// The connection stays open, as it does for the next request.
+		});
+		return reply;
+	});
 	app.all('/count', async (req, reply) => {
 		let bytes = 0;
 		for await (const chunk of req.raw) {
--- a/packages/standins/src/test/service-answers.test.ts
+++ b/packages/standins/src/test/service-answers.test.ts
@@ -60,6 +60,13 @@
 		});
 	});
 
+	it('without a body by their status may state a length', async () => {
+		// A 304 states the length that a 200 would have had. Waiting for that body
+		// would make an answer out of a whole one that broke off.
+		const answer = await front.call('GET', '/bodiless/304');
+		assert.deepEqual([answer.status, answer.text, answer.outcome], [304, '', 'answered']);
+	});
+
 	it('that belong to another request are dropped, and the order is unknown', async () => {
 		service.faults.order({kind: 'foreign_id'});
 		const answer = await front.call('POST', '/orders', {body: '1'});
@@ -113,6 +120,58 @@
 	});
 });
 
+describe('Bodies of requests', () => {
+	let service: Service;
+	beforeEach(async () => {
+		service = await startServiceStandin();
+	});
+	afterEach(async () => {
+		await service.close();
+	});
+
+	it('are taken from the caller no faster than the endpoint reads', async () => {
+		const front = await startFront({urls: [service.url]});
+		let taken = 0;
+		const blocks = function * () {
+			for (let block = 0; block < 4096; block++) {
+				taken += 65_536;
+				yield Buffer.alloc(65_536);
+			}
+		};
+
+		const upload = request(`${front.url}/services/orderdesk/unread`, {method: 'POST', body: Readable.from(blocks(), {objectMode: false})});
+		const ended = upload.then(() => 'answered', () => 'cut');
+		const takenSo = () => taken;
+		let before = -1;
+		while (takenSo() === 0 || takenSo() !== before) {
+			before = takenSo();
+			await delay(50);
+		}
+
+		assert.isBelow(before, 4096 * 65_536 / 4);
+		await service.close();
+		assert.include(['answered', 'cut'], await ended);
+		await front.close();
+	});
+
+	it('that break off blame the caller, not the endpoint', async () => {
+		// A caller that goes away half way through its upload must not turn an
+		// endpoint that is well into one that others avoid.
+		const blamed: string[] = [];
+		const front = await startFront({urls: [service.url], onEndpointFailure: (_endpoint, failure) => blamed.push(failure)});
+		const socket = net.connect(Number(new URL(front.url).port), '127.0.0.1');
+		socket.write('POST /services/orderdesk/orders HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\n12345');
+		while (service.connections() === 0) {
+			await delay(1);
+		}
+
+		socket.resetAndDestroy();
+		const listed = await front.firstUnknown();
+		assert.deepEqual([listed.reason, blamed, service.executions.size], ['cancelled', [], 0]);
+		await front.close();
+	});
+});
+
 describe('Requests to plain services', () => {
 	let service: Service;
 	let front: Front;
--- a/packages/standins/src/test/service-keys.test.ts
+++ b/packages/standins/src/test/service-keys.test.ts
@@ -1,3 +1,4 @@
+import {setImmediate as turn} from 'node:timers/promises';
 import {assert} from 'chai';
 import {startServiceStandin} from '../index.js';
 import {startFront} from './service-front.js';
@@ -42,6 +43,29 @@
 		await second.close();
 	});
 
+	it('are told at once to come back when the VM on which they wait stops', async () => {
+		const first = await startFront({urls: [service.url], limits: {firstByteMs: 2000}});
+		const second = await startFront({urls: [service.url], table: first.platform.table});
+		service.faults.order({kind: 'silent', runs: true});
+		const lost = first.call('POST', '/orders', keyed('k-1'));
+		while (service.executions.size === 0) {
+			await turn();
+		}
+
+		const waiting = second.call('POST', '/orders', keyed('k-1'));
+		while (second.requests() === 0) {
+			await turn();
+		}
+
+		await second.proxy.drain();
+		const told = await waiting;
+		assert.deepEqual([told.status, told.outcome, told.headers['retry-after']], [409, 'in_progress', '1']);
+		const {outcome} = await lost;
+		assert.equal(outcome, 'unknown');
+		await first.close();
+		await second.close();
+	});
+
 	it('are refused when the key was used for another body, and apart by service and workspace', async () => {
 		const front = await startFront({urls: [service.url]});
 		await front.call('POST', '/orders', keyed('k-1'));
