Bound the bytes of keyed bodies that a VM holds at once

Cause: a call with a key is read whole before it leaves; a thousand of 1 MiB would fill the process and end every call on it. Conclusion: beyond 32 MiB such calls are refused truly as not run.

--- a/packages/router/src/lib/orders/call-problems.ts
+++ b/packages/router/src/lib/orders/call-problems.ts
@@ -50,6 +50,10 @@
 		status: 503, outcome: 'not_run', retryAfterS: 1,
 		message: 'This entry point is stopping. The call did not run; send it again.',
 	},
+	busy: {
+		status: 503, outcome: 'not_run', retryAfterS: 1,
+		message: 'This entry point holds as many calls with keys as it has room for. The call did not run; send it again.',
+	},
 	outcome_unknown: {
 		status: statusUnknown, outcome: 'unknown',
 		message: 'The call left for an endpoint and its answer was lost. It may have run. Do not send it again without asking the service first.',
--- a/packages/router/src/lib/orders/service-calls.ts
+++ b/packages/router/src/lib/orders/service-calls.ts
@@ -5,6 +5,7 @@
 import {randomUUID} from 'node:crypto';
 import {headerValue, requestIdHeader} from './answer-checks.js';
 import {type AnswerSink} from './answer-sink.js';
+import {createByteBudget} from './byte-budget.js';
 import {type ProblemCode, sendProblem} from './call-problems.js';
 import {forwardableHeaders, headerPairs, stripKeyFromUrl} from './credential-headers.js';
 import {createGroupCommit} from './group-commit.js';
@@ -108,6 +109,7 @@
 		table: options.table, groupCommit, keepMs: limits.keepMs, persistMs: limits.persistMs,
 	});
 	const lookUp = createStatusLookUp(transport, limits.lookUpMs);
+	const held = createByteBudget(limits.mostHeldBytes);
 	const active = new Set<Promise<unknown>>();
 	let stopping = false;
 
@@ -133,7 +135,7 @@
 		return 'refused';
 	};
 
-	const handleKeyed = async (incoming: IncomingCall, idempotencyKey: string): Promise<ServiceEvent> => {
+	const answerKeyed = async (incoming: IncomingCall, idempotencyKey: string): Promise<ServiceEvent> => {
 		const {context, sink} = incoming;
 		const content = incoming.body === undefined ? new Uint8Array() : await incoming.body.readAll(limits.mostKeyedBytes);
 		if (content === undefined) {
@@ -150,6 +152,22 @@
 		}, sink);
 	};
 
+	/** A body in chunks may turn out as long as the limit, so that much is set aside. */
+	const handleKeyed = async (incoming: IncomingCall, idempotencyKey: string): Promise<ServiceEvent> => {
+		const {body} = incoming;
+		const bytes = body === undefined ? 0 : Math.min(body.length ?? limits.mostKeyedBytes, limits.mostKeyedBytes);
+		const giveBack = held.take(bytes);
+		if (giveBack === undefined) {
+			return refuse(incoming.sink, 'busy', incoming.context);
+		}
+
+		try {
+			return await answerKeyed(incoming, idempotencyKey);
+		} finally {
+			giveBack();
+		}
+	};
+
 	const handleCall = async (req: IncomingRequest, sink: AnswerSink, context: ServiceContext): Promise<ServiceEvent> => {
 		const {method} = req;
 		const path = stripKeyFromUrl(context.path, context.presentedKey);
--- a/packages/router/src/lib/orders/service-options.ts
+++ b/packages/router/src/lib/orders/service-options.ts
@@ -17,6 +17,8 @@
 	replayBytes: number;
 	/** Longest body of a call with a key, in bytes. */
 	mostKeyedBytes: number;
+	/** Bytes of such bodies that are held at once; calls beyond it are refused as not run. */
+	mostHeldBytes: number;
 	/** Milliseconds that a status look-up may take. */
 	lookUpMs: number;
 	/** Milliseconds that an order with an outcome is kept. */
@@ -40,6 +42,7 @@
 	mostAttempts: 3,
 	replayBytes: 65_536,
 	mostKeyedBytes: 1_048_576,
+	mostHeldBytes: 33_554_432,
 	lookUpMs: 1000,
 	keepMs: 86_400_000,
 	persistMs: 60_000,
--- a/packages/standins/src/test/service-keys.test.ts
+++ b/packages/standins/src/test/service-keys.test.ts
@@ -189,6 +189,26 @@
 		await front.close();
 	});
 
+	it('are refused as not run while others hold the room for bodies', async () => {
+		// Bodies of calls with a key are held whole. Many large ones at a time would
+		// fill the process's memory and end every call on it.
+		const front = await startFront({urls: [service.url], limits: {mostHeldBytes: 2 * body.length}});
+		service.faults.order({kind: 'silent', runs: false}, {kind: 'silent', runs: false});
+		const holding = ['k-1', 'k-2'].map(async key => front.call('POST', '/orders', keyed(key)));
+		while (service.requests.length < 2) {
+			await turn();
+		}
+
+		const refused = await front.call('POST', '/orders', keyed('k-3'));
+		assert.deepEqual([refused.status, codeOf(refused.text), refused.outcome], [503, 'busy', 'not_run']);
+		await service.close();
+		await Promise.all(holding);
+		service = await startServiceStandin();
+		const tooLate = await front.call('POST', '/orders', keyed('k-3'));
+		assert.equal(codeOf(tooLate.text), 'not_run');
+		await front.close();
+	});
+
 	it('are refused when the key or the body is not fit', async () => {
 		const front = await startFront({urls: [service.url], limits: {mostKeyedBytes: 8}});
 		const large = await front.call('POST', '/orders', keyed('k-1'));
