--- a/packages/router/src/lib/orders/keyed-call.ts
+++ b/packages/router/src/lib/orders/keyed-call.ts
@@ -5,7 +5,7 @@
 import {Buffer} from 'node:buffer';
 import {type Endpoint, type PlainService} from '../configuration/document.js';
 import {type AnswerSink, createKeepingSink, type KeptAnswer} from './answer-sink.js';
-import {outcomeHeader, sendProblem} from './call-problems.js';
+import {sendProblem} from './call-problems.js';
 import {
 	type ClaimedOrder, type FoundOrder, type OrderBook, type OrderEnd,
 } from './order-book.js';
@@ -36,6 +36,8 @@
 	limits: KeyedLimits;
 	/** A new random token for each intent. */
 	newToken: () => string;
+	/** Whether this process is stopping: repeats then wait elsewhere. */
+	isStopping: () => boolean;
 	/** An outcome could not be recorded; repeats will hear that it is unknown. */
 	onUnrecorded: (service: string) => void;
 };
@@ -77,7 +79,7 @@
 	const body = Buffer.from(order.body, 'base64');
 	sink.start({
 		status: order.status,
-		headers: [...order.headers, outcomeHeader, 'answered', 'idempotent-replayed', 'true', 'x-original-request-id', order.requestId],
+		headers: [...order.headers, 'idempotent-replayed', 'true', 'x-original-request-id', order.requestId],
 	});
 	if (body.byteLength > 0) {
 		sink.write(body);
@@ -162,7 +164,7 @@
 		const key = keyOf(keyed);
 		let found = first;
 		let pollMs = firstPollMs;
-		while (found.row.state === 'pending' && !sink.isGone()) {
+		while (found.row.state === 'pending' && !sink.isGone() && !options.isStopping()) {
 			const leftMs = keyed.call.deadline - performance.now();
 			if (leftMs <= pollMs || Date.now() > found.row.giveUpMs + limits.clockMarginMs) {
 				break;
