--- a/packages/router/src/lib/routing/candidates.ts
+++ b/packages/router/src/lib/routing/candidates.ts
@@ -8,7 +8,9 @@
 import {walkHomes} from './home-sets.js';
 import {type FilledPlacerOptions} from './placement-options.js';
 import {type PrefixLevel} from './prefix-levels.js';
-import {fadedValue, type KnownPrefix, type PrefixMemory} from './prefix-memory.js';
+import {
+	fadedValue, isAlive, type KnownPrefix, type PrefixMemory, type WarmHome,
+} from './prefix-memory.js';
 import {type ServiceEntry} from './service-table.js';
 
 /** An endpoint under consideration. */
@@ -57,35 +59,38 @@
  * @internal
  */
 export const createCandidateFinder = (memory: PrefixMemory, health: HealthTracker, options: FilledPlacerOptions): CandidateFinder => {
+	/** What all routers know alike, so that they skip the same endpoints in the order of homes. */
+	const canServe = (engine: EngineRecord, request: PlacementRequest): boolean =>
+		engine.usable && (engine.version === '' || engine.version === request.version);
+
 	const mayTake = (engine: EngineRecord, {request, now}: CandidateSearch): boolean =>
-		engine.usable
+		canServe(engine, request)
 		&& !request.excluded.has(engine.name)
-		&& (engine.version === '' || engine.version === request.version)
 		&& engine.hasRoom(now)
 		&& engine.unfinished < health.roomOf(engine.name);
 
 	/** Homes that a prefix's share of the service's requests asks for, as a fraction. */
-	const countHomes = (known: KnownPrefix | undefined, {service, now}: CandidateSearch): number => {
+	const countHomes = (known: KnownPrefix | undefined, allRequests: number, {service, now}: CandidateSearch): number => {
 		if (known === undefined) {
 			return 0;
 		}
 
 		const requests = fadedValue(known.requests, now);
-		const sinceFirst = fadedValue(service.requests, now) - fadedValue(known.before, now);
+		const sinceFirst = allRequests - fadedValue(known.before, now);
 		// The lower end of what so few requests tell: a prefix seen once or twice
 		// is no hot one.
 		const share = Math.max(0, requests - Math.sqrt(requests)) / (sinceFirst + assumedRequests);
 		return Math.min(options.mostHomes, share * service.engines.length * options.homeHeadroom);
 	};
 
-	/** The first endpoints of the computed order that may take the request. */
+	/** The first endpoints of the computed order that can serve the request. */
 	const takeFromOrder = (search: CandidateSearch, count: number): EngineRecord[] => {
 		const {homes} = search.service;
 		const [root] = search.request.pieces;
 		const taken: EngineRecord[] = [];
 		let order = homes.of(root, count);
 		for (let index = 0; index < order.length && taken.length < count; index++) {
-			if (mayTake(order[index], search)) {
+			if (canServe(order[index], search.request)) {
 				taken.push(order[index]);
 			}
 
@@ -97,38 +102,70 @@
 		return taken;
 	};
 
+	const addCandidate = (found: Map<EngineRecord, Candidate>, search: CandidateSearch, engine: EngineRecord, homeDepth: number, isHome: boolean): void => { // eslint-disable-line max-params
+		if (mayTake(engine, search)) {
+			found.set(engine, {
+				engine, cachedPieces: 0, depth: 0, ageMs: 0, homeDepth, isHome,
+			});
+		}
+	};
+
 	const addHomes = (found: Map<EngineRecord, Candidate>, search: CandidateSearch, known: ReadonlyArray<KnownPrefix | undefined>): void => {
-		const sizes = known.map(prefix => countHomes(prefix, search));
-		const root = takeFromOrder(search, Math.max(1, Math.ceil(sizes[0])) + options.spareHomes);
+		const allRequests = fadedValue(search.service.requests, search.now);
+		const sizes = known.map(prefix => countHomes(prefix, allRequests, search));
+		const rootCount = Math.max(1, Math.ceil(sizes[0]));
+		const root = takeFromOrder(search, rootCount + options.spareHomes);
 		if (root.length === 0) {
 			return;
 		}
 
-		const {deepest, depths} = walkHomes(root, search.levels, sizes);
-		for (const engine of root) {
-			found.set(engine, {...coldCandidate(engine), homeDepth: depths.get(engine) ?? 0, isHome: deepest.includes(engine)});
+		const path = walkHomes(root, search.levels, sizes, options.consideredHomes);
+		for (const [index, engine] of path.considered.entries()) {
+			const isHome = index < path.deepest;
+			addCandidate(found, search, engine, isHome ? path.deepestDepth : path.otherDepth, isHome);
+		}
+
+		for (let index = rootCount; index < root.length; index++) {
+			addCandidate(found, search, root[index], 0, false);
 		}
 	};
 
-	/** Everything that answers have shown warm for a level, with the most that it may have cached. */
-	const addWarm = (found: Map<EngineRecord, Candidate>, search: CandidateSearch, {depth}: PrefixLevel, known: KnownPrefix): void => {
-		for (const {engine, usedAt} of known.homes) {
-			let candidate = found.get(engine);
-			if (candidate === undefined) {
-				if (!mayTake(engine, search)) {
-					continue;
+	const noteWarm = (candidate: Candidate, {depth}: PrefixLevel, {usedAt}: WarmHome, now: number): void => {
+		const ageMs = now - usedAt;
+		const cachedPieces = depth * stillCached(ageMs, candidate.engine.survivalMs);
+		if (cachedPieces > candidate.cachedPieces) {
+			candidate.cachedPieces = cachedPieces;
+			candidate.depth = depth;
+			candidate.ageMs = ageMs;
+		}
+	};
+
+	/** Endpoints that answers have shown warm for a level; of many only those under consideration. */
+	const addWarm = (found: Map<EngineRecord, Candidate>, search: CandidateSearch, level: PrefixLevel, {homes}: KnownPrefix): void => {
+		if (homes.size > options.consideredHomes) {
+			for (const candidate of found.values()) {
+				const home = homes.get(candidate.engine);
+				if (home !== undefined && isAlive(home, candidate.engine)) {
+					noteWarm(candidate, level, home, search.now);
 				}
+			}
+
+			return;
+		}
+
+		for (const [engine, home] of homes) {
+			if (!isAlive(home, engine)) {
+				continue;
+			}
 
+			let candidate = found.get(engine);
+			if (candidate === undefined && mayTake(engine, search)) {
 				candidate = coldCandidate(engine);
 				found.set(engine, candidate);
 			}
 
-			const ageMs = search.now - usedAt;
-			const cachedPieces = depth * stillCached(ageMs, engine.survivalMs);
-			if (cachedPieces > candidate.cachedPieces) {
-				candidate.cachedPieces = cachedPieces;
-				candidate.depth = depth;
-				candidate.ageMs = ageMs;
+			if (candidate !== undefined) {
+				noteWarm(candidate, level, home, search.now);
 			}
 		}
 	};
--- a/packages/router/src/lib/routing/home-sets.ts
+++ b/packages/router/src/lib/routing/home-sets.ts
@@ -13,45 +13,53 @@
 import {type PrefixLevel} from './prefix-levels.js';
 import {halvesOf, uniformRankOf} from './rendezvous.js';
 
-/** A member of a set of homes. */
-type Home = {
-	engine: EngineRecord;
-	/** 1, or the part in which the last of a set counts. */
-	weight: number;
+/** A set of homes; the last of them counts in part. */
+type HomeSet = {
+	engines: readonly EngineRecord[];
+	lastWeight: number;
 };
 
 /** The homes of one prompt. */
 export type HomePath = {
-	/** Homes of the deepest level, the first one before the others. */
-	deepest: readonly EngineRecord[];
-	/** For each home of the root, the depth down to which it is a home of the prompt's known levels. */
-	depths: ReadonlyMap<EngineRecord, number>;
+	/** Homes worth looking at, those of the deepest level first. */
+	considered: readonly EngineRecord[];
+	/** How many of these are homes of the deepest level. */
+	deepest: number;
+	/** Depth down to which these are homes of levels that are known. */
+	deepestDepth: number;
+	/** Depth down to which the others are. */
+	otherDepth: number;
 };
 
 /** The first `size` of some engines, the last one in part. */
-const takeHomes = (engines: readonly EngineRecord[], size: number): Home[] =>
-	engines.slice(0, Math.ceil(size)).map((engine, index) => ({engine, weight: Math.min(1, size - index)}));
-
-/** Orders homes for a prefix: weighted rendezvous hashing. */
-const orderFor = (homes: readonly Home[], level: PrefixLevel): EngineRecord[] => {
-	const halves = halvesOf(level.hash);
-	return homes
-		.map(({engine, weight}) => ({engine, score: -Math.log(uniformRankOf(halves, engine.seed)) / weight}))
-		.toSorted((a, b) => a.score - b.score)
-		.map(({engine}) => engine);
+const takeHomes = (engines: readonly EngineRecord[], size: number): HomeSet => {
+	const count = Math.min(engines.length, Math.ceil(size));
+	return {engines: engines.slice(0, count), lastWeight: Math.min(1, size - count + 1)};
 };
 
-/** The first of {@link orderFor} without sorting. */
-const firstFor = (homes: readonly Home[], level: PrefixLevel): EngineRecord => {
+/** Orders homes for a prefix by weighted rendezvous hashing and keeps the first of them. */
+const orderFor = ({engines, lastWeight}: HomeSet, level: PrefixLevel, longest: number): EngineRecord[] => {
 	const halves = halvesOf(level.hash);
-	let first = homes[0].engine;
-	let least = Number.POSITIVE_INFINITY;
-	for (const {engine, weight} of homes) {
-		const score = -Math.log(uniformRankOf(halves, engine.seed)) / weight;
-		if (score < least) {
-			least = score;
-			first = engine;
+	const scores: number[] = [];
+	const first: EngineRecord[] = [];
+	for (const [index, engine] of engines.entries()) {
+		const score = -Math.log(uniformRankOf(halves, engine.seed)) / (index === engines.length - 1 ? lastWeight : 1);
+		let place = first.length;
+		if (place === longest) {
+			place--;
+			if (score >= scores[place]) {
+				continue;
+			}
+		}
+
+		while (place > 0 && scores[place - 1] > score) {
+			scores[place] = scores[place - 1];
+			first[place] = first[place - 1];
+			place--;
 		}
+
+		scores[place] = score;
+		first[place] = engine;
 	}
 
 	return first;
@@ -61,26 +69,34 @@
  * Walks down the levels.
  * @param root Homes of the shallowest level, in order; those behind its size are left out.
  * @param sizes How many homes each level asks for; 0 when nothing is known of it.
+ * @param longest Most homes that are considered, and most of a level below the root.
  */
-export const walkHomes = (root: readonly EngineRecord[], levels: readonly PrefixLevel[], sizes: readonly number[]): HomePath => {
-	const depths = new Map<EngineRecord, number>();
+export const walkHomes = (root: readonly EngineRecord[], levels: readonly PrefixLevel[], sizes: readonly number[], longest: number): HomePath => {
 	let homes = takeHomes(root, Math.max(1, sizes[0]));
+	let considered: readonly EngineRecord[] | undefined;
+	let deepestDepth = 0;
+	let otherDepth = 0;
 	for (const [index, level] of levels.entries()) {
 		const size = Math.max(1, sizes[index]);
-		if (size === 1 && homes.length > 1) {
-			homes = [{engine: firstFor(homes, level), weight: 1}];
-		} else if (Math.ceil(size) < homes.length) {
-			homes = takeHomes(orderFor(homes, level), size);
+		if (Math.ceil(size) < homes.engines.length) {
+			const ordered = orderFor(homes, level, longest);
+			homes = takeHomes(ordered, size);
+			if (considered === undefined) {
+				considered = ordered;
+				otherDepth = deepestDepth;
+			}
 		}
 
 		if (sizes[index] === 0) {
 			break;
 		}
 
-		for (const {engine} of homes) {
-			depths.set(engine, level.depth);
-		}
+		deepestDepth = level.depth;
 	}
 
-	return {deepest: homes.map(({engine}) => engine), depths};
+	const deepest = homes.engines.slice(0, longest);
+	const others = considered?.filter(engine => !deepest.includes(engine)) ?? [];
+	return {
+		considered: [...deepest, ...others], deepest: deepest.length, deepestDepth, otherDepth,
+	};
 };
--- a/packages/router/src/lib/routing/placement-options.ts
+++ b/packages/router/src/lib/routing/placement-options.ts
@@ -27,8 +27,10 @@
 	rememberedPrefixes?: number;
 	/** Endpoints remembered for each prefix. Default 64. */
 	homesEach?: number;
-	/** Most computed homes of a prefix. Default 64. */
+	/** Most computed homes of a prefix. Default 128. */
 	mostHomes?: number;
+	/** Most homes of a prompt that one decision looks at. Default 8. */
+	consideredHomes?: number;
 	/** Homes that a prefix gets for each endpoint's worth of its share of requests. Default 2. */
 	homeHeadroom?: number;
 	/** Endpoints behind a prefix's homes that are looked at, too. Default 2. */
@@ -64,7 +66,8 @@
 	roundTripMs: () => 0,
 	rememberedPrefixes: 32_768,
 	homesEach: 64,
-	mostHomes: 64,
+	mostHomes: 128,
+	consideredHomes: 8,
 	homeHeadroom: 2,
 	spareHomes: 2,
 	initialMsPerToken: 0.1,
--- a/packages/router/src/lib/routing/prefix-memory.ts
+++ b/packages/router/src/lib/routing/prefix-memory.ts
@@ -8,9 +8,8 @@
 import {type EngineRecord} from './engine-record.js';
 import {type PrefixLevel} from './prefix-levels.js';
 
-/** An endpoint that served a prefix. */
+/** What is known of a prefix at an endpoint that served it. */
 export type WarmHome = {
-	engine: EngineRecord;
 	/** Generation of the engine's cache at the time; another one has lost it. */
 	generation: number;
 	/** When the prefix was last used there, on the monotonic clock. */
@@ -19,7 +18,7 @@
 
 /** A prefix that is remembered. */
 export type KnownPrefix = {
-	homes: WarmHome[];
+	readonly homes: Map<EngineRecord, WarmHome>;
 	/** Requests with the prefix, older ones counting less. */
 	readonly requests: FadingCount;
 	/** Requests of its service that had come before the first one with the prefix. */
@@ -31,10 +30,11 @@
 
 /** Time in which a fading count loses half its value, in milliseconds. */
 const halfLifeMs = 20_000;
+const decayPerMs = Math.LN2 / halfLifeMs;
 
 /** The value now. */
 export const fadedValue = (count: FadingCount, now: number): number =>
-	count.value * (2 ** ((count.at - now) / halfLifeMs));
+	count.value * Math.exp((count.at - now) * decayPerMs);
 
 /** Adds to the value. */
 export const addFading = (count: FadingCount, now: number, amount: number): void => {
@@ -44,7 +44,7 @@
 
 /** The bounded memory. */
 export type PrefixMemory = {
-	/** What is known of a prefix, endpoints with a lost cache left out. */
+	/** What is known of a prefix; callers compare the generation of each home. */
 	look: (piece: bigint) => KnownPrefix | undefined;
 	/** A request with these prefixes was placed, one of `all` of its service. */
 	count: (levels: readonly PrefixLevel[], all: FadingCount, now: number) => void;
@@ -58,14 +58,8 @@
 	entries: () => IterableIterator<[bigint, KnownPrefix]>;
 };
 
-const dropLost = (known: KnownPrefix): void => {
-	for (const home of known.homes) {
-		if (home.generation !== home.engine.generation) {
-			known.homes = known.homes.filter(other => other.generation === other.engine.generation);
-			return;
-		}
-	}
-};
+/** Whether the engine's cache has not been lost since. */
+export const isAlive = (home: WarmHome, engine: EngineRecord): boolean => home.generation === engine.generation;
 
 /**
  * Opens a memory of at most `bound` prefixes with at most `homesEach`
@@ -78,45 +72,43 @@
 	const open = (piece: bigint): KnownPrefix => {
 		let known = prefixes.get(piece);
 		if (known === undefined) {
-			known = {homes: [], requests: {value: 0, at: 0}, before: {value: 0, at: 0}};
+			known = {homes: new Map(), requests: {value: 0, at: 0}, before: {value: 0, at: 0}};
 			prefixes.set(piece, known);
 		}
 
 		return known;
 	};
 
-	const learnOne = ({homes}: KnownPrefix, engine: EngineRecord, now: number): void => {
-		let oldest: WarmHome | undefined;
-		for (const home of homes) {
-			if (home.engine === engine) {
-				home.generation = engine.generation;
-				home.usedAt = now;
-				return;
-			}
-
-			if (oldest === undefined || home.usedAt < oldest.usedAt) {
-				oldest = home;
+	const dropOldest = (homes: Map<EngineRecord, WarmHome>): void => {
+		let oldest: EngineRecord | undefined;
+		let oldestAt = Number.POSITIVE_INFINITY;
+		for (const [engine, {usedAt}] of homes) {
+			if (usedAt < oldestAt) {
+				oldest = engine;
+				oldestAt = usedAt;
 			}
 		}
 
-		const home = {engine, generation: engine.generation, usedAt: now};
-		if (oldest !== undefined && homes.length >= homesEach) {
-			homes[homes.indexOf(oldest)] = home;
+		homes.delete(oldest!);
+	};
+
+	const learnOne = ({homes}: KnownPrefix, engine: EngineRecord, now: number): void => {
+		const home = homes.get(engine);
+		if (home !== undefined) {
+			home.generation = engine.generation;
+			home.usedAt = now;
 			return;
 		}
 
-		homes.push(home);
+		if (homes.size >= homesEach) {
+			dropOldest(homes);
+		}
+
+		homes.set(engine, {generation: engine.generation, usedAt: now});
 	};
 
 	return {
-		look(piece) {
-			const known = prefixes.get(piece);
-			if (known !== undefined) {
-				dropLost(known);
-			}
-
-			return known;
-		},
+		look: piece => prefixes.get(piece),
 		count(levels, all, now) {
 			for (const level of levels) {
 				const {requests, before} = open(level.hash);
@@ -135,10 +127,7 @@
 		},
 		forget(pieces, engine) {
 			for (const piece of pieces) {
-				const known = prefixes.peek(piece);
-				if (known !== undefined) {
-					known.homes = known.homes.filter(home => home.engine !== engine);
-				}
+				prefixes.peek(piece)?.homes.delete(engine);
 			}
 		},
 		size: () => prefixes.size,
