Don't let an engine's first answer raise its estimated time per token

Cause: the first sample was taken whatever it held; a short question that had waited four seconds made an engine look a hundred times slower, its queue then looked endless, and nothing was sent there to correct it (found in hearings: one router foresaw 27 s at an engine that had next to nothing to do).

--- a/packages/router/src/lib/routing/engine-record.ts
+++ b/packages/router/src/lib/routing/engine-record.ts
@@ -82,7 +82,6 @@
 	let reportedWaiting = 0;
 	let reportedRunning = 0;
 	let slowStartFrom = Number.NEGATIVE_INFINITY;
-	let speedKnown = false;
 	let requestMs = 0;
 	/** Processes that others have followed; late news of them says nothing of now. */
 	const dead: string[] = [];
@@ -189,8 +188,7 @@
 			// it bounds the time of computing from above; only a request that met
 			// a quiet engine may raise the estimate.
 			const bound = firstTokenMs / workedTokens;
-			if (!speedKnown || bound < record.msPerToken) {
-				speedKnown = true;
+			if (bound < record.msPerToken) {
 				record.msPerToken = bound;
 			} else if (queuedMs < firstTokenMs * quietShare) {
 				record.msPerToken *= Math.min(1 + raiseStep, bound / record.msPerToken);
