Spread the homes of a long rest over the whole service

Cause: a hearing record had its home among the few homes of its workspace's rules, which are short: a small workspace's records crowded three engines, and requests that were diverted from there found their record nowhere. Where the rest is over three times as long as the hot levels, all endpoints are homes.

--- a/packages/router/src/lib/routing/candidates.ts
+++ b/packages/router/src/lib/routing/candidates.ts
@@ -102,6 +102,22 @@
 		return taken;
 	};
 
+	/**
+	 * Where the part below the hot levels is much longer than these, a further
+	 * copy of them costs little: the homes of the long part are then spread over
+	 * the service, which evens out the load, and not kept to the hot levels' few.
+	 */
+	const widenForLongRest = (sizes: number[], {request, service, levels}: CandidateSearch): void => {
+		let hot = sizes.length - 1;
+		while (hot >= 0 && sizes[hot] < 1) {
+			hot--;
+		}
+
+		if (hot >= 0 && request.pieces.length > levels[hot].depth * (1 + options.longRest)) {
+			sizes.fill(Math.min(service.engines.length, options.mostHomes), 0, hot + 1);
+		}
+	};
+
 	const addCandidate = (found: Map<EngineRecord, Candidate>, search: CandidateSearch, engine: EngineRecord, homeDepth: number, isHome: boolean): void => { // eslint-disable-line max-params
 		if (mayTake(engine, search)) {
 			found.set(engine, {
@@ -113,6 +129,7 @@
 	const addHomes = (found: Map<EngineRecord, Candidate>, search: CandidateSearch, known: ReadonlyArray<KnownPrefix | undefined>): void => {
 		const allRequests = fadedValue(search.service.requests, search.now);
 		const sizes = known.map(prefix => countHomes(prefix, allRequests, search));
+		widenForLongRest(sizes, search);
 		const rootCount = Math.max(1, Math.ceil(sizes[0]));
 		const root = takeFromOrder(search, rootCount + options.spareHomes);
 		if (root.length === 0) {
--- a/packages/router/src/lib/routing/placement-options.ts
+++ b/packages/router/src/lib/routing/placement-options.ts
@@ -33,6 +33,8 @@
 	consideredHomes?: number;
 	/** Homes that a prefix gets for each endpoint's worth of its share of requests. Default 2. */
 	homeHeadroom?: number;
+	/** How many times longer than a prompt's hot levels the rest must be to have homes anywhere in the service. Default 3. */
+	longRest?: number;
 	/** Endpoints behind a prefix's homes that are looked at, too. Default 2. */
 	spareHomes?: number;
 	/** Time to compute one prompt token before it was learned. Default 0.1. */
@@ -69,6 +71,7 @@
 	mostHomes: 128,
 	consideredHomes: 8,
 	homeHeadroom: 2,
+	longRest: 3,
 	spareHomes: 2,
 	initialMsPerToken: 0.1,
 	adapterSwitchMs: 50,
