Count a level as hot from a quarter of an endpoint's share on

Cause: rules of a small workspace counted as hot now and then only, so that routers disagreed on where the homes of its long records are.

--- a/packages/router/src/lib/routing/candidates.ts
+++ b/packages/router/src/lib/routing/candidates.ts
@@ -51,6 +51,9 @@
 	engine, cachedPieces: 0, depth: 0, ageMs: 0, homeDepth: 0, isHome: false,
 });
 
+/** Part of one endpoint's share of requests from which on a level counts as hot. */
+const hotPart = 0.25;
+
 /** Requests assumed to have come before the first, so that shares of few requests stay small. */
 const assumedRequests = 20;
 
@@ -109,7 +112,7 @@
 	 */
 	const widenForLongRest = (sizes: number[], {request, service, levels}: CandidateSearch): void => {
 		let hot = sizes.length - 1;
-		while (hot >= 0 && sizes[hot] < 1) {
+		while (hot >= 0 && sizes[hot] < options.homeHeadroom * hotPart) {
 			hot--;
 		}
 
