Fewer homes for hot prefixes: headroom 1.5 in place of 2

Cause: each further home of a preamble is a copy that has to be computed and pushes out others; the cost of queueing gives way to spare homes anyhow.

--- a/packages/router/src/lib/routing/placement-options.ts
+++ b/packages/router/src/lib/routing/placement-options.ts
@@ -31,7 +31,7 @@
 	mostHomes?: number;
 	/** Most homes of a prompt that one decision looks at. Default 8. */
 	consideredHomes?: number;
-	/** Homes that a prefix gets for each endpoint's worth of its share of requests. Default 2. */
+	/** Homes that a prefix gets for each endpoint's worth of its share of requests. Default 1.5. */
 	homeHeadroom?: number;
 	/** How many times longer than a prompt's hot levels the rest must be to have homes anywhere in the service. Default 3. */
 	longRest?: number;
@@ -70,7 +70,7 @@
 	homesEach: 64,
 	mostHomes: 128,
 	consideredHomes: 8,
-	homeHeadroom: 2,
+	homeHeadroom: 1.5,
 	longRest: 3,
 	spareHomes: 2,
 	initialMsPerToken: 0.1,
