Take a late answer as news of a long queue

Cause: an engine with a long queue gives few answers, hence few loads, and a router went on by an old one; with load reports lost, callers waited 14 s.

--- a/packages/router/src/lib/routing/engine-record.ts
+++ b/packages/router/src/lib/routing/engine-record.ts
@@ -55,8 +55,8 @@
 	report: (now: number, load: EngineLoad, lagMs: number) => boolean;
 	/** A request's first token came; `workedTokens` were computed for it. */
 	learnSpeed: (firstTokenMs: number, queuedMs: number, workedTokens: number) => void;
-	/** A request ended this long after it had left. */
-	learnDuration: (durationMs: number) => void;
+	/** A request ended this long after its first token. */
+	learnGenerating: (durationMs: number) => void;
 	/** A prefix last used `ageMs` ago was found cached or lost. */
 	learnSurvival: (ageMs: number, cached: boolean) => void;
 	/** Membership or configuration says that the cache is lost. */
@@ -71,6 +71,8 @@
 /** An engine is quiet while the foreseen queue is less than this share of the time. */
 const quietShare = 0.1;
 const raiseStep = 0.02;
+/** An answer is late after its work and so many times the usual time of generating. */
+const lateAfter = 1.5;
 
 /**
  * Opens the record of an endpoint.
@@ -82,11 +84,23 @@
 	let reportedWaiting = 0;
 	let reportedRunning = 0;
 	let slowStartFrom = Number.NEGATIVE_INFINITY;
-	let requestMs = 0;
+	let generatingMs = 0;
 	/** Processes that others have followed; late news of them says nothing of now. */
 	const dead: string[] = [];
 	/** Own starts that the newest report cannot have seen. */
 	let unreported: OwnStart[] = [];
+	/** Own requests that have not ended, the oldest first. */
+	const open = new Set<OwnStart>();
+
+	/**
+	 * By how much the oldest own request is late. An engine with a long queue
+	 * gives few answers and so little news of its queue; that an answer is late
+	 * is news as well.
+	 */
+	const overdueMs = (now: number): number => {
+		const [oldest] = open;
+		return oldest === undefined ? 0 : now - oldest.at - oldest.workMs - (lateAfter * generatingMs);
+	};
 
 	/** What the report left, worked off at the learned speed since. */
 	const reportedMs = (now: number): number => {
@@ -96,7 +110,7 @@
 		}
 
 		const prefillMs = reportedTokens * record.msPerToken;
-		const slotMs = reportedRunning > 0 ? reportedWaiting * requestMs / reportedRunning : 0;
+		const slotMs = reportedRunning > 0 ? reportedWaiting * generatingMs / reportedRunning : 0;
 		return Math.max(0, Math.max(prefillMs, slotMs) - ageMs);
 	};
 
@@ -121,7 +135,7 @@
 		survivalMs: longestSurvivalMs,
 		adapters: [],
 		unfinished: 0,
-		queueMs: now => reportedMs(now) + ownMs(now),
+		queueMs: now => Math.max(reportedMs(now) + ownMs(now), overdueMs(now)),
 		hasRoom(now) {
 			const since = now - slowStartFrom;
 			if (since >= options.slowStartMs) {
@@ -133,6 +147,7 @@
 		start(now, workMs) {
 			const start = {at: now, workMs};
 			record.unfinished++;
+			open.add(start);
 			unreported.push(start);
 			if (unreported.length > ownStartsKept) {
 				unreported.shift();
@@ -142,6 +157,7 @@
 		},
 		finish(start) {
 			record.unfinished--;
+			open.delete(start);
 			const index = unreported.indexOf(start);
 			if (index !== -1) {
 				unreported.splice(index, 1);
@@ -194,8 +210,8 @@
 				record.msPerToken *= Math.min(1 + raiseStep, bound / record.msPerToken);
 			}
 		},
-		learnDuration(durationMs) {
-			requestMs = requestMs === 0 ? durationMs : (requestMs * 0.9) + (durationMs * 0.1);
+		learnGenerating(durationMs) {
+			generatingMs = generatingMs === 0 ? durationMs : (generatingMs * 0.9) + (durationMs * 0.1);
 		},
 		learnSurvival(ageMs, cached) {
 			if (cached && ageMs > record.survivalMs / 2) {
--- a/packages/router/src/lib/routing/placer.ts
+++ b/packages/router/src/lib/routing/placer.ts
@@ -128,13 +128,13 @@
 		const cachedPieces = cachedTokens / service.pieceTokens;
 		if (firstTokenMs !== undefined) {
 			engine.learnSpeed(firstTokenMs, decision.queueMs + engine.roundTripMs, request.promptTokens - cachedTokens);
+			engine.learnGenerating(performance.now() - decision.start!.at - firstTokenMs);
 		}
 
 		if (candidate.depth > 0) {
 			engine.learnSurvival(candidate.ageMs, cachedPieces >= candidate.depth);
 		}
 
-		engine.learnDuration(performance.now() - decision.start!.at);
 		learnTrust(decision, cachedPieces, request.pieces.length);
 		memory.learn(decision.levels, engine, performance.now());
 	};
