--- a/packages/router/src/lib/routing/placer.ts
+++ b/packages/router/src/lib/routing/placer.ts
@@ -10,6 +10,7 @@
 import {createHealthTracker} from './health.js';
 import {fillPlacerOptions, type PlacementEndpoint, type PlacerOptions} from './placement-options.js';
 import {addFading, createPrefixMemory} from './prefix-memory.js';
+import {restoreSnapshot, takeSnapshot} from './placement-snapshot.js';
 import {levelsOf, type PrefixLevel} from './prefix-levels.js';
 import {createServiceTable, type ServiceEntry} from './service-table.js';
 
@@ -22,6 +23,13 @@
 	 * or lost; those of another process of the engine change nothing.
 	 */
 	evicted: (endpoint: string, incarnation: string, pieces: readonly bigint[]) => void;
+	/** What a restarted peer needs to place as this placer does: at most `mostPrefixes` prefixes, 100 to 200 bytes each. */
+	snapshot: (mostPrefixes: number) => Uint8Array;
+	/**
+	 * Takes over a peer's snapshot where nothing is known yet; endpoints have to be set before.
+	 * @throws {PlacementSnapshotError} when it is not one; nothing has changed then.
+	 */
+	restore: (content: Uint8Array) => void;
 	/** Endpoints of a service that are ejected now, for reports. */
 	ejectedOf: (service: string) => string[];
 	/** Prefixes remembered now, for reports. */
@@ -128,7 +136,7 @@
 		const cachedPieces = cachedTokens / service.pieceTokens;
 		if (firstTokenMs !== undefined) {
 			engine.learnSpeed(firstTokenMs, decision.queueMs + engine.roundTripMs, request.promptTokens - cachedTokens);
-			engine.learnGenerating(performance.now() - decision.start!.at - firstTokenMs);
+			engine.learnGenerating(Math.max(0, performance.now() - decision.start!.at - firstTokenMs));
 		}
 
 		if (candidate.depth > 0) {
@@ -219,6 +227,10 @@
 				memory.forget(pieces, engine);
 			}
 		},
+		snapshot: mostPrefixes => takeSnapshot({table, memory}, mostPrefixes),
+		restore(content) {
+			restoreSnapshot({table, memory}, content);
+		},
 		ejectedOf: service => health.ejectedOf(service),
 		rememberedPrefixes: () => memory.size(),
 	};
--- a/packages/router/src/lib/routing/prefix-memory.ts
+++ b/packages/router/src/lib/routing/prefix-memory.ts
@@ -46,6 +46,8 @@
 export type PrefixMemory = {
 	/** What is known of a prefix; callers compare the generation of each home. */
 	look: (piece: bigint) => KnownPrefix | undefined;
+	/** The same; a prefix that is not known is begun. */
+	open: (piece: bigint) => KnownPrefix;
 	/** A request with these prefixes was placed, one of `all` of its service. */
 	count: (levels: readonly PrefixLevel[], all: FadingCount, now: number) => void;
 	/** The prefixes were used at an endpoint now. */
@@ -109,6 +111,7 @@
 
 	return {
 		look: piece => prefixes.get(piece),
+		open,
 		count(levels, all, now) {
 			for (const level of levels) {
 				const {requests, before} = open(level.hash);
--- a/packages/router/src/test/routing/placer.test.ts
+++ b/packages/router/src/test/routing/placer.test.ts
@@ -1,7 +1,9 @@
 import FakeTimers from '@sinonjs/fake-timers';
 import {assert} from 'chai';
 import {type EngineLoad, type Outcome, type PlacementRequest} from '../../gateway.js';
-import {createPlacer, type LearningPlacer, type PlacementEndpoint} from '../../routing.js';
+import {
+	createPlacer, PlacementSnapshotError, type LearningPlacer, type PlacementEndpoint,
+} from '../../routing.js';
 
 const endpoints: PlacementEndpoint[] = Array.from({length: 13}, (_, index) => ({
 	name: `ws-${index + 1}`, service: 'wordsmith', dataCentre: 'hobart-a', usable: true,
@@ -33,7 +35,7 @@
 	return placement.endpoint;
 };
 
-const pieces = (first: number, count: number): bigint[] => Array.from({length: count}, (_, index) => (BigInt(first) * 0x9E_37_79_B9_7F_4A_7C_15n) + BigInt(index));
+const pieces = (first: number, count: number): bigint[] => Array.from({length: count}, (_, index) => BigInt.asUintN(64, (BigInt(first) * 0x9E_37_79_B9_7F_4A_7C_15n) + BigInt(index)));
 
 describe('placer', () => {
 	let clock: FakeTimers.Clock;
@@ -69,6 +71,53 @@
 		}
 	});
 
+	/*
+	 * Callers of a large school wait in one engine's queue after a router has
+	 * restarted: it doesn't know that the preamble is hot, and gives it one home
+	 * where its peers have several. Each router has seen other requests.
+	 */
+	it('places the houses of a hot preamble as its peers do, after a restart from a peer\'s snapshot', () => {
+		const preamble = pieces(1, 4);
+		const feed = (placer: LearningPlacer, from: number): void => {
+			for (let child = from; child < from + 60; child++) {
+				serve(placer, requestFor(child % 2 === 0 ? [...preamble, ...pieces(500 + (child % 12), 2), BigInt(child)] : pieces(10_000 + child, 4)));
+				clock.tick(50);
+			}
+		};
+
+		const [peer, other] = [openPlacer(), openPlacer()];
+		feed(peer, 1000);
+		feed(other, 2000);
+		const restarted = openPlacer();
+		restarted.restore(peer.snapshot(500));
+		const used = new Set<string>();
+		const differing = {other: 0, restarted: 0};
+		for (let house = 0; house < 40; house++) {
+			const request = requestFor([...preamble, ...pieces(900 + house, 2)]);
+			const {endpoint} = peer.place(request)!;
+			used.add(endpoint);
+			differing.other += other.place(request)!.endpoint === endpoint ? 0 : 1;
+			differing.restarted += restarted.place(request)!.endpoint === endpoint ? 0 : 1;
+		}
+
+		assert.isAtLeast(used.size, 3);
+		assert.equal(differing.restarted, 0);
+		assert.isAtMost(differing.other, 4);
+	});
+
+	it('takes no home from a snapshot whose engine is another process by now, and no text that is no snapshot', () => {
+		const peer = openPlacer();
+		const request = requestFor(pieces(1, 4));
+		const home = serve(peer, request);
+		const restarted = openPlacer();
+		restarted.observe(home, {...idle, incarnation: 'p2'});
+		restarted.restore(peer.snapshot(100));
+		assert.equal(restarted.place(request)!.expectedCachedTokens, 0);
+		assert.throws(() => {
+			restarted.restore(new TextEncoder().encode('{"layout":1}'));
+		}, PlacementSnapshotError);
+	});
+
 	/*
 	 * A caller would be promised cached work that a crash has wiped out. The
 	 * engine comes back under its old address as another process; then a report
@@ -152,6 +201,23 @@
 		assert.equal(placer.place(request)!.endpoint, home);
 	});
 
+	/*
+	 * Callers wait for long in one engine while others idle: it has so much to do
+	 * that it gives no answers, hence no news of its load, and load reports are
+	 * lost. That own requests are overdue is the only news.
+	 */
+	it('takes a late answer as news of a long queue', () => {
+		const placer = openPlacer();
+		const request = requestFor(pieces(1, 2));
+		const home = serve(placer, request);
+		const placement = placer.place(request)!;
+		placer.started(request, placement);
+		clock.tick(100);
+		assert.equal(placer.place(request)!.endpoint, home);
+		clock.tick(9900);
+		assert.notEqual(placer.place(request)!.endpoint, home);
+	});
+
 	/*
 	 * Callers wait behind a crowd in an engine that has just come back: empty, it
 	 * reports no load, so every router sends it everything at once.
