--- a/packages/router/src/lib/routing/placement-options.ts
+++ b/packages/router/src/lib/routing/placement-options.ts
@@ -23,7 +23,7 @@
 	pieceTokensOf?: (service: string) => number;
 	/** Time there and back to a data centre. Default 0 for all. */
 	roundTripMs?: (dataCentre: string) => number;
-	/** Prefixes that are remembered; bounds the memory (some 250 bytes each). Default 32,768. */
+	/** Prefixes that are remembered; bounds the memory (some 550 bytes each). Default 16,384. */
 	rememberedPrefixes?: number;
 	/** Endpoints remembered for each prefix. Default 64. */
 	homesEach?: number;
@@ -66,7 +66,7 @@
 export const fillPlacerOptions = (options: PlacerOptions): FilledPlacerOptions => ({
 	pieceTokensOf: () => 1024,
 	roundTripMs: () => 0,
-	rememberedPrefixes: 32_768,
+	rememberedPrefixes: 16_384,
 	homesEach: 64,
 	mostHomes: 128,
 	consideredHomes: 8,
