Take the piece size in force at each decision

Cause: the size was read when the endpoints were set; a daemon that sets them before its configuration can be asked kept a size of 1 for good, and expected nothing to be cached. Found by reading the daemon's wiring. The new test was red with the size read at that time.

--- a/packages/router/src/lib/routing/service-table.ts
+++ b/packages/router/src/lib/routing/service-table.ts
@@ -10,7 +10,8 @@
 	/** Sorted by name. */
 	engines: readonly EngineRecord[];
 	homes: HomeOrder;
-	pieceTokens: number;
+	/** Tokens in one piece as configured now; a change of configuration need not change the endpoints. */
+	readonly pieceTokens: number;
 	/** Pieces that computed homes were hoped to have, older ones counting less. */
 	hopedPieces: number;
 	/** Of these, the pieces that they had. */
@@ -69,7 +70,9 @@
 			name,
 			engines: members,
 			homes: createHomeOrder(members, options.mostHomes + options.spareHomes + 16, rememberedOrders),
-			pieceTokens: options.pieceTokensOf(name),
+			get pieceTokens() {
+				return options.pieceTokensOf(name);
+			},
 			hopedPieces: former?.hopedPieces ?? initialHomes.hopedPieces,
 			metPieces: former?.metPieces ?? initialHomes.metPieces,
 			requests: former?.requests ?? {value: 0, at: 0},
--- a/packages/router/src/test/routing/placer.test.ts
+++ b/packages/router/src/test/routing/placer.test.ts
@@ -240,6 +240,15 @@
 		assert.isAtMost(sent, 2);
 	});
 
+	it('goes by the piece size in force, also when endpoints were set before it changed', () => {
+		let pieceTokens = 1;
+		const placer = openPlacer(endpoints, {pieceTokensOf: () => pieceTokens});
+		const request = requestFor(pieces(1, 4));
+		pieceTokens = 1024;
+		serve(placer, request);
+		assert.equal(placer.place(request)!.expectedCachedTokens, 4 * 1024);
+	});
+
 	it('believes cache events of the present process only', () => {
 		const placer = openPlacer();
 		const request = requestFor(pieces(1, 4));
