--- a/packages/router/src/lib/routing/placement-options.ts
+++ b/packages/router/src/lib/routing/placement-options.ts
@@ -23,14 +23,18 @@
 	pieceTokensOf?: (service: string) => number;
 	/** Time there and back to a data centre. Default 0 for all. */
 	roundTripMs?: (dataCentre: string) => number;
-	/** Prefixes that are remembered; bounds the memory (some 250 bytes each). Default 32,768. */
+	/** Prefixes that are remembered; bounds the memory (some 550 bytes each). Default 16,384. */
 	rememberedPrefixes?: number;
 	/** Endpoints remembered for each prefix. Default 64. */
 	homesEach?: number;
-	/** Most computed homes of a prefix. Default 64. */
+	/** Most computed homes of a prefix. Default 128. */
 	mostHomes?: number;
-	/** Homes that a prefix gets for each endpoint's worth of its share of requests. Default 2. */
+	/** Most homes of a prompt that one decision looks at. Default 8. */
+	consideredHomes?: number;
+	/** Homes that a prefix gets for each endpoint's worth of its share of requests. Default 1.5. */
 	homeHeadroom?: number;
+	/** How many times longer than a prompt's hot levels the rest must be to have homes anywhere in the service. Default 3. */
+	longRest?: number;
 	/** Endpoints behind a prefix's homes that are looked at, too. Default 2. */
 	spareHomes?: number;
 	/** Time to compute one prompt token before it was learned. Default 0.1. */
@@ -62,10 +66,12 @@
 export const fillPlacerOptions = (options: PlacerOptions): FilledPlacerOptions => ({
 	pieceTokensOf: () => 1024,
 	roundTripMs: () => 0,
-	rememberedPrefixes: 32_768,
+	rememberedPrefixes: 16_384,
 	homesEach: 64,
-	mostHomes: 64,
-	homeHeadroom: 2,
+	mostHomes: 128,
+	consideredHomes: 8,
+	homeHeadroom: 1.5,
+	longRest: 3,
 	spareHomes: 2,
 	initialMsPerToken: 0.1,
 	adapterSwitchMs: 50,
