--- a/packages/router/src/lib/limits/held-share.ts
+++ b/packages/router/src/lib/limits/held-share.ts
@@ -23,10 +23,14 @@
 	leaseEnd: number;
 	/** Last wish sent. */
 	sequence: number;
+	/** Sequence of the last grant that was applied. */
+	applied: number;
 	/** When that wish first left: the lease of its answer counts from here. */
 	wishedAt: number;
 	/** When it was last sent. */
 	sentAt: number;
+	/** How often it was sent. */
+	sends: number;
 	lastWish?: ShareWish;
 	/** Whether the last wish is unanswered. */
 	outstanding: boolean;
@@ -56,8 +60,10 @@
 		level: emptyLevel(now),
 		leaseEnd: Number.NEGATIVE_INFINITY,
 		sequence: 0,
+		applied: 0,
 		wishedAt: Number.NEGATIVE_INFINITY,
 		sentAt: Number.NEGATIVE_INFINITY,
+		sends: 0,
 		outstanding: false,
 		reserved: 0,
 		unusedShare: firstUnusedShare,
--- a/packages/router/src/lib/limits/issued-shards.ts
+++ b/packages/router/src/lib/limits/issued-shards.ts
@@ -32,7 +32,8 @@
 	tick: () => void;
 	/** Takes vacant shards, renews leases, drops shards that others issue. */
 	maintain: (keeper: ShardKeeper) => Promise<void>;
-	release: (keeper: ShardKeeper) => Promise<void>;
+	/** Gives all shards up; resolves with them. */
+	release: (keeper: ShardKeeper) => Promise<number[]>;
 	/** Shards whose holders are not all known yet. */
 	incomplete: () => number;
 	/** Stops all timers. */
@@ -231,6 +232,7 @@
 
 			issuers.clear();
 			await keeper.release(left);
+			return [...left.keys()];
 		},
 		close() {
 			for (const issuer of issuers.values()) {
--- a/packages/router/src/lib/limits/shard-issuer.ts
+++ b/packages/router/src/lib/limits/shard-issuer.ts
@@ -205,6 +205,14 @@
 		}
 	}
 
+	function notifyAll(account: ShareAccount): void {
+		for (const [name, claim] of account.claims) {
+			if (!claim.answered) {
+				notify(account, name);
+			}
+		}
+	}
+
 	function placeClaim(account: ShareAccount, name: string, claim: Claim): void {
 		const standing = account.claims.get(name);
 		if (standing) {
@@ -308,7 +316,10 @@
 				answeredAt: performance.now(),
 			});
 			refresh(account);
-			account.reserve.tokens = Math.min(account.reserve.burst, account.reserve.tokens + wish.returned);
+			const unapplied = before?.grant && before.incarnation === origin.incarnation && before.grant.sequence > wish.applied
+				? before.grant.tokens
+				: 0;
+			account.reserve.tokens = Math.min(account.reserve.burst, account.reserve.tokens + wish.returned + unapplied);
 			const claim: Claim = {
 				tokens: wish.claim,
 				first: wish.first,
@@ -340,6 +351,7 @@
 			for (const account of accounts.values()) {
 				refresh(account);
 				serveClaims(account);
+				notifyAll(account);
 			}
 		},
 		setLimit(limit, fresh) {
--- a/packages/router/src/lib/limits/share-account.ts
+++ b/packages/router/src/lib/limits/share-account.ts
@@ -83,7 +83,7 @@
 	// An unknown holder may have all but what came back.
 	reserve.rate = complete ? freeRate : Math.min(freeRate, account.returnedRate);
 	reserve.burst = complete ? freeBurst : Math.min(freeBurst, account.returnedBurst);
-	if (complete && account.inherited > 0) {
+	if (complete && account.wholeBurst > 0) {
 		reserve.tokens += account.inherited;
 		account.inherited = 0;
 	}
--- a/packages/router/src/lib/limits/share-holder.ts
+++ b/packages/router/src/lib/limits/share-holder.ts
@@ -55,6 +55,7 @@
 const unknownRetryMs = 1000;
 /** Milliseconds between two wishes that only gather tokens ahead of demand. */
 const prefetchMs = 500;
+const mostResendMs = 5000;
 const renewalsPerLease = 4;
 
 /** Creates a holder without shares. */
@@ -82,6 +83,7 @@
 		}
 
 		share.sentAt = now;
+		share.sends += 1;
 		const {lastWish} = share;
 		if (share.outstanding && !share.confirm && lastWish?.generation === issuer.generation) {
 			// Said again as it was: an answer under way stays good, and a lost one is repeated.
@@ -91,11 +93,12 @@
 
 		const figures = lowerAndWish(share, settings, now);
 		share.sequence += 1;
+		share.sends = 1;
 		share.wishedAt = now;
 		share.outstanding = !quiet;
 		share.confirm = false;
 		share.lastWish = create(ShareWishSchema, {
-			workspace: share.workspace, generation: issuer.generation, sequence: share.sequence, ...figures, quiet,
+			workspace: share.workspace, generation: issuer.generation, sequence: share.sequence, applied: share.applied, ...figures, quiet,
 		});
 		outbox.wish(issuer.issuer, share.lastWish);
 	}
@@ -105,7 +108,7 @@
 		const since = now - share.sentAt;
 		const waiting = share.waiters.length > 0;
 		if (share.outstanding) {
-			return since >= settings.resendMs;
+			return since >= Math.min(settings.resendMs * (2 ** (share.sends - 1)), mostResendMs);
 		}
 
 		if (share.confirm) {
@@ -288,6 +291,7 @@
 			const now = performance.now();
 			updateShare(share, now);
 			share.outstanding = false;
+			share.applied = grant.sequence;
 			share.notice = undefined;
 			// The issuer's lease on this share runs from after the wish was sent.
 			share.leaseEnd = share.wishedAt + settings.leaseMs - settings.marginMs;
--- a/packages/router/src/lib/limits/token-limiter.ts
+++ b/packages/router/src/lib/limits/token-limiter.ts
@@ -8,7 +8,7 @@
  * window of any length t admits more than burst + rate x t.
  */
 import {create} from '@bufbuild/protobuf';
-import {ShardReportSchema, type ShareTransfer} from '../../gen/hickorywalk/v1/limits_pb.js';
+import {ShardCallSchema, ShardReportSchema, type ShareTransfer} from '../../gen/hickorywalk/v1/limits_pb.js';
 import {type TokenLimiter} from '../gateway/ports.js';
 import {type PeerHandlers, type PeerOrigin, type SendToPeer} from '../links/peer-link.js';
 import {type TableClient, type VmList} from '../platform/platform.js';
@@ -20,7 +20,7 @@
 import {createLivenessEvidence} from './liveness-evidence.js';
 import {createOutbox} from './outbox.js';
 import {createShardKeeper} from './shard-keeper.js';
-import {shardOf} from './shard-map.js';
+import {rankDaemons, shardOf} from './shard-map.js';
 import {createShareHolder, type KnownIssuer} from './share-holder.js';
 
 /** Options of {@link createTokenLimiter}. */
@@ -66,6 +66,7 @@
 const maintainMs = 1000;
 const returnMs = 2000;
 const mostRetryMs = 5000;
+const successorsTold = 2;
 
 /**
  * Creates the limiter of one daemon.
@@ -89,6 +90,8 @@
 	let limits = new Map<string, WorkspaceLimit>();
 	let workspacesByShard = new Map<number, string[]>();
 	let peers: LimiterPeer[] = [];
+	/** Processes that gave their shards up and must not get new ones. */
+	const leaving = new Map<string, bigint>();
 	let registered = false;
 	let writtenListing: number | undefined;
 	let busy = false;
@@ -111,7 +114,7 @@
 		settings,
 		rows,
 		evidence,
-		candidates: () => [name, ...peers.map(peer => peer.name)],
+		candidates,
 		workspacesOf: () => workspacesByShard,
 		isIssuing: issued.has,
 	});
@@ -124,6 +127,17 @@
 		issuerOf: shard => registered ? known.get(shard) : undefined,
 	});
 
+	function candidates(): string[] {
+		const names = [name];
+		for (const peer of peers) {
+			if (!leaving.has(peer.name)) {
+				names.push(peer.name);
+			}
+		}
+
+		return names;
+	}
+
 	function flush(): void {
 		flushTimer = undefined;
 		if (!closed) {
@@ -155,8 +169,27 @@
 		return true;
 	}
 
+	/** A peer gave a shard up: the table says so, and one of us should take it. */
+	function noteLeaving(origin: PeerOrigin): void {
+		leaving.set(origin.name, origin.incarnation);
+		nextRefresh = Number.NEGATIVE_INFINITY;
+		void maintain();
+	}
+
+	function observe(origin: PeerOrigin): void {
+		evidence.observeProcess(origin.name, origin.incarnation);
+		if (origin.incarnation > (leaving.get(origin.name) ?? origin.incarnation)) {
+			leaving.delete(origin.name);
+		}
+	}
+
 	function takeTransfer(origin: PeerOrigin, transfer: ShareTransfer): void {
 		for (const call of transfer.calls) {
+			if (call.issuer === '') {
+				noteLeaving(origin);
+				continue;
+			}
+
 			// Only daemons that stand in the table are called.
 			registered = true;
 			const isNew = adopt(call.shard, call);
@@ -251,6 +284,17 @@
 		}
 	}
 
+	function tellSuccessors(shards: number[]): void {
+		for (const shard of shards) {
+			const generation = known.get(shard)?.generation ?? 0;
+			for (const successor of rankDaemons(shard, candidates().slice(1)).slice(0, successorsTold)) {
+				outbox.call(successor, create(ShardCallSchema, {shard, generation, issuer: ''}));
+			}
+		}
+
+		flush();
+	}
+
 	function tick(): void {
 		if (closed) {
 			return;
@@ -267,11 +311,11 @@
 		reserve: holder.reserve,
 		handlers: {
 			shareRequest(origin, request) {
-				evidence.observeProcess(origin.name, origin.incarnation);
+				observe(origin);
 				issued.takeRequest(origin, request);
 			},
 			shareTransfer(origin, transfer) {
-				evidence.observeProcess(origin.name, origin.incarnation);
+				observe(origin);
 				takeTransfer(origin, transfer);
 			},
 		},
@@ -312,7 +356,7 @@
 			}
 
 			try {
-				await issued.release(keeper);
+				tellSuccessors(await issued.release(keeper));
 			} catch (error) {
 				options.onError?.(error);
 			}
--- a/packages/router/src/test/limits/fleet.ts
+++ b/packages/router/src/test/limits/fleet.ts
@@ -11,7 +11,7 @@
 export type TableFault = 'none' | 'down' | 'answer-lost';
 
 /** A table in memory; `fault` decides what each call meets. */
-export function createFakeTable(fault: () => TableFault): TableClient & {writes: number; reads: number} {
+export function createFakeTable(fault: () => TableFault) {
 	const rows = new Map<string, TableRow>();
 	async function call<Result>(writes: boolean, run: () => Result): Promise<Result> {
 		const met = fault();
@@ -27,7 +27,8 @@
 		return result;
 	}
 
-	const table: TableClient & {writes: number; reads: number} = {
+	const table: TableClient & {rows: typeof rows; writes: number; reads: number} = {
+		rows,
 		writes: 0,
 		reads: 0,
 		async get(key) {
@@ -94,13 +95,14 @@
 	settings?: Partial<LimiterSettings>;
 	/** Milliseconds after which each copy of a message arrives; none when it is lost. */
 	delays?: (from: string, to: string) => number[];
-	tableFault?: () => TableFault;
+	tableFault?: (name: string) => TableFault;
 };
 
 /** Creates a fleet without daemons; timers are those of the paused clock. */
 export function createFleet(options: FleetOptions) {
 	const daemons = new Map<string, FleetDaemon>();
-	const table = createFakeTable(options.tableFault ?? (() => 'none'));
+	let caller = '';
+	const table = createFakeTable(() => options.tableFault?.(caller) ?? 'none');
 	const charges: Charge[] = [];
 	let listVersion = 0;
 	let limits = [...options.limits];
@@ -153,9 +155,18 @@
 		}
 
 		return {
-			get: async key => gate(table.get(key)),
-			list: async range => gate(table.list(range)),
-			transact: async writes => gate(table.transact(writes)),
+			async get(key) {
+				caller = daemon().name;
+				return gate(table.get(key));
+			},
+			async list(range) {
+				caller = daemon().name;
+				return gate(table.list(range));
+			},
+			async transact(writes) {
+				caller = daemon().name;
+				return gate(table.transact(writes));
+			},
 		};
 	}
 
--- /dev/null
+++ b/packages/router/src/test/limits/shard-issuer.test.ts
@@ -0,0 +1,104 @@
+import {assert} from 'chai';
+import {create} from '@bufbuild/protobuf';
+import FakeTimers from '@sinonjs/fake-timers';
+import {type ShareGrant, ShareGrantSchema, ShareWishSchema} from '../../links.js';
+import {createHeldShare, lowerAndWish} from '../../lib/limits/held-share.js';
+import {defaultLimiterSettings} from '../../lib/limits/limiter-settings.js';
+import {createLivenessEvidence} from '../../lib/limits/liveness-evidence.js';
+import {createShareHolder} from '../../lib/limits/share-holder.js';
+import {createShardIssuer} from '../../lib/limits/shard-issuer.js';
+
+const workspace = 'school-1';
+
+function wish(figures: Partial<{sequence: number; burst: number; claim: number; quiet: boolean}>) {
+	return create(ShareWishSchema, {
+		workspace, generation: 1, ...figures, first: figures.claim ?? 0,
+	});
+}
+
+const nothing = () => undefined;
+const silentOutbox = {
+	wish: nothing, report: nothing, grant: nothing, notice: nothing, call: nothing, flush: nothing,
+};
+
+describe('createShareHolder', () => {
+	it('applies no grant of an issuer that has been replaced', async () => {
+		// The daemon told the new issuer that it has nothing; then the old issuer's
+		// answer arrives. These tokens may have been issued anew.
+		const limit = {name: workspace, tokensPerSecond: 1000, burstTokens: 1000};
+		const issuer = {generation: 1, issuer: 'old'};
+		const holder = createShareHolder({
+			settings: defaultLimiterSettings,
+			outbox: silentOutbox,
+			limitOf: () => limit,
+			issuerOf: () => issuer,
+			run: nothing,
+		});
+		await holder.reserve(workspace, 500, 0);
+		holder.tick();
+		issuer.generation = 2;
+		holder.report(0);
+		holder.applyGrant(create(ShareGrantSchema, {
+			workspace, generation: 1, sequence: 1, burst: 800, tokens: 800,
+		}));
+		const result = await holder.reserve(workspace, 500, 0);
+		assert.isFalse(result.granted);
+		holder.close();
+	});
+});
+
+describe('createShardIssuer', () => {
+	it('does not go back to an older wish that arrives late', () => {
+		// A daemon had nothing, then got 600 tokens. The message from before comes
+		// again: taken for the latest it would free these tokens for others.
+		const clock = FakeTimers.install();
+		const grants: ShareGrant[] = [];
+		const issuer = createShardIssuer({
+			shard: 0,
+			generation: 1,
+			name: 'a',
+			holders: [],
+			inherited: new Map([[workspace, 1000]]),
+			leaseEnd: Number.POSITIVE_INFINITY,
+			settings: defaultLimiterSettings,
+			evidence: createLivenessEvidence(defaultLimiterSettings),
+			outbox: {
+				...silentOutbox,
+				grant(_to, _incarnation, grant) {
+					grants.push(grant);
+				},
+			},
+			run: nothing,
+		});
+		issuer.setLimit({name: workspace, tokensPerSecond: 1000, burstTokens: 1000}, false);
+		const origin = {name: 'b', incarnation: 1n};
+		issuer.takeWish(origin, wish({sequence: 1, quiet: true}));
+		issuer.takeWish(origin, wish({sequence: 2, claim: 600}));
+		issuer.takeWish(origin, wish({sequence: 3, burst: 600}));
+		issuer.takeWish(origin, wish({sequence: 1, quiet: true}));
+		clock.tick(10_000);
+		issuer.takeWish({name: 'c', incarnation: 1n}, wish({sequence: 1, claim: 401}));
+		assert.deepEqual(grants.map(grant => grant.tokens), [600, 0]);
+		issuer.takeWish({name: 'c', incarnation: 1n}, wish({sequence: 2, claim: 400}));
+		assert.deepEqual(grants.map(grant => grant.tokens), [600, 0, 400]);
+		issuer.stop();
+		issuer.takeWish({name: 'd', incarnation: 1n}, wish({sequence: 1}));
+		assert.equal(grants.length, 3);
+		clock.uninstall();
+	});
+
+	it('keeps the room of tokens that are on their way back', () => {
+		// Tokens travel back while the share grows again into their room: without
+		// keeping it, both could be spent on top of a full reserve.
+		const share = createHeldShare(workspace, 0, 0);
+		share.level = {
+			rate: 240, burst: 1000, tokens: 1000, at: 0,
+		};
+		share.demand = 200;
+		share.lastAskedAt = 0;
+		share.leaseEnd = Number.POSITIVE_INFINITY;
+		const figures = lowerAndWish(share, defaultLimiterSettings, 0);
+		assert.isAbove(figures.returned, 0);
+		assert.isAtMost(share.level.burst + figures.returned, 1000);
+	});
+});
