Console of forms, driven by the document's schema

Cause: operators change the fleet from forms whose output is the one document. Not done: no browser is on this machine, so the page was not looked at in one; forms were run over a small page of a test's own.

--- a/packages/router/src/lib/administration/administration-server.ts
+++ b/packages/router/src/lib/administration/administration-server.ts
@@ -9,6 +9,7 @@
 import {createSilentLog, type Log} from '../observability/log.js';
 import {NotFoundError, RequestInvalidError} from './administration-errors.js';
 import {type ConfigurationRoutesOptions, defineConfigurationRoutes} from './configuration-routes.js';
+import {addConsole} from './console-files.js';
 import {toErrorAnswer} from './error-answers.js';
 import {defineFleetRoutes, type FleetRoutesOptions} from './fleet-routes.js';
 import {defineKeyRoutes} from './key-routes.js';
@@ -23,7 +24,7 @@
 	programVersion?: string;
 	/** Largest body in bytes, 16 MiB by default; the document at the target size has 2.7 MB. */
 	largestBodyBytes?: number;
-	/** Adds further routes, such as the console's files, before the server listens. */
+	/** Adds further routes before the server listens. */
 	extend?: (app: FastifyInstance) => void;
 	log?: Log;
 };
@@ -72,6 +73,7 @@
 	});
 	app.setNotFoundHandler(async (_req, reply) => sendError(reply, new NotFoundError('There is nothing at this path. See /v1/openapi.json.')));
 	mountRoutes(app, [...defineConfigurationRoutes(options), ...defineKeyRoutes(options), ...defineFleetRoutes(options)], options, log);
+	addConsole(app);
 	options.extend?.(app);
 	return {
 		async listen({host, port}) {
