Wire links, membership, limits, recovery, service levels and administration

Cause: daemons ran side by side without knowing of each other; tokens were granted to all, and operators had no way in.

--- a/packages/daemon/src/lib/commands/serve.ts
+++ b/packages/daemon/src/lib/commands/serve.ts
@@ -23,7 +23,7 @@
 		}
 
 		const daemon = await startDaemon(settings);
-		console.log(JSON.stringify({listening: daemon.callersUrl}));
+		console.log(JSON.stringify({listening: daemon.callersUrl, administration: daemon.administrationUrl, peers: daemon.peerAddress}));
 		const stop = () => {
 			void (async () => {
 				await daemon.stop();
--- a/packages/daemon/src/lib/daemon-errors.ts
+++ b/packages/daemon/src/lib/daemon-errors.ts
@@ -10,3 +10,13 @@
 export class CommandError extends LayerError {
 	readonly code = 'command_invalid';
 }
+
+/** A daemon refused what an operator asked for; the text has its reason. */
+export class AdministrationCallError extends LayerError {
+	readonly code = 'administration_refused';
+}
+
+/** A part of what peers know could not be taken over yet. */
+export class RecoveryPartError extends LayerError {
+	readonly code = 'recovery_part';
+}
--- a/packages/daemon/src/lib/embedded-fleet.ts
+++ b/packages/daemon/src/lib/embedded-fleet.ts
@@ -5,7 +5,7 @@
 } from '@hickorywalk/standins';
 import {type z} from 'zod';
 import {createConfigurationStore, type documentSchema} from 'hickorywalk/configuration.js';
-import {createHttpPlatform} from 'hickorywalk/platform.js';
+import {createHttpPlatform, type VmEntry} from 'hickorywalk/platform.js';
 import {type Daemon, startDaemon} from './daemon.js';
 import {parseSettings, type settingsSchema} from './settings.js';
 
@@ -68,11 +68,16 @@
 			platform: {url: platform.url},
 			fleetSecret: 'the-secret-of-an-embedded-fleet',
 			drainMs: 1,
+			fewestWarmUpMs: 0,
 			logLevel: 'error',
 			...options.settings,
 		}, 'embedded settings')));
 	}
 
+	platform.memory.setVms([
+		...daemons.map(({name, peerAddress}) => describeVm(name, 'entry', peerAddress)),
+		...(document.endpoints ?? []).map(({vm}) => describeVm(vm, 'endpoint', '')),
+	]);
 	await Promise.all(daemons.map(async daemon => daemon.ready()));
 
 	return {
@@ -118,6 +123,12 @@
 	};
 }
 
+function describeVm(name: string, role: 'entry' | 'endpoint', address: string): VmEntry {
+	return {
+		name, role, dataCentre, address, state: 'live',
+	};
+}
+
 function describeEndpoint(service: string, index: number, address: string) {
 	return {
 		name: `${service}-${index}`, service, vm: `vm-${service}-${index}`, dataCentre, address,
--- a/packages/daemon/src/lib/settings.ts
+++ b/packages/daemon/src/lib/settings.ts
@@ -1,5 +1,6 @@
 /** Settings of one daemon: where it is and what it binds. Everything else is in the fleet's document. */
 import {readFile} from 'node:fs/promises';
+import {operatorSchema} from 'hickorywalk/administration.js';
 import {formatPath} from 'hickorywalk/configuration.js';
 import {z} from 'zod';
 import {SettingsError} from './daemon-errors.js';
@@ -17,8 +18,11 @@
 	dataCentre: z.string().min(1).describe('Data centre of this VM.'),
 	region: z.string().min(1).default('local').describe('Region of the data centre.'),
 	callers: bindSchema.prefault({}).describe('Where callers are served.'),
-	peers: bindSchema.prefault({}).describe('Where other daemons are served.'),
+	peers: bindSchema.extend({
+		advertise: z.string().optional().describe('Host and port by which other daemons reach this one, where they differ from what is bound.'),
+	}).prefault({}).describe('Where other daemons are served. Fix the port: that it is free proves that an older process of this daemon is gone.'),
 	administration: bindSchema.prefault({}).describe('Where operators are served.'),
+	operators: z.array(operatorSchema).default([]).describe('Who may use the administration API.'),
 	platform: z.strictObject({
 		url: z.url().describe('Base URL of the platform\'s services.'),
 		timeoutMs: ms('Longest wait for the platform\'s answer.', 2000),
@@ -45,8 +49,11 @@
 	}).prefault({}),
 	queue: z.strictObject({
 		mostWaitingPerWorkspace: z.number().int().positive().default(512).describe('Most requests of one workspace that wait for one service.'),
+		inFlightSlack: z.number().min(1).default(2).describe('How much more than its even part of a service a daemon lets through.'),
 		mostWaiting: z.number().int().positive().default(4096).describe('Most requests that wait for one service.'),
 	}).prefault({}),
+	fewestWarmUpMs: z.number().int().nonnegative().default(1000).describe('How long a starting daemon at least waits for peers that know more than the object store. Milliseconds.'),
+	isolationLimitMs: ms('How long a daemon that is cut off from the store and from most others goes on taking keys.', 15_000),
 	drainMs: ms('How long a stopping daemon stays reachable after it reports unready.', 200),
 	metrics: z.strictObject({
 		host: z.string().describe('Host of the statsd service.'),
--- /dev/null
+++ b/packages/daemon/src/lib/wiring/endpoint-wiring.ts
@@ -0,0 +1,142 @@
+/** Wires what speaks to endpoints: placement, probes, plain services, queues. */
+import {type DocumentIndex, type Endpoint} from 'hickorywalk/configuration.js';
+import {
+	createEndpointPicker, createEndpointWatch, type EndpointPicker, type EndpointWatch,
+} from 'hickorywalk/endpoints.js';
+import {createFairQueue, type FairQueue} from 'hickorywalk/fairness.js';
+import {type RetryBudget} from 'hickorywalk/gateway.js';
+import {createServiceProxy, type ServiceProxy} from 'hickorywalk/orders.js';
+import {
+	createPlacer, createRetryBudget, type LearningPlacer, type PlacementEndpoint,
+} from 'hickorywalk/routing.js';
+import {type Parts} from './parts.js';
+
+export function wirePlacer({configuration}: Parts): LearningPlacer {
+	return createPlacer({
+		random: Math.random,
+		pieceTokensOf(name) {
+			const service = configuration()?.service(name);
+			return service?.kind === 'model' ? service.pieceTokens : 1;
+		},
+	});
+}
+
+/**
+ * An endpoint gets no new work once its VM is leaving, or while it loads
+ * weights. The placer is told only when that changed for some endpoint.
+ */
+export function wireRefreshEndpoints({configuration, membership, endpointWatch, placer}: Parts): Parts['refreshEndpoints'] {
+	let before: DocumentIndex | undefined;
+	let flagsBefore = '';
+	return () => {
+		const index = configuration();
+		if (index === undefined) {
+			return;
+		}
+
+		let flags = '';
+		const endpoints: PlacementEndpoint[] = [];
+		for (const {name, service, dataCentre, vm} of index.accepted.document.endpoints) {
+			const usable = !membership.isLeaving(vm) && endpointWatch.isReady(name);
+			flags += usable ? '1' : '0';
+			endpoints.push({
+				name, service, dataCentre, usable,
+			});
+		}
+
+		if (index !== before || flags !== flagsBefore) {
+			before = index;
+			flagsBefore = flags;
+			placer.setEndpoints(endpoints);
+		}
+	};
+}
+
+function modelEndpoints(index: DocumentIndex | undefined): readonly Endpoint[] {
+	const endpoints: Endpoint[] = [];
+	for (const service of index?.accepted.document.services ?? []) {
+		if (service.kind === 'model') {
+			endpoints.push(...index?.endpointsOf(service.name) ?? []);
+		}
+	}
+
+	return endpoints;
+}
+
+export function wireEndpointWatch(parts: Parts): EndpointWatch {
+	const {settings, configuration, engineProbe, placer, log} = parts;
+	return createEndpointWatch({
+		endpoints: () => modelEndpoints(configuration()),
+		probe: engineProbe.probe,
+		roundMs: settings.engines.probeMs,
+		mostPerSecond: settings.engines.mostProbesPerSecond,
+		onReport(endpoint, report) {
+			placer.observe(endpoint, report);
+		},
+		onSilence(endpoint) {
+			log.debug('Endpoint did not tell its state.', {endpoint});
+		},
+	});
+}
+
+export function wirePicker({configuration, membership}: Parts): EndpointPicker {
+	return createEndpointPicker({
+		endpointsOf: service => (configuration()?.endpointsOf(service) ?? []).filter(endpoint => !membership.isLeaving(endpoint.vm)),
+		random: Math.random,
+	});
+}
+
+export function wireServiceProxy({platform, picker, configuration, metrics, log}: Parts): ServiceProxy {
+	const budgets = new Map<string, RetryBudget>();
+	const budgetOf = (service: string) => {
+		const budget = budgets.get(service) ?? createRetryBudget();
+		budgets.set(service, budget);
+		return budget;
+	};
+
+	return createServiceProxy({
+		table: platform.table,
+		retryBudget: {
+			take: service => budgetOf(service).withdraw(),
+			deposit(service) {
+				budgetOf(service).deposit();
+			},
+		},
+		directory(name) {
+			const index = configuration();
+			const service = index?.plainService(name);
+			return index === undefined || service === undefined ? undefined : {service, endpoints: index.endpointsOf(name)};
+		},
+		onEvent(event, service) {
+			metrics.count('service_calls', 1, {service, result: event});
+		},
+		onEndpointFailure(endpoint, failure) {
+			picker.failed(endpoint.name);
+			log.warn('Endpoint failed a call.', {endpoint: endpoint.name, reason: failure});
+		},
+	});
+}
+
+/**
+ * Each daemon lets through its part of what a service runs well at once, and
+ * somewhat more, since callers are not spread evenly. Beyond that the engines'
+ * own queues would hide from this one whose turn it is.
+ */
+export function wireQueues({settings, configuration, membership}: Parts): Parts['queueOf'] {
+	const queues = new Map<string, FairQueue>();
+	const limitOf = (service: string) => {
+		const slots = (configuration()?.endpointsOf(service).length ?? 0) * settings.engines.slotsPerEndpoint;
+		const {heard} = membership.reach();
+		return Math.max(1, Math.ceil((slots * settings.queue.inFlightSlack) / Math.max(1, heard)));
+	};
+
+	return service => {
+		let queue = queues.get(service);
+		if (queue === undefined) {
+			queue = createFairQueue({limit: () => limitOf(service), ...settings.queue});
+			queues.set(service, queue);
+		}
+
+		return queue;
+	};
+}
--- /dev/null
+++ b/packages/daemon/src/lib/wiring/fleet-wiring.ts
@@ -0,0 +1,148 @@
+/** Wires what the daemons agree on: links, membership, configuration, limits. */
+import {
+	type ConfigurationFollower, type ConfigurationStore, createConfigurationFollower, createConfigurationStore, createCurrentIndex,
+} from 'hickorywalk/configuration.js';
+import {createTokenLimiter, type FleetTokenLimiter} from 'hickorywalk/limits.js';
+import {createPeerNetwork, type PeerNetwork} from 'hickorywalk/links.js';
+import {createMembership, type Membership} from 'hickorywalk/membership.js';
+import {createConfigurationPart, createRecovery, type Recovery} from 'hickorywalk/recovery.js';
+import {RecoveryPartError} from '../daemon-errors.js';
+import {type Parts} from './parts.js';
+
+export function wireNetwork({settings, incarnation}: Parts): PeerNetwork {
+	return createPeerNetwork({name: settings.name, incarnation, secret: settings.fleetSecret});
+}
+
+export function wireMembership(parts: Parts): Membership {
+	const {settings, incarnation, platform, network, log} = parts;
+	const membership = createMembership({
+		self: {
+			name: settings.name, incarnation, dataCentre: settings.dataCentre, peerAddress: parts.state.peerAddress,
+		},
+		vms: {
+			async read() {
+				const list = await platform.vms.read();
+				parts.limiter.observeVmList(list);
+				return list;
+			},
+		},
+		send: network.send,
+		setPeers: network.setPeers,
+		peerAddressOf: vm => vm.address,
+		configurationVersion: () => parts.follower.current()?.version ?? 0,
+		onSuperseded() {
+			log.error('A newer process of this daemon runs; this one stops serving.');
+			parts.state.ready = false;
+		},
+		onListFault(err) {
+			log.warn('The VM list can\'t be read.', {err});
+		},
+	});
+	network.handle(membership.handlers);
+	return membership;
+}
+
+export function wireConfigurationStore(parts: Parts): ConfigurationStore {
+	return createConfigurationStore({
+		platform: parts.platform,
+		reach: () => parts.membership.reach(),
+		oldestLayout: () => parts.membership.oldestLayout(),
+	});
+}
+
+export function wireFollower(parts: Parts): ConfigurationFollower {
+	const {configurationStore, network, log} = parts;
+	const follower = createConfigurationFollower({
+		loader: configurationStore,
+		send: network.send,
+		peers: () => parts.membership.peers(),
+		reach: () => parts.membership.reach(),
+		isolationLimitMs: parts.settings.isolationLimitMs,
+		onRefused(version, err) {
+			log.error('A configuration can\'t come into force here.', {version, err});
+		},
+	});
+	network.handle(follower.handlers);
+	return follower;
+}
+
+export function wireConfiguration({follower}: Parts): Parts['configuration'] {
+	const index = createCurrentIndex(follower.current);
+	return () => (follower.mayServe() ? index() : undefined);
+}
+
+/** The limiter follows the document's rates and the membership's live daemons. */
+export function wireLimiter(parts: Parts): FleetTokenLimiter {
+	const {settings, incarnation, platform, network, follower, log} = parts;
+	const limiter = createTokenLimiter({
+		name: settings.name,
+		incarnation,
+		send: network.send,
+		table: platform.table,
+		onError(err) {
+			log.warn('The limiter could not reach the table.', {err});
+		},
+	});
+	network.handle(limiter.handlers);
+	follower.subscribe(({document}) => {
+		limiter.setWorkspaces(document.workspaces);
+	});
+	return limiter;
+}
+
+/** Tells the limiter which daemons run, at each change of membership. */
+export function followMembers({membership, limiter, settings}: Parts): void {
+	const tell = () => {
+		const running = membership.members().filter(member => member.status === 'live' || member.status === 'starting');
+		limiter.setPeers(running.filter(member => member.name !== settings.name));
+	};
+
+	membership.subscribe(tell);
+	tell();
+}
+
+/** Prefixes that a snapshot passes on; some 100 bytes each. */
+const mostSnapshotPrefixes = 4096;
+
+/**
+ * A daemon that restarts takes what its peers know: the configuration, and
+ * where prefixes are cached. The configuration has to come first, since
+ * prefixes are remembered by endpoint.
+ */
+export function wireRecovery(parts: Parts): Recovery {
+	const {platform, network, membership, follower, placer, log, settings} = parts;
+	const recovery = createRecovery({
+		objects: platform.objects,
+		send: network.send,
+		peers: membership.peers,
+		parts: [
+			createConfigurationPart(follower),
+			{
+				name: 'routing',
+				exportContent: () => placer.snapshot(mostSnapshotPrefixes),
+				importContent(content) {
+					if (follower.current() === undefined) {
+						throw new RecoveryPartError('What is cached where can\'t be taken over before the configuration. It is asked for again.');
+					}
+
+					parts.refreshEndpoints();
+					placer.restore(content);
+				},
+			},
+		],
+		fewestWarmUpMs: settings.fewestWarmUpMs,
+		canServe: () => follower.mayServe() && parts.limiter.isReady(),
+		// More than one writer only wastes work, so the first by name is enough.
+		holdsDuty: () => liveNames(parts)[0] === settings.name,
+		onFault(err) {
+			log.warn('A part of recovery did not come through.', {err});
+		},
+	});
+	network.handle(recovery.handlers);
+	return recovery;
+}
+
+/** Names of the daemons that are thought to serve, in order. */
+export function liveNames({membership}: Parts): string[] {
+	return membership.members().filter(member => member.status === 'live').map(member => member.name).toSorted();
+}
--- /dev/null
+++ b/packages/daemon/src/lib/wiring/gateway-wiring.ts
@@ -0,0 +1,178 @@
+/** Wires the servers: the gateway for callers and the administration for operators. */
+import {renderBurnPage} from '@hickorywalk/traces/burn.js';
+import {
+	type AdministrationServer, createAdministrationServer, type FleetStatus,
+} from 'hickorywalk/administration.js';
+import {silenceBoundMs, summariseConfirmations} from 'hickorywalk/configuration.js';
+import {type EngineReport} from 'hickorywalk/endpoints.js';
+import {
+	addPlainRoute, createGatewayServer, createModelGateway, type GatewayServer, type ModelGateway, type RequestRecord,
+} from 'hickorywalk/gateway.js';
+import {createBurnReport, type Metrics, type ServiceLevelEvent} from 'hickorywalk/observability.js';
+import {type Parts} from './parts.js';
+
+/** How each end of a request counts against objectives; ends that are the caller's own fault do not count. */
+const levelOfResult: Record<string, ServiceLevelEvent['result'] | undefined> = {
+	answered: 'answered',
+	gone: 'cancelled',
+	rate_limited: 'refused_rightly',
+	overloaded: 'refused_wrongfully',
+	no_endpoint: 'refused_wrongfully',
+	not_ready: 'refused_wrongfully',
+	engine_failed: 'failed',
+	deadline_exceeded: 'failed',
+	internal_error: 'failed',
+	// Ends of calls to plain services.
+	replayed: 'answered',
+	not_run: 'refused_wrongfully',
+	store_unavailable: 'refused_wrongfully',
+	unknown: 'failed',
+	no_answer: 'failed',
+};
+
+export function wireModels(parts: Parts): ModelGateway {
+	const {settings, log, metrics, serviceLevels} = parts;
+	return createModelGateway({
+		configuration: parts.configuration,
+		versionsOf: parts.endpointWatch.versionsOf,
+		keyRing: parts.keyRing,
+		limiter: parts.limiter,
+		placer: parts.placer,
+		budget: parts.budget,
+		hashPrompt: parts.hashPrompt,
+		engines: parts.engines,
+		queueOf: parts.queueOf,
+		bounds: settings.gateway,
+		onRecord(record) {
+			measure(metrics, record);
+			count(serviceLevels, record, record.result, record.firstTokenMs);
+		},
+		onEndpointFailure(requestId, endpoint, err) {
+			log.warn('Endpoint failed a request.', {requestId, endpoint, err});
+		},
+	});
+}
+
+type Called = {workspace: string; service: string};
+
+function count(levels: Parts['serviceLevels'], {workspace, service}: Called, ended: string, firstTokenMs?: number): void {
+	const result = levelOfResult[ended];
+	if (result !== undefined && workspace !== '' && service !== '') {
+		levels.record({
+			workspace, service, result, ...(firstTokenMs !== undefined && {firstTokenMs}),
+		});
+	}
+}
+
+function measure(metrics: Metrics, {workspace, service, result, durationMs, firstTokenMs, usage}: RequestRecord): void {
+	const tags = {workspace, service, result};
+	metrics.count('requests', 1, tags);
+	metrics.timing('request_ms', durationMs, tags);
+	if (firstTokenMs !== undefined) {
+		metrics.timing('first_token_ms', firstTokenMs, tags);
+	}
+
+	if (usage !== undefined) {
+		metrics.count('prompt_tokens', usage.promptTokens, tags);
+		metrics.count('cached_tokens', usage.cachedTokens, tags);
+		metrics.count('output_tokens', usage.outputTokens, tags);
+	}
+}
+
+export function wireServer(parts: Parts): GatewayServer {
+	const {settings, configuration, keyRing, models, state, log, metrics, serviceLevels} = parts;
+	const onFault = (err: unknown) => {
+		log.error('A request met a fault of the router.', {err});
+	};
+
+	return createGatewayServer({
+		models,
+		configuration,
+		keyRing,
+		isReady: () => state.ready && configuration() !== undefined,
+		largestBodyBytes: settings.gateway.largestBodyBytes,
+		largestHeaderBytes: settings.gateway.largestHeaderBytes,
+		extend(app) {
+			addPlainRoute(app, {
+				configuration,
+				keyRing,
+				picker: parts.picker,
+				proxy: parts.serviceProxy,
+				deadlineMs: settings.gateway.deadlineMs,
+				onEnd(workspace, service, result, durationMs) {
+					metrics.timing('service_call_ms', durationMs, {workspace, service, result});
+					count(serviceLevels, {workspace, service}, result);
+				},
+				onFault,
+			});
+		},
+		onFault,
+	});
+}
+
+export function wireAdministration(parts: Parts): AdministrationServer {
+	const {settings, configurationStore, membership, serviceProxy, platform, follower, log} = parts;
+	return createAdministrationServer({
+		operators: settings.operators,
+		configuration: configurationStore,
+		inForce: version => summariseConfirmations({
+			version, daemons: membership.confirmations(), silentLimitMs: silenceBoundMs(settings.isolationLimitMs),
+		}),
+		status: () => describeStatus(parts),
+		unknownOrders: serviceProxy,
+		burnReport: {
+			async create() {
+				const {version, document} = follower.current() ?? {version: 0, document: emptyDocument};
+				return createBurnReport({
+					objects: platform.objects, document, version, log,
+				});
+			},
+			renderHtml: renderBurnPage,
+		},
+		log,
+	});
+}
+
+const emptyDocument = {
+	layout: 1, dataCentres: [], workspaces: [], services: [], endpoints: [],
+};
+
+function stateOf(report: EngineReport | undefined): string {
+	if (report === undefined) {
+		return 'unknown';
+	}
+
+	return report.ready ? 'ready' : 'loading';
+}
+
+const msPerSecond = 1000;
+/** Stands for "never known" where the status has a number. */
+const longestAgeSeconds = 1e9;
+
+function describeStatus(parts: Parts): FleetStatus {
+	const {settings, state, follower, membership, endpointWatch} = parts;
+	return {
+		daemon: settings.name,
+		dataCentre: settings.dataCentre,
+		ready: state.ready,
+		version: follower.current()?.version ?? 0,
+		versionAgeSeconds: Math.min(longestAgeSeconds, follower.freshnessAgeMs() / msPerSecond),
+		vms: membership.members().map(({name, dataCentre, status, configurationVersion, silentMs}) => ({
+			name, dataCentre, state: status, version: configurationVersion, silentSeconds: Number.isFinite(silentMs) ? silentMs / msPerSecond : null,
+		})),
+		endpoints: (follower.current()?.document.endpoints ?? []).map(({name, service, dataCentre, vm}) => {
+			const report = endpointWatch.lastReport(name);
+			return {
+				name,
+				service,
+				dataCentre,
+				state: membership.isLeaving(vm) ? 'leaving' : stateOf(report),
+				version: report?.version ?? '',
+				running: report?.running ?? 0,
+				waiting: report?.waiting ?? 0,
+			};
+		}),
+		leases: [],
+		limits: [],
+	};
+}
--- a/packages/daemon/src/test/processes.ts
+++ b/packages/daemon/src/test/processes.ts
@@ -10,6 +10,10 @@
 /** A started process that printed where it listens. */
 export type StartedProcess = {
 	url: string;
+	/** Where a daemon serves peers; empty for others. */
+	peers: string;
+	/** Where a daemon serves operators; empty for others. */
+	administration: string;
 	child: ChildProcess;
 	/** Ends it as an operator would, and resolves to its exit code. */
 	stop: () => Promise<number | null>;
@@ -23,10 +27,12 @@
 	const lines = createInterface({input: child.stdout});
 	for await (const line of lines) {
 		if (line.startsWith('{"listening"')) {
-			const {listening: url} = JSON.parse(line) as {listening: string};
+			const {listening: url, peers = '', administration = ''} = JSON.parse(line) as {listening: string; peers?: string; administration?: string};
 			child.stdout.resume();
 			return {
 				url,
+				peers,
+				administration,
 				child,
 				async stop() {
 					child.kill('SIGTERM');
--- a/packages/daemon/src/test/whole-path.test.ts
+++ b/packages/daemon/src/test/whole-path.test.ts
@@ -81,10 +81,20 @@
 				name, dataCentre: 'hobart-a', platform: {url: platform.url}, fleetSecret: 'a-secret-for-this-test',
 			}));
 			const router = await start('serve', '--settings', file);
-			await untilReady(router.url);
 			routers.push(router);
 		}
 
+		await fetch(`${platform.url}/control/vms`, {
+			method: 'PUT',
+			headers: {'content-type': 'application/json'},
+			body: JSON.stringify(routers.map((router, index) => ({
+				name: ['router-a', 'router-b'][index], role: 'entry', dataCentre: 'hobart-a', address: router.peers, state: 'live',
+			}))),
+		});
+		for (const router of routers) {
+			await untilReady(router.url);
+		}
+
 		for (const router of routers) {
 			const openai = new OpenAI({baseURL: `${router.url}/v1`, apiKey: key, maxRetries: 0});
 			const stream = await openai.chat.completions.create({
--- a/packages/router/src/lib/endpoints/endpoint-watch.ts
+++ b/packages/router/src/lib/endpoints/endpoint-watch.ts
@@ -32,6 +32,14 @@
 export type EndpointWatch = {
 	/** Ready replicas of a service by version, as last seen. */
 	versionsOf: (service: string) => ReadyVersions;
+	/**
+	 * False only for an endpoint that said of late that it takes no requests. A
+	 * probe without an answer is no such word: in a large fleet the next one
+	 * comes much later, and failed requests tell more (see routing/health.ts).
+	 */
+	isReady: (endpoint: string) => boolean;
+	/** What an endpoint said last; `undefined` when its last probe failed. */
+	lastReport: (endpoint: string) => EngineReport | undefined;
 	/** Probes every endpoint once, for a daemon that starts. */
 	sweep: () => Promise<void>;
 	start: () => void;
@@ -39,9 +47,11 @@
 };
 
 const tickMs = 100;
+/** Milliseconds after which what an endpoint said no longer keeps it out. */
+const reportLifeMs = 5000;
 const msPerSecond = 1000;
 
-type Seen = {service: string; version: string; ready: boolean};
+type Seen = {service: string; version: string; ready: boolean; report: EngineReport | undefined; at: number};
 
 /** Creates a watch that has seen nothing yet. */
 export function createEndpointWatch(options: EndpointWatchOptions): EndpointWatch {
@@ -54,13 +64,13 @@
 	const note = (endpoint: Endpoint, report: EngineReport | undefined) => {
 		const before = seen.get(endpoint.name);
 		const now: Seen = {
-			service: endpoint.service, version: report?.version ?? before?.version ?? '', ready: report?.ready ?? false,
+			service: endpoint.service, version: report?.version ?? before?.version ?? '', ready: report?.ready ?? false, report, at: performance.now(),
 		};
+		seen.set(endpoint.name, now);
 		if (before?.version === now.version && before.ready === now.ready && before.service === now.service) {
 			return;
 		}
 
-		seen.set(endpoint.name, now);
 		count();
 	};
 
@@ -115,6 +125,12 @@
 
 	return {
 		versionsOf: service => counts.get(service) ?? new Map<string, number>(),
+		isReady(endpoint) {
+			const known = seen.get(endpoint);
+			const isRecent = known !== undefined && performance.now() - known.at < reportLifeMs;
+			return !isRecent || known.report?.ready !== false;
+		},
+		lastReport: endpoint => seen.get(endpoint)?.report,
 		async sweep() {
 			await Promise.all(options.endpoints().slice(0, options.mostPerSecond).map(async endpoint => probeOne(endpoint)));
 		},
--- a/packages/router/src/lib/membership/membership.ts
+++ b/packages/router/src/lib/membership/membership.ts
@@ -188,7 +188,8 @@
 
 	/** What depends on who is there; at 650 daemons this is too much for each beat. */
 	function rearrange(turn: number): void {
-		const present = inOrder(members().filter(member => member.status !== 'left').map(member => ({...member, sound: isSound(member)})));
+		// This daemon stays in its own ring also when it has left: its last word still goes to its neighbours.
+		const present = inOrder(members().filter(member => member.status !== 'left' || member.name === self.name).map(member => ({...member, sound: isSound(member)})));
 		neighbours = chooseNeighbours({...self, sound: true}, present, turn);
 		const heard = present.filter(member => member.status !== 'suspect' && member.status !== 'listed');
 		reach = {heard: heard.length, listed: present.length, newestVersion};
--- a/packages/router/src/lib/recovery/recovery.ts
+++ b/packages/router/src/lib/recovery/recovery.ts
@@ -31,6 +31,8 @@
 	checkMs?: number;
 	/** Milliseconds after which a daemon that can serve truly goes ready though some part is missing, because no source has it; 5,000 by default. */
 	longestWarmUpMs?: number;
+	/** Milliseconds that a daemon at least waits for peers to be heard of while some part is missing; 1,000 by default. */
+	fewestWarmUpMs?: number;
 	/** Told of what could not be read, imported or written. */
 	onFault?: (error: unknown) => void;
 	/** Makes request ids; random by default. */
@@ -59,7 +61,7 @@
 };
 
 const defaults = {
-	snapshotMs: 60_000, answerMs: 1000, checkMs: 100, longestWarmUpMs: 5000, createId: randomUUID,
+	snapshotMs: 60_000, answerMs: 1000, checkMs: 100, longestWarmUpMs: 5000, fewestWarmUpMs: 1000, createId: randomUUID,
 };
 /** Milliseconds by which each pair of daemons of a data centre waits longer for the store, so that a herd asks its first two. */
 const storeStepMs = 500;
@@ -86,6 +88,9 @@
 	const store = createSnapshotStore(options.objects);
 	const sources = new Map<string, 'peer' | 'store'>();
 	const asked = new Set<string>();
+	/** Peers that gave their whole answer. */
+	const heardOut = new Set<string>();
+	let storeAnswered = false;
 	let request: {id: string; peer: string; sentAt: number} | undefined;
 	let recovered = false;
 	let stopped = false;
@@ -144,11 +149,22 @@
 			for (const part of await store.read(missing().map(part => part.name))) {
 				take(part, 'store');
 			}
+
+			storeAnswered = true;
 		} catch (error) {
 			options.onFault?.(error);
 		}
 	}
 
+	/**
+	 * Whether every source has said what it has. The first daemon of a fleet
+	 * would else wait for what nobody knows.
+	 */
+	function isNothingLeft(): boolean {
+		const {nearby, distant} = options.peers();
+		return storeAnswered && [...nearby, ...distant].every(name => heardOut.has(name));
+	}
+
 	function answer(to: string, requestId: string, names: readonly string[]): void {
 		const answers = recovered ? exportParts(requestId, names) : [];
 		if (answers.length === 0) {
@@ -197,7 +213,8 @@
 		for (;;) {
 			refuseWhenStopped();
 			const waitedMs = performance.now() - startedAt;
-			const isWarm = missing().length === 0 || waitedMs >= settings.longestWarmUpMs;
+			const isWarm = missing().length === 0 || waitedMs >= settings.longestWarmUpMs
+				|| (waitedMs >= settings.fewestWarmUpMs && isNothingLeft());
 			if (isWarm && options.canServe()) {
 				recovered = true;
 				return {timeToServeMs: waitedMs, sources};
@@ -219,7 +236,7 @@
 			snapshotRequest(origin, {id, parts: names}) {
 				answer(origin.name, id, names);
 			},
-			snapshotPart(_origin, part) {
+			snapshotPart(origin, part) {
 				if (part.requestId !== request?.id) {
 					return;
 				}
@@ -229,6 +246,7 @@
 				}
 
 				if (part.last) {
+					heardOut.add(origin.name);
 					request = undefined;
 				}
 			},
