--- a/packages/router/src/lib/administration/administration-server.ts
+++ b/packages/router/src/lib/administration/administration-server.ts
@@ -6,6 +6,7 @@
 import {type AddressInfo} from 'node:net';
 import fastify, {type FastifyError, type FastifyInstance, type FastifyReply} from 'fastify';
 import {LayerError} from '../errors/layer-error.js';
+import {closeServer} from '../http/close-server.js';
 import {createSilentLog, type Log} from '../observability/log.js';
 import {NotFoundError, RequestInvalidError} from './administration-errors.js';
 import {type ConfigurationRoutesOptions, defineConfigurationRoutes} from './configuration-routes.js';
@@ -82,7 +83,7 @@
 			return `http://${host}:${address.port}`;
 		},
 		async close() {
-			await app.close();
+			await closeServer(app);
 		},
 	};
 }
--- a/packages/router/src/lib/gateway/gateway-server.ts
+++ b/packages/router/src/lib/gateway/gateway-server.ts
@@ -5,6 +5,7 @@
 	type FastifyError, type FastifyInstance, type FastifyReply, type FastifyRequest,
 } from 'fastify';
 import {type DocumentIndex} from '../configuration/document-index.js';
+import {closeServer} from '../http/close-server.js';
 import {authenticate, requireConfiguration} from './admission.js';
 import {
 	errorBody, errorHeaders, GatewayError, refusals,
@@ -59,6 +60,14 @@
 	app.setErrorHandler(async (error: FastifyError, _req, reply) => sendError(reply, toGatewayError(error, options.onFault)));
 	app.setNotFoundHandler(async (_req, reply) => sendError(reply, new GatewayError('service_not_found', 'There is nothing at this path.')));
 
+	// A caller that reuses its connection would meet its end; told in time, it
+	// opens a new one, which the balancer sends elsewhere.
+	app.addHook('onRequest', async (_req, reply) => {
+		if (!options.isReady()) {
+			reply.raw.setHeader('connection', 'close');
+		}
+	});
+
 	for (const [form, path] of Object.entries(modelForms) as Array<[ModelForm, string]>) {
 		app.post(path, async (req, reply) => serveModel(options, form, req, reply));
 	}
@@ -74,7 +83,7 @@
 			return `http://${host}:${address.port}`;
 		},
 		async close() {
-			await app.close();
+			await closeServer(app);
 		},
 	};
 }
--- /dev/null
+++ b/packages/router/src/lib/http/close-server.ts
@@ -0,0 +1,22 @@
+/** Ends an HTTP server without cutting an answer. */
+import {type FastifyInstance} from 'fastify';
+
+const sweepMs = 50;
+
+/**
+ * Closes a server once its last answer is out. Node closes the connections that
+ * idle at the moment of the call; one that is busy then goes idle after its
+ * answer and would hold the stop up until its keep-alive ends, a minute or
+ * more. Sweeping idle connections until the end is enough, since new requests
+ * on them are no longer promised an answer.
+ */
+export async function closeServer(app: FastifyInstance): Promise<void> {
+	const sweep = setInterval(() => {
+		app.server.closeIdleConnections();
+	}, sweepMs);
+	try {
+		await app.close();
+	} finally {
+		clearInterval(sweep);
+	}
+}
