Benchmark of the limits against one global bucket

Cause: wrongful refusals, table calls and bytes per daemon have to be measured at 9 and at 650 daemons on the same requests.

Names are hashed once, and a shard that peers say is taken is not tried. Empty shares are forgotten; sequence numbers count over all workspaces, so a forgotten share does not start below its last number.

--- a/packages/router/src/lib/limits/shard-issuer.ts
+++ b/packages/router/src/lib/limits/shard-issuer.ts
@@ -61,6 +61,9 @@
 	call: (name: string) => void;
 };
 
+/** Milliseconds between two searches for holders that have ended. */
+const endHoldingsMs = 1000;
+
 /** Largest figure that a notice can carry. */
 const mostAhead = 2_147_483_647;
 
@@ -76,6 +79,7 @@
 	const timers = new Map<string, NodeJS.Timeout>();
 	let {leaseEnd} = options;
 	let stopped = false;
+	let endedAt = Number.NEGATIVE_INFINITY;
 	let calledAt = Number.NEGATIVE_INFINITY;
 
 	const holderLeaseMs = settings.leaseMs + settings.marginMs;
@@ -375,7 +379,11 @@
 			}
 
 			const now = performance.now();
-			endHoldings(now);
+			if (now >= endedAt + endHoldingsMs) {
+				endedAt = now;
+				endHoldings(now);
+			}
+
 			repeatCalls(now);
 			for (const account of accounts.values()) {
 				serveClaims(account);
--- a/packages/router/src/lib/limits/shard-keeper.ts
+++ b/packages/router/src/lib/limits/shard-keeper.ts
@@ -11,7 +11,7 @@
 	type LimitRows, type ShardRow, type ShardWrite, type Versioned, writesPerTransaction,
 } from './limit-rows.js';
 import {type LivenessEvidence} from './liveness-evidence.js';
-import {rankDaemons} from './shard-map.js';
+import {type HashedName, rankOf} from './shard-map.js';
 
 /** One shard's row as last read, and since when it has stood unchanged. */
 export type WatchedShard = Versioned<ShardRow> & {unchangedSince: number};
@@ -24,9 +24,11 @@
 	rows: LimitRows;
 	evidence: LivenessEvidence;
 	/** Every daemon that could issue, this one included. */
-	candidates: () => string[];
+	candidates: () => HashedName[];
 	/** Workspaces by shard, as configured. */
 	workspacesOf: () => Map<number, string[]>;
+	/** Newest generation of a shard that peers named. */
+	generationOf: (shard: number) => number;
 	/** Shards that this process issues. */
 	isIssuing: (shard: number) => boolean;
 };
@@ -80,6 +82,11 @@
 
 	function isVacant(shard: number): boolean {
 		const known = watchedShards.get(shard);
+		if (options.generationOf(shard) > (known?.row.generation ?? 0)) {
+			// Somebody took it since the last reading, which says nothing any more.
+			return false;
+		}
+
 		if (!known || known.row.issuer === '') {
 			return true;
 		}
@@ -93,7 +100,7 @@
 			|| performance.now() >= known.unchangedSince + settings.leaseMs + settings.marginMs;
 	}
 
-	function isOurTurn(shard: number): boolean {
+	function isOurTurn(shard: number, candidates: HashedName[]): boolean {
 		const now = performance.now();
 		const since = vacantSince.get(shard) ?? now;
 		vacantSince.set(shard, since);
@@ -102,7 +109,7 @@
 			return true;
 		}
 
-		const rank = rankDaemons(shard, options.candidates()).indexOf(name);
+		const rank = rankOf(shard, name, candidates);
 		return now >= since + (Math.min(rank, mostSteps) * stepAsideMs);
 	}
 
@@ -137,13 +144,14 @@
 		async takeVacant() {
 			const writes: ShardWrite[] = [];
 			const before = new Map<number, ShardRow | undefined>();
+			const candidates = options.candidates();
 			for (const [shard, workspaces] of options.workspacesOf()) {
 				if (!isVacant(shard)) {
 					vacantSince.delete(shard);
 					continue;
 				}
 
-				if (!isOurTurn(shard)) {
+				if (!isOurTurn(shard, candidates)) {
 					continue;
 				}
 
--- a/packages/router/src/lib/limits/shard-map.ts
+++ b/packages/router/src/lib/limits/shard-map.ts
@@ -8,13 +8,44 @@
 	return h32(workspace) % shards;
 }
 
-/** Daemons in the order in which they should take a shard (rendezvous hashing). */
-export function rankDaemons(shard: number, names: Iterable<string>): string[] {
-	const scored: Array<{name: string; score: number}> = [];
+/** A daemon's name with its hash, worked out once for all shards. */
+export type HashedName = {name: string; hash: number};
+
+const scorePrime = 4_294_967_291;
+const firstFactor = 40_503;
+
+/** Hashes names for {@link rankDaemons} and {@link rankOf}. */
+export function hashNames(names: Iterable<string>): HashedName[] {
+	const hashed: HashedName[] = [];
 	for (const name of names) {
-		scored.push({name, score: h32(`${shard}/${name}`)});
+		hashed.push({name, hash: h32(name)});
+	}
+
+	return hashed;
+}
+
+/** Score of rendezvous hashing. The product stays below 2 ** 53, so it is exact. */
+function scoreOf(shard: number, {hash}: HashedName): number {
+	return (hash * (firstFactor + (2 * shard))) % scorePrime;
+}
+
+function isBefore(shard: number, a: HashedName, b: HashedName): boolean {
+	const difference = scoreOf(shard, a) - scoreOf(shard, b);
+	return difference > 0 || (difference === 0 && a.name < b.name);
+}
+
+/** How many daemons should rather take the shard than this one. */
+export function rankOf(shard: number, name: string, daemons: readonly HashedName[]): number {
+	const own = {name, hash: h32(name)};
+	let rank = 0;
+	for (const other of daemons) {
+		rank += isBefore(shard, other, own) ? 1 : 0;
 	}
 
-	scored.sort((a, b) => b.score - a.score || (a.name < b.name ? -1 : 1));
-	return scored.map(entry => entry.name);
+	return rank;
+}
+
+/** Daemons in the order in which they should take a shard. */
+export function rankDaemons(shard: number, daemons: readonly HashedName[]): string[] {
+	return daemons.toSorted((a, b) => isBefore(shard, a, b) ? -1 : 1).map(daemon => daemon.name);
 }
--- a/packages/router/src/lib/limits/share-holder.ts
+++ b/packages/router/src/lib/limits/share-holder.ts
@@ -64,6 +64,8 @@
 	const shares = new Map<string, HeldShare>();
 	const reportedAt = new Map<number, {generation: number; at: number}>();
 	const timers = new Map<string, {timer: NodeJS.Timeout; at: number}>();
+	// Counted over all workspaces: a forgotten share must not start again below its last number.
+	let sequence = 0;
 	let closed = false;
 
 	function shareOf(workspace: string): HeldShare {
@@ -92,7 +94,8 @@
 		}
 
 		const figures = lowerAndWish(share, settings, now);
-		share.sequence += 1;
+		sequence += 1;
+		share.sequence = sequence;
 		share.sends = 1;
 		share.wishedAt = now;
 		share.outstanding = !quiet;
@@ -176,6 +179,11 @@
 		arm(share, now);
 	}
 
+	function isForgettable(share: HeldShare, now: number): boolean {
+		const isQuiet = !share.outstanding && !share.confirm && share.waiters.length === 0 && share.reserved === 0;
+		return isQuiet && !holdsAnything(share) && share.level.tokens >= 0 && now >= share.lastAskedAt + settings.idleMs;
+	}
+
 	function createReservation(share: HeldShare, tokens: number): Reservation {
 		let settled = false;
 		return {
@@ -345,12 +353,14 @@
 			const now = performance.now();
 			for (const share of shares.values()) {
 				updateShare(share, now);
-				lookAt(share);
 				if (isDue(share, now)) {
 					sendWish(share, now);
 				}
 
 				trim(share, now);
+				if (isForgettable(share, now)) {
+					shares.delete(share.workspace);
+				}
 			}
 		},
 		giveBack() {
--- a/packages/router/src/lib/limits/token-limiter.ts
+++ b/packages/router/src/lib/limits/token-limiter.ts
@@ -20,7 +20,9 @@
 import {createLivenessEvidence} from './liveness-evidence.js';
 import {createOutbox} from './outbox.js';
 import {createShardKeeper} from './shard-keeper.js';
-import {rankDaemons, shardOf} from './shard-map.js';
+import {
+	hashNames, type HashedName, rankDaemons, shardOf,
+} from './shard-map.js';
 import {createShareHolder, type KnownIssuer} from './share-holder.js';
 
 /** Options of {@link createTokenLimiter}. */
@@ -90,6 +92,7 @@
 	let limits = new Map<string, WorkspaceLimit>();
 	let workspacesByShard = new Map<number, string[]>();
 	let peers: LimiterPeer[] = [];
+	let hashedNames = hashNames([name]);
 	/** Processes that gave their shards up and must not get new ones. */
 	const leaving = new Map<string, bigint>();
 	let registered = false;
@@ -116,6 +119,7 @@
 		evidence,
 		candidates,
 		workspacesOf: () => workspacesByShard,
+		generationOf: shard => known.get(shard)?.generation ?? 0,
 		isIssuing: issued.has,
 	});
 	const holder = createShareHolder({
@@ -127,15 +131,8 @@
 		issuerOf: shard => registered ? known.get(shard) : undefined,
 	});
 
-	function candidates(): string[] {
-		const names = [name];
-		for (const peer of peers) {
-			if (!leaving.has(peer.name)) {
-				names.push(peer.name);
-			}
-		}
-
-		return names;
+	function candidates(): HashedName[] {
+		return hashedNames.filter(peer => !leaving.has(peer.name));
 	}
 
 	function flush(): void {
@@ -285,9 +282,10 @@
 	}
 
 	function tellSuccessors(shards: number[]): void {
+		const successors = candidates().filter(peer => peer.name !== name);
 		for (const shard of shards) {
 			const generation = known.get(shard)?.generation ?? 0;
-			for (const successor of rankDaemons(shard, candidates().slice(1)).slice(0, successorsTold)) {
+			for (const successor of rankDaemons(shard, successors).slice(0, successorsTold)) {
 				outbox.call(successor, create(ShardCallSchema, {shard, generation, issuer: ''}));
 			}
 		}
@@ -333,6 +331,7 @@
 		},
 		setPeers(next) {
 			peers = [...next].filter(peer => peer.name !== name);
+			hashedNames = hashNames([name, ...peers.map(peer => peer.name)]);
 		},
 		observeVmList(list) {
 			evidence.observeList(list);
--- a/packages/traces/src/bench.ts
+++ b/packages/traces/src/bench.ts
@@ -9,6 +9,10 @@
 		const {runConfigurationBench} = await import('./lib/bench/configuration-bench.js');
 		await runConfigurationBench();
 	},
+	async limits(args) {
+		const {runLimitsBench} = await import('./lib/bench/limits-bench.js');
+		await runLimitsBench(args);
+	},
 	async overhead() {
 		const {runOverheadBench} = await import('./lib/bench/overhead-bench.js');
 		await runOverheadBench();
