Duties spread over daemons by leases with fencing numbers

Cause: rollouts, compaction and the like need one daemon at a time, and none that is special.

A row per duty names the holder, its process, a growing fencing number and the write attempt. The holder counts from before its write and stops a margin early; a contender counts from after its reading and waits a margin more, each by its own monotonic clock.

Conclusion: a holder that was paused finds out at held() that it must not act; no cost was measured yet.

--- /dev/null
+++ b/packages/router/src/lib/leases/lease-holder.ts
@@ -0,0 +1,235 @@
+/**
+ * Spreads duties (rollouts, compaction and the like) over daemons by leases in
+ * the table; no daemon is special.
+ *
+ * The holder counts its lease from before the write that renewed it was sent,
+ * and stops a margin early; a contender counts from after it read the row, and
+ * waits a margin more. Both use their own monotonic clock only. So a holder
+ * that was paused, or cut off from the table, finds out before it acts that it
+ * must not, and the fencing number in each order voids what is late all the
+ * same.
+ */
+import {hashNames, rankOf, shardOf} from '../limits/shard-map.js';
+import {type TableClient, type TableRow} from '../platform/platform.js';
+import {LeaseTableError} from './lease-errors.js';
+import {
+	dutyOf, leaseKey, leasePrefix, type LeaseRow, parseLeaseRow,
+} from './lease-row.js';
+
+/** Options of {@link createLeaseHolder}. */
+export type LeaseHolderOptions = {
+	/** Name of this daemon. */
+	name: string;
+	/** Process of this daemon; grows with each start. */
+	incarnation: bigint;
+	table: TableClient;
+	/** Names of all daemons that could hold duties, this one included: decides who tries first. */
+	candidates?: () => string[];
+	/** Whether a process is known to have ended, so that its lease need not be waited for. */
+	hasEnded?: (name: string, incarnation: bigint) => boolean;
+	/** Told of table faults; the work is tried again by itself. */
+	onError?: (error: unknown) => void;
+	/** Milliseconds for which a lease lasts; 30,000 by default, the same on every daemon. */
+	leaseMs?: number;
+	/** Milliseconds by which a holder stops early and a contender waits longer; 5,000 by default. */
+	marginMs?: number;
+};
+
+/** A duty that this process holds now. */
+export type HeldLease = {
+	duty: string;
+	/** Goes with every order, so that an endpoint can refuse an older holder's. */
+	fencing: number;
+	/** Milliseconds for which the holder may still act. */
+	msLeft: number;
+};
+
+/** The holder of one daemon. */
+export type LeaseHolder = {
+	/** Takes part in the contest for a duty from now on. */
+	contend: (duty: string) => void;
+	/** The lease, looked up on the clock anew: ask right before each act. */
+	held: (duty: string) => HeldLease | undefined;
+	/** One round of reading, taking and renewing; never rejects. */
+	tick: () => Promise<void>;
+	/** Calls `tick` three times in each lease. */
+	start: () => Promise<void>;
+	/** Gives all duties up, for a graceful stop. */
+	release: () => Promise<void>;
+	/** Stops the timer; leases end by themselves. */
+	close: () => void;
+};
+
+type Watched = {row: LeaseRow; version: number; unchangedSince: number};
+type Held = {fencing: number; end: number};
+
+const defaultLeaseMs = 30_000;
+const defaultMarginMs = 5000;
+const roundsPerLease = 3;
+const rankSpread = 65_536;
+
+/**
+ * Creates the holder of one daemon.
+ *
+ * @example
+ * const leases = createLeaseHolder({name: 'entry-1', incarnation, table: platform.table});
+ * leases.contend('compaction');
+ * await leases.start();
+ * const lease = leases.held('compaction');
+ * if (lease) {
+ * 	await compact(lease.fencing);
+ * }
+ */
+export function createLeaseHolder(options: LeaseHolderOptions): LeaseHolder {
+	const {name, table} = options;
+	const incarnation = String(options.incarnation);
+	const leaseMs = options.leaseMs ?? defaultLeaseMs;
+	const marginMs = options.marginMs ?? defaultMarginMs;
+	const duties = new Set<string>();
+	const watched = new Map<string, Watched>();
+	const held = new Map<string, Held>();
+	const vacantRounds = new Map<string, number>();
+	// A number is never used twice, so a row tells which attempt wrote it.
+	let attempt = 0;
+	let busy = false;
+	let released = false;
+	let timer: NodeJS.Timeout | undefined;
+
+	const isOurs = (row: LeaseRow) => row.holder === name && row.incarnation === incarnation;
+
+	function watch(duty: string, found: TableRow): LeaseRow {
+		const row = parseLeaseRow(found);
+		if (watched.get(duty)?.version !== found.version) {
+			watched.set(duty, {row, version: found.version, unchangedSince: performance.now()});
+		}
+
+		if (!isOurs(row)) {
+			held.delete(duty);
+		}
+
+		return row;
+	}
+
+	function isVacant(duty: string): boolean {
+		const known = watched.get(duty);
+		if (!known || known.row.holder === '') {
+			return true;
+		}
+
+		if (isOurs(known.row)) {
+			return !held.has(duty);
+		}
+
+		return (options.hasEnded?.(known.row.holder, BigInt(known.row.incarnation)) ?? false)
+			|| performance.now() >= known.unchangedSince + leaseMs + marginMs;
+	}
+
+	/** Daemons that rank before this one get a round each, so duties spread. */
+	function isOurTurn(duty: string): boolean {
+		const rounds = vacantRounds.get(duty) ?? 0;
+		vacantRounds.set(duty, rounds + 1);
+		const names = hashNames(options.candidates?.() ?? [name]);
+		return rounds >= Math.min(rankOf(shardOf(duty, rankSpread), name, names), roundsPerLease);
+	}
+
+	/** Resolves to whether our own row stands; a lost answer is settled by reading it back. */
+	async function write(duty: string, row: LeaseRow): Promise<boolean> {
+		const key = leaseKey(duty);
+		try {
+			const result = await table.transact([{key, value: JSON.stringify(row), ifVersion: watched.get(duty)?.version ?? 0}]);
+			if (result.committed) {
+				watched.set(duty, {row, version: result.versions[key], unchangedSince: performance.now()});
+				return true;
+			}
+		} catch {
+			// It may have taken effect all the same.
+		}
+
+		const found = await table.get(key);
+		const now = found && watch(duty, found);
+		return now !== undefined && isOurs(now) && now.attempt === row.attempt;
+	}
+
+	async function hold(duty: string, fencing: number): Promise<void> {
+		attempt += 1;
+		const end = performance.now() + leaseMs - marginMs;
+		const row = {
+			holder: name, incarnation, fencing, attempt,
+		};
+		if (await write(duty, row) && !released) {
+			held.set(duty, {fencing, end});
+		}
+	}
+
+	async function round(): Promise<void> {
+		for (const row of await table.list({prefix: leasePrefix})) {
+			watch(dutyOf(row.key), row);
+		}
+
+		for (const duty of duties) {
+			const lease = held.get(duty);
+			if (lease && performance.now() < lease.end) {
+				await hold(duty, lease.fencing);
+				continue;
+			}
+
+			held.delete(duty);
+			if (!isVacant(duty)) {
+				vacantRounds.delete(duty);
+			} else if (isOurTurn(duty)) {
+				await hold(duty, (watched.get(duty)?.row.fencing ?? 0) + 1);
+			}
+		}
+	}
+
+	async function tick(): Promise<void> {
+		if (busy || released) {
+			return;
+		}
+
+		busy = true;
+		try {
+			await round();
+		} catch (error) {
+			options.onError?.(new LeaseTableError('The leases could not be read or written. They are tried again.', {cause: error}));
+		} finally {
+			busy = false;
+		}
+	}
+
+	return {
+		contend(duty) {
+			duties.add(duty);
+		},
+		held(duty) {
+			const lease = held.get(duty);
+			const msLeft = (lease?.end ?? 0) - performance.now();
+			return lease && msLeft > 0 ? {duty, fencing: lease.fencing, msLeft} : undefined;
+		},
+		tick,
+		async start() {
+			await tick();
+			timer ??= setInterval(() => {
+				void tick();
+			}, leaseMs / roundsPerLease);
+		},
+		async release() {
+			released = true;
+			const mine = [...held];
+			held.clear();
+			for (const [duty, {fencing}] of mine) {
+				attempt += 1;
+				try {
+					await write(duty, {
+						holder: '', incarnation, fencing, attempt,
+					});
+				} catch (error) {
+					options.onError?.(new LeaseTableError(`The duty ${duty} could not be given back. It becomes free when its lease ends.`, {cause: error}));
+				}
+			}
+		},
+		close() {
+			clearInterval(timer);
+		},
+	};
+}
--- /dev/null
+++ b/packages/router/src/test/leases/lease-holder.test.ts
@@ -0,0 +1,126 @@
+import {assert} from 'chai';
+import FakeTimers from '@sinonjs/fake-timers';
+import {createLeaseHolder, type LeaseHolder} from '../../leases.js';
+import {createFakeTable, type TableFault} from '../limits/fleet.js';
+
+const duty = 'compaction';
+const leaseMs = 30_000;
+const marginMs = 5000;
+
+describe('createLeaseHolder', () => {
+	let clock: FakeTimers.Clock;
+	let fault: TableFault;
+	let table: ReturnType<typeof createFakeTable>;
+	beforeEach(() => {
+		clock = FakeTimers.install();
+		fault = 'none';
+		table = createFakeTable(() => fault);
+	});
+	afterEach(() => {
+		clock.uninstall();
+	});
+
+	function contender(name: string, ended: string[] = []): LeaseHolder {
+		const holder = createLeaseHolder({
+			name, incarnation: 1n, table, hasEnded: other => ended.includes(other),
+		});
+		holder.contend(duty);
+		return holder;
+	}
+
+	/** Rounds of those that run, while the others are paused. */
+	async function run(holders: LeaseHolder[], ms: number): Promise<void> {
+		for (let passed = 0; passed < ms; passed += 1000) {
+			await clock.tickAsync(1000);
+			for (const holder of holders) {
+				await holder.tick();
+			}
+
+			assert.isAtMost(holders.filter(holder => holder.held(duty)).length, 1);
+		}
+	}
+
+	it('gives a duty to one of two contenders, and keeps it there', async () => {
+		const [a, b] = [contender('a'), contender('b')];
+		await Promise.all([a.tick(), b.tick()]);
+		assert.equal([a, b].filter(holder => holder.held(duty)).length, 1);
+		await run([a, b], leaseMs * 3);
+		assert.equal([a, b].filter(holder => holder.held(duty)).length, 1);
+	});
+
+	it('stops a holder that was paused before anybody else may act', async () => {
+		// The holder sleeps over its lease and another takes the duty. Right when
+		// it wakes, before it can ask anybody, it must find that it may not act.
+		const [a, b] = [contender('a'), contender('b')];
+		await a.tick();
+		const before = a.held(duty)?.fencing ?? 0;
+		await b.tick();
+		let overlap = false;
+		for (let passed = 0; passed < leaseMs * 2; passed += 1000) {
+			await clock.tickAsync(1000);
+			await b.tick();
+			overlap ||= a.held(duty) !== undefined && b.held(duty) !== undefined;
+		}
+
+		assert.isFalse(overlap);
+		assert.isUndefined(a.held(duty));
+		assert.isAbove(b.held(duty)?.fencing ?? 0, before);
+		await a.tick();
+		assert.isUndefined(a.held(duty));
+	});
+
+	it('leaves both margins between the end of one lease and the start of the next', async () => {
+		const [a, b] = [contender('a'), contender('b')];
+		await a.tick();
+		await b.tick();
+		await run([b], leaseMs - marginMs - 1000);
+		assert.isDefined(a.held(duty));
+		await run([b], 1000);
+		assert.isUndefined(a.held(duty));
+		await run([b], (marginMs * 2) - 1000);
+		assert.isUndefined(b.held(duty));
+		await run([b], 1000);
+		assert.isDefined(b.held(duty));
+	});
+
+	it('settles a lost answer by its own row', async () => {
+		// The write took effect and its answer was lost. The holder reads its own
+		// attempt back; the lease counts from before the write.
+		const a = contender('a');
+		let calls = 0;
+		table = createFakeTable(() => {
+			calls += 1;
+			return calls === 2 ? 'answer-lost' : 'none';
+		});
+		const holder = createLeaseHolder({name: 'a', incarnation: 1n, table});
+		holder.contend(duty);
+		await holder.tick();
+		assert.equal(holder.held(duty)?.fencing, 1);
+		assert.isUndefined(a.held(duty));
+	});
+
+	it('ends with the lease while the table is down, and goes on with a higher number', async () => {
+		const a = contender('a');
+		await a.tick();
+		fault = 'down';
+		await run([a], leaseMs - marginMs - 1000);
+		assert.equal(a.held(duty)?.fencing, 1);
+		await run([a], 1000);
+		assert.isUndefined(a.held(duty));
+		fault = 'none';
+		await a.tick();
+		assert.equal(a.held(duty)?.fencing, 2);
+	});
+
+	it('does not wait for a holder that has ended, or that gave the duty back', async () => {
+		const [a, b] = [contender('a'), contender('b', ['a'])];
+		await a.tick();
+		await b.tick();
+		assert.equal(b.held(duty)?.fencing, 2);
+		await b.release();
+		assert.isUndefined(b.held(duty));
+		const c = contender('c');
+		await c.tick();
+		assert.equal(c.held(duty)?.fencing, 3);
+	});
+});
--- a/packages/router/src/test/limits/failed-histories.ts
+++ b/packages/router/src/test/limits/failed-histories.ts
@@ -19,16 +19,33 @@
 		}],
 	},
 	{
-		seed: -1_972_967_368, trusting: true, steps: [{kind: 'advance', ms: 60}, {kind: 'advance', ms: 2500}, {kind: 'advance', ms: 3}, {
-			kind: 'links', lost: 0.5, doubled: 0, mostMs: 40_000,
-		}, {kind: 'advance', ms: 1}, {
-			kind: 'ask', name: 'd', tokens: 2595, longestWaitMs: 5000, usedShare: 1, settleAfterMs: 7144,
-		}, {kind: 'advance', ms: 400}, {kind: 'advance', ms: 7}, {kind: 'flood', tokens: 980, usedShare: 0}, {kind: 'flood', tokens: 1444, usedShare: 0}, {kind: 'table', fault: 'down'}, {kind: 'advance', ms: 400}, {kind: 'flood', tokens: 1169, usedShare: 0}, {kind: 'flood', tokens: 1871, usedShare: 0}, {
-			kind: 'ask', name: 'c', tokens: 5255, longestWaitMs: 5000, usedShare: 1, settleAfterMs: 1593,
-		}, {
-			kind: 'ask', name: 'a', tokens: 1935, longestWaitMs: 100, usedShare: 0, settleAfterMs: 3998,
-		}, {
-			kind: 'ask', name: 'd', tokens: 3150, longestWaitMs: 100, usedShare: 0, settleAfterMs: 1078,
-		}, {kind: 'table', fault: 'none'}],
+		seed: -1_972_967_368, trusting: true, steps: [{kind: 'advance', ms: 60},
+			{kind: 'advance', ms: 2500},
+			{kind: 'advance', ms: 3},
+			{
+				kind: 'links', lost: 0.5, doubled: 0, mostMs: 40_000,
+			},
+			{kind: 'advance', ms: 1},
+			{
+				kind: 'ask', name: 'd', tokens: 2595, longestWaitMs: 5000, usedShare: 1, settleAfterMs: 7144,
+			},
+			{kind: 'advance', ms: 400},
+			{kind: 'advance', ms: 7},
+			{kind: 'flood', tokens: 980, usedShare: 0},
+			{kind: 'flood', tokens: 1444, usedShare: 0},
+			{kind: 'table', fault: 'down'},
+			{kind: 'advance', ms: 400},
+			{kind: 'flood', tokens: 1169, usedShare: 0},
+			{kind: 'flood', tokens: 1871, usedShare: 0},
+			{
+				kind: 'ask', name: 'c', tokens: 5255, longestWaitMs: 5000, usedShare: 1, settleAfterMs: 1593,
+			},
+			{
+				kind: 'ask', name: 'a', tokens: 1935, longestWaitMs: 100, usedShare: 0, settleAfterMs: 3998,
+			},
+			{
+				kind: 'ask', name: 'd', tokens: 3150, longestWaitMs: 100, usedShare: 0, settleAfterMs: 1078,
+			},
+			{kind: 'table', fault: 'none'}],
 	},
 ];
