--- a/packages/router/src/lib/limits/share-holder.ts
+++ b/packages/router/src/lib/limits/share-holder.ts
@@ -64,6 +64,8 @@
 	const shares = new Map<string, HeldShare>();
 	const reportedAt = new Map<number, {generation: number; at: number}>();
 	const timers = new Map<string, {timer: NodeJS.Timeout; at: number}>();
+	// Counted over all workspaces: a forgotten share must not start again below its last number.
+	let sequence = 0;
 	let closed = false;
 
 	function shareOf(workspace: string): HeldShare {
@@ -76,6 +78,13 @@
 		return share;
 	}
 
+	/** Whether the last wish no longer says what matters: then a new one gives it up. */
+	function isStale(share: HeldShare, now: number): boolean {
+		const isUnwanted = (share.lastWish?.claim ?? 0) > 0 && share.waiters.length === 0;
+		const isOld = now >= share.wishedAt + (settings.leaseMs / renewalsPerLease);
+		return share.confirm || isUnwanted || isOld;
+	}
+
 	function sendWish(share: HeldShare, now: number, quiet = false): void {
 		const issuer = issuerOf(share.shard);
 		if (!issuer) {
@@ -85,14 +94,15 @@
 		share.sentAt = now;
 		share.sends += 1;
 		const {lastWish} = share;
-		if (share.outstanding && !share.confirm && lastWish?.generation === issuer.generation) {
+		if (share.outstanding && !isStale(share, now) && lastWish?.generation === issuer.generation) {
 			// Said again as it was: an answer under way stays good, and a lost one is repeated.
 			outbox.wish(issuer.issuer, lastWish);
 			return;
 		}
 
 		const figures = lowerAndWish(share, settings, now);
-		share.sequence += 1;
+		sequence += 1;
+		share.sequence = sequence;
 		share.sends = 1;
 		share.wishedAt = now;
 		share.outstanding = !quiet;
@@ -176,6 +186,11 @@
 		arm(share, now);
 	}
 
+	function isForgettable(share: HeldShare, now: number): boolean {
+		const isQuiet = !share.outstanding && !share.confirm && share.waiters.length === 0 && share.reserved === 0;
+		return isQuiet && !holdsAnything(share) && share.level.tokens >= 0 && now >= share.lastAskedAt + settings.idleMs;
+	}
+
 	function createReservation(share: HeldShare, tokens: number): Reservation {
 		let settled = false;
 		return {
@@ -345,12 +360,14 @@
 			const now = performance.now();
 			for (const share of shares.values()) {
 				updateShare(share, now);
-				lookAt(share);
 				if (isDue(share, now)) {
 					sendWish(share, now);
 				}
 
 				trim(share, now);
+				if (isForgettable(share, now)) {
+					shares.delete(share.workspace);
+				}
 			}
 		},
 		giveBack() {
