Walk through the console's own script against a running server

Cause: no browser is on this machine, and forms alone say little about the steps between them. The script runs on a small page of the test's own: wrong key, load, wrong field, accept, conflict, key.

--- a/packages/router/src/test/administration/administration-fixture.ts
+++ b/packages/router/src/test/administration/administration-fixture.ts
@@ -94,6 +94,6 @@
 	};
 
 	return {
-		platform, store, call, close: async () => server.close(),
+		url, platform, store, call, close: async () => server.close(),
 	};
 }
--- a/packages/router/src/test/administration/fake-page.ts
+++ b/packages/router/src/test/administration/fake-page.ts
@@ -12,10 +12,16 @@
 	replaceChildren: (...children: FakeElement[]) => void;
 	setAttribute: (name: string, value: string) => void;
 	removeAttribute: (name: string) => void;
-	addEventListener: () => void;
+	/** Handlers by the name of their event. */
+	handlers: Map<string, (event: FakeEvent) => Promise<void> | void>;
+	hidden: boolean;
+	disabled: boolean;
+	addEventListener: (name: string, handler: (event: FakeEvent) => Promise<void> | void) => void;
 	focus: () => void;
 };
 
+export type FakeEvent = {preventDefault: () => void; submitter?: {value: string}};
+
 export type FakePage = {
 	/** What `querySelector` searches, by id. */
 	elements: FakeElement[];
@@ -27,11 +33,21 @@
 	const page: FakePage = {
 		elements: [],
 		createElement,
-		querySelector: selector => page.elements.find(element => `#${element.id}` === selector),
+		querySelector: selector => page.elements.flatMap(element => [...listElements(element)]).find(element => `#${element.id}` === selector),
 	};
 	return page;
 }
 
+/** A page with an element for each id of an HTML text. */
+export function createPageOf(html: string): FakePage {
+	const page = createFakePage();
+	for (const [, name, id] of html.matchAll(/<(\w+)[^>]* id="([^"]+)"/gv)) {
+		page.elements.push(Object.assign(createElement(name), {id}));
+	}
+
+	return page;
+}
+
 function createElement(name: string): FakeElement {
 	const element: FakeElement = {
 		name,
@@ -53,7 +69,12 @@
 		removeAttribute(attribute) {
 			element.attributes.delete(attribute);
 		},
-		addEventListener: () => undefined,
+		handlers: new Map(),
+		hidden: false,
+		disabled: false,
+		addEventListener(event, handler) {
+			element.handlers.set(event, handler);
+		},
 		focus: () => undefined,
 	};
 	return element;
