Record an order whose answer was cut though a look-up knows that it ran

Cause: generated histories with status look-ups found it: the caller of such an order without a key sees its connection break, and no record showed the order. Conclusion: what a look-up finds out is recorded unless the caller is told.

--- a/packages/router/src/lib/orders/order-book.ts
+++ b/packages/router/src/lib/orders/order-book.ts
@@ -56,8 +56,8 @@
 	find: (key: string) => Promise<FoundOrder | undefined>;
 	/** Records an outcome, trying again while the store is down. Resolves to false when it could not. */
 	finish: (order: ClaimedOrder, end: OrderEnd) => Promise<boolean>;
-	/** Lists an order without a key as unknown. Resolves to false when it could not. */
-	recordUnknown: (key: string, row: PendingOrder, end: OrderEnd & {state: 'unknown'}) => Promise<boolean>;
+	/** Records the outcome of an order that had no intent. Resolves to false when it could not. */
+	record: (key: string, row: PendingOrder, end: OrderEnd) => Promise<boolean>;
 	/** Resolves once no write is under way. */
 	settled: () => Promise<void>;
 };
@@ -226,7 +226,7 @@
 			const row = endedRow(order.row, end);
 			return track(persist(async () => write(order.key, row, order.version)));
 		},
-		async recordUnknown(key, row, end) {
+		async record(key, row, end) {
 			return track(persist(async () => write(key, endedRow(row, end), 0)));
 		},
 		async settled() {
--- a/packages/router/src/lib/orders/unkeyed-call.ts
+++ b/packages/router/src/lib/orders/unkeyed-call.ts
@@ -20,10 +20,9 @@
 
 /** Creates the handling of calls without a key. */
 export function createUnkeyedCalls(options: UnkeyedCallsOptions) {
-	const list = async ({context, call}: IncomingCall, result: CallResult & {kind: 'unknown'}) => {
+	const record = async ({context, call}: IncomingCall, end: OrderEnd) => {
 		const now = Date.now();
-		const end: OrderEnd = {state: 'unknown', endpoint: result.endpoint.name, reason: result.failure};
-		const isListed = await options.book.recordUnknown(unkeyedOrderKey(context.workspace, call.service, call.requestId), {
+		const isRecorded = await options.book.record(unkeyedOrderKey(context.workspace, call.service, call.requestId), {
 			state: 'pending',
 			token: options.newToken(),
 			digest: '',
@@ -35,7 +34,7 @@
 			createdMs: now,
 			giveUpMs: now,
 		}, end);
-		if (!isListed) {
+		if (!isRecorded) {
 			options.onUnrecorded(call.service);
 		}
 	};
@@ -44,7 +43,12 @@
 		const {context, call, sink} = incoming;
 		const known = await options.lookUp(context.service, result.endpoint, call.requestId);
 		if (known === undefined) {
-			void list(incoming, result);
+			void record(incoming, {state: 'unknown', endpoint: result.endpoint.name, reason: result.failure});
+		} else if (result.begun) {
+			// The caller saw its connection break, and nobody told it that the order ran.
+			void record(incoming, {
+				state: 'answered', status: known.status, headers: [], body: null, trailers: [], by: 'status look-up',
+			});
 		}
 
 		if (!result.begun) {
--- a/packages/standins/src/lib/service/histories/faulty-transport.ts
+++ b/packages/standins/src/lib/service/histories/faulty-transport.ts
@@ -1,6 +1,8 @@
 /** A service in memory that counts executions and fails by a script. */
 import {Buffer} from 'node:buffer';
-import {type EndpointTransport, type ExchangeEvents, type OutgoingRequest} from 'hickorywalk/orders.js';
+import {
+	type EndpointTransport, type Exchange, type ExchangeEvents, type OutgoingRequest,
+} from 'hickorywalk/orders.js';
 import {type ExecutionLedger} from '../execution-ledger.js';
 import {type ExchangeFault} from './history.js';
 
@@ -80,6 +82,22 @@
 	},
 } as const satisfies Record<ExchangeFault, (played: Played) => void>;
 
+/** Path under which the service tells what became of a request. */
+export const statusPrefix = '/status/';
+
+/** Abandoned exchanges go on to speak, as a late answer does. */
+const deafExchange: Exchange = {
+	pause() {
+		throw new Error('These callers read at once.');
+	},
+	resume() {
+		// Never paused.
+	},
+	abort() {
+		// Late events still come.
+	},
+};
+
 /** Creates the transport of one VM. Events do not reach a VM that `isLost`. */
 export function createFaultyTransport(ledger: ExecutionLedger, script: ExchangeFault[], isLost: () => boolean): EndpointTransport {
 	const play = (request: OutgoingRequest, events: ExchangeEvents, fault: ExchangeFault) => {
@@ -118,8 +136,27 @@
 		});
 	};
 
+	/** A look-up works, and says what has run so far. */
+	const tellStatus = (request: OutgoingRequest, events: ExchangeEvents) => {
+		const asked = request.path.slice(statusPrefix.length);
+		const body = Buffer.from(JSON.stringify({ran: ledger.executions.has(asked)}));
+		if (events.leaving(false)) {
+			events.head({status: 200, headers: ['content-length', String(body.byteLength)]});
+			events.data(body);
+			events.end([]);
+		}
+	};
+
 	return {
 		send(request, events) {
+			if (request.path.startsWith(statusPrefix)) {
+				const guarded = silencedWhenLost(events, isLost);
+				setTimeout(() => {
+					tellStatus(request, guarded);
+				}, 1);
+				return deafExchange;
+			}
+
 			const fault = script.shift() ?? 'answered';
 			const guarded = silencedWhenLost(events, isLost);
 			setTimeout(() => {
@@ -129,18 +166,7 @@
 					play(request, guarded, fault);
 				}
 			}, fault === 'paused' ? pausedMs : 1);
-			// Abandoned exchanges go on to speak, as a late answer does.
-			return {
-				pause() {
-					throw new Error('These callers read at once.');
-				},
-				resume() {
-					// Never paused.
-				},
-				abort() {
-					// Late events still come.
-				},
-			};
+			return deafExchange;
 		},
 		trustIds() {
 			// Every exchange has its own connection.
--- a/packages/standins/src/lib/service/histories/history.ts
+++ b/packages/standins/src/lib/service/histories/history.ts
@@ -40,6 +40,8 @@
 	calls: HistoryCall[];
 	exchanges: ExchangeFault[];
 	table: TableFault[];
+	/** Whether the service tells what became of a request. */
+	tellsStatus: boolean;
 	/** VMs that are lost, and when. */
 	losses: Array<{atMs: number; vm: number}>;
 	/** When an operator settles as never run what the rules let settle so. */
@@ -60,11 +62,11 @@
 	refused: number;
 	/** Executions of an order beyond its first, idempotent calls left out. */
 	doubled: number;
-	/** Orders that ran, but are neither answered nor listed. */
+	/** Orders that ran, but whose caller was told nothing definite and whose record does not show or list them. */
 	lost: number;
 	/** Calls that were told "not run" though they ran. */
 	untrue_not_run: number;
-	/** Calls that got the answer to another order, or a part as the whole. */
+	/** Calls that got the answer to another order, a part as the whole, or an untrue "ran". */
 	foreign: number;
 	/** Writes to the table, and the transactions they came in. */
 	writes: number;
--- a/packages/traces/src/lib/bench/orders-bench.ts
+++ b/packages/traces/src/lib/bench/orders-bench.ts
@@ -32,6 +32,7 @@
 		calls: [call(), ...listOf(pick, 7, call)],
 		exchanges: listOf(pick, 8, () => exchangeFaults[pick(0, exchangeFaults.length - 1)]),
 		table: listOf(pick, 12, () => tableFaults[pick(0, tableFaults.length - 1)]),
+		tellsStatus: pick(0, 1) === 1,
 		losses: listOf(pick, 2, () => ({atMs: pick(0, 60_000), vm: vm()})),
 		operatorAtMs: pick(5000, 199_000),
 	};
