Give up writes that wait long for a silent table, unsent

Cause: with a table that falls silent each transaction takes its whole limit, and orders behind it would have waited for minutes before they heard 'not run'. Conclusion: a group that waited a second is refused, and is never written later, so it needs no release.

--- a/packages/router/src/lib/orders/group-commit.ts
+++ b/packages/router/src/lib/orders/group-commit.ts
@@ -9,7 +9,7 @@
  */
 import {PlatformUnavailableError} from '../platform/platform-errors.js';
 import {type TableClient, type TableRow, type TableWrite} from '../platform/platform.js';
-import {OrderStoreError} from './orders-errors.js';
+import {OrderNotWrittenError, OrderStoreError} from './orders-errors.js';
 
 /** Writes that must take effect together. */
 export type WriteGroup = {
@@ -40,6 +40,7 @@
 	/**
 	 * Commits a group, sharing a transaction with others.
 	 *
+	 * @throws {OrderNotWrittenError} The group waited too long, and was never sent.
 	 * @throws {OrderStoreError} The store gave no answer, and reading back did not
 	 * show the group. It may still take effect later.
 	 */
@@ -56,6 +57,8 @@
 const defaultMostUnderWay = 4;
 /** Milliseconds that groups wait for a transaction under way. */
 const patienceMs = 50;
+/** Milliseconds that a group waits to be sent. */
+const longestWaitMs = 1000;
 
 function countWrites(queue: readonly Pending[]): number {
 	let count = 0;
@@ -178,10 +181,26 @@
 		}
 	};
 
+	/**
+	 * While the store is silent, each transaction takes as long as its limit, and
+	 * orders would stand in the queue for minutes before they hear "not run".
+	 */
+	const giveUp = (pending: Pending) => {
+		const index = queue.indexOf(pending);
+		if (index !== -1) {
+			queue.splice(index, 1);
+			pending.reject(new OrderNotWrittenError('The table is slower than writes to it come. This one was never sent.'));
+		}
+	};
+
 	return {
 		async commit(group) {
 			return new Promise((resolve, reject) => {
-				queue.push({group, resolve, reject});
+				const pending = {group, resolve, reject};
+				queue.push(pending);
+				setTimeout(() => {
+					giveUp(pending);
+				}, longestWaitMs).unref();
 				// Groups of one turn of the loop share a transaction.
 				setImmediate(pump);
 			});
--- a/packages/router/src/lib/orders/order-book.ts
+++ b/packages/router/src/lib/orders/order-book.ts
@@ -9,7 +9,7 @@
 import {
 	type AnsweredOrder, closingWrites, openingWrites, type OrderRow, parseOrder, type PendingOrder,
 } from './order-rows.js';
-import {OrderStoreError} from './orders-errors.js';
+import {OrderNotWrittenError, OrderStoreError} from './orders-errors.js';
 
 /** An intent that this process wrote, and alone may dispatch. */
 export type ClaimedOrder = {
@@ -196,7 +196,10 @@
 			});
 			return result.committed ? result.version : undefined;
 		} catch (error) {
-			void track(release(key, row, ifVersion));
+			if (!(error instanceof OrderNotWrittenError)) {
+				void track(release(key, row, ifVersion));
+			}
+
 			throw error;
 		}
 	};
--- a/packages/router/src/lib/orders/orders-errors.ts
+++ b/packages/router/src/lib/orders/orders-errors.ts
@@ -8,7 +8,12 @@
 
 /** The record of orders could not be read or written; nothing was dispatched. */
 export class OrderStoreError extends LayerError {
-	readonly code = 'order_store_unavailable';
+	readonly code: string = 'order_store_unavailable';
+}
+
+/** A write of the record of orders waited too long in this process and was never sent. */
+export class OrderNotWrittenError extends OrderStoreError {
+	override readonly code = 'order_not_written';
 }
 
 /** The order to settle is not one whose outcome is unknown. */
--- a/packages/router/src/test/orders/group-commit.test.ts
+++ b/packages/router/src/test/orders/group-commit.test.ts
@@ -4,6 +4,7 @@
 import {
 	PlatformUnavailableError, type TableClient, type TableRow, type TableWrite,
 } from '../../platform.js';
+import {OrderNotWrittenError, OrderStoreError} from '../../orders.js';
 
 /** A table that keeps rows, and loses the answers that a test tells it to. */
 function createTable(lose: (writes: TableWrite[]) => 'none' | 'applied' | 'dropped' = () => 'none') {
@@ -41,6 +42,14 @@
 	});
 }
 
+async function failLate(): Promise<never> {
+	return new Promise((_resolve, reject) => {
+		setTimeout(() => {
+			reject(new PlatformUnavailableError('No answer.', true));
+		}, 5000);
+	});
+}
+
 function groupOf(key: string, value = 'mine'): WriteGroup {
 	return {writes: [{key, value, ifVersion: 0}, {key: `index-${key}`, value: ''}], proofKey: key, isProof: row => row.value === value};
 }
@@ -84,6 +93,29 @@
 		}
 	});
 
+	it('gives up groups that wait long for a silent table, and never sends them later', async () => {
+		// The table falls silent while orders come fast. Each must hear "not run"
+		// soon, and must not be written once the table answers again.
+		const clock = FakeTimers.install();
+		try {
+			const {table, transactions} = createTable();
+			let isSilent = true;
+			const transact = async (writes: TableWrite[]) => isSilent ? failLate() : table.transact(writes);
+			const {commit} = createGroupCommit({table: {...table, transact}, mostUnderWay: 1});
+			const hung = commit(groupOf('k-hangs')).then(() => 'committed', (error: unknown) => error);
+			await clock.tickAsync(1);
+			const given = commit(groupOf('k-1')).then(() => 'committed', (error: unknown) => error);
+			await clock.tickAsync(1000);
+			assert.instanceOf(await given, OrderNotWrittenError);
+			isSilent = false;
+			await clock.tickAsync(10_000);
+			assert.instanceOf(await hung, OrderStoreError);
+			assert.isEmpty(transactions);
+		} finally {
+			clock.uninstall();
+		}
+	});
+
 	it('settles a lost answer by reading back, and says so when nothing shows', async () => {
 		const {commit} = createGroupCommit({table: createTable(() => 'applied').table});
 		const {committed} = await commit(groupOf('k-1'));
