--- a/packages/router/src/lib/orders/order-book.ts
+++ b/packages/router/src/lib/orders/order-book.ts
@@ -9,7 +9,7 @@
 import {
 	type AnsweredOrder, closingWrites, openingWrites, type OrderRow, parseOrder, type PendingOrder,
 } from './order-rows.js';
-import {OrderStoreError} from './orders-errors.js';
+import {OrderNotWrittenError, OrderStoreError} from './orders-errors.js';
 
 /** An intent that this process wrote, and alone may dispatch. */
 export type ClaimedOrder = {
@@ -56,8 +56,8 @@
 	find: (key: string) => Promise<FoundOrder | undefined>;
 	/** Records an outcome, trying again while the store is down. Resolves to false when it could not. */
 	finish: (order: ClaimedOrder, end: OrderEnd) => Promise<boolean>;
-	/** Lists an order without a key as unknown. Resolves to false when it could not. */
-	recordUnknown: (key: string, row: PendingOrder, end: OrderEnd & {state: 'unknown'}) => Promise<boolean>;
+	/** Records the outcome of an order that had no intent. Resolves to false when it could not. */
+	record: (key: string, row: PendingOrder, end: OrderEnd) => Promise<boolean>;
 	/** Resolves once no write is under way. */
 	settled: () => Promise<void>;
 };
@@ -196,7 +196,10 @@
 			});
 			return result.committed ? result.version : undefined;
 		} catch (error) {
-			void track(release(key, row, ifVersion));
+			if (!(error instanceof OrderNotWrittenError)) {
+				void track(release(key, row, ifVersion));
+			}
+
 			throw error;
 		}
 	};
@@ -226,7 +229,7 @@
 			const row = endedRow(order.row, end);
 			return track(persist(async () => write(order.key, row, order.version)));
 		},
-		async recordUnknown(key, row, end) {
+		async record(key, row, end) {
 			return track(persist(async () => write(key, endedRow(row, end), 0)));
 		},
 		async settled() {
