Keep endpoints as plain data with the arithmetic beside it

Cause: each of 12,000 endpoints closed over its state with ten functions, two arrays and a set, most of them idle. Each safeguard that moved was broken again and seen red: new process, other version, late news of a dead process, older loads, own starts, age of loads, slow start.

--- a/packages/router/src/lib/routing/candidates.ts
+++ b/packages/router/src/lib/routing/candidates.ts
@@ -3,6 +3,7 @@
  * level with a few spare ones, and those that answers have shown warm.
  */
 import {type PlacementRequest} from '../gateway/ports.js';
+import {type EngineModel} from './engine-model.js';
 import {type EngineRecord} from './engine-record.js';
 import {type HealthTracker} from './health.js';
 import {walkHomes} from './home-sets.js';
@@ -57,11 +58,19 @@
 /** Requests assumed to have come before the first, so that shares of few requests stay small. */
 const assumedRequests = 20;
 
+/** What candidates are found with. */
+export type CandidateFinderParts = {
+	memory: PrefixMemory;
+	health: HealthTracker;
+	model: EngineModel;
+	options: FilledPlacerOptions;
+};
+
 /**
  * Opens a finder over what a placer has learned.
  * @internal
  */
-export const createCandidateFinder = (memory: PrefixMemory, health: HealthTracker, options: FilledPlacerOptions): CandidateFinder => {
+export const createCandidateFinder = ({memory, health, model, options}: CandidateFinderParts): CandidateFinder => {
 	/** What all routers know alike, so that they skip the same endpoints in the order of homes. */
 	const canServe = (engine: EngineRecord, request: PlacementRequest): boolean =>
 		engine.usable && (engine.version === '' || engine.version === request.version);
@@ -69,7 +78,7 @@
 	const mayTake = (engine: EngineRecord, {request, now}: CandidateSearch): boolean =>
 		canServe(engine, request)
 		&& !request.excluded.has(engine.name)
-		&& engine.hasRoom(now)
+		&& model.hasRoom(engine, now)
 		&& engine.unfinished < health.roomOf(engine.name);
 
 	/** Homes that a prefix's share of the service's requests asks for, as a fraction. */
--- a/packages/router/src/lib/routing/placer.ts
+++ b/packages/router/src/lib/routing/placer.ts
@@ -6,6 +6,7 @@
  */
 import {type Placement, type PlacementRequest, type Placer} from '../gateway/ports.js';
 import {createCandidateFinder, type Candidate, type CandidateSearch} from './candidates.js';
+import {createEngineModel} from './engine-model.js';
 import {type EngineRecord, type OwnStart} from './engine-record.js';
 import {createHealthTracker} from './health.js';
 import {fillPlacerOptions, type PlacementEndpoint, type PlacerOptions} from './placement-options.js';
@@ -63,10 +64,13 @@
  */
 export const createPlacer = (givenOptions: PlacerOptions): LearningPlacer => {
 	const options = fillPlacerOptions(givenOptions);
-	const table = createServiceTable(options);
+	const model = createEngineModel(options);
+	const table = createServiceTable(model, options);
 	const memory = createPrefixMemory(options.rememberedPrefixes, options.homesEach);
 	const health = createHealthTracker(options.health);
-	const finder = createCandidateFinder(memory, health, options);
+	const finder = createCandidateFinder({
+		memory, health, model, options,
+	});
 	const decisions = new WeakMap<Placement, Decision>();
 
 	/**
@@ -90,7 +94,7 @@
 		let workMs = 0;
 		for (const candidate of finder.search(search)) {
 			const {engine} = candidate;
-			const queued = engine.queueMs(now);
+			const queued = model.queueMs(engine, now);
 			const missing = Math.max(0, request.promptTokens - (hopedPieces(candidate, request.pieces.length, service.metPieces / service.hopedPieces) * service.pieceTokens));
 			const computing = missing * engine.msPerToken;
 			const charged = Math.max(0, request.promptTokens - (hopedPieces(candidate, request.pieces.length, options.homeCredit) * service.pieceTokens)) * engine.msPerToken;
@@ -135,12 +139,12 @@
 		const {engine, candidate, service} = decision;
 		const cachedPieces = cachedTokens / service.pieceTokens;
 		if (firstTokenMs !== undefined) {
-			engine.learnSpeed(firstTokenMs, decision.queueMs + engine.roundTripMs, request.promptTokens - cachedTokens);
-			engine.learnGenerating(Math.max(0, performance.now() - decision.start!.at - firstTokenMs));
+			model.learnSpeed(engine, firstTokenMs, decision.queueMs + engine.roundTripMs, request.promptTokens - cachedTokens);
+			model.learnGenerating(engine, Math.max(0, performance.now() - decision.start!.at - firstTokenMs));
 		}
 
 		if (candidate.depth > 0) {
-			engine.learnSurvival(candidate.ageMs, cachedPieces >= candidate.depth);
+			model.learnSurvival(engine, candidate.ageMs, cachedPieces >= candidate.depth);
 		}
 
 		learnTrust(decision, cachedPieces, request.pieces.length);
@@ -187,7 +191,7 @@
 			const now = performance.now();
 			memory.count(decision.levels, decision.service.requests, now);
 			addFading(decision.service.requests, now, 1);
-			decision.start = engine.start(now, decision.workMs);
+			decision.start = model.start(engine, now, decision.workMs);
 			learnAdapter(engine, request.adapter);
 			// Requests that follow at once find the prefix computed by this one.
 			memory.learn(decision.levels, engine, now);
@@ -200,8 +204,8 @@
 
 			decisions.delete(placement);
 			const {engine} = decision;
-			engine.finish(decision.start);
-			const isNews = outcome.load === undefined || engine.report(performance.now(), outcome.load, 0);
+			model.finish(engine, decision.start);
+			const isNews = outcome.load === undefined || model.tell(engine, performance.now(), outcome.load, 0);
 			if (outcome.result === 'failed') {
 				health.failed(engine.name);
 				memory.forget(decision.levels.map(level => level.hash), engine);
@@ -219,7 +223,10 @@
 			}
 		},
 		observe(endpoint, load) {
-			table.engineOf(endpoint)?.report(performance.now(), load, options.reportLagMs);
+			const engine = table.engineOf(endpoint);
+			if (engine !== undefined) {
+				model.tell(engine, performance.now(), load, options.reportLagMs);
+			}
 		},
 		evicted(endpoint, incarnation, pieces) {
 			const engine = table.engineOf(endpoint);
--- a/packages/router/src/lib/routing/service-table.ts
+++ b/packages/router/src/lib/routing/service-table.ts
@@ -1,4 +1,5 @@
 /** The endpoints of each service, prepared for quick decisions. */
+import {type EngineModel} from './engine-model.js';
 import {createEngineRecord, type EngineRecord} from './engine-record.js';
 import {createHomeOrder, type HomeOrder} from './home-order.js';
 import {type FadingCount} from './prefix-memory.js';
@@ -39,18 +40,18 @@
  * Opens an empty table.
  * @internal
  */
-export const createServiceTable = (options: FilledPlacerOptions): ServiceTable => {
+export const createServiceTable = (model: EngineModel, options: FilledPlacerOptions): ServiceTable => {
 	const services = new Map<string, ServiceEntry>();
 	let engines = new Map<string, {engine: EngineRecord; service: string}>();
 
 	const engineFor = (endpoint: PlacementEndpoint): EngineRecord => {
 		const known = engines.get(endpoint.name);
-		const engine = known?.service === endpoint.service ? known.engine : createEngineRecord(endpoint.name, options);
+		const engine = known?.service === endpoint.service ? known.engine : createEngineRecord(endpoint.name, options.initialMsPerToken);
 		engine.usable = endpoint.usable;
 		engine.roundTripMs = options.roundTripMs(endpoint.dataCentre);
 		if (endpoint.version !== undefined && endpoint.version !== engine.version) {
 			if (engine.version !== '') {
-				engine.forget(performance.now());
+				model.forget(engine, performance.now());
 			}
 
 			engine.version = endpoint.version;
