--- a/packages/router/src/lib/membership/gossip.ts
+++ b/packages/router/src/lib/membership/gossip.ts
@@ -136,7 +136,7 @@
 				self: clone(MemberStateSchema, own.state),
 				news: [...outbox.states].flatMap(name => table.get(name) ?? []).map(known => withSilence(known)),
 				ids: beats.map(known => known.id),
-				beats: beats.map(({state}) => state.beat),
+				beats: beats.map(({state}) => Number(state.beat)),
 				versionLags: beats.map(({state}) => Number(newest - state.configurationVersion)),
 				newestVersion: newest,
 				vms: [...outbox.vms].flatMap(name => vms.get(name) ?? []),
--- a/packages/router/src/lib/membership/member-table.ts
+++ b/packages/router/src/lib/membership/member-table.ts
@@ -56,7 +56,7 @@
 		return member;
 	}
 
-	function goOn(member: KnownMember, beat: number, version: bigint, heardAt: number): StateChange {
+	function goOn(member: KnownMember, beat: bigint, version: bigint, heardAt: number): StateChange {
 		const {state} = member;
 		if (beat <= state.beat) {
 			return 'none';
@@ -95,7 +95,7 @@
 		},
 		applyBeat(id, beat, configurationVersion) {
 			const member = byId.get(id);
-			return member && {member, change: goOn(member, beat, configurationVersion, performance.now())};
+			return member && {member, change: goOn(member, BigInt(beat), configurationVersion, performance.now())};
 		},
 		list(name, dataCentre, peerAddress) {
 			if (!members.has(name)) {
--- a/packages/router/src/lib/membership/membership.ts
+++ b/packages/router/src/lib/membership/membership.ts
@@ -177,7 +177,7 @@
 			tellChange(known);
 		}
 
-		const turn = Math.floor(own.state.beat / beatsPerTurn);
+		const turn = Math.floor(Number(own.state.beat) / beatsPerTurn);
 		const callsOthers = turn !== lastTurn && reach.heard < reach.listed;
 		if (isChanged || callsOthers) {
 			isChanged = false;
