Take the poll schedule out of the follower, and let histories be raised

Cause: the follower had grown to 340 lines with two jobs, and the properties could be run on their small fixed sets only. Conclusion: STATE_HISTORIES raises the number of histories of each property.

--- a/packages/router/src/lib/configuration/configuration-follower.ts
+++ b/packages/router/src/lib/configuration/configuration-follower.ts
@@ -14,6 +14,7 @@
 import {type Reach} from './configuration-store.js';
 import {type AcceptedDocument} from './document.js';
 import {createHeadKnowledge} from './head-knowledge.js';
+import {createPollSchedule} from './poll-schedule.js';
 import {
 	answerRequest, createSectionAssembly, createStepHistory, decodeAge, encodeAge,
 } from './section-exchange.js';
@@ -79,11 +80,8 @@
 const defaultPollers = 2;
 const defaultIsolationLimitMs = 15_000;
 const ticksPerPoll = 2;
-/** Ranks beyond this wait no longer than it. */
-const longestWaitSteps = 8;
 /** News from afar is passed on nearby when it is this much fresher, in milliseconds. */
 const relayGainMs = 1000;
-const longestBackoff = 16;
 
 /**
  * Creates the follower of one daemon.
@@ -96,9 +94,14 @@
 export function createConfigurationFollower(options: ConfigurationFollowerOptions): ConfigurationFollower {
 	const {loader, send, peers} = options;
 	const pollMs = options.pollMs ?? defaultPollMs;
-	const pollers = options.pollersPerDataCentre ?? defaultPollers;
 	const isolationLimitMs = options.isolationLimitMs ?? defaultIsolationLimitMs;
 	const random = options.random ?? Math.random;
+	const schedule = createPollSchedule({
+		pollMs,
+		pollersPerDataCentre: options.pollersPerDataCentre ?? defaultPollers,
+		rank: () => peers().rank,
+		random,
+	});
 	const knowledge = createHeadKnowledge();
 	const steps = createStepHistory();
 	const assembly = createSectionAssembly();
@@ -107,11 +110,8 @@
 	let accepted: AcceptedDocument | undefined;
 	let timer: NodeJS.Timeout | undefined;
 	let polling: Promise<void> | undefined;
-	let failures = 0;
-	let nextPollAt = 0;
 	let askedAt = -Infinity;
 	let lastFreshAt = -Infinity;
-	let startedAt = 0;
 
 	/**
 	 * The one place where a version comes into force. A lower version is never
@@ -192,31 +192,18 @@
 				await loadFromStore(head.record);
 			}
 
-			failures = 0;
+			schedule.succeeded();
 		} catch (error) {
-			failures++;
+			schedule.failed();
 			refuse(knowledge.newest().version, error);
 		} finally {
 			// Also when the store is away: a peer back from a cut must hear what it missed.
 			announceTo(peers().nearby);
 			announceTo(pickDistant());
-			nextPollAt = performance.now() + pauseMs();
 			polling = undefined;
 		}
 	}
 
-	/** The pause after a poll; it grows with failures and varies, so that an outage ends without a rush. */
-	function pauseMs(): number {
-		const pause = pollMs * Math.min(longestBackoff, 2 ** failures) / 2;
-		return failures === 0 ? pause : pause * (0.5 + random());
-	}
-
-	/** The first daemons of a data centre poll at pace; each further rank only when those before it don't. */
-	function dueAgeMs(): number {
-		const group = Math.floor(peers().rank / pollers);
-		return pollMs * (1 + (Math.min(group, longestWaitSteps) * 2));
-	}
-
 	/** A daemon that has just started asks one peer after another, so that it need not wait for a poll of theirs. */
 	function askPeer(): void {
 		const {nearby, distant} = peers();
@@ -237,15 +224,9 @@
 			askPeer();
 		}
 
-		if (polling !== undefined || now < nextPollAt) {
-			return;
-		}
-
-		// A daemon that has just started waits its turn too, or a herd would read all at once.
-		const ageMs = Math.min(knowledge.newest().ageMs, now - startedAt + pollMs);
 		// A peer that was asked and did not answer: the store is asked instead.
 		const unanswered = knowledge.newest().version > held.version && now - askedAt > pollMs * 2;
-		if (unanswered || ageMs >= dueAgeMs()) {
+		if (polling === undefined && schedule.isDue(knowledge.newest().ageMs, unanswered)) {
 			polling = poll();
 		}
 	}
@@ -328,7 +309,7 @@
 		},
 		handlers,
 		start() {
-			startedAt = performance.now();
+			schedule.start();
 			tick();
 			timer ??= setInterval(tick, pollMs / ticksPerPoll);
 		},
--- a/packages/router/src/test/configuration/configuration-follower.test.ts
+++ b/packages/router/src/test/configuration/configuration-follower.test.ts
@@ -1,3 +1,4 @@
+import process from 'node:process';
 import {createHash} from 'node:crypto';
 import {create} from '@bufbuild/protobuf';
 import {assert} from 'chai';
@@ -11,6 +12,9 @@
 import {createFakePlatform, type Fault, type FakePlatform} from './fake-platform.js';
 import {sampleDocument} from './sample-document.js';
 
+/** How many histories each property is tried on; CI runs a small fixed set. */
+const histories = Number(process.env.STATE_HISTORIES ?? 40);
+
 /** The age of a head that its sender never knew to be the newest. */
 const neverKnown = 0xFF_FF_FF_FF;
 
@@ -144,7 +148,7 @@
 				assert.equal(follower.current()?.version, 6, name);
 				follower.stop();
 			}
-		}), {seed: 1, numRuns: 40});
+		}), {seed: 1, numRuns: histories});
 	});
 
 	it('stops serving on the side that may have missed a withdrawal, and only there', async () => {
--- a/packages/router/src/test/configuration/configuration-store.test.ts
+++ b/packages/router/src/test/configuration/configuration-store.test.ts
@@ -1,3 +1,4 @@
+import process from 'node:process';
 import {assert} from 'chai';
 import fc from 'fast-check';
 import {
@@ -6,6 +7,9 @@
 import {createFakePlatform, type Fault} from './fake-platform.js';
 import {sampleDocument} from './sample-document.js';
 
+/** How many histories each property is tried on; CI runs a small fixed set. */
+const histories = Number(process.env.STATE_HISTORIES ?? 150);
+
 async function errorOf(promise: Promise<unknown>): Promise<unknown> {
 	try {
 		await promise;
@@ -103,7 +107,7 @@
 					}
 				}
 			},
-		), {seed: 1, numRuns: 150});
+		), {seed: 1, numRuns: histories});
 	});
 
 	it('refuses a layout that some daemon does not know, before it is accepted', async () => {
--- a/packages/router/src/test/membership/membership.test.ts
+++ b/packages/router/src/test/membership/membership.test.ts
@@ -1,3 +1,4 @@
+import process from 'node:process';
 import {create} from '@bufbuild/protobuf';
 import {assert} from 'chai';
 import fc from 'fast-check';
@@ -9,6 +10,9 @@
 import {Phase} from '../../membership.js';
 import {createFakeFleet, type FakeFleet, type FakeFleetOptions} from './fake-fleet.js';
 
+/** How many histories each property is tried on; CI runs a small fixed set. */
+const histories = Number(process.env.STATE_HISTORIES ?? 40);
+
 describe('createMembership', () => {
 	let clock: Clock;
 	let fleet: FakeFleet;
@@ -175,6 +179,6 @@
 			}
 
 			fleet.stopAll();
-		}), {seed: 1, numRuns: 40});
+		}), {seed: 1, numRuns: histories});
 	});
 });
