--- a/packages/router/src/lib/recovery/recovery-part.ts
+++ b/packages/router/src/lib/recovery/recovery-part.ts
@@ -13,6 +13,8 @@
 	name: string;
 	/** The part in an encoding of its owner; `undefined` while there is nothing worth passing on. */
 	exportContent: () => Uint8Array | undefined;
+	/** Whether the daemon has it already, by another way than recovery; then it is not waited for. */
+	isKnown?: () => boolean;
 	/** Takes the part in; it throws when it can't, and then another source is asked. */
 	importContent: (content: Uint8Array) => void;
 };
@@ -46,6 +48,7 @@
 export function createConfigurationPart(follower: Pick<ConfigurationFollower, 'held' | 'adopt'>): RecoveryPart {
 	return {
 		name: 'configuration',
+		isKnown: () => follower.held() !== undefined,
 		exportContent() {
 			const held = follower.held();
 			return held && Buffer.from(JSON.stringify({
--- a/packages/router/src/lib/recovery/recovery.ts
+++ b/packages/router/src/lib/recovery/recovery.ts
@@ -41,7 +41,7 @@
 export type RecoveryReport = {
 	/** Milliseconds from the call to ready. */
 	timeToServeMs: number;
-	/** Where each part came from; a part that is absent was found nowhere. */
+	/** Where each part came from; absent are those that were known by another way, or found nowhere. */
 	sources: Map<string, 'peer' | 'store'>;
 };
 
@@ -93,7 +93,7 @@
 	let timer: NodeJS.Timeout | undefined;
 
 	function missing(): RecoveryPart[] {
-		return parts.filter(part => !sources.has(part.name));
+		return parts.filter(part => !sources.has(part.name) && !part.isKnown?.());
 	}
 
 	function take(snapshotPart: SnapshotPart, source: 'peer' | 'store'): void {
