Follow the heartbeat counter's width in the measured slopes

Cause: the counter went back to 64 bits on the wire, and the slopes still made it a number, so the build failed. Figures: the build passes again; 290 tests pass in about a minute. Conclusion: no change of behaviour.

--- a/packages/traces/src/lib/capacity/slopes-peers.ts
+++ b/packages/traces/src/lib/capacity/slopes-peers.ts
@@ -8,7 +8,7 @@
 type Body = MessageInitShape<typeof PeerMessageSchema>['body'];
 
 const member = (index: number) => ({
-	name: `hw-${index}`, incarnation: 1_767_600_000_000n, beat: index, phase: 2, configurationVersion: 13_000n, dataCentre: `dc-${index % 23}`, peerAddress: `10.0.0.${index % 250}:7400`,
+	name: `hw-${index}`, incarnation: 1_767_600_000_000n, beat: BigInt(index), phase: 2, configurationVersion: 13_000n, dataCentre: `dc-${index % 23}`, peerAddress: `10.0.0.${index % 250}:7400`,
 });
 
 const bodies: Record<string, (index: number) => Body> = {
