--- a/packages/router/src/lib/fairness/fair-queue.ts
+++ b/packages/router/src/lib/fairness/fair-queue.ts
@@ -8,6 +8,12 @@
 export type FairQueueOptions = {
 	/** How many requests may be under way now; asked again each time one could start. */
 	limit: () => number;
+	/**
+	 * Part of the limit that is kept for workspaces which run less than their
+	 * even part; 0.25 by default. Without it a workspace that floods holds every
+	 * turn, and each request of another waits for one of its long ones to end.
+	 */
+	reservedShare?: number;
 	/** Most requests of one workspace that wait. */
 	mostWaitingPerWorkspace: number;
 	/** Most requests that wait in all. */
@@ -29,7 +35,7 @@
 
 /** A turn. */
 export type QueueTicket = {
-	/** 0 for a workspace within its share, growing as it runs ahead of it. */
+	/** 0 for a workspace with little under way, growing with what it has. */
 	priority: number;
 	/** Gives the turn back; `cost` is what the request really took. */
 	release: (cost: number) => void;
@@ -56,15 +62,33 @@
 	settle: (result: QueueResult) => void;
 };
 
-type Line = {waiters: Waiter[]; lastFinish: number; running: number};
+type Line = {
+	waiters: Waiter[];
+	lastFinish: number;
+	running: number;
+	/** Tokens that wait or run, own weight taken out. */
+	outstanding: number;
+};
 
 /** Milliseconds that a first guess of one request's service time takes. */
 const firstServiceMs = 500;
 const serviceSmoothing = 0.1;
-/** Tokens by which a workspace may be ahead for each step of priority. */
-const tokensPerPriority = 8192;
+const defaultReservedShare = 0.25;
+/** Tokens under way up to which a workspace has the best priority; each step doubles them. */
+const tokensOfBestPriority = 8192;
+const stepsPerDoubling = 2;
 const lowestPriority = 9;
 
+/**
+ * Engines compute prompts in the order of their priority, so what a workspace
+ * has under way must count: with equal priorities a short prompt would wait in
+ * the engine behind the long ones of another workspace, past every queue here.
+ */
+function priorityOf(line: Line): number {
+	const steps = Math.floor(stepsPerDoubling * Math.log2(Math.max(1, line.outstanding / tokensOfBestPriority)));
+	return Math.min(lowestPriority, steps);
+}
+
 /**
  * Creates an empty queue.
  *
@@ -77,11 +101,14 @@
 	let running = 0;
 	let waiting = 0;
 	let serviceMs = firstServiceMs;
+	const reservedShare = options.reservedShare ?? defaultReservedShare;
 
 	const lineOf = (workspace: string) => {
 		let line = lines.get(workspace);
 		if (line === undefined) {
-			line = {waiters: [], lastFinish: 0, running: 0};
+			line = {
+				waiters: [], lastFinish: 0, running: 0, outstanding: 0,
+			};
 			lines.set(workspace, line);
 		}
 
@@ -105,11 +132,10 @@
 		line.running++;
 		const startedAt = performance.now();
 		let released = false;
-		const lead = Math.max(0, line.lastFinish - virtualTime - (entry.cost / entry.weight));
 		waiter.settle({
 			granted: true,
 			ticket: {
-				priority: Math.min(lowestPriority, Math.floor(lead / tokensPerPriority)),
+				priority: priorityOf(line),
 				release(cost) {
 					if (released) {
 						return;
@@ -118,6 +144,7 @@
 					released = true;
 					running--;
 					line.running--;
+					line.outstanding -= entry.cost / entry.weight;
 					line.lastFinish += (cost - entry.cost) / entry.weight;
 					serviceMs += serviceSmoothing * (performance.now() - startedAt - serviceMs);
 					startNext();
@@ -127,10 +154,23 @@
 		});
 	};
 
+	/** Turns that are free to a workspace which runs so many now. */
+	const roomFor = (ownRunning: number) => {
+		const limit = options.limit();
+		// A workspace alone must not take what is kept either: another may come at any moment.
+		const evenPart = Math.max(1, Math.floor(limit / Math.max(2, lines.size)));
+		const reserved = ownRunning < evenPart ? 0 : Math.floor(limit * reservedShare);
+		return limit - reserved - running;
+	};
+
 	const nextLine = () => {
 		let best: Line | undefined;
 		for (const line of lines.values()) {
-			if (line.waiters.length > 0 && (best === undefined || line.waiters[0].start < best.waiters[0].start)) {
+			if (line.waiters.length === 0 || roomFor(line.running) <= 0) {
+				continue;
+			}
+
+			if (best === undefined || line.waiters[0].start < best.waiters[0].start) {
 				best = line;
 			}
 		}
@@ -139,7 +179,7 @@
 	};
 
 	const startNext = () => {
-		while (running < options.limit()) {
+		for (;;) {
 			const waiter = nextLine()?.waiters.shift();
 			if (waiter === undefined) {
 				return;
@@ -159,6 +199,7 @@
 
 		line.waiters.splice(at, 1);
 		waiting--;
+		line.outstanding -= waiter.entry.cost / waiter.entry.weight;
 		line.lastFinish -= waiter.entry.cost / waiter.entry.weight;
 		waiter.settle({granted: false, reason, retryAfterMs: waitEstimate(waiting)});
 		forget(waiter.entry.workspace, line);
@@ -181,7 +222,7 @@
 
 	async function enter(entry: QueueEntry): Promise<QueueResult> {
 		const line = lineOf(entry.workspace);
-		if (running >= options.limit()) {
+		if (roomFor(line.running) <= 0) {
 			const retryAfterMs = waitEstimate(aheadOf(line));
 			if (line.waiters.length >= options.mostWaitingPerWorkspace || waiting >= options.mostWaiting) {
 				return {granted: false, reason: 'full', retryAfterMs};
@@ -197,6 +238,7 @@
 		const start = Math.max(virtualTime, line.lastFinish);
 		const finish = start + (entry.cost / entry.weight);
 		line.lastFinish = finish;
+		line.outstanding += entry.cost / entry.weight;
 		return new Promise(resolve => {
 			const waiter: Waiter = {
 				entry, start, finish, settle: resolve,
--- a/packages/router/src/test/fairness/fair-queue.test.ts
+++ b/packages/router/src/test/fairness/fair-queue.test.ts
@@ -122,6 +122,40 @@
 		assert.equal(refusalOf(await result), 'gone');
 	});
 
+	// A small workspace's caller starts at once. The large one has asked for more
+	// turns than there are; some are kept for whoever runs less than its part,
+	// so nobody has to wait for one of the large one's long requests to end.
+	it('keeps turns free for a workspace that runs little', async () => {
+		const queue = queueOf(8);
+		for (let count = 0; count < 20; count++) {
+			void queue.enter(entryOf('large'));
+		}
+
+		await clock.tickAsync(0);
+		let small: QueueResult | undefined;
+		void (async () => {
+			small = await queue.enter(entryOf('small'));
+		})();
+
+		await clock.tickAsync(0);
+		assert.isTrue(small?.granted);
+	});
+
+	// Engines compute prompts by priority. Were all equal, a short prompt would
+	// wait in the engine behind every long one that another workspace has there.
+	it('gives a lower priority to a workspace with much under way', async () => {
+		const queue = queueOf(32);
+		let last: QueueResult | undefined;
+		for (let count = 0; count < 6; count++) {
+			last = await queue.enter(entryOf('large', {cost: 10_000}));
+		}
+
+		const small = await queue.enter(entryOf('small', {cost: 4000}));
+		const priorityOf = (result: QueueResult | undefined) => (result?.granted ? result.ticket.priority : -1);
+		assert.equal(priorityOf(small), 0);
+		assert.isAbove(priorityOf(last), 3);
+	});
+
 	it('never runs more than its limit and forgets nobody, whatever ends how', async () => {
 		const step = fc.record({
 			workspace: fc.constantFrom('a', 'b', 'c'),
--- a/packages/traces/src/bench.ts
+++ b/packages/traces/src/bench.ts
@@ -13,6 +13,10 @@
 		const {runLimitsBench} = await import('./lib/bench/limits-bench.js');
 		await runLimitsBench(args);
 	},
+	async fairness() {
+		const {runFairnessBench} = await import('./lib/bench/fairness-bench.js');
+		await runFairnessBench();
+	},
 	async overhead() {
 		const {runOverheadBench} = await import('./lib/bench/overhead-bench.js');
 		await runOverheadBench();
