--- a/packages/traces/src/bench.ts
+++ b/packages/traces/src/bench.ts
@@ -41,6 +41,10 @@
 		const {runMembershipBench} = await import('./lib/bench/membership-bench.js');
 		await runMembershipBench();
 	},
+	async recovery() {
+		const {runRecoveryBench} = await import('./lib/bench/recovery-bench.js');
+		await runRecoveryBench();
+	},
 };
 
 const [name, ...args] = process.argv.slice(2);
