Nothing kept ready for rare requests; files split by job

Learned room for unused reservations was an average, so half of them lost some. A report to a new issuer gave surplus tokens back before there was a place for them.

--- a/packages/router/src/lib/limits/held-share.ts
+++ b/packages/router/src/lib/limits/held-share.ts
@@ -36,11 +36,13 @@
 	outstanding: boolean;
 	/** Tokens of requests that are not settled yet. */
 	reserved: number;
-	/** Part of their reservations that requests lately gave back. */
+	/** Part of their reservations that requests give back at the most, but for a few. */
 	unusedShare: number;
 	/** Tokens a second that requests asked for lately. */
 	demand: number;
 	demandAt: number;
+	/** Tokens of an average request. */
+	requestTokens: number;
 	lastAskedAt: number;
 	/** The issuer must hear of a lowered share. */
 	confirm: boolean;
@@ -49,8 +51,11 @@
 	notice?: {ahead: number; rate: number; at: number};
 };
 
-const firstUnusedShare = 0.5;
-const unusedShareWeight = 0.1;
+// Room that is missing loses tokens, room too much only keeps a reserve from growing that is
+// nearly full anyway: so the estimate starts high, rises fast and falls slowly.
+const firstUnusedShare = 1;
+const risingWeight = 0.5;
+const fallingWeight = 0.03;
 
 /** Creates a share that holds nothing. */
 export function createHeldShare(workspace: string, shard: number, now: number): HeldShare {
@@ -68,6 +73,7 @@
 		reserved: 0,
 		unusedShare: firstUnusedShare,
 		demand: 0,
+		requestTokens: 0,
 		demandAt: now,
 		lastAskedAt: Number.NEGATIVE_INFINITY,
 		confirm: false,
@@ -81,6 +87,9 @@
 /** Milliseconds of growth that a holder leaves itself room for while a wish is under way. */
 const growthMs = 2000;
 const rateHeadroom = 1.2;
+const requestWeight = 0.1;
+/** Requests within the horizon from which on tokens are kept ready. */
+const leastRequestsAhead = 2;
 
 /** Whether anything is held. */
 export function holdsAnything(share: HeldShare): boolean {
@@ -102,6 +111,7 @@
 export function countDemand(share: HeldShare, tokens: number, now: number): void {
 	decayDemand(share, now);
 	share.demand += tokens * msPerSecond / demandMs;
+	share.requestTokens += (tokens - share.requestTokens) * (share.requestTokens === 0 ? 1 : requestWeight);
 	share.lastAskedAt = now;
 }
 
@@ -109,7 +119,7 @@
 export function countSettled(share: HeldShare, reserved: number, used: number): void {
 	share.reserved -= reserved;
 	const unused = reserved > 0 ? Math.max(0, reserved - used) / reserved : 0;
-	share.unusedShare += (unused - share.unusedShare) * unusedShareWeight;
+	share.unusedShare += (unused - share.unusedShare) * (unused > share.unusedShare ? risingWeight : fallingWeight);
 }
 
 /** Lets the average fall with time. */
@@ -135,7 +145,9 @@
 		return 0;
 	}
 
-	return share.demand * settings.horizonMs / msPerSecond;
+	const target = share.demand * settings.horizonMs / msPerSecond;
+	// Less than a few requests' worth would lie about unused, and cost two messages each way.
+	return target >= share.requestTokens * leastRequestsAhead ? target : 0;
 }
 
 /** What a wish says of a share. */
@@ -162,14 +174,15 @@
  * reservations will soon fill: the issuer can only send tokens that fit into
  * what it adds.
  */
-export function lowerAndWish(share: HeldShare, settings: LimiterSettings, now: number): WishFigures {
+export function lowerAndWish(share: HeldShare, settings: LimiterSettings, now: number, isReport = false): WishFigures {
 	updateShare(share, now);
 	const {level} = share;
 	const waiting = waitingTokens(share);
 	const idle = waiting === 0 && now >= share.lastAskedAt + settings.idleMs;
 	const target = targetTokens(share, settings, now);
 	const wantedRate = Math.ceil(target > 0 ? share.demand * rateHeadroom : 0);
-	const surplus = Math.floor(level.tokens - waiting - (target * 2));
+	// A new issuer has no place for tokens before it knows all holders.
+	const surplus = isReport ? 0 : Math.floor(level.tokens - waiting - (target * 2));
 	// Overuse goes to the issuer as a debt, so that the whole workspace pays it back.
 	const returned = level.tokens < 0 ? Math.floor(level.tokens) : Math.max(0, surplus);
 	level.tokens -= returned;
--- a/packages/router/src/lib/limits/shard-issuer.ts
+++ b/packages/router/src/lib/limits/shard-issuer.ts
@@ -9,16 +9,16 @@
  */
 import {create} from '@bufbuild/protobuf';
 import {
-	ShardCallSchema, ShareGrantSchema, ShareNoticeSchema, type ShareWish,
+	ShardCallSchema, ShareGrantSchema, type ShareWish,
 } from '../../gen/hickorywalk/v1/limits_pb.js';
 import {type PeerOrigin} from '../links/peer-link.js';
+import {createClaimLine} from './claim-line.js';
 import {type LimiterSettings, type WorkspaceLimit} from './limiter-settings.js';
 import {type LivenessEvidence} from './liveness-evidence.js';
 import {type Outbox} from './outbox.js';
 import {
 	type Claim, createShareAccount, dropHolding, giveShare, type Holding, setHolding, type ShareAccount, updateReserve,
 } from './share-account.js';
-import {msUntil} from './token-level.js';
 
 /** What {@link createShardIssuer} needs. */
 export type ShardIssuerOptions = {
@@ -64,19 +64,12 @@
 /** Milliseconds between two searches for holders that have ended. */
 const endHoldingsMs = 1000;
 
-/** Largest figure that a notice can carry. */
-const mostAhead = 2_147_483_647;
-
-/** Repeats of a claim that may be lost before it counts as given up. */
-const claimRepeats = 3;
-
 /** Creates an issuer whose lease was just confirmed by the table. */
 export function createShardIssuer(options: ShardIssuerOptions): ShardIssuer {
 	const {settings, evidence, outbox, generation, shard} = options;
 	const startedAt = performance.now();
 	const unreported = new Set(options.holders);
 	const accounts = new Map<string, ShareAccount>();
-	const timers = new Map<string, NodeJS.Timeout>();
 	let {leaseEnd} = options;
 	let stopped = false;
 	let endedAt = Number.NEGATIVE_INFINITY;
@@ -100,6 +93,10 @@
 		updateReserve(account, isComplete(), performance.now());
 	}
 
+	const claims = createClaimLine({
+		generation, settings, outbox, refresh, answer, isComplete, mayIssue, run: options.run,
+	});
+
 	function answer(account: ShareAccount, name: string, claim: Claim): void {
 		const given = giveShare(account, name, claim, settings);
 		const holding = account.holdings.get(name);
@@ -115,76 +112,6 @@
 		refresh(account);
 	}
 
-	/** Comes back as soon as the reserve can pay for the claim at the front. */
-	function arm(account: ShareAccount, tokens: number): void {
-		clearTimeout(timers.get(account.workspace));
-		const wait = msUntil(account.reserve, tokens);
-		if (Number.isFinite(wait)) {
-			timers.set(account.workspace, setTimeout(() => {
-				options.run(() => {
-					if (mayIssue()) {
-						refresh(account);
-						serveClaims(account);
-					}
-				});
-			}, Math.max(1, Math.ceil(wait))));
-		}
-	}
-
-	/** Gives to claims in their order; stops at the first that must wait on. */
-	function serveClaims(account: ShareAccount): void {
-		for (const [name, claim] of account.claims) {
-			if (performance.now() > claim.at + (settings.resendMs * claimRepeats)) {
-				// The holder would have repeated it: nobody waits for these tokens any more.
-				account.claims.delete(name);
-				continue;
-			}
-
-			if (claim.answered) {
-				continue;
-			}
-
-			const needed = Math.min(claim.first, claim.tokens);
-			if (account.reserve.tokens < needed) {
-				arm(account, needed);
-				return;
-			}
-
-			const given = Math.min(Math.floor(account.reserve.tokens), claim.tokens);
-			if (given >= claim.tokens) {
-				account.claims.delete(name);
-				answer(account, name, claim);
-			} else {
-				answer(account, name, claim);
-				// The rest keeps its place until the holder wishes again.
-				claim.tokens -= given;
-				claim.answered = true;
-			}
-		}
-	}
-
-	function notify(account: ShareAccount, name: string): void {
-		let ahead = -account.reserve.tokens;
-		for (const [other, claim] of account.claims) {
-			if (other === name) {
-				break;
-			}
-
-			ahead += claim.tokens;
-		}
-
-		const holding = account.holdings.get(name);
-		if (holding && isComplete()) {
-			outbox.notice(name, holding.incarnation, create(ShareNoticeSchema, {
-				workspace: account.workspace,
-				generation,
-				sequence: holding.sequence,
-				ahead: Math.ceil(Math.max(-mostAhead, Math.min(mostAhead, ahead))),
-				rate: Math.floor(account.reserve.rate),
-			}));
-		}
-	}
-
 	function isNews(origin: PeerOrigin, wish: ShareWish, before: Holding): boolean {
 		if (origin.incarnation === before.incarnation) {
 			return wish.sequence > before.sequence;
@@ -219,29 +146,7 @@
 		if (claim) {
 			claim.at = performance.now();
 			refresh(account);
-			notify(account, name);
-		}
-	}
-
-	function notifyAll(account: ShareAccount): void {
-		for (const [name, claim] of account.claims) {
-			if (!claim.answered) {
-				notify(account, name);
-			}
-		}
-	}
-
-	function placeClaim(account: ShareAccount, name: string, claim: Claim): void {
-		const standing = account.claims.get(name);
-		if (standing) {
-			Object.assign(standing, claim);
-		} else {
-			account.claims.set(name, claim);
-		}
-
-		serveClaims(account);
-		if (account.claims.get(name)?.answered === false) {
-			notify(account, name);
+			claims.notify(account, name);
 		}
 	}
 
@@ -344,7 +249,7 @@
 				at: performance.now(),
 			};
 			if (claim.tokens > 0) {
-				placeClaim(account, origin.name, claim);
+				claims.place(account, origin.name, claim);
 				return;
 			}
 
@@ -353,7 +258,7 @@
 				answer(account, origin.name, claim);
 			}
 
-			serveClaims(account);
+			claims.serve(account);
 		},
 		takeReport(origin) {
 			// With time alone to rely on, an older process of that name may still hold shares.
@@ -365,8 +270,8 @@
 
 			for (const account of accounts.values()) {
 				refresh(account);
-				serveClaims(account);
-				notifyAll(account);
+				claims.serve(account);
+				claims.notifyAll(account);
 			}
 		},
 		setLimit(limit, fresh) {
@@ -397,15 +302,12 @@
 
 			repeatCalls(now);
 			for (const account of accounts.values()) {
-				serveClaims(account);
+				claims.serve(account);
 			}
 		},
 		stop() {
 			stopped = true;
-			for (const timer of timers.values()) {
-				clearTimeout(timer);
-			}
-
+			claims.stop();
 			const left = new Map<string, number>();
 			for (const account of accounts.values()) {
 				refresh(account);
--- a/packages/router/src/lib/limits/share-holder.ts
+++ b/packages/router/src/lib/limits/share-holder.ts
@@ -11,11 +11,12 @@
 } from '../../gen/hickorywalk/v1/limits_pb.js';
 import {type Reservation, type ReservationResult} from '../gateway/ports.js';
 import {
-	countDemand, countSettled, createHeldShare, emptyCapacity, type HeldShare, holdsAnything, lowerAndWish, targetTokens, updateShare, waitingTokens,
+	countDemand, countSettled, createHeldShare, emptyCapacity, type HeldShare, holdsAnything, lowerAndWish, updateShare, waitingTokens,
 } from './held-share.js';
 import {type LimiterSettings, type WorkspaceLimit} from './limiter-settings.js';
 import {type Outbox} from './outbox.js';
 import {shardOf} from './shard-map.js';
+import {isDue, isForgettable, isStale} from './wish-schedule.js';
 import {
 	expectedWaitMs, expireLine, judgeLine, nextLineEvent, serveLine,
 } from './waiting-line.js';
@@ -53,10 +54,6 @@
 
 const msPerSecond = 1000;
 const unknownRetryMs = 1000;
-/** Milliseconds between two wishes that only gather tokens ahead of demand. */
-const prefetchMs = 500;
-const mostResendMs = 5000;
-const renewalsPerLease = 4;
 
 /** Creates a holder without shares. */
 export function createShareHolder(options: ShareHolderOptions): ShareHolder {
@@ -78,14 +75,7 @@
 		return share;
 	}
 
-	/** Whether the last wish no longer says what matters: then a new one gives it up. */
-	function isStale(share: HeldShare, now: number): boolean {
-		const isUnwanted = (share.lastWish?.claim ?? 0) > 0 && share.waiters.length === 0;
-		const isOld = now >= share.wishedAt + (settings.leaseMs / renewalsPerLease);
-		return share.confirm || isUnwanted || isOld;
-	}
-
-	function sendWish(share: HeldShare, now: number, quiet = false): void {
+	function sendWish(share: HeldShare, now: number, kind: 'wish' | 'quiet' | 'report' = 'wish'): void {
 		const issuer = issuerOf(share.shard);
 		if (!issuer) {
 			return;
@@ -94,55 +84,25 @@
 		share.sentAt = now;
 		share.sends += 1;
 		const {lastWish} = share;
-		if (share.outstanding && !isStale(share, now) && lastWish?.generation === issuer.generation) {
+		if (share.outstanding && !isStale(share, settings, now) && lastWish?.generation === issuer.generation) {
 			// Said again as it was: an answer under way stays good, and a lost one is repeated.
 			outbox.wish(issuer.issuer, lastWish);
 			return;
 		}
 
-		const figures = lowerAndWish(share, settings, now);
+		const figures = lowerAndWish(share, settings, now, kind === 'report');
 		sequence += 1;
 		share.sequence = sequence;
 		share.sends = 1;
 		share.wishedAt = now;
-		share.outstanding = !quiet;
+		share.outstanding = kind !== 'quiet';
 		share.confirm = false;
 		share.lastWish = create(ShareWishSchema, {
-			workspace: share.workspace, generation: issuer.generation, sequence: share.sequence, applied: share.applied, ...figures, quiet,
+			workspace: share.workspace, generation: issuer.generation, sequence: share.sequence, applied: share.applied, ...figures, quiet: kind === 'quiet',
 		});
 		outbox.wish(issuer.issuer, share.lastWish);
 	}
 
-	/** Whether the issuer should hear of this share now. */
-	function isDue(share: HeldShare, now: number): boolean {
-		const since = now - share.sentAt;
-		const waiting = share.waiters.length > 0;
-		if (share.outstanding) {
-			return since >= Math.min(settings.resendMs * (2 ** (share.sends - 1)), mostResendMs);
-		}
-
-		if (share.confirm) {
-			return true;
-		}
-
-		if (waiting) {
-			return waitingTokens(share) > share.level.tokens;
-		}
-
-		const target = targetTokens(share, settings, now);
-		if (target > 0 && share.level.tokens < target / 2 && since >= prefetchMs) {
-			return true;
-		}
-
-		if (share.level.tokens < 0) {
-			return true;
-		}
-
-		const held = holdsAnything(share);
-		const idle = held && now >= share.lastAskedAt + settings.idleMs;
-		return idle || (held && now >= share.leaseEnd - (settings.leaseMs * (renewalsPerLease - 1) / renewalsPerLease));
-	}
-
 	/**
 	 * Empty capacity here keeps the issuer's reserve from growing, so it goes
 	 * back soon. Should the message be lost, the next wish says the same.
@@ -150,7 +110,7 @@
 	function trim(share: HeldShare, now: number): void {
 		const whole = limitOf(share.workspace)?.burstTokens ?? 0;
 		if (!share.outstanding && share.waiters.length === 0 && share.level.tokens >= 0 && emptyCapacity(share) > whole * settings.trimShare) {
-			sendWish(share, now, true);
+			sendWish(share, now, 'quiet');
 		}
 	}
 
@@ -186,11 +146,6 @@
 		arm(share, now);
 	}
 
-	function isForgettable(share: HeldShare, now: number): boolean {
-		const isQuiet = !share.outstanding && !share.confirm && share.waiters.length === 0 && share.reserved === 0;
-		return isQuiet && !holdsAnything(share) && share.level.tokens >= 0 && now >= share.lastAskedAt + settings.idleMs;
-	}
-
 	function createReservation(share: HeldShare, tokens: number): Reservation {
 		let settled = false;
 		return {
@@ -244,7 +199,7 @@
 			}
 
 			judge(share, now);
-			if (!share.outstanding && isDue(share, now)) {
+			if (!share.outstanding && isDue(share, settings, now)) {
 				sendWish(share, now);
 			}
 
@@ -317,7 +272,7 @@
 			level.tokens = Math.min(level.burst, level.tokens + grant.tokens);
 			level.at = now;
 			lookAt(share);
-			if (isDue(share, now) && share.waiters.length > 0) {
+			if (isDue(share, settings, now) && share.waiters.length > 0) {
 				sendWish(share, now);
 			}
 
@@ -350,7 +305,7 @@
 			reportedAt.set(shard, {generation: issuer.generation, at: now});
 			for (const share of shares.values()) {
 				if (share.shard === shard && (holdsAnything(share) || share.waiters.length > 0)) {
-					sendWish(share, now);
+					sendWish(share, now, 'report');
 				}
 			}
 
@@ -360,12 +315,12 @@
 			const now = performance.now();
 			for (const share of shares.values()) {
 				updateShare(share, now);
-				if (isDue(share, now)) {
+				if (isDue(share, settings, now)) {
 					sendWish(share, now);
 				}
 
 				trim(share, now);
-				if (isForgettable(share, now)) {
+				if (isForgettable(share, settings, now)) {
 					shares.delete(share.workspace);
 				}
 			}
