A forgotten share says nothing of old grants

Cause: a share that is forgotten began again with no grant applied. If its lease had ended before the issuer took it off the ledger, the issuer would have credited the last grant's tokens although they were spent. Found by reading, not by a history.

A new share counts all grants before it as settled. The test was seen failing without that.

Conclusion: the holder's word on applied grants only ever grows.

--- a/packages/router/src/lib/limits/share-holder.ts
+++ b/packages/router/src/lib/limits/share-holder.ts
@@ -69,6 +69,9 @@
 		let share = shares.get(workspace);
 		if (!share) {
 			share = createHeldShare(workspace, shardOf(workspace, settings.shards), performance.now());
+			// A share of that name may have been forgotten: none of its grants is still to come, and
+			// what they carried may be spent, so the issuer must not take it for unapplied.
+			share.applied = sequence;
 			shares.set(workspace, share);
 		}
 
--- a/packages/router/src/test/limits/shard-issuer.test.ts
+++ b/packages/router/src/test/limits/shard-issuer.test.ts
@@ -1,7 +1,9 @@
 import {assert} from 'chai';
 import {create} from '@bufbuild/protobuf';
 import FakeTimers from '@sinonjs/fake-timers';
-import {type ShareGrant, ShareGrantSchema, ShareWishSchema} from '../../links.js';
+import {
+	type ShareGrant, ShareGrantSchema, type ShareWish, ShareWishSchema,
+} from '../../links.js';
 import {createHeldShare, lowerAndWish} from '../../lib/limits/held-share.js';
 import {defaultLimiterSettings} from '../../lib/limits/limiter-settings.js';
 import {createLivenessEvidence} from '../../lib/limits/liveness-evidence.js';
@@ -70,6 +72,45 @@
 	});
 });
 
+describe('createShareHolder, once it forgot a share', () => {
+	it('does not have spent tokens credited again', async () => {
+		// Tokens were granted and spent, the lease ended unnoticed by the issuer, and
+		// the empty share was forgotten. The next wish must not say that the grant
+		// never came, or the issuer would put its tokens back.
+		const clock = FakeTimers.install();
+		const wishes: ShareWish[] = [];
+		const holder = createShareHolder({
+			settings: defaultLimiterSettings,
+			outbox: {
+				...silentOutbox,
+				wish(_to, next) {
+					wishes.push(next);
+				},
+			},
+			limitOf: () => ({name: workspace, tokensPerSecond: 1000, burstTokens: 1000}),
+			issuerOf: () => ({generation: 1, issuer: 'a'}),
+			run: nothing,
+		});
+		const asked = holder.reserve(workspace, 500, 1000);
+		holder.applyGrant(create(ShareGrantSchema, {
+			workspace, generation: 1, sequence: 1, burst: 500, tokens: 500,
+		}));
+		const result = await asked;
+		if (!result.granted) {
+			assert.fail('the grant was not applied');
+		}
+
+		result.reservation.settle(500);
+		clock.tick(defaultLimiterSettings.leaseMs);
+		holder.tick();
+		void holder.reserve(workspace, 500, 1000);
+		assert.isAbove(wishes.length, 1);
+		assert.isAtLeast(wishes.at(-1)?.applied ?? 0, 1);
+		holder.close();
+		clock.uninstall();
+	});
+});
+
 describe('createShardIssuer', () => {
 	it('does not go back to an older wish that arrives late', () => {
 		// A daemon had nothing, then got 600 tokens. The message from before comes
