Say 'store unavailable' only of a claim, never of what comes after it

Cause: the refusal stood around claim and dispatch alike, so a later throw of the store's error after a dispatch would have been told as not run. None is thrown there today; nothing but the order of calls kept it so. Conclusion: the refusal now depends on the claim alone.

--- a/packages/router/src/lib/orders/keyed-call.ts
+++ b/packages/router/src/lib/orders/keyed-call.ts
@@ -7,7 +7,7 @@
 import {type AnswerSink, createKeepingSink, type KeptAnswer} from './answer-sink.js';
 import {sendProblem} from './call-problems.js';
 import {
-	type ClaimedOrder, type FoundOrder, type OrderBook, type OrderEnd,
+	type Claim, type ClaimedOrder, type FoundOrder, type OrderBook, type OrderEnd,
 } from './order-book.js';
 import {
 	type AnsweredOrder, keyedOrderKey, mostPathCharacters, type PendingOrder, requestDigest,
@@ -215,41 +215,49 @@
 		}
 	};
 
-	const handle = async (keyed: KeyedCall, sink: AnswerSink): Promise<KeyedResult> => {
-		const key = keyOf(keyed);
-		for (;;) {
-			const row = intentOf(keyed);
-			const claimedAt = {monotonic: performance.now(), wall: row.createdMs};
-			const claim = await book.claim(key, row);
-			if (claim.kind === 'mine') {
-				const work = dispatch(keyed, claim.order, claimedAt, sink);
-				inProgress.set(key, work);
-				try {
-					return await work;
-				} finally {
-					inProgress.delete(key);
-				}
+	/** `undefined` when the store cannot tell: then nothing is dispatched. */
+	const claimOrRefuse = async (key: string, row: PendingOrder): Promise<Claim | undefined> => {
+		try {
+			return await book.claim(key, row);
+		} catch (error) {
+			if (error instanceof OrderStoreError) {
+				return undefined;
 			}
 
-			const answer = await answerExisting(keyed, claim.found, row.digest, sink);
-			if (answer !== 'again') {
-				return answer;
-			}
+			throw error;
+		}
+	};
+
+	const dispatchOnce = async (keyed: KeyedCall, order: ClaimedOrder, startedAt: number, sink: AnswerSink): Promise<KeyedResult> => {
+		const work = dispatch(keyed, order, {monotonic: startedAt, wall: order.row.createdMs}, sink);
+		inProgress.set(order.key, work);
+		try {
+			return await work;
+		} finally {
+			inProgress.delete(order.key);
 		}
 	};
 
 	return {
-		/** Answers one keyed call. Never rejects because of the store. */
+		/** Answers one keyed call. Does not reject because of the store. */
 		async handle(keyed: KeyedCall, sink: AnswerSink): Promise<KeyedResult> {
-			try {
-				return await handle(keyed, sink);
-			} catch (error) {
-				if (!(error instanceof OrderStoreError)) {
-					throw error;
+			for (;;) {
+				const startedAt = performance.now();
+				const row = intentOf(keyed);
+				const claim = await claimOrRefuse(keyOf(keyed), row);
+				if (claim === undefined) {
+					sendProblem(sink, 'order_store_unavailable', {requestId: keyed.call.requestId});
+					return 'store_unavailable';
 				}
 
-				sendProblem(sink, 'order_store_unavailable', {requestId: keyed.call.requestId});
-				return 'store_unavailable';
+				if (claim.kind === 'mine') {
+					return dispatchOnce(keyed, claim.order, startedAt, sink);
+				}
+
+				const answer = await answerExisting(keyed, claim.found, row.digest, sink);
+				if (answer !== 'again') {
+					return answer;
+				}
 			}
 		},
 	};
