Rollouts of weights by one owner, each step written down before it acts

Cause: a document that asks for new weights changed nothing at the endpoints, and old orders were never deleted. Whole daemons bring three engines over while every request is answered. Conclusion: workspaces move over in step with ready replicas; the duty of deleting old orders is spread the same way.

--- a/packages/daemon/src/lib/container.ts
+++ b/packages/daemon/src/lib/container.ts
@@ -9,8 +9,10 @@
 	createLog, createMetrics, createServiceLevels, createServiceLevelUpkeep, createSilentMetrics,
 } from 'hickorywalk/observability.js';
 import {createHttpPlatform} from 'hickorywalk/platform.js';
+import {createHttpEngineControl} from 'hickorywalk/rollouts.js';
 import {createPromptHasher, createRetryBudget} from 'hickorywalk/routing.js';
 import {type Settings} from './settings.js';
+import {wireLeases, wireRollouts} from './wiring/duty-wiring.js';
 import {
 	wireEndpointWatch, wirePicker, wirePlacer, wireQueues, wireRefreshEndpoints, wireServiceProxy,
 } from './wiring/endpoint-wiring.js';
@@ -55,6 +57,9 @@
 			daemon: settings.name, liveDaemons: () => liveNames(parts), objects: parts.platform.objects, log: parts.log,
 		})).singleton(),
 		recovery: asFunction(wireRecovery).singleton(),
+		leases: asFunction(wireLeases).singleton(),
+		engineControl: asFunction(({engineProbe}: Parts) => createHttpEngineControl({probe: engineProbe.probe, timeoutMs: settings.engines.probeMs})).singleton(),
+		rollouts: asFunction(wireRollouts).singleton(),
 		models: asFunction(wireModels).singleton(),
 		server: asFunction(wireServer).singleton(),
 		administration: asFunction(wireAdministration).singleton(),
--- a/packages/daemon/src/lib/daemon.ts
+++ b/packages/daemon/src/lib/daemon.ts
@@ -69,6 +69,8 @@
 	parts.refreshEndpoints();
 	parts.serviceLevels.start();
 	parts.upkeep.start();
+	parts.rollouts.start();
+	void parts.leases.start();
 	parts.recovery.start();
 	parts.state.ready = true;
 	parts.membership.setPhase(Phase.READY);
@@ -92,6 +94,9 @@
 	parts.limiter.close();
 	await parts.serviceLevels.stop();
 	await parts.upkeep.stop();
+	parts.rollouts.stop();
+	await parts.leases.release();
+	parts.leases.close();
 	parts.recovery.stop();
 	parts.endpointWatch.stop();
 	parts.follower.stop();
@@ -101,5 +106,6 @@
 	await parts.network.close();
 	await parts.engines.close();
 	await parts.engineProbe.close();
+	await parts.engineControl.close();
 	await parts.platform.close();
 }
--- a/packages/daemon/src/lib/settings.ts
+++ b/packages/daemon/src/lib/settings.ts
@@ -54,6 +54,12 @@
 	}).prefault({}),
 	fewestWarmUpMs: z.number().int().nonnegative().default(1000).describe('How long a starting daemon at least waits for peers that know more than the object store. Milliseconds.'),
 	isolationLimitMs: ms('How long a daemon that is cut off from the store and from most others goes on taking keys.', 15_000),
+	duties: z.strictObject({
+		leaseMs: ms('How long a duty is held without renewal; the same on every daemon.', 30_000),
+		marginMs: ms('How much earlier its holder stops, and how much longer others wait.', 5000),
+		lingerMs: ms('How long an order to an endpoint may still take effect after it was sent.', 5000),
+		loadTimeoutMs: ms('How long an endpoint may take to load weights.', 120_000),
+	}).prefault({}).describe('Duties that one daemon holds at a time.'),
 	drainMs: ms('How long a stopping daemon stays reachable after it reports unready.', 200),
 	metrics: z.strictObject({
 		host: z.string().describe('Host of the statsd service.'),
--- /dev/null
+++ b/packages/daemon/src/lib/wiring/duty-wiring.ts
@@ -0,0 +1,109 @@
+/** Wires duties that one daemon holds at a time: rollouts and the upkeep of orders. */
+import {createLeaseHolder, type LeaseHolder} from 'hickorywalk/leases.js';
+import {createRolloutRunner, type RolloutRunner} from 'hickorywalk/rollouts.js';
+import {liveNames} from './fleet-wiring.js';
+import {type Parts} from './parts.js';
+
+/** The duties of one daemon, of which it may hold some. */
+export type Rollouts = {
+	start: () => void;
+	stop: () => void;
+};
+
+const roundMs = 1000;
+const sweepMs = 60_000;
+const sweepDuty = 'orders-sweep';
+
+const rolloutDuty = (service: string) => `rollout/${service}`;
+
+export function wireLeases(parts: Parts): LeaseHolder {
+	const {settings, incarnation, platform, log} = parts;
+	return createLeaseHolder({
+		name: settings.name,
+		incarnation,
+		table: platform.table,
+		candidates: () => liveNames(parts),
+		leaseMs: settings.duties.leaseMs,
+		marginMs: settings.duties.marginMs,
+		onError(err) {
+			log.warn('The leases could not be kept up.', {err});
+		},
+	});
+}
+
+/** Runs the rollout of each model service, and deletes old orders, where the lease is held. */
+export function wireRollouts(parts: Parts): Rollouts {
+	const {leases, serviceProxy, log} = parts;
+	const runners = new Map<string, RolloutRunner>();
+	let timer: NodeJS.Timeout | undefined;
+	let sweepTimer: NodeJS.Timeout | undefined;
+
+	const runAll = () => {
+		for (const service of parts.configuration()?.accepted.document.services ?? []) {
+			if (service.kind === 'model') {
+				void runOne(service.name);
+			}
+		}
+	};
+
+	const runOne = async (service: string) => {
+		let runner = runners.get(service);
+		if (runner === undefined) {
+			runner = createRunner(parts, service);
+			runners.set(service, runner);
+			leases.contend(rolloutDuty(service));
+		}
+
+		try {
+			await runner.tick();
+		} catch (error) {
+			log.warn('A rollout could not go on; it is tried again.', {service, err: error});
+		}
+	};
+
+	const sweep = async () => {
+		if (leases.held(sweepDuty) === undefined) {
+			return;
+		}
+
+		try {
+			await serviceProxy.sweepExpiredOrders();
+		} catch (error) {
+			log.warn('Old orders could not be deleted; it is tried again.', {err: error});
+		}
+	};
+
+	return {
+		start() {
+			leases.contend(sweepDuty);
+			timer ??= setInterval(runAll, roundMs);
+			sweepTimer ??= setInterval(() => {
+				void sweep();
+			}, sweepMs);
+		},
+		stop() {
+			clearInterval(timer);
+			clearInterval(sweepTimer);
+		},
+	};
+}
+
+function createRunner(parts: Parts, name: string): RolloutRunner {
+	const {settings, leases, platform, engineControl, log, configuration} = parts;
+	return createRolloutRunner({
+		service() {
+			const service = configuration()?.service(name);
+			return service?.kind === 'model' ? service : undefined;
+		},
+		endpoints: () => configuration()?.endpointsOf(name) ?? [],
+		held: () => leases.held(rolloutDuty(name)),
+		control: engineControl,
+		table: platform.table,
+		weights: platform.weights,
+		loadTimeoutMs: settings.duties.loadTimeoutMs,
+		lingerMs: settings.duties.lingerMs,
+		onEvent(text, endpoint) {
+			log.info(text, {service: name, ...(endpoint !== undefined && {endpoint})});
+		},
+	});
+}
--- a/packages/daemon/src/lib/wiring/parts.ts
+++ b/packages/daemon/src/lib/wiring/parts.ts
@@ -8,6 +8,7 @@
 import {
 	type GatewayServer, type HashPrompt, type KeyRing, type ModelGateway, type RetryBudget,
 } from 'hickorywalk/gateway.js';
+import {type LeaseHolder} from 'hickorywalk/leases.js';
 import {type FleetTokenLimiter} from 'hickorywalk/limits.js';
 import {type PeerNetwork} from 'hickorywalk/links.js';
 import {type Membership} from 'hickorywalk/membership.js';
@@ -17,8 +18,10 @@
 import {type ServiceProxy} from 'hickorywalk/orders.js';
 import {type Platform} from 'hickorywalk/platform.js';
 import {type Recovery} from 'hickorywalk/recovery.js';
+import {type createHttpEngineControl} from 'hickorywalk/rollouts.js';
 import {type LearningPlacer} from 'hickorywalk/routing.js';
 import {type Settings} from '../settings.js';
+import {type Rollouts} from './duty-wiring.js';
 
 /** What changes as a daemon starts and stops. */
 export type DaemonState = {
@@ -59,6 +62,9 @@
 	serviceLevels: ServiceLevels;
 	upkeep: ServiceLevelUpkeep;
 	recovery: Recovery;
+	leases: LeaseHolder;
+	engineControl: ReturnType<typeof createHttpEngineControl>;
+	rollouts: Rollouts;
 	models: ModelGateway;
 	server: GatewayServer;
 	administration: AdministrationServer;
--- a/packages/daemon/src/test/promises.test.ts
+++ b/packages/daemon/src/test/promises.test.ts
@@ -84,6 +84,30 @@
 		}
 	});
 
+	// Callers get answers all the while. An operator asks for new weights; one
+	// daemon takes the duty, loads engine after engine, and requests move over.
+	it('brings endpoints to new weights while it serves', async () => {
+		fleet = await startEmbeddedFleet({
+			engines: [{loadMs: 100}, {loadMs: 100}, {loadMs: 100}],
+			daemons: 2,
+			settings: {duties: {leaseMs: 3000, marginMs: 200, lingerMs: 100}},
+		});
+		fleet.platform.memory.setWeights([{
+			model: 'wordsmith', version: 'w2', adapters: [], bytes: 1,
+		}]);
+		await fleet.change(document => {
+			document.services = document.services.map(service => (service.kind === 'model' ? {...service, version: 'w2', minReady: 2} : service));
+		});
+		let turn = 0;
+		while (fleet.engines.some(engine => engine.state().version !== 'w2')) {
+			turn++;
+			assert.equal(await ask(fleet, turn % 2), 200);
+			await delay(20);
+		}
+
+		assert.equal(await ask(fleet, 0), 200);
+	});
+
 	// Callers get answers all the while. The document asks for weights that no
 	// replica has loaded yet, so requests go on to the ones that are there.
 	it('serves the old weights until a replica has the new ones', async () => {
--- /dev/null
+++ b/packages/router/src/lib/rollouts/rollout-runner.ts
@@ -0,0 +1,182 @@
+/**
+ * Brings endpoints to the weights that the document asks for. One daemon owns
+ * a service's rollout by lease; each step is written down before it is taken,
+ * so a successor goes on from there.
+ */
+import {type Endpoint, type ModelService} from '../configuration/document.js';
+import {type HeldLease} from '../leases/lease-holder.js';
+import {type TableClient, type WeightClient} from '../platform/platform.js';
+import {type EngineControl, type EngineWeights} from './engine-control.js';
+import {beginRollout, planRollout, type RolloutView} from './rollout-plan.js';
+import {
+	readRecord, type RolloutRecord, type StoredRecord, writeRecord,
+} from './rollout-record.js';
+
+/** Options of {@link createRolloutRunner}. */
+export type RolloutRunnerOptions = {
+	/** The service as the document has it now; `undefined` when it is gone. */
+	service: () => ModelService | undefined;
+	endpoints: () => readonly Endpoint[];
+	/** The lease on this rollout, looked up on the clock anew. */
+	held: () => HeldLease | undefined;
+	control: EngineControl;
+	table: TableClient;
+	weights: WeightClient;
+	/** Milliseconds that one endpoint may take to load; 120,000 by default. */
+	loadTimeoutMs?: number;
+	/**
+	 * Milliseconds for which an order that was sent may still take effect; 5,000
+	 * by default. An owner sends none when less is left of its lease, and a new
+	 * owner waits as long before its first.
+	 */
+	lingerMs?: number;
+	/** Told of each order, halt or turn, for logs. */
+	onEvent?: (text: string, endpoint?: string) => void;
+};
+
+/** Runs one service's rollout. */
+export type RolloutRunner = {
+	/** One round; rejects when table or weight store give no answer, and nothing was lost. */
+	tick: () => Promise<void>;
+	/** The record as last seen by this daemon. */
+	record: () => RolloutRecord | undefined;
+};
+
+const defaultLoadTimeoutMs = 120_000;
+const defaultLingerMs = 5000;
+
+/**
+ * Creates a runner; it acts only while its lease is held.
+ *
+ * @example
+ * const runner = createRolloutRunner({service, endpoints, held: () => leases.held('rollout/wordsmith'), control, table, weights});
+ * setInterval(() => void runner.tick(), 1000);
+ */
+export function createRolloutRunner(options: RolloutRunnerOptions): RolloutRunner {
+	const {control, table, onEvent} = options;
+	const loadTimeoutMs = options.loadTimeoutMs ?? defaultLoadTimeoutMs;
+	const lingerMs = options.lingerMs ?? defaultLingerMs;
+	let stored: StoredRecord | undefined;
+	let ownedFencing: number | undefined;
+	let ownedSince = 0;
+	let busy = false;
+
+	/**
+	 * Some endpoints obey an order with an old fencing number. The owner before
+	 * sent none in the last `lingerMs` of its lease, so after as long a wait its
+	 * orders have all arrived or died, and what is read then is what stands.
+	 */
+	function hasWaitedOut(lease: HeldLease): boolean {
+		if (lease.fencing !== ownedFencing) {
+			ownedFencing = lease.fencing;
+			ownedSince = performance.now();
+			stored = undefined;
+		}
+
+		return performance.now() - ownedSince >= lingerMs;
+	}
+
+	async function look(service: ModelService): Promise<RolloutView> {
+		const seen = await Promise.all(options.endpoints().map(async endpoint => [endpoint.name, await weightsOf(endpoint)] as const));
+		return {
+			weights: new Map(seen), minReady: service.minReady, maxLoading: service.maxLoading, nowMs: Date.now(), loadTimeoutMs,
+		};
+	}
+
+	async function weightsOf(endpoint: Endpoint): Promise<EngineWeights | undefined> {
+		try {
+			return await control.weights(endpoint.address);
+		} catch {
+			return undefined;
+		}
+	}
+
+	async function isInStore({model, version}: ModelService): Promise<boolean> {
+		const list = await options.weights.list();
+		return list.some(item => item.model === model && item.version === version);
+	}
+
+	async function step(service: ModelService): Promise<void> {
+		stored ??= await readRecord(table, service.name);
+		const view = await look(service);
+		let {record} = stored;
+		if (record?.target !== service.version) {
+			const isNeeded = [...view.weights.values()].some(weights => weights !== undefined && weights.version !== service.version);
+			if (!isNeeded || !await isInStore(service)) {
+				return;
+			}
+
+			record = beginRollout(record, service.version, view);
+		}
+
+		const plan = planRollout(record, view);
+		if (JSON.stringify(plan.record) !== JSON.stringify(stored.record)) {
+			tellTurn(stored.record, plan.record);
+			stored = await writeRecord(table, service.name, stored, plan.record);
+		}
+
+		await sendOrders(service, plan.orders);
+	}
+
+	function tellTurn(before: RolloutRecord | undefined, after: RolloutRecord): void {
+		if (before?.phase !== after.phase || before.target !== after.target) {
+			onEvent?.(`Rollout to ${after.target}: ${after.phase}${after.reason === '' ? '' : `, ${after.reason}`}.`);
+		}
+	}
+
+	async function sendOrders(service: ModelService, orders: ReadonlyArray<{endpoint: string; version: string}>): Promise<void> {
+		await Promise.all(orders.map(async ({endpoint, version}) => {
+			const found = options.endpoints().find(item => item.name === endpoint);
+			// Looked at once more: writing the record may have taken long.
+			const lease = options.held();
+			if (found === undefined || lease === undefined || lease.msLeft < lingerMs) {
+				return;
+			}
+
+			onEvent?.(`Endpoint is told to load ${version}.`, endpoint);
+			try {
+				await control.order(found.address, {fencing: lease.fencing, model: service.model, version});
+			} catch {
+				// The order may have arrived: the next look tells, and the time limit ends it.
+			}
+		}));
+	}
+
+	/** Orders that are in the record and that no engine shows were lost with their sender. */
+	async function repeatLost(service: ModelService): Promise<void> {
+		const steps = Object.entries(stored?.record?.steps ?? {});
+		const lost = [];
+		for (const [endpoint, {version}] of steps) {
+			const found = options.endpoints().find(item => item.name === endpoint);
+			const weights = found === undefined ? undefined : await weightsOf(found);
+			if (weights !== undefined && !weights.loading && weights.version !== version) {
+				lost.push({endpoint, version});
+			}
+		}
+
+		await sendOrders(service, lost);
+	}
+
+	return {
+		record: () => stored?.record,
+		async tick() {
+			const lease = options.held();
+			const service = options.service();
+			if (busy || lease === undefined || service === undefined || !hasWaitedOut(lease) || lease.msLeft < lingerMs) {
+				return;
+			}
+
+			busy = true;
+			try {
+				await step(service);
+				await repeatLost(service);
+			} catch (error) {
+				// Whoever wrote the row since then knows more.
+				stored = undefined;
+				throw error;
+			} finally {
+				busy = false;
+			}
+		},
+	};
+}
--- a/packages/standins/src/lib/engine/engine-standin.ts
+++ b/packages/standins/src/lib/engine/engine-standin.ts
@@ -59,6 +59,7 @@
 	fencing: number;
 };
 
+/** Stand-ins of one process share a weight store, so their loads slow each other down. */
 let loadersInProcess = 0;
 
 /** Starts an engine stand-in. */
@@ -187,6 +188,10 @@
 
 	async function loadWeights(model: string, version: string): Promise<void> {
 		loading = true;
+		while (works.size > 0) {
+			await delay(1);
+		}
+
 		loadersInProcess++;
 		await delay(settings.loadMs * Math.max(1, loadersInProcess / slowestLoaders));
 		loadersInProcess--;
