Measure restarts at 9, 65 and 650 daemons

Cause: time to serve and reads of the store in a herd had to be known at the target's size. A first version of the bench left out the reads of the first instant (46 and 92) and was mended.

--- a/packages/traces/src/lib/bench/recovery-bench.ts
+++ b/packages/traces/src/lib/bench/recovery-bench.ts
@@ -50,7 +50,7 @@
 		// An hour of polls of 650 daemons takes long to run; the last minute shows the same.
 		await clock.tickAsync(size.daemons > 100 ? longestSeconds * secondMs : outageMs);
 		fleet.stop(1);
-		return watch(fleet, [fleet.start(1)], clock);
+		return watch(fleet, () => [fleet.start(1)], clock);
 	},
 } as const;
 
@@ -88,20 +88,22 @@
 		fleet.stop(index);
 	}
 
-	return watch(fleet, Array.from({length: size.daemons}, (_, index) => fleet.start(index)), clock);
+	return watch(fleet, () => Array.from({length: size.daemons}, (_, index) => fleet.start(index)), clock);
 }
 
 /** Advances the clock until all are ready, and tells what the busiest second asked of the store. */
-async function watch(fleet: Fleet, running: readonly Running[], clock: Clock) {
+async function watch(fleet: Fleet, start: () => Running[], clock: Clock) {
 	const {store} = fleet;
 	const bytesBefore = fleet.bytes();
 	let peakTableReads = 0;
 	let peakObjectReads = 0;
+	let before = {...store};
+	const running = start();
 	for (let second = 0; second < longestSeconds && running.some(one => one.timeToServeMs === undefined); second++) {
-		const before = {...store};
 		await clock.tickAsync(secondMs);
 		peakTableReads = Math.max(peakTableReads, store.tableReads - before.tableReads);
 		peakObjectReads = Math.max(peakObjectReads, store.objectReads - before.objectReads);
+		before = {...store};
 	}
 
 	const times = running.map(one => one.timeToServeMs ?? Infinity).toSorted((a, b) => a - b);
