Count silence from when it could be heard, and a longer bound for it

Cause: a daemon that had just started took one it never heard for silent for ever, and would have told the operator at once that it had stopped; and the bound of isolation limit plus 5 s left out news that is passed on behind a cut. Figures: the new test failed with the old reckoning and passes now; the bound is 35 s instead of 20 s by default, by arithmetic (docs/design/configuration.md). Conclusion: an answer of 'in force' waits longer for a silent daemon, and is then true.

--- a/packages/router/src/lib/configuration/confirmations.ts
+++ b/packages/router/src/lib/configuration/confirmations.ts
@@ -33,16 +33,21 @@
 export type ConfirmationOptions = {
 	version: number;
 	daemons: Iterable<DaemonConfirmation>;
-	/** Milliseconds of silence after which a daemon serves no keys: its isolation limit and what a link may hide, see {@link silenceBoundMs}. */
+	/** Milliseconds of silence after which a daemon serves no keys: its isolation limit and the lag of what it heard, see {@link silenceBoundMs}. */
 	silentLimitMs: number;
 };
 
-/** Milliseconds that a link may keep an old message before it counts as silent. */
-const linkAllowanceMs = 5000;
+/**
+ * Milliseconds by which a daemon that was cut off may stop later than its
+ * isolation limit: news that had crossed before the cut is passed on behind it
+ * for up to 14 hops of a second, a link may hold a message for up to 4.5 s, and
+ * a counter from another data centre is heard up to 5 s after it was sent.
+ */
+const knowledgeLagMs = 20_000;
 
 /** The silence after which a daemon surely serves no keys by an old version. */
 export function silenceBoundMs(isolationLimitMs: number): number {
-	return isolationLimitMs + linkAllowanceMs;
+	return isolationLimitMs + knowledgeLagMs;
 }
 
 /** Tells where a version is in force. */
--- a/packages/router/src/lib/membership/member-table.ts
+++ b/packages/router/src/lib/membership/member-table.ts
@@ -14,6 +14,8 @@
 	id: number;
 	/** When its counter last went on, by this daemon's monotonic clock; `-Infinity` when it was only listed. */
 	heardAt: number;
+	/** When this daemon first knew of it. */
+	knownSince: number;
 	/** When it was last told to daemons of this data centre, and to others. */
 	toldNearAt: number;
 	toldFarAt: number;
@@ -49,7 +51,7 @@
 		}
 
 		const member = {
-			state, id: idOf(state.name, state.incarnation), heardAt, toldNearAt: -Infinity, toldFarAt: -Infinity,
+			state, id: idOf(state.name, state.incarnation), heardAt, knownSince: before?.knownSince ?? performance.now(), toldNearAt: -Infinity, toldFarAt: -Infinity,
 		};
 		members.set(state.name, member);
 		byId.set(member.id, member);
--- a/packages/router/src/lib/membership/member.ts
+++ b/packages/router/src/lib/membership/member.ts
@@ -19,7 +19,7 @@
 	configurationVersion: number;
 	/** Newest layout of the document that it understands. */
 	documentLayout: number;
-	/** Milliseconds since its counter last went on, as far as known here. */
+	/** Milliseconds since its counter last went on, at most as long as it is known here. */
 	silentMs: number;
 };
 
@@ -84,7 +84,8 @@
 				peerAddress: state.peerAddress,
 				configurationVersion: isSelf ? options.configurationVersion() : Number(state.configurationVersion),
 				documentLayout: state.documentLayout,
-				silentMs: isSelf ? 0 : performance.now() - known.heardAt,
+				// One that was never heard counts from when it was known of: a daemon that has just started can't tell how long others were silent.
+				silentMs: isSelf ? 0 : performance.now() - Math.max(known.heardAt, known.knownSince),
 			};
 		},
 	};
--- a/packages/router/src/test/membership/membership.test.ts
+++ b/packages/router/src/test/membership/membership.test.ts
@@ -95,6 +95,18 @@
 		}
 	});
 
+	it('does not call a daemon silent for longer than it could have heard it', async () => {
+		// One daemon is cut off and may still serve by an old version. Another has
+		// just started and never heard it: were that infinite silence, it would
+		// tell the operator at once that the first has stopped.
+		await startFleet({daemons: 3, dataCentres: 1, route: (from, to) => from === 'vm-2' || to === 'vm-2' ? [] : [2]});
+		fleet.stop('vm-0');
+		fleet.start('vm-0', 2n);
+		await clock.tickAsync(2000);
+		const cutOff = fleet.memberships.get('vm-0')?.confirmations().find(({vm}) => vm === 'vm-2');
+		assert.isAtMost(cutOff?.silentMs ?? Infinity, 2000);
+	});
+
 	it('goes on when the representatives of a data centre die', async () => {
 		await startFleet({daemons: 16, dataCentres: 2});
 		for (const name of ['vm-0', 'vm-10', 'vm-1', 'vm-11']) {
