Command line over whole daemons; heavy libraries loaded when asked for

A request beyond the whole burst got Retry-After of infinity. Conclusion: such a request is refused with 400 and what to change.

--- a/packages/daemon/src/lib/commands/demo.ts
+++ b/packages/daemon/src/lib/commands/demo.ts
@@ -3,7 +3,7 @@
 import {fetch} from 'undici';
 import {type CommandModule} from 'yargs';
 import {certificateRequests, type DemoRequest, transcriptRequests} from '../demo-traffic.js';
-import {type EmbeddedFleet, startEmbeddedFleet} from '../embedded-fleet.js';
+import {type EmbeddedFleet} from '../embedded-fleet.js';
 
 type Tally = {
 	firstToken: Histogram;
@@ -22,6 +22,7 @@
 	describe: 'Run a small fleet with stand-ins in this process, send requests, print the measures.',
 	builder: yargs => yargs.example('$0 demo', 'Takes a few seconds and needs nothing else.'),
 	async handler() {
+		const {startEmbeddedFleet} = await import('../embedded-fleet.js');
 		const fleet = await startEmbeddedFleet({
 			engines: [
 				...Array.from({length: 4}, () => ({model: 'wordsmith'})),
--- a/packages/daemon/src/lib/commands/serve.ts
+++ b/packages/daemon/src/lib/commands/serve.ts
@@ -1,8 +1,6 @@
 /** `hickorywalk serve`: runs one daemon until it is told to stop. */
 import process from 'node:process';
 import {type CommandModule} from 'yargs';
-import {startDaemon} from '../daemon.js';
-import {readSettings} from '../settings.js';
 
 type ServeArguments = {settings: string; check: boolean};
 
@@ -16,12 +14,15 @@
 		.example('$0 serve --settings vm-1.json', 'Serve until SIGTERM, then drain.')
 		.example('$0 serve --settings vm-1.json --check', 'Only check the settings.'),
 	async handler({settings: file, check}) {
+		// Loaded here, so that no other command pays for all of the daemon.
+		const {readSettings} = await import('../settings.js');
 		const settings = await readSettings(file);
 		if (check) {
 			console.log(`${file} holds together.`);
 			return;
 		}
 
+		const {startDaemon} = await import('../daemon.js');
 		const daemon = await startDaemon(settings);
 		console.log(JSON.stringify({listening: daemon.callersUrl, administration: daemon.administrationUrl, peers: daemon.peerAddress}));
 		const stop = () => {
--- a/packages/daemon/src/lib/commands/standin.ts
+++ b/packages/daemon/src/lib/commands/standin.ts
@@ -1,16 +1,8 @@
 /** `hickorywalk standin`: runs a stand-in of an outside system. */
-import {startEngineStandin, startPlatformStandin, startServiceStandin} from '@hickorywalk/standins';
 import {type CommandModule} from 'yargs';
 
 type StandinArguments = {kind: 'platform' | 'engine' | 'service'; host: string; port: number; options: string};
 
-/** Starts each kind of stand-in from options in JSON. */
-const starters: Record<StandinArguments['kind'], (options: Record<string, unknown>) => Promise<{url: string}>> = {
-	platform: startPlatformStandin,
-	engine: startEngineStandin,
-	service: startServiceStandin,
-};
-
 /** The command. */
 export const standinCommand: CommandModule<unknown, StandinArguments> = {
 	command: 'standin <kind>',
@@ -22,6 +14,12 @@
 		.option('options', {type: 'string', default: '{}', describe: 'Further options of the stand-in (JSON).'})
 		.example('$0 standin engine --port 9001 --options \'{"model":"wordsmith"}\'', 'Run one engine.'),
 	async handler({kind, host, port, options}) {
+		const {startEngineStandin, startPlatformStandin, startServiceStandin} = await import('@hickorywalk/standins');
+		const starters: Record<StandinArguments['kind'], (options: Record<string, unknown>) => Promise<{url: string}>> = {
+			platform: startPlatformStandin,
+			engine: startEngineStandin,
+			service: startServiceStandin,
+		};
 		const standin = await starters[kind]({...JSON.parse(options) as Record<string, unknown>, host, port});
 		console.log(JSON.stringify({listening: standin.url}));
 	},
--- a/packages/daemon/src/lib/wiring/gateway-wiring.ts
+++ b/packages/daemon/src/lib/wiring/gateway-wiring.ts
@@ -1,5 +1,4 @@
 /** Wires the servers: the gateway for callers and the administration for operators. */
-import {renderBurnPage} from '@hickorywalk/traces/burn.js';
 import {
 	type AdministrationServer, createAdministrationServer, type FleetStatus,
 } from 'hickorywalk/administration.js';
@@ -127,7 +126,11 @@
 					objects: platform.objects, document, version, log,
 				});
 			},
-			renderHtml: renderBurnPage,
+			async renderHtml(report) {
+				// The plots' library is large, and few daemons ever draw a page.
+				const {renderBurnPage} = await import('@hickorywalk/traces/burn.js');
+				return renderBurnPage(report);
+			},
 		},
 		log,
 	});
--- a/packages/daemon/src/test/bad-input.test.ts
+++ b/packages/daemon/src/test/bad-input.test.ts
@@ -7,7 +7,12 @@
 	let fleet: EmbeddedFleet;
 	before(async () => {
 		fleet = await startEmbeddedFleet({
-			engines: [{}], daemons: 1, settings: {gateway: {largestBodyBytes: 100_000, largestOutputTokens: 500}},
+			engines: [{}],
+			daemons: 1,
+			edit(document) {
+				document.workspaces[1].burstTokens = 300;
+			},
+			settings: {gateway: {largestBodyBytes: 100_000, largestOutputTokens: 500}},
 		});
 	});
 	after(async () => fleet.stop());
@@ -45,6 +50,14 @@
 		});
 	}
 
+	// The caller is told what to change, and no time to come back: the request is
+	// larger than the whole burst, so it would never be admitted.
+	it('answers a request beyond the whole burst with 400 and without Retry-After', async () => {
+		const res = await send(JSON.stringify({model: 'wordsmith', max_tokens: 400, messages: [message]}), {authorization: `Bearer ${fleet.keys['school-2']}`});
+		const {error} = await res.json() as {error: {code: string}};
+		assert.deepEqual([res.status, error.code, res.headers.get('retry-after')], [400, 'burst_exceeded', null]);
+	});
+
 	it('closes on headers that are too large, and goes on', async () => {
 		const res = await send(good, {'x-filler': 'a'.repeat(20_000)});
 		assert.equal(res.status, 431);
--- a/packages/router/src/lib/gateway/admission.ts
+++ b/packages/router/src/lib/gateway/admission.ts
@@ -101,12 +101,17 @@
 /**
  * Takes the request's tokens, then waits for its turn.
  *
- * @throws {GatewayError} `rate_limited` or `overloaded`, both true to "not run".
+ * @throws {GatewayError} `burst_exceeded`, `rate_limited` or `overloaded`, all true to "not run".
  */
 export async function admit(options: AdmitOptions): Promise<Admission> {
 	const {workspace} = options.caller;
 	const tokens = options.promptTokens + options.maxOutputTokens;
 	const result = await options.limiter.reserve(workspace.name, tokens, options.longestTokenWaitMs);
+	if (!result.granted && !Number.isFinite(result.retryAfterMs)) {
+		// No wait would ever end in a grant, so no time to come back is told.
+		throw new GatewayError('burst_exceeded', `The request may take ${tokens} tokens, more than the whole burst of workspace ${workspace.name} (${workspace.burstTokens}). Lower max_tokens or shorten the prompt. Nothing was run.`);
+	}
+
 	if (!result.granted) {
 		throw new GatewayError('rate_limited', `Workspace ${workspace.name} is past its rate. Nothing was run.`, result.retryAfterMs);
 	}
--- a/packages/router/src/lib/gateway/gateway-errors.ts
+++ b/packages/router/src/lib/gateway/gateway-errors.ts
@@ -9,6 +9,7 @@
 	model_not_found: {status: 404, type: 'invalid_request_error', notRun: true},
 	service_not_found: {status: 404, type: 'invalid_request_error', notRun: true},
 	request_too_large: {status: 413, type: 'invalid_request_error', notRun: true},
+	burst_exceeded: {status: 400, type: 'invalid_request_error', notRun: true},
 	rate_limited: {status: 429, type: 'rate_limit_error', notRun: true},
 	overloaded: {status: 503, type: 'overloaded_error', notRun: true},
 	no_endpoint: {status: 503, type: 'overloaded_error', notRun: true},
