Capacity page with heartbeats; a measurement that can't end is bounded

Cause: membership has landed, so heartbeats have slopes (20 to 320 daemons), and links are those that it keeps rather than all of a data centre.

--- a/packages/traces/src/lib/bench/membership-bench.ts
+++ b/packages/traces/src/lib/bench/membership-bench.ts
@@ -14,7 +14,7 @@
 import {createMembership, type Membership, Phase} from 'hickorywalk/membership.js';
 import {type VmEntry} from 'hickorywalk/platform.js';
 
-type Size = {daemons: number; dataCentres: number};
+export type Size = {daemons: number; dataCentres: number};
 type Figures = {bytes: number; messages: number; listReads: number};
 type Fleet = {memberships: Membership[]; figures: Figures; neighbours: () => number};
 
@@ -30,7 +30,7 @@
 	let before: {daemons: number; bytes: number} | undefined;
 	for (const size of sizes) {
 		const clock = FakeTimers.install();
-		const result = await measure(size, clock, cpuUsage);
+		const result = await measureMembership(size, clock, cpuUsage);
 		clock.uninstall();
 		const bytes = result.bytes_per_daemon_per_s;
 		const slope = before === undefined ? undefined : (bytes - before.bytes) / (size.daemons - before.daemons);
@@ -39,7 +39,7 @@
 	}
 }
 
-async function measure(size: Size, clock: Clock, cpuUsage: typeof process.cpuUsage) {
+export async function measureMembership(size: Size, clock: Clock, cpuUsage: typeof process.cpuUsage) {
 	const fleet = createFleet(size);
 	for (const membership of fleet.memberships) {
 		await membership.start();
--- a/packages/traces/src/lib/capacity/capacity-rows.ts
+++ b/packages/traces/src/lib/capacity/capacity-rows.ts
@@ -45,7 +45,8 @@
  */
 const issuerLinks = 193;
 
-const localLinks = perDaemon.daemonsOfDataCentre - 1;
+/** Mean links that heartbeats keep open at 650 daemons; `npm run bench -- membership`, docs/design/membership.md. */
+const heartbeatLinks = 6.9;
 
 /** A ping has 15 bytes of its own, 14 of HTTP/2 and the stream's envelope, and 40 of TCP and IP; one a second each way. */
 const pingBytesPerLink = 2 * (15 + 14 + 40);
@@ -88,14 +89,24 @@
 
 const linkRows: CapacityRow[] = [
 	{
-		role: 'links inside the data centre',
-		state: `${localLinks.toFixed(0)} streams (memory not measured)`,
-		messages: 'one ping a second each way',
-		mechanism: 'one long-lived stream for two daemons, batches by tick',
+		role: 'links for heartbeats',
+		state: `${heartbeatLinks} streams (memory not measured)`,
+		messages: 'one ping and one batch a second each way',
+		mechanism: 'few neighbours; one long-lived stream for two daemons, batches by tick',
 		basis: 'measured',
-		coreShare: slopes => us * localLinks * slopes.slope('links', 'one end of a link in a second, pings only', 'link'),
+		coreShare: slopes => us * heartbeatLinks * slopes.slope('links', 'one end of a link in a second, one message each way', 'link'),
 		memory: none,
-		bytesPerSecond: () => localLinks * pingBytesPerLink,
+		bytesPerSecond: () => heartbeatLinks * pingBytesPerLink,
+	},
+	{
+		role: 'heartbeats',
+		state: 'a record of each of 650 daemons (memory not measured)',
+		messages: 'counters of all daemons through neighbours, whole states on change',
+		mechanism: 'ring with chords in a data centre, representatives between them',
+		basis: 'extrapolated',
+		coreShare: slopes => us * targetSize.daemons * slopes.slope('heartbeats', 'work of one daemon in a second', 'daemon of the fleet'),
+		memory: none,
+		bytesPerSecond: slopes => targetSize.daemons * slopes.slope('heartbeats', 'messages of one daemon in a second', 'daemon of the fleet'),
 	},
 	{
 		role: 'links to issuers of shares',
@@ -128,7 +139,7 @@
 		state: '12,000 endpoints and 32,768 remembered prefix levels; no map of blocks',
 		messages: 'none of its own: it learns from answers',
 		mechanism: 'computed homes of nested prefixes, corrected by answers',
-		basis: 'measured',
+		basis: 'extrapolated',
 		coreShare: slopes => us * perDaemon.requestsPerSecond * slopes.slope('placement', 'place, start and finish, with 12,000 endpoints', 'request'),
 		memory(slopes) {
 			const endpoints = targetSize.replicas * slopes.slope('placement', 'state', 'endpoint');
--- a/packages/traces/src/lib/capacity/slopes-routing.ts
+++ b/packages/traces/src/lib/capacity/slopes-routing.ts
@@ -8,7 +8,8 @@
 
 const role = 'placement';
 const endpointSizes = doublings(750);
-const prefixSizes = doublings(2048);
+const prefixSizes = doublings(1024);
+const mostRequests = 20_000;
 const services = 10;
 
 function seededRandom(): () => number {
@@ -86,6 +87,10 @@
 			build() {
 				const placer = createFilled(services);
 				for (let index = 0; placer.rememberedPrefixes() < size; index++) {
+					if (index > mostRequests) {
+						throw new Error(`The placer remembers no ${size} prefixes; choose smaller sizes.`);
+					}
+
 					serve(placer, requestOf(index));
 				}
 
