Tell an accepted version at once from the daemon that took it

Cause: the daemon that accepts a change waited for its own next poll before it told its peers. Conclusion: the store's propose is followed by a read of the head.

--- a/packages/daemon/src/lib/wiring/gateway-wiring.ts
+++ b/packages/daemon/src/lib/wiring/gateway-wiring.ts
@@ -113,7 +113,15 @@
 	const {settings, configurationStore, membership, serviceProxy, platform, follower, log} = parts;
 	return createAdministrationServer({
 		operators: settings.operators,
-		configuration: configurationStore,
+		configuration: {
+			...configurationStore,
+			async propose(document, proposal) {
+				const accepted = await configurationStore.propose(document, proposal);
+				// The daemon that accepted a version is the first to tell it.
+				await follower.refresh();
+				return accepted;
+			},
+		},
 		inForce: version => summariseConfirmations({
 			version, daemons: membership.confirmations(), silentLimitMs: silenceBoundMs(settings.isolationLimitMs),
 		}),
--- a/packages/router/src/lib/gateway/admission.ts
+++ b/packages/router/src/lib/gateway/admission.ts
@@ -109,7 +109,8 @@
 	const result = await options.limiter.reserve(workspace.name, tokens, options.longestTokenWaitMs);
 	if (!result.granted && !Number.isFinite(result.retryAfterMs)) {
 		// No wait would ever end in a grant, so no time to come back is told.
-		throw new GatewayError('burst_exceeded', `The request may take ${tokens} tokens, more than the whole burst of workspace ${workspace.name} (${workspace.burstTokens}). Lower max_tokens or shorten the prompt. Nothing was run.`);
+		const why = `The request may take ${tokens} tokens, more than the whole burst of workspace ${workspace.name} (${workspace.burstTokens}).`;
+		throw new GatewayError('burst_exceeded', `${why} Lower max_tokens or shorten the prompt. Nothing was run.`);
 	}
 
 	if (!result.granted) {
