Log lines of serve, alerts of burn on one daemon

Cause: the library is silent until it is given a writer, and serve gave it none; the gauges of burn were reported by nobody. Conclusion: one JSON line for each event goes to standard error.

--- a/packages/daemon/src/lib/commands/serve.ts
+++ b/packages/daemon/src/lib/commands/serve.ts
@@ -22,6 +22,10 @@
 			return;
 		}
 
+		const {setLogWriter} = await import('hickorywalk/observability.js');
+		setLogWriter(line => {
+			process.stderr.write(`${line}\n`);
+		}, settings.logLevel);
 		const {startDaemon} = await import('../daemon.js');
 		const daemon = await startDaemon(settings);
 		console.log(JSON.stringify({listening: daemon.callersUrl, administration: daemon.administrationUrl, peers: daemon.peerAddress}));
--- a/packages/daemon/src/lib/wiring/duty-wiring.ts
+++ b/packages/daemon/src/lib/wiring/duty-wiring.ts
@@ -1,5 +1,6 @@
-/** Wires duties that one daemon holds at a time: rollouts and the upkeep of orders. */
+/** Wires duties that one daemon holds at a time: rollouts, the upkeep of orders, alerts of burn. */
 import {createLeaseHolder, type LeaseHolder} from 'hickorywalk/leases.js';
+import {createBurnReport, reportBurnMetrics} from 'hickorywalk/observability.js';
 import {createRolloutRunner, type RolloutRunner} from 'hickorywalk/rollouts.js';
 import {liveNames} from './fleet-wiring.js';
 import {type Parts} from './parts.js';
@@ -12,7 +13,9 @@
 
 const roundMs = 1000;
 const sweepMs = 60_000;
+const burnMs = 300_000;
 const sweepDuty = 'orders-sweep';
+const burnDuty = 'burn-metrics';
 
 const rolloutDuty = (service: string) => `rollout/${service}`;
 
@@ -37,6 +40,7 @@
 	const runners = new Map<string, RolloutRunner>();
 	let timer: NodeJS.Timeout | undefined;
 	let sweepTimer: NodeJS.Timeout | undefined;
+	let burnTimer: NodeJS.Timeout | undefined;
 
 	const runAll = () => {
 		for (const service of parts.configuration()?.accepted.document.services ?? []) {
@@ -73,9 +77,26 @@
 		}
 	};
 
+	const tellBurn = async () => {
+		const accepted = parts.follower.current();
+		if (leases.held(burnDuty) === undefined || accepted === undefined) {
+			return;
+		}
+
+		try {
+			reportBurnMetrics(await createBurnReport({objects: parts.platform.objects, ...accepted, log}), parts.metrics);
+		} catch (error) {
+			log.warn('The burn could not be worked out; it is tried again.', {err: error});
+		}
+	};
+
 	return {
 		start() {
 			leases.contend(sweepDuty);
+			leases.contend(burnDuty);
+			burnTimer ??= setInterval(() => {
+				void tellBurn();
+			}, burnMs);
 			timer ??= setInterval(runAll, roundMs);
 			sweepTimer ??= setInterval(() => {
 				void sweep();
@@ -84,6 +105,7 @@
 		stop() {
 			clearInterval(timer);
 			clearInterval(sweepTimer);
+			clearInterval(burnTimer);
 		},
 	};
 }
