Unready until the daemons that issue shares are heard

Cause: one run of the checks failed in the whole-path test with 429 for a rightful request. The table names the issuer of a workspace's shares at once, the VM list that says where it is lags; a daemon that was ready in between had no token to give and refused everything. Conclusion: ready means that every issuer is heard; a silent one keeps a daemon out for 10 s at most while another is heard.

--- a/packages/daemon/src/lib/embedded-fleet.ts
+++ b/packages/daemon/src/lib/embedded-fleet.ts
@@ -1,5 +1,6 @@
 /** A small fleet in one process: stand-ins, daemons and a document, for the demo and for tests. */
 import {createHash} from 'node:crypto';
+import {setTimeout as delay} from 'node:timers/promises';
 import {
 	type EngineStandin, type PlatformStandin, type ServiceStandin, startEngineStandin, startPlatformStandin, startServiceStandin,
 } from '@hickorywalk/standins';
@@ -22,6 +23,8 @@
 	daemons: number;
 	/** Settings that differ from the defaults. */
 	settings?: Partial<z.input<typeof settingsSchema>>;
+	/** Milliseconds by which the platform's VM list lags behind the start of the daemons. */
+	listLagMs?: number;
 	/** Changes the document before it is accepted. */
 	edit?: (document: DocumentInput) => void;
 };
@@ -74,6 +77,7 @@
 		}, 'embedded settings')));
 	}
 
+	await delay(options.listLagMs ?? 0);
 	platform.memory.setVms([
 		...daemons.map(({name, peerAddress}) => describeVm(name, 'entry', peerAddress)),
 		...(document.endpoints ?? []).map(({vm}) => describeVm(vm, 'endpoint', '')),
--- a/packages/daemon/src/lib/settings.ts
+++ b/packages/daemon/src/lib/settings.ts
@@ -53,6 +53,7 @@
 		mostWaiting: z.number().int().positive().default(4096).describe('Most requests that wait for one service.'),
 	}).prefault({}),
 	fewestWarmUpMs: z.number().int().nonnegative().default(1000).describe('How long a starting daemon at least waits for peers that know more than the object store. Milliseconds.'),
+	issuerWaitMs: ms('How long a starting daemon waits for a silent daemon that issues shares of rates.', 10_000),
 	isolationLimitMs: ms('How long a daemon that is cut off from the store and from most others goes on taking keys.', 15_000),
 	duties: z.strictObject({
 		leaseMs: ms('How long a duty is held without renewal; the same on every daemon.', 30_000),
--- a/packages/daemon/src/lib/wiring/fleet-wiring.ts
+++ b/packages/daemon/src/lib/wiring/fleet-wiring.ts
@@ -111,6 +111,7 @@
  */
 export function wireRecovery(parts: Parts): Recovery {
 	const {platform, network, membership, follower, placer, log, settings} = parts;
+	const hearsIssuers = createIssuerCheck(parts);
 	const recovery = createRecovery({
 		objects: platform.objects,
 		send: network.send,
@@ -131,7 +132,7 @@
 			},
 		],
 		fewestWarmUpMs: settings.fewestWarmUpMs,
-		canServe: () => follower.mayServe() && parts.limiter.isReady(),
+		canServe: () => follower.mayServe() && parts.limiter.isReady() && hearsIssuers(),
 		// More than one writer only wastes work, so the first by name is enough.
 		holdsDuty: () => liveNames(parts)[0] === settings.name,
 		onFault(err) {
@@ -142,6 +143,27 @@
 	return recovery;
 }
 
+/**
+ * A daemon that knows who issues shares but can't reach them has no token to
+ * give: it would refuse every rightful request with 429. The table names the
+ * issuers at once, while the VM list that says where they are lags, so the
+ * daemon stays unready until it has heard all of them. One that stays silent
+ * keeps it out no longer than `issuerWaitMs`, as long as another is heard.
+ */
+function createIssuerCheck({limiter, membership, settings}: Parts): () => boolean {
+	const startedAt = performance.now();
+	const isHeard = (name: string) => {
+		const status = membership.member(name)?.status;
+		return name === settings.name || status === 'live' || status === 'starting' || status === 'leaving';
+	};
+
+	return () => {
+		const issuers = [...limiter.issuers()];
+		const heard = issuers.filter(name => isHeard(name));
+		return heard.length === issuers.length || (heard.length > 0 && performance.now() - startedAt > settings.issuerWaitMs);
+	};
+}
+
 /** Names of the daemons that are thought to serve, in order. */
 export function liveNames({membership}: Parts): string[] {
 	return membership.members().filter(member => member.status === 'live').map(member => member.name).toSorted();
--- a/packages/daemon/src/test/promises.test.ts
+++ b/packages/daemon/src/test/promises.test.ts
@@ -21,6 +21,15 @@
 	let fleet: EmbeddedFleet;
 	afterEach(async () => fleet.stop());
 
+	// Callers get answers from a daemon as soon as it says that it is ready. The
+	// table names the issuer of shares at once, the VM list says only later where
+	// that one is; ready before then, the daemon refused rightful requests.
+	it('is not ready before it can reach whoever issues its shares', async () => {
+		fleet = await startEmbeddedFleet({engines: [{}], daemons: 2, listLagMs: 1500});
+		assert.equal(await ask(fleet, 0), 200);
+		assert.equal(await ask(fleet, 1), 200);
+	});
+
 	// The caller holds its connection open. The operator withdraws the key; the
 	// next requests on that same connection are refused with 401 as soon as the
 	// daemon has the new version, since each request is checked anew.
--- a/packages/router/console/schema-form.js
+++ b/packages/router/console/schema-form.js
@@ -122,7 +122,8 @@
 	const variants = schema.oneOf ?? schema.anyOf;
 	const [name] = Object.entries(variants[0].properties ?? {}).find(([, property]) => property.const !== undefined) ?? [''];
 	const constantOf = variant => variant.properties?.[name]?.const;
-	const select = createElement(form.page, 'select', {'aria-label': `${titleOf(path)}: ${name}`}, variants.map(variant => createElement(form.page, 'option', {value: constantOf(variant), textContent: constantOf(variant)})));
+	const options = variants.map(variant => createElement(form.page, 'option', {value: constantOf(variant), textContent: constantOf(variant)}));
+	const select = createElement(form.page, 'select', {'aria-label': `${titleOf(path)}: ${name}`}, options);
 	select.value = value?.[name] ?? constantOf(variants[0]);
 	const place = createElement(form.page, 'div');
 	let current;
--- a/packages/router/src/lib/administration/administration-server.ts
+++ b/packages/router/src/lib/administration/administration-server.ts
@@ -3,10 +3,9 @@
  * caller's traffic passes here, and no caller's key is taken.
  */
 import {randomUUID} from 'node:crypto';
-import {type AddressInfo} from 'node:net';
 import fastify, {type FastifyError, type FastifyInstance, type FastifyReply} from 'fastify';
 import {LayerError} from '../errors/layer-error.js';
-import {closeServer} from '../http/close-server.js';
+import {type BindAddress, closeServer, listenServer} from '../http/http-server.js';
 import {createSilentLog, type Log} from '../observability/log.js';
 import {NotFoundError, RequestInvalidError} from './administration-errors.js';
 import {type ConfigurationRoutesOptions, defineConfigurationRoutes} from './configuration-routes.js';
@@ -33,7 +32,7 @@
 /** The server. */
 export type AdministrationServer = {
 	/** Resolves to the bound address as a URL. */
-	listen: (address: {host: string; port: number}) => Promise<string>;
+	listen: (address: BindAddress) => Promise<string>;
 	close: () => Promise<void>;
 };
 
@@ -77,11 +76,7 @@
 	addConsole(app);
 	options.extend?.(app);
 	return {
-		async listen({host, port}) {
-			await app.listen({host, port});
-			const address = app.server.address() as AddressInfo;
-			return `http://${host}:${address.port}`;
-		},
+		listen: async address => listenServer(app, address),
 		async close() {
 			await closeServer(app);
 		},
--- a/packages/router/src/lib/administration/ports.ts
+++ b/packages/router/src/lib/administration/ports.ts
@@ -3,6 +3,7 @@
 import {type ConfigurationStore} from '../configuration/configuration-store.js';
 import {type InForceSummary} from '../configuration/confirmations.js';
 import {type BurnReport} from '../observability/burn-report.js';
+import {type UnknownOrders} from '../orders/unknown-orders.js';
 import {type statusSchema} from './schemas.js';
 
 /** Writes and reads accepted configurations; `createConfigurationStore` is one. */
@@ -17,25 +18,8 @@
 /** Tells the state of VMs, endpoints, leases and limits as this daemon sees it. */
 export type StatusPort = () => FleetStatus | Promise<FleetStatus>;
 
-/** An order that left for an endpoint and has no known outcome. */
-export type UnknownOrderEntry = {
-	id: string;
-	workspace: string;
-	service: string;
-	requestId: string;
-	method: string;
-	path: string;
-	/** Milliseconds since 1970. */
-	createdMs: number;
-	endpoint: string;
-	reason: string;
-};
-
-/** Orders whose outcome an operator has to find out; `createUnknownOrders` is one. */
-export type UnknownOrdersPort = {
-	listUnknownOrders: () => Promise<UnknownOrderEntry[]>;
-	settleUnknownOrder: (id: string, outcome: 'ran' | 'not_run', who: string) => Promise<void>;
-};
+/** Orders whose outcome an operator has to find out; the service proxy has them. */
+export type UnknownOrdersPort = Pick<UnknownOrders, 'listUnknownOrders' | 'settleUnknownOrder'>;
 
 /** Makes the burn report, and its page where the daemon has a renderer. */
 export type BurnReportPort = {
--- a/packages/router/src/lib/gateway/gateway-server.ts
+++ b/packages/router/src/lib/gateway/gateway-server.ts
@@ -1,11 +1,10 @@
 /** The HTTP server that callers reach through the balancer. */
 import {randomUUID} from 'node:crypto';
-import {type AddressInfo} from 'node:net';
 import fastify, {
 	type FastifyError, type FastifyInstance, type FastifyReply, type FastifyRequest,
 } from 'fastify';
 import {type DocumentIndex} from '../configuration/document-index.js';
-import {closeServer} from '../http/close-server.js';
+import {type BindAddress, closeServer, listenServer} from '../http/http-server.js';
 import {authenticate, requireConfiguration} from './admission.js';
 import {
 	errorBody, errorHeaders, GatewayError, refusals,
@@ -35,7 +34,7 @@
 /** The server. */
 export type GatewayServer = {
 	/** Resolves to the bound address as a URL. */
-	listen: (address: {host: string; port: number}) => Promise<string>;
+	listen: (address: BindAddress) => Promise<string>;
 	/** Refuses new connections and waits until every request has ended. */
 	close: () => Promise<void>;
 };
@@ -77,11 +76,7 @@
 	options.extend?.(app);
 
 	return {
-		async listen({host, port}) {
-			await app.listen({host, port});
-			const address = app.server.address() as AddressInfo;
-			return `http://${host}:${address.port}`;
-		},
+		listen: async address => listenServer(app, address),
 		async close() {
 			await closeServer(app);
 		},
--- a/packages/router/src/lib/limits/token-limiter.ts
+++ b/packages/router/src/lib/limits/token-limiter.ts
@@ -57,6 +57,8 @@
 	start: () => Promise<void>;
 	/** Whether this daemon is registered and knows who issues every workspace's shares. */
 	isReady: () => boolean;
+	/** Names of the daemons that issue the shares of the workspaces that are set. */
+	issuers: () => Set<string>;
 	/** One round of work; `start` calls it each `tickMs`. */
 	tick: () => void;
 	/** For a graceful stop, after the last request ended: returns shares and issued shards. */
@@ -343,6 +345,15 @@
 			}
 		},
 		isReady: () => registered && knowsAllIssuers(),
+		issuers() {
+			const names = new Set<string>();
+			for (const shard of workspacesByShard.keys()) {
+				names.add(known.get(shard)?.issuer ?? '');
+			}
+
+			names.delete('');
+			return names;
+		},
 		tick,
 		async returnShares() {
 			stopping = true;
--- a/packages/router/src/lib/orders/credential-headers.ts
+++ b/packages/router/src/lib/orders/credential-headers.ts
@@ -15,8 +15,12 @@
 	'api-key',
 ]);
 
-/** Headers that concern one connection only (RFC 9110, section 7.6.1). */
-const connectionHeaders: ReadonlySet<string> = new Set([
+/**
+ * Headers that concern one connection only (RFC 9110, section 7.6.1).
+ *
+ * @internal
+ */
+export const connectionHeaders: ReadonlySet<string> = new Set([
 	'connection',
 	'keep-alive',
 	'proxy-connection',
--- a/packages/router/src/lib/orders/http-sink.ts
+++ b/packages/router/src/lib/orders/http-sink.ts
@@ -3,20 +3,11 @@
 import {type AnswerSink} from './answer-sink.js';
 import {isBodiless, requestIdHeader} from './answer-checks.js';
 import {outcomeHeader} from './call-problems.js';
-import {connectionOptions, headerPairs} from './credential-headers.js';
+import {connectionHeaders, connectionOptions, headerPairs} from './credential-headers.js';
 import {type AnswerHead} from './endpoint-transport.js';
 
 /** Headers of an endpoint's answer that concern its connection, or that this program sets. */
-const withheldHeaders: ReadonlySet<string> = new Set([
-	'connection',
-	'keep-alive',
-	'proxy-connection',
-	'proxy-authenticate',
-	'te',
-	'transfer-encoding',
-	'upgrade',
-	requestIdHeader,
-]);
+const withheldHeaders: ReadonlySet<string> = new Set([...connectionHeaders, requestIdHeader]);
 
 /** Headers of an endpoint's answer that a caller may see. */
 export function callerHeaders(headers: readonly string[]): string[] {
