--- a/packages/router/console/console.js
+++ b/packages/router/console/console.js
@@ -140,6 +140,7 @@
 
 	state.base = state.form.read();
 	byId('accept').disabled = true;
+	byId('difference').replaceChildren();
 	await follow(answer.body);
 }
 
