A change of weights spends no retry budget and leaves no request without a version

Cause: the test that brings endpoints to new weights failed twice in some ten runs with 503 for a rightful request. Traced: the view of versions lags by up to a second, an engine that has moved on refuses with 409 at once, each refusal took from the retry budget, and with the budget spent a healthy replica was not tried. Also the last replica of the chosen version can move between the choice and the request. Conclusion: a refusal by version is free, blames nobody and teaches the placer; a request that got nothing falls back to another version. An engine that loads weights answers 409. What is cached is taken from peers once the configuration may be served by, since before that the placer dropped it.

--- a/packages/daemon/src/lib/wiring/fleet-wiring.ts
+++ b/packages/daemon/src/lib/wiring/fleet-wiring.ts
@@ -122,7 +122,9 @@
 				name: 'routing',
 				exportContent: () => placer.snapshot(mostSnapshotPrefixes),
 				importContent(content) {
-					if (follower.current() === undefined) {
+					// Not before the configuration may be served by either: until then
+					// the placer has no endpoints, and would drop all it is told.
+					if (parts.configuration() === undefined) {
 						throw new RecoveryPartError('What is cached where can\'t be taken over before the configuration. It is asked for again.');
 					}
 
--- a/packages/daemon/src/test/promises.test.ts
+++ b/packages/daemon/src/test/promises.test.ts
@@ -93,6 +93,38 @@
 		}
 	});
 
+	// The caller gets an answer. Both engines went over to new weights since they
+	// were last asked, so the version that is chosen is gone; each attempt is
+	// refused, and the request then asks for the version of the document.
+	it('answers though all replicas changed their weights unseen', async () => {
+		fleet = await startEmbeddedFleet({engines: [{loadMs: 0}, {loadMs: 0}], daemons: 1, settings: {engines: {probeMs: 60_000}}});
+		await fleet.change(document => {
+			document.services = document.services.map(service => (service.kind === 'model' ? {...service, version: 'w2'} : service));
+		});
+		for (const engine of fleet.engines) {
+			const res = await request(new URL('/engine/orders', engine.url), {
+				method: 'POST',
+				headers: {'content-type': 'application/json'},
+				body: JSON.stringify({
+					fencing: 1, action: 'load', model: 'wordsmith', version: 'w2',
+				}),
+			});
+			await res.body.dump();
+			while (engine.state().version !== 'w2') {
+				await delay(5);
+			}
+		}
+
+		// The document's new version may come into force a moment later.
+		let status = await ask(fleet, 0);
+		while (status === 503) {
+			await delay(50);
+			status = await ask(fleet, 0);
+		}
+
+		assert.equal(status, 200);
+	});
+
 	// Callers get answers all the while. An operator asks for new weights; one
 	// daemon takes the duty, loads engine after engine, and requests move over.
 	it('brings endpoints to new weights while it serves', async () => {
--- a/packages/router/src/lib/endpoints/endpoint-errors.ts
+++ b/packages/router/src/lib/endpoints/endpoint-errors.ts
@@ -1,4 +1,5 @@
 /** Errors of the layer that speaks to endpoints. */
+import {type EngineLoad} from '../gateway/ports.js';
 import {LayerError} from '../errors/layer-error.js';
 
 /** No connection came about: no byte of the request left. */
@@ -25,7 +26,8 @@
 export class EndpointRefusedError extends LayerError {
 	readonly code = 'endpoint_refused';
 
-	constructor(message: string, readonly status: number, options?: ErrorOptions) {
+	/** `load` is what the endpoint said of itself along with its refusal. */
+	constructor(message: string, readonly status: number, readonly load?: EngineLoad, options?: ErrorOptions) {
 		super(message, options);
 	}
 }
--- a/packages/router/src/lib/endpoints/engine-client.ts
+++ b/packages/router/src/lib/endpoints/engine-client.ts
@@ -229,7 +229,7 @@
 	}
 
 	if (status === statusVersionMismatch || status === statusTooMany || status >= statusServerError) {
-		throw new EndpointRefusedError(`${call.address} answered ${status}.`, status);
+		throw new EndpointRefusedError(`${call.address} answered ${status}.`, status, loadOf(headers));
 	}
 
 	const version = textOf(headers['x-engine-version']);
--- a/packages/router/src/lib/gateway/attempts.ts
+++ b/packages/router/src/lib/gateway/attempts.ts
@@ -46,6 +46,7 @@
 
 /** Refusals by which an engine says that it ran nothing. */
 const statusesNotRun = new Set([409, 429]);
+const statusVersionRefused = 409;
 
 /**
  * Tries endpoints until one answers.
@@ -59,7 +60,8 @@
 	options.budget.deposit();
 	for (let count = 0; count < options.mostAttempts; count++) {
 		options.signal.throwIfAborted();
-		if (count > 0 && !options.budget.withdraw()) {
+		const isFree = lastError === undefined || isVersionRefusal(lastError);
+		if (!isFree && !options.budget.withdraw()) {
 			break;
 		}
 
@@ -108,7 +110,11 @@
 		await options.attempt(placement, report);
 	} catch (error) {
 		const isEndpointError = isBlamedOnEndpoint(error);
-		finish(isEndpointError ? 'failed' : 'cancelled');
+		if (error instanceof EndpointRefusedError && error.load !== undefined) {
+			options.placer.observe(placement.endpoint, error.load);
+		}
+
+		finish(isEndpointError && !isVersionRefusal(error) ? 'failed' : 'cancelled');
 		if (isEndpointError) {
 			return error;
 		}
@@ -124,6 +130,16 @@
 	return endpointErrors.some(kind => error instanceof kind);
 }
 
+/**
+ * An engine that has other weights, or is loading some, refuses at once. That is
+ * no sign of trouble and costs it nothing: it neither counts against the
+ * endpoint nor takes from the budget, which a change of weights would else use
+ * up while healthy replicas stand by.
+ */
+function isVersionRefusal(error: unknown): boolean {
+	return error instanceof EndpointRefusedError && error.status === statusVersionRefused;
+}
+
 function provesNotRun(error: LayerError): boolean {
 	return error instanceof EndpointUnreachableError
 		|| (error instanceof EndpointRefusedError && statusesNotRun.has(error.status));
--- a/packages/router/src/lib/gateway/model-gateway.ts
+++ b/packages/router/src/lib/gateway/model-gateway.ts
@@ -192,7 +192,29 @@
 		return record.attempts === 0 ? 0 : plan.promptTokens + (relay?.position ?? 0);
 	}
 
+	/**
+	 * What is known of the endpoints' versions lags: while weights change, the
+	 * last replica of the version that was chosen may have gone over a moment
+	 * ago, and each attempt is refused. As long as the caller has got nothing,
+	 * the answer of another version is as good.
+	 */
 	async function runPlaced(plan: Plan, caller: CallerConnection, admission: Admission): Promise<void> {
+		const others = [plan.service.version, ...parts.versionsOf(plan.service.name).keys()];
+		const versions = new Set([plan.version, ...others]);
+		for (const version of versions) {
+			versions.delete(version);
+			try {
+				await runVersion({...plan, version}, caller, admission);
+				return;
+			} catch (error) {
+				if (versions.size === 0 || relay?.begun === true || !isWithoutEndpoint(error)) {
+					throw error;
+				}
+			}
+		}
+	}
+
+	async function runVersion(plan: Plan, caller: CallerConnection, admission: Admission): Promise<void> {
 		const {request, service} = plan;
 		const identity = {
 			workspace: plan.owner.workspace.name, model: service.model, version: plan.version, adapter: request.adapter,
@@ -361,6 +383,11 @@
 	identity: string;
 };
 
+/** Whether no endpoint of the version that was asked for gave an answer. */
+function isWithoutEndpoint(error: unknown): boolean {
+	return error instanceof GatewayError && (error.code === 'no_endpoint' || error.code === 'engine_failed');
+}
+
 /** A caller may shorten its deadline, not lengthen it. */
 function deadlineOf(headers: IncomingHttpHeaders, longestMs: number): number {
 	const asked = Number(headers['x-deadline-ms']);
--- a/packages/standins/src/lib/engine/generation-plan.ts
+++ b/packages/standins/src/lib/engine/generation-plan.ts
@@ -67,7 +67,7 @@
 /** Why a request can't run now; `undefined` when it can. */
 export function refusalOf(plan: Plan, loaded: {model: string; version: string}, loading: boolean) {
 	if (loading) {
-		return {status: 503, error: {message: 'The weights are being loaded.', code: 'not_run'}};
+		return {status: 409, error: {message: 'The weights are being loaded.', code: 'version_mismatch'}};
 	}
 
 	if (plan.model.split(':')[0] !== loaded.model) {
