Traces recorded from a serving daemon

Cause: replays had generated traces only; the command to record one was missing. Figures: a recording of 4 s under load replays; it holds neither the prompt's text nor the key (test). Conclusion: speeds and memory of endpoints are assumed in the header, and it says so.

--- a/packages/daemon/src/lib/commands/trace.ts
+++ b/packages/daemon/src/lib/commands/trace.ts
@@ -1,6 +1,8 @@
-/** `hickorywalk trace`: replays recorded traffic against the placement policies. */
+/** `hickorywalk trace`: records traffic, and replays it against the placement policies. */
+import process from 'node:process';
 import {type PolicyName} from '@hickorywalk/traces';
 import {type CommandModule} from 'yargs';
+import {type AdministrationArguments, callAdministration, withAdministration} from '../administration-client.js';
 
 /** The policies by name; the replay itself is loaded when it is asked for. */
 const policyChoices = ['hickorywalk', 'round-robin', 'least-load', 'whole-prompt-hash', 'prefix-hash'] as const satisfies readonly PolicyName[];
@@ -23,10 +25,24 @@
 	},
 };
 
+type RecordArguments = AdministrationArguments & {seconds: number};
+
+const recordCommand: CommandModule<unknown, RecordArguments> = {
+	command: 'record',
+	describe: 'Record the requests of one daemon as a trace, without text or keys.',
+	builder: yargs => withAdministration(yargs)
+		.option('seconds', {type: 'number', default: 60, describe: 'How long to record.'})
+		.example('$0 trace record --seconds 300 --admin http://10.0.0.11:7500 > evening.ndjson', 'Set the endpoints\' speeds in its first line before a replay.'),
+	async handler({seconds, ...args}) {
+		const {text} = await callAdministration(args, {path: `/v1/trace?seconds=${seconds}`});
+		process.stdout.write(text);
+	},
+};
+
 /** The command. */
 export const traceCommand: CommandModule = {
 	command: 'trace',
-	describe: 'Replay recorded traffic.',
-	builder: yargs => yargs.command(replayCommand).demandCommand(1, 'Name what to do: replay.'),
+	describe: 'Record traffic and replay it.',
+	builder: yargs => yargs.command(recordCommand).command(replayCommand).demandCommand(1, 'Name what to do: record or replay.'),
 	handler: () => undefined,
 };
--- a/packages/daemon/src/lib/container.ts
+++ b/packages/daemon/src/lib/container.ts
@@ -21,6 +21,7 @@
 } from './wiring/fleet-wiring.js';
 import {wireAdministration, wireModels, wireServer} from './wiring/gateway-wiring.js';
 import {type Parts} from './wiring/parts.js';
+import {type TraceTap} from './wiring/trace-wiring.js';
 
 /** Creates the container of one daemon. */
 export async function createParts(settings: Settings): Promise<AwilixContainer<Parts>> {
@@ -60,6 +61,7 @@
 		leases: asFunction(wireLeases).singleton(),
 		engineControl: asFunction(({engineProbe}: Parts) => createHttpEngineControl({probe: engineProbe.probe, timeoutMs: settings.engines.probeMs})).singleton(),
 		rollouts: asFunction(wireRollouts).singleton(),
+		traceTaps: asFunction(() => new Set<TraceTap>()).singleton(),
 		models: asFunction(wireModels).singleton(),
 		server: asFunction(wireServer).singleton(),
 		administration: asFunction(wireAdministration).singleton(),
--- a/packages/daemon/src/lib/wiring/gateway-wiring.ts
+++ b/packages/daemon/src/lib/wiring/gateway-wiring.ts
@@ -9,6 +9,7 @@
 } from 'hickorywalk/gateway.js';
 import {createBurnReport, type Metrics, type ServiceLevelEvent} from 'hickorywalk/observability.js';
 import {type Parts} from './parts.js';
+import {addTraceRoute, tapPlacer} from './trace-wiring.js';
 
 /** How each end of a request counts against objectives; ends that are the caller's own fault do not count. */
 const levelOfResult: Record<string, ServiceLevelEvent['result'] | undefined> = {
@@ -36,7 +37,7 @@
 		versionsOf: parts.endpointWatch.versionsOf,
 		keyRing: parts.keyRing,
 		limiter: parts.limiter,
-		placer: parts.placer,
+		placer: tapPlacer(parts.placer, parts.traceTaps),
 		budget: parts.budget,
 		hashPrompt: parts.hashPrompt,
 		engines: parts.engines,
@@ -127,6 +128,9 @@
 		}),
 		status: () => describeStatus(parts),
 		unknownOrders: serviceProxy,
+		extend(app) {
+			addTraceRoute(app, parts);
+		},
 		burnReport: {
 			async create() {
 				const {version, document} = follower.current() ?? {version: 0, document: emptyDocument};
--- a/packages/daemon/src/lib/wiring/parts.ts
+++ b/packages/daemon/src/lib/wiring/parts.ts
@@ -22,6 +22,7 @@
 import {type LearningPlacer} from 'hickorywalk/routing.js';
 import {type Settings} from '../settings.js';
 import {type Rollouts} from './duty-wiring.js';
+import {type TraceTap} from './trace-wiring.js';
 
 /** What changes as a daemon starts and stops. */
 export type DaemonState = {
@@ -65,6 +66,8 @@
 	leases: LeaseHolder;
 	engineControl: ReturnType<typeof createHttpEngineControl>;
 	rollouts: Rollouts;
+	/** Recordings under way. */
+	traceTaps: Set<TraceTap>;
 	models: ModelGateway;
 	server: GatewayServer;
 	administration: AdministrationServer;
--- /dev/null
+++ b/packages/daemon/src/lib/wiring/trace-wiring.ts
@@ -0,0 +1,108 @@
+/** Records requests of a serving daemon as a trace, on order of an operator. */
+import {randomBytes} from 'node:crypto';
+import {type FastifyInstance} from 'fastify';
+import {createOperatorGate, RequestInvalidError} from 'hickorywalk/administration.js';
+import {
+	type Outcome, type Placement, type PlacementRequest, type Placer,
+} from 'hickorywalk/gateway.js';
+import {z} from 'zod';
+import {type Parts} from './parts.js';
+
+/** Hears of each answered request; `startedAt` is on the monotonic clock. */
+export type TraceTap = (request: PlacementRequest, startedAt: number, outputTokens: number) => void;
+
+/** Passes a placer's calls on, and tells taps of answered requests. */
+export function tapPlacer(placer: Placer, taps: ReadonlySet<TraceTap>): Placer {
+	const startedAt = new WeakMap<Placement, number>();
+	return {
+		place: placer.place,
+		observe: placer.observe,
+		started(request, placement) {
+			startedAt.set(placement, performance.now());
+			placer.started(request, placement);
+		},
+		finished(request: PlacementRequest, placement: Placement, outcome: Outcome) {
+			placer.finished(request, placement, outcome);
+			for (const tap of outcome.result === 'answered' ? taps : []) {
+				tap(request, startedAt.get(placement) ?? performance.now(), outcome.outputTokens);
+			}
+		},
+	};
+}
+
+const longestSeconds = 3600;
+const querySchema = z.object({seconds: z.coerce.number().positive().max(longestSeconds)});
+const msPerSecond = 1000;
+const secretBytes = 32;
+/** Bytes that may wait for a slow reader before a recording ends early. */
+const mostWaitingBytes = 8 * 1024 * 1024;
+const statusOk = 200;
+
+/** What a replay assumes of endpoints, since a daemon knows neither their speed nor their memory. */
+const assumedEndpoint = {
+	prefillTokensPerSecond: 10_000, decodeMsPerToken: 20, batch: 8, cachePieces: 512,
+} as const;
+
+/** Adds the route by which operators record a trace. It holds neither text nor keys. */
+export function addTraceRoute(app: FastifyInstance, parts: Parts): void {
+	const gate = createOperatorGate(parts.settings.operators);
+	app.get('/v1/trace', async (req, reply) => {
+		gate.admit(req.headers.authorization, 'read');
+		const {data, error} = querySchema.safeParse(req.query);
+		if (data === undefined) {
+			throw new RequestInvalidError(error.issues.map(({path, message}) => ({path: path.join('.'), message})));
+		}
+
+		const {createTraceRecorder} = await import('@hickorywalk/traces');
+		void reply.hijack();
+		const write = (line: unknown) => {
+			reply.raw.write(`${JSON.stringify(line)}\n`);
+			if (reply.raw.writableLength > mostWaitingBytes) {
+				reply.raw.destroy();
+			}
+		};
+
+		reply.raw.writeHead(statusOk, {'content-type': 'application/x-ndjson'});
+		write(headerOf(parts));
+		const recorder = createTraceRecorder({pieceTokens: pieceTokensOf(parts), secret: randomBytes(secretBytes), write});
+		parts.traceTaps.add(recorder.record);
+		const end = () => {
+			clearTimeout(timer);
+			parts.traceTaps.delete(recorder.record);
+			reply.raw.end();
+		};
+
+		const timer = setTimeout(end, data.seconds * msPerSecond);
+		reply.raw.on('close', end);
+		return reply;
+	});
+}
+
+function pieceTokensOf({configuration}: Parts): number {
+	for (const service of configuration()?.accepted.document.services ?? []) {
+		if (service.kind === 'model') {
+			return service.pieceTokens;
+		}
+	}
+
+	return 1024;
+}
+
+function headerOf(parts: Parts) {
+	const endpoints = parts.configuration()?.accepted.document.endpoints ?? [];
+	return {
+		kind: 'header',
+		layout: 1,
+		name: `recorded-${parts.settings.name}`,
+		about: 'Recorded from a serving daemon. Speeds and cache sizes of endpoints are assumed: set them before you trust a replay.',
+		seed: 1,
+		routers: 1,
+		pieceTokens: pieceTokensOf(parts),
+		endpoints: endpoints
+			.filter(({service}) => parts.configuration()?.service(service)?.kind === 'model')
+			.map(({name, service, dataCentre}) => ({
+				name, service, dataCentre, ...assumedEndpoint,
+			})),
+		outcomes: {},
+	};
+}
--- a/packages/daemon/src/test/command-line.test.ts
+++ b/packages/daemon/src/test/command-line.test.ts
@@ -103,6 +103,31 @@
 		assert.match(report.out, /^<!doctype html>/v);
 	});
 
+	it('records a trace without text or keys, which a replay takes', async () => {
+		const recording = run('trace', 'record', '--seconds', '4', ...admin);
+		const ended = new AbortController();
+		void recording.then(() => {
+			ended.abort();
+		});
+		const secret = 'the minutes of the hearing ';
+		while (!ended.signal.aborted) {
+			const res = await fetch(`${fleet.daemons[0].callersUrl}/v1/chat/completions`, {
+				method: 'POST',
+				headers: {authorization: `Bearer ${fleet.keys['school-1']}`, 'content-type': 'application/json'},
+				body: JSON.stringify({model: 'wordsmith', max_tokens: 2, messages: [{role: 'user', content: secret.repeat(400)}]}),
+			});
+			await res.arrayBuffer();
+		}
+
+		const {out, err} = await recording;
+		assert.isAbove(out.split('\n').length, 2, err);
+		assert.notInclude(out, 'minutes');
+		assert.notInclude(out, fleet.keys['school-1']);
+		const replayed = await run('trace', 'replay', await fileOf('recorded.ndjson', out), '--policy', 'hickorywalk');
+		assert.equal(replayed.code, 0, replayed.err);
+		assert.include(replayed.out, '"hit_rate"');
+	});
+
 	it('says what to do when it is called wrongly', async () => {
 		const unnamed = await run('nothing');
 		assert.equal(unnamed.code, 2);
