--- a/packages/router/src/gateway.ts
+++ b/packages/router/src/gateway.ts
@@ -3,6 +3,7 @@
 export * from './lib/gateway/gateway-errors.js';
 export * from './lib/gateway/gateway-server.js';
 export * from './lib/gateway/model-gateway.js';
+export type * from './lib/gateway/model-gateway-parts.js';
 export * from './lib/gateway/admission.js';
 export * from './lib/gateway/event-reader.js';
 export * from './lib/gateway/plain-route.js';
