One start of real links for both of their measurements

Cause: the links benchmark and the slopes of links started the same daemons by the same lines; a variable in the model gateway was set only to be passed on. Conclusion: no change of behaviour.

--- a/packages/router/src/lib/gateway/model-gateway.ts
+++ b/packages/router/src/lib/gateway/model-gateway.ts
@@ -121,12 +121,10 @@
 			longestTurnWaitMs: Math.min(parts.bounds.longestTurnWaitMs, plan.deadlineMs),
 			signal: caller.signal,
 		});
-		let used = 0;
 		try {
 			await runPlaced(plan, caller, admission);
 		} finally {
-			used = usedTokens(plan);
-			admission.release(used);
+			admission.release(usedTokens(plan));
 		}
 	}
 
--- a/packages/traces/src/lib/bench/links-bench.ts
+++ b/packages/traces/src/lib/bench/links-bench.ts
@@ -5,9 +5,9 @@
  */
 import process from 'node:process';
 import {setTimeout as pause} from 'node:timers/promises';
-import {createPeerNetwork, type PeerBody, type PeerNetwork} from 'hickorywalk/links.js';
+import {type PeerBody, type PeerNetwork} from 'hickorywalk/links.js';
+import {createLinkStar, type LinkStar} from './link-star.js';
 
-const secret = 'a secret for the benchmark';
 const linkCounts = [10, 30, 60] as const;
 const seconds = 6;
 const warmUpMs = 1500;
@@ -20,8 +20,6 @@
 	}
 }
 
-type Hub = {hub: PeerNetwork; spokes: PeerNetwork[]};
-
 async function measure(links: number): Promise<Record<string, number>> {
 	const {hub, spokes} = await connect(links);
 	await pause(warmUpMs);
@@ -44,14 +42,8 @@
 	};
 }
 
-async function connect(links: number): Promise<Hub> {
-	const hub = createPeerNetwork({name: 'hub', incarnation: 1n, secret});
-	const port = await hub.listen({host: '127.0.0.1', port: 0});
-	const spokes = Array.from({length: links}, (_, index) => {
-		const spoke = createPeerNetwork({name: `vm-${index}`, incarnation: 1n, secret});
-		spoke.setPeers([{name: 'hub', address: `127.0.0.1:${port}`}]);
-		return spoke;
-	});
+async function connect(links: number): Promise<LinkStar> {
+	const {hub, spokes} = await createLinkStar(links);
 	exchange(hub, spokes);
 	return {hub, spokes};
 }
--- a/packages/traces/src/lib/capacity/slopes-links.ts
+++ b/packages/traces/src/lib/capacity/slopes-links.ts
@@ -1,33 +1,25 @@
 /** Slopes of links between daemons: real streams on loopback, in real time. */
 import process from 'node:process';
 import {setTimeout as pause} from 'node:timers/promises';
-import {createPeerNetwork, type PeerBody, type PeerNetwork} from 'hickorywalk/links.js';
+import {type PeerBody} from 'hickorywalk/links.js';
+import {createLinkStar, type LinkStar} from '../bench/link-star.js';
 import {doublings, type SlopeDefinition} from './measure.js';
 
 const role = 'links';
-const secret = 'a secret for the benchmark';
 const sizes = doublings(4);
 const warmUpMs = 1200;
 const seconds = 3;
 
 const head: PeerBody = {case: 'configurationHead', value: {$typeName: 'hickorywalk.v1.ConfigurationHead', version: 7n, ageMs: 20}};
 
-type Star = {hub: PeerNetwork; spokes: PeerNetwork[]};
-
-async function connect(links: number): Promise<Star> {
-	const hub = createPeerNetwork({name: 'hub', incarnation: 1n, secret});
-	const port = await hub.listen({host: '127.0.0.1', port: 0});
-	const spokes = Array.from({length: links}, (_, index) => {
-		const spoke = createPeerNetwork({name: `vm-${index}`, incarnation: 1n, secret});
-		spoke.setPeers([{name: 'hub', address: `127.0.0.1:${port}`}]);
-		return spoke;
-	});
+async function connect(links: number): Promise<LinkStar> {
+	const {hub, spokes} = await createLinkStar(links);
 	exchange({hub, spokes});
 	await pause(warmUpMs);
 	return {hub, spokes};
 }
 
-function exchange({hub, spokes}: Star): void {
+function exchange({hub, spokes}: LinkStar): void {
 	for (const [index, spoke] of spokes.entries()) {
 		spoke.send('hub', head);
 		hub.send(`vm-${index}`, head);
