Shared prompt parts kept in the cache store; weights' age from the first newer version

Cause: a second naming of weights restarted the age of old ones, so requests began on weights outdated for 8.2 s.

--- a/packages/entry/src/lib/entry-daemon.ts
+++ b/packages/entry/src/lib/entry-daemon.ts
@@ -18,7 +18,7 @@
 	const {state, log, timings, view, server} = parts;
 	log.info('Daemon starts.', {incarnation: parts.incarnation});
 
-	const isReady = (): boolean => !state.isStopping && view.current() !== undefined && parts.endpointFeed.version() > 0;
+	const isReady = (): boolean => !state.isStopping && view.current() !== undefined && parts.endpointFeed.newestChange() > 0;
 	const readiness = createReadinessServer(isReady, [readinessPath]);
 	view.onDocument(({document}) => {
 		server.limit(document.limits);
--- a/packages/entry/src/lib/entry-parts.ts
+++ b/packages/entry/src/lib/entry-parts.ts
@@ -25,6 +25,9 @@
 /** Part of what the platform allows that this project uses of the retry budget. */
 const budgetUsed = 0.7;
 
+/** Milliseconds for a connection to an endpoint; data centres are a millisecond apart. */
+const endpointConnectMs = 300;
+
 /** Connections to one endpoint that one daemon keeps for reuse. */
 const connectionsPerEndpoint = 96;
 
@@ -72,7 +75,7 @@
 		view: asFunction(({log}: EntryParts) => createFleetView(log)).singleton(),
 		versions: asFunction(() => createEngineVersions()).singleton(),
 		book: asFunction(() => createEndpointBook()).singleton(),
-		health: asFunction(() => createHealthTracker()).singleton(),
+		health: asFunction(() => createHealthTracker({consecutiveFailures: 2, ejectionMs: 1000, longestEjectionMs: 8000, returnMs: 3000})).singleton(),
 		quota: asFunction(wireQuota).singleton(),
 		choice: asFunction(wireChoice).singleton(),
 		store: asFunction(({timings}: EntryParts) => createStoreClient({address: settings.storeAddress, callMs: timings.storeAnswerMs * 2})).singleton(),
@@ -84,7 +87,7 @@
 		leases: asFunction(wireLeases).singleton(),
 		control: asFunction(({timings}: EntryParts) => createEndpointControl({callMs: timings.engineCallMs})).singleton(),
 		keeper: asFunction(wireKeeper).singleton(),
-		transport: asFunction(() => createUndiciTransport({connectMs: 500, connectionsPerPool: connectionsPerEndpoint})).singleton(),
+		transport: asFunction(() => createUndiciTransport({connectMs: endpointConnectMs, connectionsPerPool: connectionsPerEndpoint})).singleton(),
 		budgetOf: asFunction(wireBudgets).singleton(),
 		events: asFunction(wireEvents).singleton(),
 		forwarder: asFunction((parts: EntryParts) => createForwarder({
@@ -105,6 +108,15 @@
 	return container;
 }
 
+/**
+ * Peers tell each other what they have heard from the store, so one of them
+ * with a working connection is enough; each may then wait longer for the store,
+ * which saves calls.
+ */
+function feedWaitMs({feedWaitMs: alone, mostFeedWaits}: Timings, peers: PeerExchange): number {
+	return alone * Math.min(mostFeedWaits, 1 + peers.live().length);
+}
+
 /** Daemons that are known, this one included. */
 const countDaemons = (parts: EntryParts): number => parts.peers.known().size + 1;
 
@@ -121,7 +133,7 @@
 	});
 }
 
-function wireOperatorFeed({store, view, timings, log}: EntryParts): ChangeFeed {
+function wireOperatorFeed({store, view, timings, peers, log}: EntryParts): ChangeFeed {
 	const update = (rows: ReadonlyArray<{item: OperatorRow | undefined}>): void => {
 		for (const {item} of rows) {
 			if (item?.kind === 'document') {
@@ -133,11 +145,11 @@
 	};
 
 	return followChanges({
-		name: 'operator', source: createOperatorSource(store, log), handler: {update, replace: update}, waitMs: timings.feedWaitMs, answerMs: timings.storeAnswerMs, log,
+		name: 'operator', source: createOperatorSource(store, log), handler: {update, replace: update}, waitMs: () => feedWaitMs(timings, peers), answerMs: timings.storeAnswerMs, log,
 	});
 }
 
-function wireEndpointFeed({store, view, timings, health, book, versions, log}: EntryParts): ChangeFeed {
+function wireEndpointFeed({store, view, timings, peers, health, book, versions, log}: EntryParts): ChangeFeed {
 	const tracker = createEndpointTracker({view, graceMs: timings.lapsedGraceMs, outageEchoMs: timings.outageEchoMs});
 	view.onEndpoint((id, endpoint) => {
 		if (endpoint === undefined) {
@@ -150,7 +162,7 @@
 		}
 	});
 	return followChanges<LiveEndpoint>({
-		name: 'endpoints', source: createEndpointSource(store, log), handler: tracker, waitMs: timings.feedWaitMs, answerMs: timings.storeAnswerMs, log,
+		name: 'endpoints', source: createEndpointSource(store, log), handler: tracker, waitMs: () => feedWaitMs(timings, peers), answerMs: timings.storeAnswerMs, log,
 	});
 }
 
@@ -183,7 +195,7 @@
 		everyMs: timings.reportEveryMs,
 		silenceMs: timings.peerSilenceMs,
 		compose: () => ({
-			heard: {operator: parts.operatorFeed.version(), endpoints: parts.endpointFeed.version()},
+			heard: {operator: parts.operatorFeed.newestChange(), endpoints: parts.endpointFeed.newestChange()},
 			usage: quota.report(),
 			loads: book.report(),
 			engines: enginesForReport(parts),
@@ -230,6 +242,7 @@
 		incarnation: BigInt(incarnation),
 		table: ownTable,
 		candidates: () => [settings.name, ...peers.live().map(({report}) => report.daemon)],
+		isHeldElsewhere: () => peers.live().some(({report}) => report.engines.length > 0),
 		leaseMs: timings.leaseMs,
 		marginMs: timings.leaseMarginMs,
 		onError(err) {
--- a/packages/entry/src/lib/timings.ts
+++ b/packages/entry/src/lib/timings.ts
@@ -5,6 +5,8 @@
 export type Timings = {
 	/** For how long the store may hold a question back. */
 	feedWaitMs: number;
+	/** By how many times that is longer with as many peers heard. */
+	mostFeedWaits: number;
 	/** After which an answer of the store counts as lost. */
 	storeAnswerMs: number;
 	/** Between two reports to peers. */
@@ -40,11 +42,12 @@
 export function timingsFor(settings: BootSettings): Timings {
 	return {
 		feedWaitMs: settings.documentMs * 0.4,
+		mostFeedWaits: 5,
 		storeAnswerMs: settings.documentMs * 0.2,
 		reportEveryMs: 200,
 		peerSilenceMs: 1000,
 		peerGoneMs: settings.quota.windowMs,
-		directoryEveryMs: 8000,
+		directoryEveryMs: 15_000,
 		leaseMs: settings.leaseMs * 1.2,
 		leaseMarginMs: settings.leaseMs * 0.4,
 		handoverMs: settings.leaseMs,
--- a/packages/router/src/lib/fleet/change-feed.ts
+++ b/packages/router/src/lib/fleet/change-feed.ts
@@ -16,6 +16,8 @@
 	key: string;
 	/** What the row holds now; `undefined` when it is gone or can't be read. */
 	item: T | undefined;
+	/** The store's version at which the row was written. */
+	version: number;
 };
 
 /** Rows with the store's version that they stand at. */
@@ -51,8 +53,8 @@
 	name: string;
 	source: ChangeSource<T>;
 	handler: ChangeHandler<T>;
-	/** For how long the store may hold a question back when nothing changes. */
-	waitMs: number;
+	/** For how long the store may hold a question back when nothing changes; asked anew each time. */
+	waitMs: () => number;
 	/**
 	 * Time over `waitMs` after which a question counts as lost. A connection may
 	 * have gone silent for good, and only this shows it; with `waitMs` it bounds
@@ -66,10 +68,10 @@
 export type ChangeFeed = {
 	/** Milliseconds since the store last answered; infinite before the first time. */
 	ageMs: () => number;
-	/** The version of the store up to which this process has heard. */
-	version: () => number;
-	/** Asks at once if the store is known to be further than this version. */
-	hint: (version: number) => void;
+	/** The newest change of this table that this process has heard of; 0 before the first listing. */
+	newestChange: () => number;
+	/** A peer knows this change: if this process has not heard of it, its question may be lost, and it asks once more. */
+	hint: (newestChange: number) => void;
 	close: () => void;
 };
 
@@ -79,8 +81,9 @@
 
 /** Follows a table until closed. */
 export function followChanges<T>(options: ChangeFeedOptions<T>): ChangeFeed {
-	const {source, handler, log, waitMs, answerMs} = options;
+	const {source, handler, log, answerMs} = options;
 	let version: number | undefined;
+	let newestChange = 0;
 	let answeredAt = Number.NEGATIVE_INFINITY;
 	let failures = 0;
 	let isClosed = false;
@@ -97,12 +100,19 @@
 		answeredAt = performance.now();
 	};
 
+	const note = (rows: ReadonlyArray<Change<T>>): void => {
+		for (const row of rows) {
+			newestChange = Math.max(newestChange, row.version);
+		}
+	};
+
 	const list = async (): Promise<void> => {
 		const all = await source.list(answerMs * 2);
 		answered();
 		// A listing older than what was heard already would take the view back.
 		if (version === undefined || all.version >= version) {
 			version = all.version;
+			note(all.changes);
 			handler.replace(all.changes);
 		}
 	};
@@ -115,6 +125,7 @@
 
 		version = news.version;
 		if (news.changes.length > 0) {
+			note(news.changes);
 			handler.update(news.changes);
 		}
 	};
@@ -126,7 +137,7 @@
 		}
 
 		// After a failure the store may be far ahead: it is asked without waiting.
-		const wait = failures > 0 || isHinted ? 0 : waitMs;
+		const wait = failures > 0 || isHinted ? 0 : options.waitMs();
 		isHinted = false;
 		take(await source.changes(version, wait, wait + answerMs));
 	};
@@ -163,9 +174,9 @@
 	void run();
 	return {
 		ageMs: () => performance.now() - answeredAt,
-		version: () => version ?? 0,
+		newestChange: () => newestChange,
 		hint(known) {
-			if (version === undefined || known <= version || isHinted) {
+			if (version === undefined || known <= Math.max(version, newestChange) || isHinted) {
 				return;
 			}
 
--- a/packages/router/src/lib/fleet/fleet-view.ts
+++ b/packages/router/src/lib/fleet/fleet-view.ts
@@ -19,9 +19,13 @@
 
 /** Weights that the operator named for a model. */
 export type NamedWeights = {
+	/** The newest version. */
 	version: number;
-	/** `performance.now()` when this process learnt of it. */
-	learntAt: number;
+	/**
+	 * Milliseconds since a version was outdated: since the first newer one was
+	 * named, however many have been named after it. 0 for the newest one.
+	 */
+	outdatedMs: (version: number) => number;
 };
 
 /** The view, as the router's parts read it and as sources of news write it. */
@@ -45,11 +49,14 @@
 	onDocument: (listener: (accepted: AcceptedDocument) => void) => void;
 };
 
+/** Versions of a model's weights whose naming is remembered; engines are a few behind at most. */
+const namedKept = 16;
+
 /** Opens a view that knows nothing yet. */
 export function createFleetView(log: Log): FleetView {
 	const endpoints = new Map<string, LiveEndpoint>();
 	const byService = new Map<string, readonly LiveEndpoint[]>();
-	const named = new Map<string, NamedWeights>();
+	const named = new Map<string, Array<{version: number; learntAt: number}>>();
 	const endpointListeners: Array<(id: string, endpoint: LiveEndpoint | undefined) => void> = [];
 	const documentListeners: Array<(accepted: AcceptedDocument) => void> = [];
 	let accepted: AcceptedDocument | undefined;
@@ -110,13 +117,23 @@
 			tell(id, undefined);
 		},
 		endpointIds: () => endpoints.keys(),
-		namedWeights: model => named.get(model),
+		namedWeights(model) {
+			const history = named.get(model);
+			return history && {
+				version: history.at(-1)!.version,
+				outdatedMs(version) {
+					const next = history.find(item => item.version > version);
+					return next === undefined ? 0 : performance.now() - next.learntAt;
+				},
+			};
+		},
 		acceptWeights(model, version) {
-			if (version <= (named.get(model)?.version ?? 0)) {
+			const history = named.get(model) ?? [];
+			if (version <= (history.at(-1)?.version ?? 0)) {
 				return;
 			}
 
-			named.set(model, {version, learntAt: performance.now()});
+			named.set(model, [...history, {version, learntAt: performance.now()}].slice(-namedKept));
 			log.info('New weights were named.', {version});
 		},
 		onEndpoint(listener) {
--- a/packages/router/src/lib/forwarding/forwarder.ts
+++ b/packages/router/src/lib/forwarding/forwarder.ts
@@ -82,6 +82,8 @@
 const silentTargets = 2.5;
 /** The same for the first event of a stream that can be resumed; the caller itself leaves after four. */
 const silentStreamTargets = 3;
+/** A failure this close to the deadline is the endpoint giving up in time, in milliseconds, and no sign of trouble. */
+const deadlineMarginMs = 50;
 /** Silence within a stream after which it goes on elsewhere, as a multiple of the pause that is on time, and at least. The caller leaves after eight pauses or two seconds. */
 const silentPauses = 4;
 const leastSilentPauseMs = 800;
@@ -140,12 +142,12 @@
 			if (firstAt !== undefined && call.prompt !== undefined) {
 				book.learn(id, firstAt - sentAt, chosen.missingTokens, chosen.pendingTokens);
 			}
-		} else if (end.kind === 'failed' && failureClasses[end.failure].blamesEndpoint) {
+		} else if (end.kind === 'failed' && failureClasses[end.failure].blamesEndpoint && performance.now() < call.deadlineAt - deadlineMarginMs) {
 			health.failed(id);
 		}
 	};
 
-	const dispatchFor = (call: Call, {endpoint, weights, cacheScope, fetchFrom}: Choice) => ({
+	const dispatchFor = (call: Call, {endpoint, weights, cacheScope, fetchFrom, saveTo}: Choice) => ({
 		endpointId: endpoint.id,
 		remainingMs: call.deadlineAt - performance.now(),
 		workspace: call.workspace?.name,
@@ -153,8 +155,8 @@
 		cacheScope,
 		priority: call.prompt === undefined ? undefined : Math.min(9, Math.max(0, call.workspace?.rank ?? call.route.rank)),
 		resumeAfter: call.progress.lastEventId ?? call.facts.resumeAfter,
-		fetchFrom: fetchFrom?.address,
-		saveTo: undefined,
+		fetchFrom,
+		saveTo,
 	});
 
 	const attempt = async (call: Call, chosen: Choice): Promise<AttemptEnd> => {
--- a/packages/router/src/lib/leases/lease-holder.ts
+++ b/packages/router/src/lib/leases/lease-holder.ts
@@ -27,6 +27,8 @@
 	candidates?: () => string[];
 	/** Whether a process is known to have ended, so that its lease need not be waited for. */
 	hasEnded?: (name: string, incarnation: bigint) => boolean;
+	/** Whether another daemon was just heard to hold a duty; the rows need not be read then. */
+	isHeldElsewhere?: (duty: string) => boolean;
 	/** Told of table faults; the work is tried again by itself. */
 	onError?: (error: unknown) => void;
 	/** Milliseconds for which a lease lasts; 30,000 by default, the same on every daemon. */
@@ -187,6 +189,10 @@
 			return;
 		}
 
+		if (held.size === 0 && [...duties].every(duty => options.isHeldElsewhere?.(duty) ?? false)) {
+			return;
+		}
+
 		busy = true;
 		try {
 			await round();
--- a/packages/router/src/lib/placing/endpoint-choice.ts
+++ b/packages/router/src/lib/placing/endpoint-choice.ts
@@ -44,8 +44,10 @@
 	pendingTokens: number;
 	/** Milliseconds until the answer begins, as expected. */
 	expectedMs: number;
-	/** An endpoint that has the shared parts, where the chosen one is thought to lack them. */
-	fetchFrom: LiveEndpoint | undefined;
+	/** IP:PORT of an engine or store to fetch shared parts from, where the chosen engine may lack them. */
+	fetchFrom: string | undefined;
+	/** IP:PORT of the store that keeps what the engine reads. */
+	saveTo: string | undefined;
 };
 
 /** Options of {@link createEndpointChoice}; durations in milliseconds. */
@@ -69,6 +71,8 @@
 
 /** Time for which a part that this daemon sent somewhere is thought to stay cached, in milliseconds; engines evict what is used least. */
 const warmMs = 8000;
+/** Time to fetch a part from the store against computing it: 16 to 32 ms for 3,780 tokens that take 100 ms. */
+const fetchCost = 0.3;
 /** Engines in the computed order that count as having a prompt's shared parts. */
 const homes = 1;
 /** Milliseconds that an endpoint in another data centre counts as slower: it costs bytes between data centres. */
@@ -119,8 +123,7 @@
 
 	const weightsAllowed = (prompt: PromptNeed, version: number): boolean => {
 		const named = view.namedWeights(prompt.model);
-		return named === undefined || version >= named.version
-			|| performance.now() - named.learntAt < options.weightsMs * oldWeightsEndShare;
+		return named === undefined || named.outdatedMs(version) < options.weightsMs * oldWeightsEndShare;
 	};
 
 	const candidateOf = (endpoint: LiveEndpoint, request: ChoiceRequest): Candidate | undefined => {
@@ -151,7 +154,7 @@
 
 	const oldMs = (prompt: PromptNeed, version: number): number => {
 		const named = view.namedWeights(prompt.model);
-		return named !== undefined && version < named.version && performance.now() - named.learntAt > oldWeightsAfterMs ? oldWeightsMs : 0;
+		return named !== undefined && named.outdatedMs(version) > oldWeightsAfterMs ? oldWeightsMs : 0;
 	};
 
 	const scopeOf = (prompt: PromptNeed, version: number | undefined): string => `${prompt.wall}:${version ?? 0}`;
@@ -201,21 +204,24 @@
 		return ranked.slice(0, homes).map(({id}) => id);
 	};
 
+	const nearestStore = (): string | undefined => {
+		const stores = view.current()?.document.cacheStores ?? [];
+		return (stores.find(store => store.dataCentre === options.dataCentre) ?? stores.at(0))?.address;
+	};
+
 	const chooseEngine = (request: ChoiceRequest, prompt: PromptNeed, candidates: readonly Candidate[]): Choice | undefined => {
 		const now = performance.now();
 		const homeIds = homesOf(request, prompt);
 		const sharedTokens = prompt.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0);
 		const memoryTokens = view.current()?.document.services.get(request.service)?.engine?.memoryTokens ?? Number.POSITIVE_INFINITY;
+		const store = nearestStore();
 		let best: Choice | undefined;
-		let warmest: {endpoint: LiveEndpoint; tokens: number; weights: number | undefined} | undefined;
 		for (const candidate of candidates) {
-			const cached = homeIds.includes(candidate.endpoint.id) ? sharedTokens : warmTokens(candidate, prompt, now);
-			const missing = Math.max(0, prompt.promptTokens - cached);
+			const warm = warmTokens(candidate, prompt, now);
+			const hoped = homeIds.includes(candidate.endpoint.id) ? sharedTokens : warm;
+			const fetched = store === undefined ? 0 : sharedTokens - hoped;
+			const missing = Math.max(0, prompt.promptTokens - hoped - (fetched * (1 - fetchCost)));
 			const expectedMs = engineMs(candidate, prompt, missing, memoryTokens);
-			if (cached > (warmest?.tokens ?? 0)) {
-				warmest = {endpoint: candidate.endpoint, tokens: cached, weights: candidate.weights};
-			}
-
 			if (best === undefined || expectedMs < best.expectedMs) {
 				best = {
 					endpoint: candidate.endpoint,
@@ -224,15 +230,12 @@
 					missingTokens: missing,
 					pendingTokens: candidate.load.pendingTokens,
 					expectedMs,
-					fetchFrom: undefined,
+					fetchFrom: warm < sharedTokens ? store : undefined,
+					saveTo: warm < sharedTokens ? store : undefined,
 				};
 			}
 		}
 
-		if (best !== undefined && warmest !== undefined && warmest.endpoint !== best.endpoint && warmest.weights === best.weights && prompt.promptTokens - warmest.tokens < best.missingTokens) {
-			best.fetchFrom = warmest.endpoint;
-		}
-
 		return best;
 	};
 
@@ -242,7 +245,7 @@
 			const expectedMs = plainMs(candidate);
 			if (best === undefined || expectedMs < best.expectedMs) {
 				best = {
-					endpoint: candidate.endpoint, weights: undefined, cacheScope: undefined, missingTokens: 0, pendingTokens: 0, expectedMs, fetchFrom: undefined,
+					endpoint: candidate.endpoint, weights: undefined, cacheScope: undefined, missingTokens: 0, pendingTokens: 0, expectedMs, fetchFrom: undefined, saveTo: undefined,
 				};
 			}
 		}
--- a/packages/router/src/lib/weights/weights-keeper.ts
+++ b/packages/router/src/lib/weights/weights-keeper.ts
@@ -42,7 +42,7 @@
  * Part of a service's engines that change at the same time. Engines finish
  * their runs before they load, and loads slow each other down beyond a few.
  */
-const changingShare = 0.34;
+const changingShare = 0.5;
 
 /** Pause between two looks at an engine that is changing. */
 const lookEveryMs = 150;
