A reset ends no answer without length as whole; namings of weights dated by peers

Peers now tell the ages; until then only engines that are furthest are used. Also: the next holder of the duty to order weights takes over by the last word of the former one, not by the whole lease.

--- a/packages/entry/src/lib/entry-parts.ts
+++ b/packages/entry/src/lib/entry-parts.ts
@@ -134,12 +134,12 @@
 }
 
 function wireOperatorFeed({store, view, timings, peers, log}: EntryParts): ChangeFeed {
-	const update = (rows: ReadonlyArray<{item: OperatorRow | undefined}>): void => {
+	const update = (rows: ReadonlyArray<{item: OperatorRow | undefined}>, unseenMs: number): void => {
 		for (const {item} of rows) {
 			if (item?.kind === 'document') {
 				view.acceptDocument(item.document);
 			} else if (item?.kind === 'weights') {
-				view.acceptWeights(item.model, item.version);
+				view.acceptWeights(item.model, item.version, unseenMs);
 			}
 		}
 	};
@@ -177,6 +177,10 @@
 
 		quota.heard(report);
 		book.heard(report);
+		for (const [model, version, ageMs] of report.named) {
+			parts.view.datedWeights(model, version, ageMs);
+		}
+
 		for (const [id, version, changingTo] of report.engines) {
 			versions.seen(id, version);
 			if (changingTo > 0) {
@@ -198,6 +202,8 @@
 			heard: {operator: parts.operatorFeed.newestChange(), endpoints: parts.endpointFeed.newestChange()},
 			usage: quota.report(),
 			loads: book.report(),
+			named: parts.view.recentWeights(settings.weightsMs * 2),
+			duty: dutyForReport(parts),
 			engines: enginesForReport(parts),
 		}),
 		onReport,
@@ -205,6 +211,26 @@
 	});
 }
 
+/** What this daemon says of the lease on orders, so that a successor need not wait longer than it must. */
+function dutyForReport({leases, keeper}: EntryParts): PeerReport['duty'] {
+	const word = leases.word(weightsDuty);
+	const sinceOrderMs = keeper.sinceOrderMs();
+	return word === undefined ? null : [word.rowVersion, Math.floor(word.msLeft), Number.isFinite(sinceOrderMs) ? Math.floor(sinceOrderMs) : -1];
+}
+
+/** When the former holder can have sent its last order at the latest, if it could be heard. */
+function formerOrderAt({peers}: EntryParts, rowVersion: number): number | undefined {
+	for (const {report, heardAt} of peers.known().values()) {
+		if (report.duty?.[0] === rowVersion) {
+			const [, msLeft, sinceOrderMs] = report.duty;
+			// While it held the lease it may have ordered after this word.
+			return msLeft > 0 ? heardAt + msLeft : heardAt - Math.max(0, sinceOrderMs);
+		}
+	}
+
+	return undefined;
+}
+
 /** Only the daemon that gives orders knows more of engines than the platform's list. */
 function enginesForReport({leases, versions, view}: EntryParts): PeerReport['engines'] {
 	if (leases.held(weightsDuty) === undefined) {
@@ -242,7 +268,13 @@
 		incarnation: BigInt(incarnation),
 		table: ownTable,
 		candidates: () => [settings.name, ...peers.live().map(({report}) => report.daemon)],
-		isHeldElsewhere: () => peers.live().some(({report}) => report.engines.length > 0),
+		isHeldElsewhere: () => peers.live().some(({report}) => report.duty !== null && report.duty[1] > 0),
+		lastWord(name, incarnation) {
+			const heard = peers.known().get(name);
+			return heard?.report.duty && BigInt(heard.report.incarnation) === incarnation
+				? {rowVersion: heard.report.duty[0], endsAt: heard.heardAt + heard.report.duty[1]}
+				: undefined;
+		},
 		leaseMs: timings.leaseMs,
 		marginMs: timings.leaseMarginMs,
 		onError(err) {
@@ -253,7 +285,8 @@
 	return holder;
 }
 
-function wireKeeper({settings, timings, view, versions, control, leases, book, log}: EntryParts) {
+function wireKeeper(parts: EntryParts) {
+	const {settings, timings, view, versions, control, leases, book, log} = parts;
 	return createWeightsKeeper({
 		name: settings.name,
 		view,
@@ -261,6 +294,8 @@
 		control,
 		held: () => leases.held(weightsDuty),
 		handoverMs: timings.handoverMs,
+		formerOrderAt: rowVersion => formerOrderAt(parts, rowVersion),
+		weightsMs: settings.weightsMs,
 		runningAt(id) {
 			const endpoint = view.endpoint(id);
 			return endpoint === undefined ? 0 : book.load(endpoint).running;
--- a/packages/entry/src/lib/timings.ts
+++ b/packages/entry/src/lib/timings.ts
@@ -50,7 +50,7 @@
 		directoryEveryMs: 15_000,
 		leaseMs: settings.leaseMs * 1.2,
 		leaseMarginMs: settings.leaseMs * 0.4,
-		handoverMs: settings.leaseMs,
+		handoverMs: settings.leaseMs + 200,
 		lapsedGraceMs: settings.drainMs * 0.85,
 		outageEchoMs: settings.heartbeatMs * 3,
 		engineCallMs: 500,
--- a/packages/router/src/lib/fleet/change-feed.ts
+++ b/packages/router/src/lib/fleet/change-feed.ts
@@ -39,10 +39,10 @@
 
 /** What a follower does with the rows. */
 export type ChangeHandler<T> = {
-	/** All rows of the table; what is not among them is gone. */
-	replace: (rows: ReadonlyArray<Change<T>>) => void;
-	/** Rows that changed. */
-	update: (rows: ReadonlyArray<Change<T>>) => void;
+	/** All rows of the table; what is not among them is gone. They may have changed up to `unseenMs` ago. */
+	replace: (rows: ReadonlyArray<Change<T>>, unseenMs: number) => void;
+	/** Rows that changed, up to `unseenMs` ago: 0 while the store answers at once. */
+	update: (rows: ReadonlyArray<Change<T>>, unseenMs: number) => void;
 	/** The first successful answer after failures, `awayMs` after the last one before them. */
 	regained?: (awayMs: number) => void;
 };
@@ -108,16 +108,18 @@
 
 	const list = async (): Promise<void> => {
 		const all = await source.list(answerMs * 2);
+		const unseenMs = performance.now() - answeredAt;
 		answered();
 		// A listing older than what was heard already would take the view back.
 		if (version === undefined || all.version >= version) {
 			version = all.version;
 			note(all.changes);
-			handler.replace(all.changes);
+			handler.replace(all.changes, unseenMs);
 		}
 	};
 
-	const take = (news: Changes<T>): void => {
+	const take = (news: Changes<T>, isPrompt: boolean): void => {
+		const unseenMs = isPrompt && failures === 0 ? 0 : performance.now() - answeredAt;
 		answered();
 		if (version === undefined || news.version < version) {
 			return;
@@ -126,7 +128,7 @@
 		version = news.version;
 		if (news.changes.length > 0) {
 			note(news.changes);
-			handler.update(news.changes);
+			handler.update(news.changes, unseenMs);
 		}
 	};
 
@@ -139,7 +141,7 @@
 		// After a failure the store may be far ahead: it is asked without waiting.
 		const wait = failures > 0 || isHinted ? 0 : options.waitMs();
 		isHinted = false;
-		take(await source.changes(version, wait, wait + answerMs));
+		take(await source.changes(version, wait, wait + answerMs), true);
 	};
 
 	const failed = async (error: unknown): Promise<void> => {
@@ -183,7 +185,7 @@
 			isHinted = true;
 			void (async () => {
 				try {
-					take(await source.changes(version, 0, answerMs));
+					take(await source.changes(version, 0, answerMs), false);
 				} catch (error) {
 					log.debug('Store gave no answer to a further question.', {path: options.name, err: error});
 				} finally {
--- a/packages/router/src/lib/fleet/fleet-view.ts
+++ b/packages/router/src/lib/fleet/fleet-view.ts
@@ -42,13 +42,25 @@
 	dropEndpoint: (id: string) => void;
 	endpointIds: () => Iterable<string>;
 	namedWeights: (model: string) => NamedWeights | undefined;
-	acceptWeights: (model: string, version: number) => void;
+	/** Weights were named, at most `unseenMs` before this process heard of it; 0 when it heard at once. */
+	acceptWeights: (model: string, version: number, unseenMs: number) => void;
+	/** A peer that heard of the naming at once says how long ago that was. */
+	datedWeights: (model: string, version: number, ageMs: number) => void;
+	/** Recent namings that this process or a peer heard of at once: model, version, milliseconds since. */
+	recentWeights: (mostMs: number) => Array<[model: string, version: number, ageMs: number]>;
 	/** Hears of every endpoint that came, changed or went. */
 	onEndpoint: (listener: (id: string, endpoint: LiveEndpoint | undefined) => void) => void;
 	/** Hears of every document that came into force. */
 	onDocument: (listener: (accepted: AcceptedDocument) => void) => void;
 };
 
+/**
+ * One naming of weights. A process that was away does not know when it was; it
+ * takes the earliest moment possible, so that it begins no request on weights
+ * that are too old, until a peer that was there says better.
+ */
+type Naming = {version: number; learntAt: number; isDated: boolean};
+
 /** Versions of a model's weights whose naming is remembered; engines are a few behind at most. */
 const namedKept = 16;
 
@@ -56,7 +68,7 @@
 export function createFleetView(log: Log): FleetView {
 	const endpoints = new Map<string, LiveEndpoint>();
 	const byService = new Map<string, readonly LiveEndpoint[]>();
-	const named = new Map<string, Array<{version: number; learntAt: number}>>();
+	const named = new Map<string, Naming[]>();
 	const endpointListeners: Array<(id: string, endpoint: LiveEndpoint | undefined) => void> = [];
 	const documentListeners: Array<(accepted: AcceptedDocument) => void> = [];
 	let accepted: AcceptedDocument | undefined;
@@ -127,15 +139,46 @@
 				},
 			};
 		},
-		acceptWeights(model, version) {
+		acceptWeights(model, version, unseenMs) {
 			const history = named.get(model) ?? [];
 			if (version <= (history.at(-1)?.version ?? 0)) {
 				return;
 			}
 
-			named.set(model, [...history, {version, learntAt: performance.now()}].slice(-namedKept));
+			named.set(model, [...history, {version, learntAt: performance.now() - unseenMs, isDated: unseenMs === 0}].slice(-namedKept));
 			log.info('New weights were named.', {version});
 		},
+		datedWeights(model, version, ageMs) {
+			const history = named.get(model) ?? [];
+			if (version > (history.at(-1)?.version ?? 0)) {
+				return;
+			}
+
+			const learntAt = performance.now() - ageMs;
+			const naming = history.find(item => item.version === version);
+			if (naming === undefined) {
+				// The store tells only the newest one; engines may be further behind.
+				const dated = [...history, {version, learntAt, isDated: true}];
+				named.set(model, dated.toSorted((a, b) => a.version - b.version).slice(-namedKept));
+				return;
+			}
+
+			naming.learntAt = naming.isDated ? Math.min(naming.learntAt, learntAt) : learntAt;
+			naming.isDated = true;
+		},
+		recentWeights(mostMs) {
+			const recent: Array<[string, number, number]> = [];
+			for (const [model, history] of named) {
+				for (const {version, learntAt, isDated} of history) {
+					const ageMs = performance.now() - learntAt;
+					if (isDated && ageMs <= mostMs) {
+						recent.push([model, version, Math.round(ageMs)]);
+					}
+				}
+			}
+
+			return recent;
+		},
 		onEndpoint(listener) {
 			endpointListeners.push(listener);
 		},
--- a/packages/router/src/lib/leases/lease-holder.ts
+++ b/packages/router/src/lib/leases/lease-holder.ts
@@ -27,6 +27,12 @@
 	candidates?: () => string[];
 	/** Whether a process is known to have ended, so that its lease need not be waited for. */
 	hasEnded?: (name: string, incarnation: bigint) => boolean;
+	/**
+	 * What a holder last said of its lease, where it could be heard: a lease that
+	 * has not been renewed since ends when its holder said so, without the wait
+	 * for a lease that may have been renewed a moment ago.
+	 */
+	lastWord?: (holder: string, incarnation: bigint) => LeaseWord | undefined;
 	/** Whether another daemon was just heard to hold a duty; the rows need not be read then. */
 	isHeldElsewhere?: (duty: string) => boolean;
 	/** Told of table faults; the work is tried again by itself. */
@@ -44,10 +50,22 @@
 	fencing: number;
 	/** Milliseconds for which the holder may still act. */
 	msLeft: number;
+	/** Version of the former holder's row that the first write of this lease replaced; 0 for none. */
+	followsRow: number;
+};
+
+/** What a process says of a lease that it holds or has held. */
+export type LeaseWord = {
+	/** Version of the lease's row as it last wrote it. */
+	rowVersion: number;
+	/** `performance.now()` of the hearer at which the lease ends. */
+	endsAt: number;
 };
 
 /** The holder of one daemon. */
 export type LeaseHolder = {
+	/** What this process may say of a lease to others: the row that it wrote last, and the milliseconds left. */
+	word: (duty: string) => {rowVersion: number; msLeft: number} | undefined;
 	/** Takes part in the contest for a duty from now on. */
 	contend: (duty: string) => void;
 	/** The lease, looked up on the clock anew: ask right before each act. */
@@ -63,11 +81,21 @@
 };
 
 type Watched = {row: LeaseRow; version: number; unchangedSince: number};
-type Held = {fencing: number; end: number};
+type Held = {fencing: number; end: number; clockOffset: number; followsRow: number};
 
 const defaultLeaseMs = 30_000;
 const defaultMarginMs = 5000;
 const roundsPerLease = 3;
+/** Time by which a contender waits beyond a holder's word, in milliseconds: datagrams take far less. */
+const wordMarginMs = 250;
+/**
+ * A machine may be suspended without its monotonic clock moving, so that a
+ * holder wakes with a lease that looks good and has long been another's. The
+ * time of day does move; a difference above this, in milliseconds, drops the
+ * lease until the next renewal. A time of day that is set anew looks the same
+ * and costs one round.
+ */
+const mostClockDriftMs = 150;
 const rankSpread = 65_536;
 
 /**
@@ -93,6 +121,7 @@
 	const vacantRounds = new Map<string, number>();
 	// A number is never used twice, so a row tells which attempt wrote it.
 	let attempt = 0;
+	const written = new Map<string, number>();
 	let busy = false;
 	let released = false;
 	let timer: NodeJS.Timeout | undefined;
@@ -122,6 +151,11 @@
 			return !held.has(duty);
 		}
 
+		const word = options.lastWord?.(known.row.holder, BigInt(known.row.incarnation));
+		if (word?.rowVersion === known.version && performance.now() >= word.endsAt + wordMarginMs) {
+			return true;
+		}
+
 		return (options.hasEnded?.(known.row.holder, BigInt(known.row.incarnation)) ?? false)
 			|| performance.now() >= known.unchangedSince + leaseMs + marginMs;
 	}
@@ -155,11 +189,17 @@
 	async function hold(duty: string, fencing: number): Promise<void> {
 		attempt += 1;
 		const end = performance.now() + leaseMs - marginMs;
+		const clockOffset = Date.now() - performance.now();
+		const before = held.get(duty);
+		const followsRow = before?.fencing === fencing ? before.followsRow : watched.get(duty)?.version ?? 0;
 		const row = {
 			holder: name, incarnation, fencing, attempt,
 		};
 		if (await write(duty, row) && !released) {
-			held.set(duty, {fencing, end});
+			held.set(duty, {
+				fencing, end, clockOffset, followsRow,
+			});
+			written.set(duty, watched.get(duty)!.version);
 		}
 	}
 
@@ -203,14 +243,28 @@
 		}
 	}
 
+	const msLeftOf = (lease: Held | undefined): number => {
+		if (lease === undefined || Math.abs(Date.now() - performance.now() - lease.clockOffset) > mostClockDriftMs) {
+			return 0;
+		}
+
+		return lease.end - performance.now();
+	};
+
 	return {
+		word(duty) {
+			const rowVersion = written.get(duty);
+			return rowVersion === undefined ? undefined : {rowVersion, msLeft: Math.max(0, msLeftOf(held.get(duty)))};
+		},
 		contend(duty) {
 			duties.add(duty);
 		},
 		held(duty) {
 			const lease = held.get(duty);
-			const msLeft = (lease?.end ?? 0) - performance.now();
-			return lease && msLeft > 0 ? {duty, fencing: lease.fencing, msLeft} : undefined;
+			const msLeft = msLeftOf(lease);
+			return lease && msLeft > 0 ? {
+				duty, fencing: lease.fencing, msLeft, followsRow: lease.followsRow,
+			} : undefined;
 		},
 		tick,
 		async start() {
@@ -226,9 +280,11 @@
 			for (const [duty, {fencing}] of mine) {
 				attempt += 1;
 				try {
-					await write(duty, {
+					if (await write(duty, {
 						holder: '', incarnation, fencing, attempt,
-					});
+					})) {
+						written.set(duty, watched.get(duty)!.version);
+					}
 				} catch (error) {
 					options.onError?.(new LeaseTableError(`The duty ${duty} could not be given back. It becomes free when its lease ends.`, {cause: error}));
 				}
--- a/packages/router/src/lib/orders/undici-transport.ts
+++ b/packages/router/src/lib/orders/undici-transport.ts
@@ -1,5 +1,6 @@
 /** Sends requests to endpoints over HTTP/1.1. */
 import {Buffer} from 'node:buffer';
+import diagnosticsChannel from 'node:diagnostics_channel';
 import {type Readable} from 'node:stream';
 import {LRUCache} from 'lru-cache';
 import {Client, Pool, type Dispatcher} from 'undici';
@@ -78,6 +79,20 @@
 	};
 }
 
+/** The exchange whose request is being written: undici tells its connection in the same tick. */
+let starting: ExchangeState | undefined;
+
+diagnosticsChannel.subscribe('undici:client:sendHeaders', message => {
+	if (starting !== undefined) {
+		starting.socket = (message as {socket: ExchangeState['socket']}).socket;
+		starting = undefined;
+	}
+});
+
+function controllerHasLength({rawHeaders}: Dispatcher.DispatchController): boolean {
+	return textsOf(rawHeaders).some((text, index) => index % 2 === 0 && text.toLowerCase() === 'content-length');
+}
+
 /** @internal */
 export type ExchangeState = {
 	/** The connection carries other requests before or after. */
@@ -90,6 +105,10 @@
 	callerBroke: boolean;
 	/** Status of the answer, once its head came. */
 	status?: number;
+	/** The answer states its length, so that its end is known for sure. */
+	hasLength?: boolean;
+	/** The connection that carries it. */
+	socket?: {readonly errored?: Error | null};
 	controller?: Dispatcher.DispatchController;
 };
 
@@ -117,10 +136,12 @@
 
 			state.left = true;
 			state.controller = controller;
+			starting = state;
 		},
 		onResponseStart(controller, status) {
 			if (status >= firstFinalStatus) {
 				state.status = status;
+				state.hasLength = controllerHasLength(controller);
 				events.head({status, headers: textsOf(controller.rawHeaders)});
 			}
 		},
@@ -129,6 +150,14 @@
 		},
 		onResponseEnd(controller) {
 			state.ended = true;
+			// An answer without length ends with its connection. Undici takes a reset
+			// for such an end, and the caller would get half an answer as a whole one.
+			if (state.hasLength !== true && state.socket?.errored) {
+				events.failed('truncated', state.socket.errored);
+				finish();
+				return;
+			}
+
 			events.end(textsOf(controller.rawTrailers));
 			finish();
 		},
--- a/packages/router/src/lib/peers/peer-report.ts
+++ b/packages/router/src/lib/peers/peer-report.ts
@@ -19,6 +19,14 @@
 	usage: z.array(z.tuple([z.string(), z.number(), z.number(), z.number()])),
 	/** Endpoint, requests under way, prompt tokens that wait to be computed, tokens in memory. */
 	loads: z.array(z.tuple([z.string(), z.number(), z.number(), z.number()])),
+	/** Model, version of weights, and milliseconds since they were named, for recent namings. */
+	named: z.array(z.tuple([z.string(), z.number(), z.number()])),
+	/**
+	 * From a daemon that gives or gave orders to engines: version of the lease's
+	 * row as it last wrote it, milliseconds for which it holds the lease, and
+	 * milliseconds since its last order (-1 for none).
+	 */
+	duty: z.tuple([z.number(), z.number(), z.number()]).nullable(),
 	/** Engine, weights version, and the version that it is changing to or 0; from the daemon that gives orders. */
 	engines: z.array(z.tuple([z.string(), z.number(), z.number()])),
 });
--- a/packages/router/src/lib/placing/endpoint-choice.ts
+++ b/packages/router/src/lib/placing/endpoint-choice.ts
@@ -121,9 +121,30 @@
 		return seed;
 	};
 
+	/**
+	 * A process that has just started can't know when weights were named, and
+	 * keeps to the engines that are furthest.
+	 */
+	const furthestVersion = (model: string): number => {
+		let furthest = 0;
+		for (const id of view.endpointIds()) {
+			const endpoint = view.endpoint(id)!;
+			if (endpoint.weights.has(model)) {
+				furthest = Math.max(furthest, versions.of(endpoint, model).version);
+			}
+		}
+
+		return furthest;
+	};
+
 	const weightsAllowed = (prompt: PromptNeed, version: number): boolean => {
 		const named = view.namedWeights(prompt.model);
-		return named === undefined || named.outdatedMs(version) < options.weightsMs * oldWeightsEndShare;
+		if (named === undefined) {
+			return true;
+		}
+
+		const outdatedMs = named.outdatedMs(version);
+		return outdatedMs === Number.POSITIVE_INFINITY ? version >= furthestVersion(prompt.model) : outdatedMs < options.weightsMs * oldWeightsEndShare;
 	};
 
 	const candidateOf = (endpoint: LiveEndpoint, request: ChoiceRequest): Candidate | undefined => {
--- a/packages/router/src/lib/rollouts/rollout-runner.ts
+++ b/packages/router/src/lib/rollouts/rollout-runner.ts
@@ -12,13 +12,16 @@
 	readRecord, type RolloutRecord, type StoredRecord, writeRecord,
 } from './rollout-record.js';
 
+/** What a rollout asks of its lease. */
+type OrderLease = Pick<HeldLease, 'fencing' | 'msLeft'>;
+
 /** Options of {@link createRolloutRunner}. */
 export type RolloutRunnerOptions = {
 	/** The service as the document has it now; `undefined` when it is gone. */
 	service: () => ModelService | undefined;
 	endpoints: () => readonly Endpoint[];
 	/** The lease on this rollout, looked up on the clock anew. */
-	held: () => HeldLease | undefined;
+	held: () => OrderLease | undefined;
 	control: EngineControl;
 	table: TableClient;
 	weights: WeightClient;
@@ -66,7 +69,7 @@
 	 * sent none in the last `lingerMs` of its lease, so after as long a wait its
 	 * orders have all arrived or died, and what is read then is what stands.
 	 */
-	function hasWaitedOut(lease: HeldLease): boolean {
+	function hasWaitedOut(lease: OrderLease): boolean {
 		if (lease.fencing !== ownedFencing) {
 			ownedFencing = lease.fencing;
 			ownedSince = performance.now();
--- a/packages/router/src/lib/weights/weights-keeper.ts
+++ b/packages/router/src/lib/weights/weights-keeper.ts
@@ -20,11 +20,18 @@
 	/** The lease, looked up on the clock anew. */
 	held: () => HeldLease | undefined;
 	/**
-	 * Time that a new holder waits before its first order: engines that don't
-	 * check fencing numbers obey any sender, so orders of two holders must lie
-	 * this far apart.
+	 * Orders of two holders must lie this far apart: engines that don't check
+	 * fencing numbers obey any sender.
 	 */
 	handoverMs: number;
+	/**
+	 * Latest `performance.now()` at which the former holder, known by the row of
+	 * its lease, can have sent an order. A new holder that doesn't know it counts
+	 * from its own beginning.
+	 */
+	formerOrderAt: (rowVersion: number) => number | undefined;
+	/** Requests must begin on weights that were named this long ago. */
+	weightsMs: number;
 	/** Requests under way at an endpoint, for the order of changes. */
 	runningAt: (id: string) => number;
 	log: Log;
@@ -33,6 +40,8 @@
 /** The keeper; `tick` is called some times a second. */
 export type WeightsKeeper = {
 	tick: () => void;
+	/** Milliseconds since this daemon sent its last order; infinite when it has sent none. */
+	sinceOrderMs: () => number;
 };
 
 /** One engine that should get other weights. */
@@ -44,6 +53,9 @@
  */
 const changingShare = 0.5;
 
+/** Part of the time allowed for old weights after which an engine gets hardly any request. */
+const unusableShare = 0.7;
+
 /** Pause between two looks at an engine that is changing. */
 const lookEveryMs = 150;
 
@@ -55,7 +67,14 @@
 	const {view, versions, control, log} = options;
 	const busy = new Map<string, Promise<void>>();
 	let ownedFencing: number | undefined;
-	let ownedSince = 0;
+	let mayOrderFrom = 0;
+	let lastOrderAt = Number.NEGATIVE_INFINITY;
+
+	/** The first holder ever follows nobody. */
+	const firstOrderAt = (held: HeldLease): number => {
+		const now = performance.now();
+		return held.fencing === 1 ? now : Math.min(now, options.formerOrderAt(held.followsRow) ?? now) + options.handoverMs;
+	};
 
 	const lease = (): HeldLease | undefined => {
 		const held = options.held();
@@ -66,13 +85,11 @@
 
 		if (held.fencing !== ownedFencing) {
 			ownedFencing = held.fencing;
-			ownedSince = performance.now();
+			mayOrderFrom = firstOrderAt(held);
 			log.info('Orders to engines are this daemon\'s duty now.', {order: held.fencing});
 		}
 
-		// The first holder ever follows nobody.
-		const waited = held.fencing === 1 || performance.now() - ownedSince >= options.handoverMs;
-		return waited && held.msLeft >= leastLeaseMs ? held : undefined;
+		return performance.now() >= mayOrderFrom && held.msLeft >= leastLeaseMs ? held : undefined;
 	};
 
 	const isNeeded = ({endpoint, model, version}: Task): boolean =>
@@ -95,6 +112,7 @@
 
 		// Known before the engine refuses, so that requests go elsewhere at once.
 		versions.changing(endpoint.id, version);
+		lastOrderAt = performance.now();
 		const result = await control.order(endpoint, {
 			model, version, holder: options.name, fencing: held.fencing, ordersTaken: state.ordersTaken,
 		});
@@ -147,18 +165,27 @@
 		return tasks;
 	};
 
+	/** Engines whose weights are too old for any new request lose nothing by changing at once. */
+	const isUnusable = ({endpoint, model}: Task): boolean =>
+		view.namedWeights(model)!.outdatedMs(versions.of(endpoint, model).version) > options.weightsMs * unusableShare;
+
 	const startTasks = (service: string, models: readonly string[]): void => {
 		const endpoints = view.endpointsOf(service);
 		const most = Math.max(1, Math.floor(endpoints.length * changingShare));
 		const changing = endpoints.filter(endpoint => busy.has(endpoint.id)).length;
 		const waiting = tasksOf(service, models).filter(task => !busy.has(task.endpoint.id));
 		waiting.sort((a, b) => options.runningAt(a.endpoint.id) - options.runningAt(b.endpoint.id));
-		for (const task of waiting.slice(0, Math.max(0, most - changing))) {
-			begin(task);
+		let free = most - changing;
+		for (const task of waiting) {
+			if (free > 0 || isUnusable(task)) {
+				begin(task);
+				free--;
+			}
 		}
 	};
 
 	return {
+		sinceOrderMs: () => performance.now() - lastOrderAt,
 		tick() {
 			const document = view.current()?.document;
 			if (document === undefined || lease() === undefined) {
