An answer without length keeps its framing towards the caller

Cause: an endpoint may break off an answer that states no length, and its connection closes as if it were whole.

--- a/packages/router/src/lib/fleet/call-headers.ts
+++ b/packages/router/src/lib/fleet/call-headers.ts
@@ -62,6 +62,8 @@
 	/** Weights version that the answer is made with. */
 	weights: number | undefined;
 	load: EndpointLoadReport | undefined;
+	/** The answer states neither length nor chunks and ends with its connection. */
+	isUnframed: boolean;
 	/** The body is not as the endpoint made it. */
 	isEncoded: boolean;
 	/** The endpoint closes the connection behind this answer. */
--- a/packages/router/src/lib/forwarding/attempt.ts
+++ b/packages/router/src/lib/forwarding/attempt.ts
@@ -16,6 +16,8 @@
 	status: number;
 	headers: readonly string[];
 	body: Buffer;
+	/** It ended with its connection. */
+	isUnframed: boolean;
 };
 
 /** How an attempt ended. */
@@ -86,6 +88,7 @@
 	let chunks: Buffer[] = [];
 	let bytes = 0;
 	let timer: NodeJS.Timeout | undefined;
+	let isReplyUnframed = false;
 
 	const finish = (end: AttemptEnd): void => {
 		if (!isOver) {
@@ -122,6 +125,13 @@
 
 	const isRelayed = (): boolean => options.isStream && head !== undefined && isSuccess(head.status);
 
+	const startReply = (): void => {
+		if (!reply.isStarted()) {
+			isReplyUnframed = progress.facts!.isUnframed;
+			reply.head(head!.status, headers.forCaller(head!.headers), isReplyUnframed);
+		}
+	};
+
 	const passOn = (chunk: Uint8Array): void => {
 		const frames = cutter.push(chunk);
 		if (frames === undefined) {
@@ -129,10 +139,7 @@
 		}
 
 		progress.lastEventId = frames.lastId ?? progress.lastEventId;
-		if (!reply.isStarted()) {
-			reply.head(head!.status, headers.forCaller(head!.headers));
-		}
-
+		startReply();
 		if (!reply.write(frames.bytes)) {
 			exchange?.pause();
 			clearTimeout(timer);
@@ -144,10 +151,13 @@
 	};
 
 	const endStream = (): void => {
-		if (!reply.isStarted()) {
-			reply.head(head!.status, headers.forCaller(head!.headers));
+		// A caller that was promised chunks can't be given an end that may be a cut.
+		if (progress.facts!.isUnframed && reply.isStarted() && !isReplyUnframed) {
+			finish({kind: 'failed', failure: 'unframed'});
+			return;
 		}
 
+		startReply();
 		const rest = cutter.rest();
 		reply.end(rest.length > 0 ? rest : undefined);
 		finish({kind: 'answered', status: head!.status});
@@ -155,13 +165,15 @@
 
 	const endWhole = (): void => {
 		const {status} = head!;
-		const body = Buffer.concat(chunks);
+		const answer: WholeAnswer = {
+			status, headers: head!.headers, body: Buffer.concat(chunks), isUnframed: progress.facts!.isUnframed,
+		};
 		if (progress.facts!.provesNotRun) {
 			finish({kind: 'notRun', status});
 		} else if (status >= statusServerError || reply.isStarted()) {
-			finish({kind: 'errorAnswer', answer: {status, headers: head!.headers, body}});
+			finish({kind: 'errorAnswer', answer});
 		} else {
-			sendWhole(reply, headers, {status, headers: head!.headers, body});
+			sendWhole(reply, headers, answer);
 			finish({kind: 'answered', status});
 		}
 	};
@@ -246,7 +258,8 @@
 }
 
 /** Sends an endpoint's whole answer as it is. */
-export function sendWhole(reply: CallerReply, headers: CallHeaders, {status, headers: raw, body}: WholeAnswer): void {
-	reply.head(status, [...headers.forCaller(raw), 'Content-Length', String(body.length)]);
+export function sendWhole(reply: CallerReply, headers: CallHeaders, {status, headers: raw, body, isUnframed}: WholeAnswer): void {
+	const framing = isUnframed ? [] : ['Content-Length', String(body.length)];
+	reply.head(status, [...headers.forCaller(raw), ...framing], isUnframed);
 	reply.end(body);
 }
--- a/packages/router/src/lib/forwarding/caller-reply.ts
+++ b/packages/router/src/lib/forwarding/caller-reply.ts
@@ -7,7 +7,12 @@
 	isStarted: () => boolean;
 	isGone: () => boolean;
 	status: () => number | undefined;
-	head: (status: number, headers: readonly string[]) => void;
+	/**
+	 * Sends the head. An unframed answer ends with its connection, as the
+	 * endpoint's did: it may have been cut short without a sign, and a length of
+	 * the router's own would vouch for half an answer.
+	 */
+	head: (status: number, headers: readonly string[], isUnframed?: boolean) => void;
 	/** Sends a part of the body; false when the caller reads too slowly, `onDrain` tells when it may go on. */
 	write: (chunk: Uint8Array) => boolean;
 	onDrain: (resume: () => void) => void;
@@ -41,8 +46,13 @@
 		isStarted: () => res.headersSent,
 		isGone: () => isGone,
 		status: () => status,
-		head(code, headers) {
+		head(code, headers, isUnframed = false) {
 			status = code;
+			if (isUnframed) {
+				res.useChunkedEncodingByDefault = false;
+				res.setHeader('connection', 'close');
+			}
+
 			for (let index = 0; index + 1 < headers.length; index += 2) {
 				res.appendHeader(headers[index], headers[index + 1]);
 			}
