--- a/packages/entry/src/lib/entry-parts.ts
+++ b/packages/entry/src/lib/entry-parts.ts
@@ -28,6 +28,9 @@
 /** Milliseconds for a connection to an endpoint; data centres are a millisecond apart. */
 const endpointConnectMs = 300;
 
+/** Part of the units that a workspace may be over its quota which a restarted fleet starts with. */
+const quotaExtraAtStart = 0.5;
+
 /** Connections to one endpoint that one daemon keeps for reuse. */
 const connectionsPerEndpoint = 96;
 
@@ -123,7 +126,7 @@
 function wireQuota(parts: EntryParts): FleetQuota {
 	const {settings, timings} = parts;
 	return createFleetQuota({
-		startsFull: settings.isFirstStart, daemons: () => countDaemons(parts), silenceMs: timings.peerSilenceMs, goneMs: timings.peerGoneMs,
+		startsFull: settings.isFirstStart, startUnits: settings.quota.extraUnits * quotaExtraAtStart, daemons: () => countDaemons(parts), silenceMs: timings.peerSilenceMs, goneMs: timings.peerGoneMs,
 	});
 }
 
@@ -181,7 +184,11 @@
 			parts.view.datedWeights(model, version, ageMs);
 		}
 
-		for (const [id, version, changingTo] of report.engines) {
+		for (const [id, version, changingTo, sinceOrderMs] of report.engines) {
+			if (sinceOrderMs >= 0) {
+				parts.keeper.heardOrder(id, sinceOrderMs);
+			}
+
 			versions.seen(id, version);
 			if (changingTo > 0) {
 				versions.changing(id, changingTo);
@@ -212,27 +219,13 @@
 }
 
 /** What this daemon says of the lease on orders, so that a successor need not wait longer than it must. */
-function dutyForReport({leases, keeper}: EntryParts): PeerReport['duty'] {
+function dutyForReport({leases}: EntryParts): PeerReport['duty'] {
 	const word = leases.word(weightsDuty);
-	const sinceOrderMs = keeper.sinceOrderMs();
-	return word === undefined ? null : [word.rowVersion, Math.floor(word.msLeft), Number.isFinite(sinceOrderMs) ? Math.floor(sinceOrderMs) : -1];
-}
-
-/** When the former holder can have sent its last order at the latest, if it could be heard. */
-function formerOrderAt({peers}: EntryParts, rowVersion: number): number | undefined {
-	for (const {report, heardAt} of peers.known().values()) {
-		if (report.duty?.[0] === rowVersion) {
-			const [, msLeft, sinceOrderMs] = report.duty;
-			// While it held the lease it may have ordered after this word.
-			return msLeft > 0 ? heardAt + msLeft : heardAt - Math.max(0, sinceOrderMs);
-		}
-	}
-
-	return undefined;
+	return word === undefined ? null : [word.attempt, Math.ceil(word.msLeft)];
 }
 
 /** Only the daemon that gives orders knows more of engines than the platform's list. */
-function enginesForReport({leases, versions, view}: EntryParts): PeerReport['engines'] {
+function enginesForReport({leases, versions, view, keeper}: EntryParts): PeerReport['engines'] {
 	if (leases.held(weightsDuty) === undefined) {
 		return [];
 	}
@@ -243,7 +236,8 @@
 		const endpoint = view.endpoint(id);
 		const [model] = endpoint?.weights.keys() ?? [];
 		if (endpoint !== undefined && model !== undefined) {
-			engines.push([id, versions.of(endpoint, model).version, changing.get(id) ?? 0]);
+			const sinceOrderMs = keeper.sinceOrderMs(id);
+			engines.push([id, versions.of(endpoint, model).version, changing.get(id) ?? 0, Number.isFinite(sinceOrderMs) ? Math.round(sinceOrderMs) : -1]);
 		}
 	}
 
@@ -272,7 +266,7 @@
 		lastWord(name, incarnation) {
 			const heard = peers.known().get(name);
 			return heard?.report.duty && BigInt(heard.report.incarnation) === incarnation
-				? {rowVersion: heard.report.duty[0], endsAt: heard.heardAt + heard.report.duty[1]}
+				? {attempt: heard.report.duty[0], endsAt: heard.heardAt + heard.report.duty[1]}
 				: undefined;
 		},
 		leaseMs: timings.leaseMs,
@@ -294,7 +288,7 @@
 		control,
 		held: () => leases.held(weightsDuty),
 		handoverMs: timings.handoverMs,
-		formerOrderAt: rowVersion => formerOrderAt(parts, rowVersion),
+		announce: parts.peers.sendNow,
 		weightsMs: settings.weightsMs,
 		runningAt(id) {
 			const endpoint = view.endpoint(id);
--- a/packages/entry/src/lib/timings.ts
+++ b/packages/entry/src/lib/timings.ts
@@ -20,7 +20,7 @@
 	/** How long a lease lasts, and by how much its holder stops early. */
 	leaseMs: number;
 	leaseMarginMs: number;
-	/** Time that a new holder of orders waits. */
+	/** Time that must lie between orders of two daemons to one engine. */
 	handoverMs: number;
 	/** For how long an entry that lapsed in an outage may be missing. */
 	lapsedGraceMs: number;
@@ -48,8 +48,8 @@
 		peerSilenceMs: 1000,
 		peerGoneMs: settings.quota.windowMs,
 		directoryEveryMs: 15_000,
-		leaseMs: settings.leaseMs * 1.2,
-		leaseMarginMs: settings.leaseMs * 0.4,
+		leaseMs: settings.leaseMs * 0.6,
+		leaseMarginMs: settings.leaseMs * 0.15,
 		handoverMs: settings.leaseMs + 200,
 		lapsedGraceMs: settings.drainMs * 0.85,
 		outageEchoMs: settings.heartbeatMs * 3,
--- a/packages/router/src/lib/leases/lease-holder.ts
+++ b/packages/router/src/lib/leases/lease-holder.ts
@@ -29,8 +29,8 @@
 	hasEnded?: (name: string, incarnation: bigint) => boolean;
 	/**
 	 * What a holder last said of its lease, where it could be heard: a lease that
-	 * has not been renewed since ends when its holder said so, without the wait
-	 * for a lease that may have been renewed a moment ago.
+	 * it has not written to since ends when it said so, without the wait for one
+	 * that may have been renewed a moment ago.
 	 */
 	lastWord?: (holder: string, incarnation: bigint) => LeaseWord | undefined;
 	/** Whether another daemon was just heard to hold a duty; the rows need not be read then. */
@@ -50,22 +50,23 @@
 	fencing: number;
 	/** Milliseconds for which the holder may still act. */
 	msLeft: number;
-	/** Version of the former holder's row that the first write of this lease replaced; 0 for none. */
-	followsRow: number;
 };
 
 /** What a process says of a lease that it holds or has held. */
 export type LeaseWord = {
-	/** Version of the lease's row as it last wrote it. */
-	rowVersion: number;
-	/** `performance.now()` of the hearer at which the lease ends. */
+	/** Number of its latest attempt to write the lease's row, answered or not. */
+	attempt: number;
+	/** `performance.now()` of the hearer until which any of these attempts lets it act. */
 	endsAt: number;
 };
 
 /** The holder of one daemon. */
 export type LeaseHolder = {
-	/** What this process may say of a lease to others: the row that it wrote last, and the milliseconds left. */
-	word: (duty: string) => {rowVersion: number; msLeft: number} | undefined;
+	/**
+	 * What this process may say of a lease to others: its latest attempt to write
+	 * the row, and the milliseconds for which that or an earlier one may let it act.
+	 */
+	word: (duty: string) => {attempt: number; msLeft: number} | undefined;
 	/** Takes part in the contest for a duty from now on. */
 	contend: (duty: string) => void;
 	/** The lease, looked up on the clock anew: ask right before each act. */
@@ -81,7 +82,7 @@
 };
 
 type Watched = {row: LeaseRow; version: number; unchangedSince: number};
-type Held = {fencing: number; end: number; clockOffset: number; followsRow: number};
+type Held = {fencing: number; end: number; clockOffset: number};
 
 const defaultLeaseMs = 30_000;
 const defaultMarginMs = 5000;
@@ -121,11 +122,19 @@
 	const vacantRounds = new Map<string, number>();
 	// A number is never used twice, so a row tells which attempt wrote it.
 	let attempt = 0;
-	const written = new Map<string, number>();
+	const attempts = new Map<string, {attempt: number; end: number}>();
 	let busy = false;
 	let released = false;
 	let timer: NodeJS.Timeout | undefined;
 
+	const msLeftOf = (lease: Held | undefined): number => {
+		if (lease === undefined || Math.abs(Date.now() - performance.now() - lease.clockOffset) > mostClockDriftMs) {
+			return 0;
+		}
+
+		return lease.end - performance.now();
+	};
+
 	const isOurs = (row: LeaseRow) => row.holder === name && row.incarnation === incarnation;
 
 	function watch(duty: string, found: TableRow): LeaseRow {
@@ -152,7 +161,7 @@
 		}
 
 		const word = options.lastWord?.(known.row.holder, BigInt(known.row.incarnation));
-		if (word?.rowVersion === known.version && performance.now() >= word.endsAt + wordMarginMs) {
+		if (word !== undefined && known.row.attempt <= word.attempt && performance.now() >= word.endsAt + wordMarginMs) {
 			return true;
 		}
 
@@ -190,22 +199,21 @@
 		attempt += 1;
 		const end = performance.now() + leaseMs - marginMs;
 		const clockOffset = Date.now() - performance.now();
-		const before = held.get(duty);
-		const followsRow = before?.fencing === fencing ? before.followsRow : watched.get(duty)?.version ?? 0;
+		attempts.set(duty, {attempt, end});
 		const row = {
 			holder: name, incarnation, fencing, attempt,
 		};
 		if (await write(duty, row) && !released) {
-			held.set(duty, {
-				fencing, end, clockOffset, followsRow,
-			});
-			written.set(duty, watched.get(duty)!.version);
+			held.set(duty, {fencing, end, clockOffset});
 		}
 	}
 
 	async function round(): Promise<void> {
-		for (const row of await table.list({prefix: leasePrefix})) {
-			watch(dutyOf(row.key), row);
+		// A holder renews by the version that it wrote last; a conflict tells it the rest.
+		if (![...duties].every(duty => msLeftOf(held.get(duty)) > 0)) {
+			for (const row of await table.list({prefix: leasePrefix})) {
+				watch(dutyOf(row.key), row);
+			}
 		}
 
 		for (const duty of duties) {
@@ -243,18 +251,10 @@
 		}
 	}
 
-	const msLeftOf = (lease: Held | undefined): number => {
-		if (lease === undefined || Math.abs(Date.now() - performance.now() - lease.clockOffset) > mostClockDriftMs) {
-			return 0;
-		}
-
-		return lease.end - performance.now();
-	};
-
 	return {
 		word(duty) {
-			const rowVersion = written.get(duty);
-			return rowVersion === undefined ? undefined : {rowVersion, msLeft: Math.max(0, msLeftOf(held.get(duty)))};
+			const latest = attempts.get(duty);
+			return latest && {attempt: latest.attempt, msLeft: Math.max(0, latest.end - performance.now())};
 		},
 		contend(duty) {
 			duties.add(duty);
@@ -262,9 +262,7 @@
 		held(duty) {
 			const lease = held.get(duty);
 			const msLeft = msLeftOf(lease);
-			return lease && msLeft > 0 ? {
-				duty, fencing: lease.fencing, msLeft, followsRow: lease.followsRow,
-			} : undefined;
+			return lease && msLeft > 0 ? {duty, fencing: lease.fencing, msLeft} : undefined;
 		},
 		tick,
 		async start() {
@@ -280,11 +278,10 @@
 			for (const [duty, {fencing}] of mine) {
 				attempt += 1;
 				try {
-					if (await write(duty, {
+					attempts.set(duty, {attempt, end: performance.now()});
+					await write(duty, {
 						holder: '', incarnation, fencing, attempt,
-					})) {
-						written.set(duty, watched.get(duty)!.version);
-					}
+					});
 				} catch (error) {
 					options.onError?.(new LeaseTableError(`The duty ${duty} could not be given back. It becomes free when its lease ends.`, {cause: error}));
 				}
--- a/packages/router/src/lib/peers/peer-report.ts
+++ b/packages/router/src/lib/peers/peer-report.ts
@@ -22,13 +22,12 @@
 	/** Model, version of weights, and milliseconds since they were named, for recent namings. */
 	named: z.array(z.tuple([z.string(), z.number(), z.number()])),
 	/**
-	 * From a daemon that gives or gave orders to engines: version of the lease's
-	 * row as it last wrote it, milliseconds for which it holds the lease, and
-	 * milliseconds since its last order (-1 for none).
+	 * From a daemon that gives or gave orders to engines: its latest attempt to
+	 * write the lease's row, and milliseconds for which it may hold the lease.
 	 */
-	duty: z.tuple([z.number(), z.number(), z.number()]).nullable(),
-	/** Engine, weights version, and the version that it is changing to or 0; from the daemon that gives orders. */
-	engines: z.array(z.tuple([z.string(), z.number(), z.number()])),
+	duty: z.tuple([z.number(), z.number()]).nullable(),
+	/** From the daemon that gives orders: engine, weights version, the version that it changes to or 0, milliseconds since its last order or -1. */
+	engines: z.array(z.tuple([z.string(), z.number(), z.number(), z.number()])),
 });
 
 /** A decoded report. */
--- a/packages/router/src/lib/quotas/fleet-quota.ts
+++ b/packages/router/src/lib/quotas/fleet-quota.ts
@@ -23,6 +23,11 @@
 export type FleetQuotaOptions = {
 	/** Buckets start full: the whole fleet starts for the first time. */
 	startsFull: boolean;
+	/**
+	 * Units that a bucket starts with otherwise: what was spent before a restart
+	 * of the whole fleet is not known, and so much may be spent too much.
+	 */
+	startUnits: number;
 	/** Daemons that are known, this one included. */
 	daemons: () => number;
 	/** Silence after which a peer is thought to go on admitting unheard. */
@@ -93,7 +98,7 @@
 		let bucket = buckets.get(name);
 		if (bucket === undefined) {
 			bucket = {
-				rate, burst, level: options.startsFull ? burst : 0, own: 0, at: now, admitted: 0, demand: 0, toldDemand: 0, peers: new Map(), isSettled: options.startsFull,
+				rate, burst, level: options.startsFull ? burst : Math.min(burst, options.startUnits), own: Math.min(burst, options.startUnits) / Math.max(1, options.daemons()), at: now, admitted: 0, demand: 0, toldDemand: 0, peers: new Map(), isSettled: options.startsFull,
 			};
 			buckets.set(name, bucket);
 		}
--- a/packages/router/src/lib/weights/weights-keeper.ts
+++ b/packages/router/src/lib/weights/weights-keeper.ts
@@ -20,16 +20,12 @@
 	/** The lease, looked up on the clock anew. */
 	held: () => HeldLease | undefined;
 	/**
-	 * Orders of two holders must lie this far apart: engines that don't check
-	 * fencing numbers obey any sender.
+	 * Orders of two holders to one engine must lie this far apart: engines that
+	 * don't check fencing numbers obey any sender.
 	 */
 	handoverMs: number;
-	/**
-	 * Latest `performance.now()` at which the former holder, known by the row of
-	 * its lease, can have sent an order. A new holder that doesn't know it counts
-	 * from its own beginning.
-	 */
-	formerOrderAt: (rowVersion: number) => number | undefined;
+	/** Called before an order leaves, so that peers know of it should this daemon end. */
+	announce: () => void;
 	/** Requests must begin on weights that were named this long ago. */
 	weightsMs: number;
 	/** Requests under way at an endpoint, for the order of changes. */
@@ -40,8 +36,10 @@
 /** The keeper; `tick` is called some times a second. */
 export type WeightsKeeper = {
 	tick: () => void;
-	/** Milliseconds since this daemon sent its last order; infinite when it has sent none. */
-	sinceOrderMs: () => number;
+	/** Milliseconds since this daemon ordered an engine; infinite when it has not. */
+	sinceOrderMs: (id: string) => number;
+	/** Another daemon ordered an engine so long ago. */
+	heardOrder: (id: string, sinceMs: number) => void;
 };
 
 /** One engine that should get other weights. */
@@ -67,14 +65,9 @@
 	const {view, versions, control, log} = options;
 	const busy = new Map<string, Promise<void>>();
 	let ownedFencing: number | undefined;
-	let mayOrderFrom = 0;
-	let lastOrderAt = Number.NEGATIVE_INFINITY;
-
-	/** The first holder ever follows nobody. */
-	const firstOrderAt = (held: HeldLease): number => {
-		const now = performance.now();
-		return held.fencing === 1 ? now : Math.min(now, options.formerOrderAt(held.followsRow) ?? now) + options.handoverMs;
-	};
+	const startedAt = performance.now();
+	const ownOrders = new Map<string, number>();
+	const othersOrders = new Map<string, number>();
 
 	const lease = (): HeldLease | undefined => {
 		const held = options.held();
@@ -85,11 +78,13 @@
 
 		if (held.fencing !== ownedFencing) {
 			ownedFencing = held.fencing;
-			mayOrderFrom = firstOrderAt(held);
 			log.info('Orders to engines are this daemon\'s duty now.', {order: held.fencing});
 		}
 
-		return performance.now() >= mayOrderFrom && held.msLeft >= leastLeaseMs ? held : undefined;
+		// A process that has just started has not heard of the last orders of a
+		// holder that is gone; by then they are old enough.
+		const mayKnow = held.fencing === 1 || performance.now() - startedAt >= options.handoverMs;
+		return mayKnow && held.msLeft >= leastLeaseMs ? held : undefined;
 	};
 
 	const isNeeded = ({endpoint, model, version}: Task): boolean =>
@@ -97,6 +92,10 @@
 		&& view.namedWeights(model)?.version === version
 		&& versions.of(endpoint, model).version < version;
 
+	/** Whether another daemon ordered the engine too short a time ago. */
+	const isAnothersStill = (id: string): boolean =>
+		performance.now() - (othersOrders.get(id) ?? Number.NEGATIVE_INFINITY) < options.handoverMs;
+
 	const step = async (task: Task): Promise<void> => {
 		const {endpoint, model, version} = task;
 		const state = await control.state(endpoint);
@@ -106,13 +105,14 @@
 		}
 
 		const held = lease();
-		if (running === undefined || running >= version || state.isChanging || held === undefined) {
+		if (running === undefined || running >= version || state.isChanging || held === undefined || isAnothersStill(endpoint.id)) {
 			return;
 		}
 
 		// Known before the engine refuses, so that requests go elsewhere at once.
 		versions.changing(endpoint.id, version);
-		lastOrderAt = performance.now();
+		ownOrders.set(endpoint.id, performance.now());
+		options.announce();
 		const result = await control.order(endpoint, {
 			model, version, holder: options.name, fencing: held.fencing, ordersTaken: state.ordersTaken,
 		});
@@ -185,7 +185,10 @@
 	};
 
 	return {
-		sinceOrderMs: () => performance.now() - lastOrderAt,
+		sinceOrderMs: id => performance.now() - (ownOrders.get(id) ?? Number.NEGATIVE_INFINITY),
+		heardOrder(id, sinceMs) {
+			othersOrders.set(id, Math.max(othersOrders.get(id) ?? 0, performance.now() - sinceMs));
+		},
 		tick() {
 			const document = view.current()?.document;
 			if (document === undefined || lease() === undefined) {
--- a/packages/router/src/test/rollouts/rollouts.test.ts
+++ b/packages/router/src/test/rollouts/rollouts.test.ts
@@ -131,7 +131,7 @@
 		return {service, ...fake, startOwner};
 	}
 
-	const leaseOf = (fencing: number, msLeft = 20_000): HeldLease => ({duty: 'rollout/wordsmith', fencing, msLeft, followsRow: 0});
+	const leaseOf = (fencing: number, msLeft = 20_000): HeldLease => ({duty: 'rollout/wordsmith', fencing, msLeft});
 
 	async function run(runner: {tick: () => Promise<void>}, ms: number, look: () => void): Promise<void> {
 		for (let passed = 0; passed < ms; passed += 100) {
