--- a/packages/entry/src/hickorywalk-entry.ts
+++ b/packages/entry/src/hickorywalk-entry.ts
@@ -2,7 +2,7 @@
 import process from 'node:process';
 import {BootSettingsError, readBootSettings, settingsVariable} from '@hickorywalk/platform';
 import {createLog, setLogWriter} from 'hickorywalk/observability.js';
-import {SonicBoom} from 'sonic-boom';
+import sonicBoom from 'sonic-boom';
 import {startEntryDaemon} from './lib/entry-daemon.js';
 
 /** Bytes of log lines that may wait for a slow reader; further lines are dropped. */
@@ -12,7 +12,7 @@
 
 // A pipe whose reader stops would block every write and with it all requests;
 // this writer queues a bounded number of bytes and drops what is beyond.
-const output = new SonicBoom({fd: 1, sync: false, maxLength: mostLogBytes});
+const output = new sonicBoom.SonicBoom({fd: 1, sync: false, maxLength: mostLogBytes});
 setLogWriter(line => {
 	output.write(`${line}\n`);
 });
