--- a/packages/entry/src/lib/entry-parts.ts
+++ b/packages/entry/src/lib/entry-parts.ts
@@ -292,7 +292,7 @@
 		lastWord(name, incarnation) {
 			const heard = peers.known().get(name);
 			return heard?.report.duty && BigInt(heard.report.incarnation) === incarnation
-				? {attempt: heard.report.duty[0], endsAt: heard.heardAt + heard.report.duty[1]}
+				? {attempt: heard.report.duty[0], heardAt: heard.heardAt, msLeft: heard.report.duty[1]}
 				: undefined;
 		},
 		leaseMs: timings.leaseMs,
--- a/packages/router/src/lib/leases/lease-holder.ts
+++ b/packages/router/src/lib/leases/lease-holder.ts
@@ -56,8 +56,10 @@
 export type LeaseWord = {
 	/** Number of its latest attempt to write the lease's row, answered or not. */
 	attempt: number;
-	/** `performance.now()` of the hearer until which any of these attempts lets it act. */
-	endsAt: number;
+	/** `performance.now()` at which this was heard. */
+	heardAt: number;
+	/** Milliseconds from then on for which any of these attempts may let it act; 0 when it may not act any more. */
+	msLeft: number;
 };
 
 /** The holder of one daemon. */
@@ -161,7 +163,7 @@
 		}
 
 		const word = options.lastWord?.(known.row.holder, BigInt(known.row.incarnation));
-		if (word !== undefined && known.row.attempt <= word.attempt && performance.now() >= word.endsAt + wordMarginMs) {
+		if (word !== undefined && known.row.attempt <= word.attempt && hasEndedBy(word)) {
 			return true;
 		}
 
@@ -292,3 +294,8 @@
 		},
 	};
 }
+
+/** A holder that says that it may not act any more needs no margin; it says so again and again. */
+function hasEndedBy({heardAt, msLeft}: LeaseWord): boolean {
+	return msLeft === 0 || performance.now() >= heardAt + msLeft + wordMarginMs;
+}
--- /dev/null
+++ b/packages/router/src/test/placing/endpoint-choice.test.ts
@@ -0,0 +1,140 @@
+import FakeTimers from '@sinonjs/fake-timers';
+import {assert} from 'chai';
+import {createFleetView, type FleetDocument, type FleetView, type LiveEndpoint} from '../../fleet.js';
+import {createSilentLog} from '../../observability.js';
+import {
+	createEndpointBook, createEndpointChoice, type ChoiceRequest, type EndpointBook, type EndpointChoice, type PromptNeed,
+} from '../../placing.js';
+import {createHealthTracker} from '../../routing.js';
+import {createEngineVersions, type EngineVersions} from '../../weights.js';
+
+const prompt = (subject: string, more: Partial<PromptNeed> = {}): PromptNeed => ({
+	model: 'm', parts: [{id: 'top', tokens: 2500}, {id: subject, tokens: 3800}, {id: 'own', tokens: 2900}], promptTokens: 9200, outputTokens: 13, wall: '', ...more,
+});
+
+describe('createEndpointChoice', () => {
+	let clock: FakeTimers.Clock;
+	let view: FleetView;
+	let book: EndpointBook;
+	let versions: EngineVersions;
+	let choice: EndpointChoice;
+
+	const list = (id: string, more: Partial<LiveEndpoint> = {}): void => {
+		view.acceptEndpoint({
+			id, service: 'engines', address: '10.0.0.1:80', dataCentre: 'a', slots: 64, isLeaving: false, startedAt: 1, reportNumber: 1, weights: new Map([['m', 1]]), ...more,
+		});
+	};
+
+	const choose = (need: PromptNeed | undefined, more: Partial<ChoiceRequest> = {}) => choice.choose({
+		service: 'engines', prompt: need, excluded: new Set(), ...more,
+	});
+
+	beforeEach(() => {
+		clock = FakeTimers.install({toFake: ['performance']});
+		clock.tick(1000);
+		view = createFleetView(createSilentLog());
+		const document: FleetDocument = {
+			version: 1,
+			routes: [],
+			services: new Map([['engines', {name: 'engines', mostConnections: 100, engine: {slots: 64, memoryTokens: 96_000, models: ['m']}}]]),
+			cacheStores: [{name: 'keep', address: '10.9.0.1:80', dataCentre: 'b'}],
+			workspaces: [],
+			limits: {
+				headerBytes: 1, bodyBytes: 1, headerMs: 1, idleMs: 1,
+			},
+		};
+		view.acceptDocument(document);
+		book = createEndpointBook();
+		versions = createEngineVersions();
+		choice = createEndpointChoice({
+			view, book, health: createHealthTracker(), versions, dataCentre: 'a', weightsMs: 8000,
+		});
+		for (let index = 0; index < 8; index++) {
+			list(`e${index}`);
+		}
+	});
+
+	afterEach(() => {
+		clock.uninstall();
+	});
+
+	it('sends prompts with the same shared parts to the same engine, and spreads the others', () => {
+		const homes = new Set<string>();
+		for (let subject = 0; subject < 100; subject++) {
+			const first = choose(prompt(`s${subject}`))!.endpoint.id;
+			assert.equal(choose(prompt(`s${subject}`))!.endpoint.id, first);
+			homes.add(first);
+		}
+
+		assert.lengthOf(homes, 8);
+	});
+
+	it('spreads a hot subject once its engine has more to read than another would from the start', () => {
+		// A third of all requests are about one subject. Its engine alone would let
+		// callers wait behind each other; the store gives its parts to others cheaply.
+		const used = new Map<string, number>();
+		for (let count = 0; count < 40; count++) {
+			const need = prompt('hot');
+			const chosen = choose(need)!;
+			choice.placed(chosen, need);
+			book.start(chosen.endpoint.id, {missingTokens: chosen.missingTokens, memoryTokens: 9213});
+			used.set(chosen.endpoint.id, (used.get(chosen.endpoint.id) ?? 0) + 1);
+		}
+
+		assert.isAtLeast(used.size, 6);
+		assert.isAtMost(Math.max(...used.values()), 10);
+	});
+
+	it('asks the store for shared parts, apart by weights and for an isolated workspace', () => {
+		const open = choose(prompt('s1'))!;
+		const walled = choose(prompt('s1', {wall: 'club'}))!;
+		assert.deepEqual([open.fetchFrom, open.cacheScope, walled.cacheScope], ['10.9.0.1:80', ':1', 'club:1']);
+	});
+
+	it('uses no engine that leaves, changes its weights or has had the request', () => {
+		for (let index = 0; index < 7; index++) {
+			const id = `e${index}`;
+			if (index < 3) {
+				list(id, {isLeaving: true, reportNumber: 2});
+			} else if (index < 5) {
+				versions.changing(id, 2);
+			}
+		}
+
+		assert.equal(choose(prompt('s1'), {excluded: new Set(['e5', 'e6'])})?.endpoint.id, 'e7');
+		assert.isUndefined(choose(prompt('s1'), {excluded: new Set(['e5', 'e6', 'e7'])}));
+	});
+
+	it('begins nothing on weights that were replaced too long ago', () => {
+		view.acceptWeights('m', 2, 0);
+		versions.seen('e4', 2);
+		clock.tick(7000);
+		for (let subject = 0; subject < 20; subject++) {
+			assert.equal(choose(prompt(`s${subject}`))?.endpoint.id, 'e4');
+		}
+	});
+
+	it('keeps to the engines that are furthest when it can\'t know the age of weights', () => {
+		view.acceptWeights('m', 5, Number.POSITIVE_INFINITY);
+		versions.seen('e2', 3);
+		for (let subject = 0; subject < 20; subject++) {
+			assert.equal(choose(prompt(`s${subject}`))?.endpoint.id, 'e2');
+		}
+	});
+
+	it('goes round an engine that does not answer', () => {
+		const chosen = choose(prompt('s1'))!;
+		book.start(chosen.endpoint.id, {missingTokens: 100, memoryTokens: 100});
+		clock.tick(4000);
+		assert.notEqual(choose(prompt('s1'))!.endpoint.id, chosen.endpoint.id);
+	});
+
+	it('counts what peers have under way', () => {
+		const chosen = choose(prompt('s1'))!;
+		book.heard({
+			daemon: 'vm-2', incarnation: 1, number: 1, isLeaving: false, address: '', heard: {}, usage: [], named: [], duty: null, engines: [],
+			loads: [[chosen.endpoint.id, 6, 40_000, 60_000]],
+		});
+		assert.notEqual(choose(prompt('s1'))!.endpoint.id, chosen.endpoint.id);
+	});
+});
--- /dev/null
+++ b/packages/router/src/test/weights/weights-keeper.test.ts
@@ -0,0 +1,156 @@
+import FakeTimers from '@sinonjs/fake-timers';
+import {assert} from 'chai';
+import {createFleetView, type FleetDocument, type FleetView, type LiveEndpoint} from '../../fleet.js';
+import {createSilentLog} from '../../observability.js';
+import {
+	createEngineVersions, createWeightsKeeper, type EngineVersions, type WeightsControl, type WeightsKeeper,
+} from '../../weights.js';
+
+/** Engines that obey: runs end, then weights load. */
+type Engines = {
+	control: WeightsControl;
+	versions: Map<string, number>;
+	/** Orders in the order of their arrival: time, engine, version, fencing number. */
+	orders: Array<[at: number, id: string, version: number, fencing: number]>;
+	mostChanging: number;
+};
+
+const loadMs = 700;
+
+function createEngines(ids: readonly string[]): Engines {
+	const versions = new Map(ids.map(id => [id, 1]));
+	const changing = new Set<string>();
+	const taken = new Map<string, number>();
+	const engines: Engines = {
+		versions,
+		orders: [],
+		mostChanging: 0,
+		control: {
+			async state({id}) {
+				return {weights: new Map([['m', versions.get(id)!]]), isChanging: changing.has(id), ordersTaken: taken.get(id) ?? 0};
+			},
+			async order({id}, {version, fencing}) {
+				engines.orders.push([Math.round(performance.now()), id, version, fencing]);
+				changing.add(id);
+				taken.set(id, (taken.get(id) ?? 0) + 1);
+				engines.mostChanging = Math.max(engines.mostChanging, changing.size);
+				setTimeout(() => {
+					changing.delete(id);
+					versions.set(id, version);
+				}, loadMs);
+				return 'accepted';
+			},
+		},
+	};
+	return engines;
+}
+
+describe('createWeightsKeeper', () => {
+	const ids = Array.from({length: 12}, (_item, index) => `e${index}`);
+	let clock: FakeTimers.Clock;
+	let view: FleetView;
+	let engines: Engines;
+	let versions: EngineVersions;
+	let fencing: number | undefined;
+	let keeper: WeightsKeeper;
+	let timer: NodeJS.Timeout;
+
+	const open = (): WeightsKeeper => createWeightsKeeper({
+		name: 'vm-1',
+		view,
+		versions,
+		control: engines.control,
+		held: () => fencing === undefined ? undefined : {duty: 'weights', fencing, msLeft: 1000},
+		handoverMs: 3200,
+		announce: () => undefined,
+		weightsMs: 8000,
+		runningAt: () => 0,
+		log: createSilentLog(),
+	});
+
+	beforeEach(() => {
+		clock = FakeTimers.install({toFake: ['performance', 'setTimeout', 'clearTimeout', 'setInterval', 'clearInterval']});
+		view = createFleetView(createSilentLog());
+		const endpoint = (id: string): LiveEndpoint => ({
+			id, service: 'engines', address: '10.0.0.1:80', dataCentre: 'a', slots: 8, isLeaving: false, startedAt: 1, reportNumber: 1, weights: new Map([['m', 1]]),
+		});
+		for (const id of ids) {
+			view.acceptEndpoint(endpoint(id));
+		}
+
+		const document: FleetDocument = {
+			version: 1,
+			routes: [],
+			services: new Map([['engines', {name: 'engines', mostConnections: 10, engine: {slots: 8, memoryTokens: 1000, models: ['m']}}]]),
+			cacheStores: [],
+			workspaces: [],
+			limits: {
+				headerBytes: 1, bodyBytes: 1, headerMs: 1, idleMs: 1,
+			},
+		};
+		view.acceptDocument(document);
+		engines = createEngines(ids);
+		versions = createEngineVersions();
+		fencing = 1;
+		keeper = open();
+		timer = setInterval(() => {
+			keeper.tick();
+		}, 100);
+	});
+
+	afterEach(() => {
+		clearInterval(timer);
+		clock.uninstall();
+	});
+
+	it('brings all engines to the weights that are named, half of them at a time at most', async () => {
+		view.acceptWeights('m', 2, 0);
+		await clock.tickAsync(4000);
+		assert.deepEqual([...engines.versions.values()], ids.map(() => 2));
+		assert.lengthOf(engines.orders, ids.length);
+		assert.isAtMost(engines.mostChanging, ids.length / 2);
+	});
+
+	it('gives no order without the lease', async () => {
+		fencing = undefined;
+		view.acceptWeights('m', 2, 0);
+		await clock.tickAsync(4000);
+		assert.lengthOf(engines.orders, 0);
+	});
+
+	it('orders no engine that another daemon ordered a moment ago', async () => {
+		// The daemon before was cut off a second after it had told an engine to
+		// change. Engines that don't check fencing numbers obey both, so this daemon
+		// leaves that one alone until the bound has passed, and orders the others.
+		fencing = 2;
+		keeper = open();
+		await clock.tickAsync(4000);
+		keeper.heardOrder('e3', 1000);
+		const heardAt = performance.now();
+		view.acceptWeights('m', 2, 0);
+		await clock.tickAsync(4000);
+		const [at] = engines.orders.find(([, id]) => id === 'e3')!;
+		assert.isAtLeast(at - heardAt, 2200);
+		assert.isBelow(engines.orders[0][0] - heardAt, 500);
+	});
+
+	it('waits after its start, when it can\'t have heard of the last orders', async () => {
+		// All daemons are killed and start again. The new holder of the lease heard
+		// no report of the orders that the former one gave just before.
+		fencing = 2;
+		keeper = open();
+		const startedAt = performance.now();
+		view.acceptWeights('m', 2, 0);
+		await clock.tickAsync(5000);
+		assert.isAtLeast(engines.orders[0][0] - startedAt, 3200);
+	});
+
+	it('changes engines at once whose weights are too old for any request', async () => {
+		fencing = undefined;
+		view.acceptWeights('m', 2, 0);
+		await clock.tickAsync(6000);
+		fencing = 1;
+		await clock.tickAsync(1500);
+		assert.deepEqual([...engines.versions.values()], ids.map(() => 2));
+	});
+});
