--- /dev/null
+++ b/packages/entry/src/test/metrics.test.ts
@@ -0,0 +1,22 @@
+import {readFileSync} from 'node:fs';
+import {assert} from 'chai';
+import {createDaemonMetrics, metricHelp} from '../lib/daemon-metrics.js';
+
+describe('createDaemonMetrics', () => {
+	it('serves every metric that its page lists, and no other of its own', async () => {
+		const metrics = createDaemonMetrics();
+		metrics.watch({underWay: () => 3, peersHeard: () => 8});
+		metrics.ended({
+			requestId: 'r', route: 'a', workspace: 'school', service: 'desk', endpoint: 'e', status: 200, attempts: 1, ms: 40, firstMs: 30, expectedMs: 20, reason: 'answered',
+		});
+		const text = await metrics.text();
+		const page = readFileSync(new URL('../../../../docs/metrics.md', import.meta.url), 'utf8');
+		for (const [name, help] of Object.entries(metricHelp)) {
+			assert.include(text, `# HELP ${name} ${help}`);
+			assert.include(page, `| \`${name}\` | ${help} |`);
+		}
+
+		assert.include(text, 'hickorywalk_requests_total{service="desk",result="answered"} 1');
+		assert.include(text, 'hickorywalk_peers_heard 8');
+	});
+});
