--- a/packages/entry/src/hickorywalk-entry.ts
+++ b/packages/entry/src/hickorywalk-entry.ts
@@ -36,8 +36,8 @@
 	try {
 		readBootSettings(path);
 		log.info('Settings were read anew; they count from the next start.');
-	} catch (err) {
-		log.warn('Settings are refused, the old ones stay.', {err});
+	} catch (error) {
+		log.warn('Settings are refused, the old ones stay.', {err: error});
 	}
 }
 
--- a/packages/router/src/test/weights/weights-keeper.test.ts
+++ b/packages/router/src/test/weights/weights-keeper.test.ts
@@ -1,6 +1,8 @@
 import FakeTimers from '@sinonjs/fake-timers';
 import {assert} from 'chai';
-import {createFleetView, type FleetDocument, type FleetView, type LiveEndpoint} from '../../fleet.js';
+import {
+	createFleetView, type FleetDocument, type FleetView, type LiveEndpoint,
+} from '../../fleet.js';
 import {createSilentLog} from '../../observability.js';
 import {
 	createEngineVersions, createWeightsKeeper, type EngineVersions, type WeightsControl, type WeightsKeeper,
