--- a/packages/entry/src/lib/entry-parts.ts
+++ b/packages/entry/src/lib/entry-parts.ts
@@ -157,9 +157,14 @@
 function wireQuota(parts: EntryParts): FleetQuota {
 	const {settings, timings} = parts;
 	return createFleetQuota({
-		startsFull: settings.isFirstStart, onUnreported() {
+		startsFull: settings.isFirstStart,
+		onUnreported() {
 			parts.peers.sendSoon();
-		}, startUnits: settings.quota.extraUnits * quotaExtraAtStart, daemons: () => countDaemons(parts), silenceMs: timings.peerSilenceMs, goneMs: timings.peerGoneMs,
+		},
+		startUnits: settings.quota.extraUnits * quotaExtraAtStart,
+		daemons: () => countDaemons(parts),
+		silenceMs: timings.peerSilenceMs,
+		goneMs: timings.peerGoneMs,
 	});
 }
 
@@ -383,6 +388,7 @@
 			log.info('Request ended.', {
 				requestId, workspace, service, endpoint, status, result: reason, attempt: end.attempts, path: end.route,
 				ms: Math.round(end.ms), firstMs: rounded(end.firstMs), expectedMs: rounded(end.expectedMs),
+				units: end.quota?.units, level: rounded(end.quota?.level), own: rounded(end.quota?.own),
 			});
 		},
 		attemptFailed({requestId, endpoint, service, reason, ms, next}) {
--- a/packages/router/src/lib/forwarding/forwarder.ts
+++ b/packages/router/src/lib/forwarding/forwarder.ts
@@ -4,6 +4,7 @@
  */
 import {type Buffer} from 'node:buffer';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {type Route, type Workspace} from '../fleet/fleet-document.js';
 import {type FleetView} from '../fleet/fleet-view.js';
 import {chooseService} from '../fleet/route-table.js';
 import {type Choice} from '../placing/endpoint-choice.js';
@@ -102,9 +103,9 @@
 		const startedAt = performance.now();
 		const facts = headers.readCall(req.rawHeaders);
 		const reply = createCallerReply(res);
-		const tell = (reason: string, call?: Call): void => {
+		const tell = (reason: string, more: EndDetails = {}): void => {
 			options.events.ended(describeEnd({
-				reason, call, reply, requestId: facts.requestId, startedAt,
+				...more, reason, reply, requestId: facts.requestId, startedAt,
 			}));
 		};
 
@@ -116,10 +117,12 @@
 		}
 
 		const {route, workspace} = found;
-		const admission = workspace === undefined ? undefined : quota.admit(workspace, unitsOf(facts, workspace));
+		const units = workspace === undefined ? 0 : unitsOf(facts, workspace);
+		const admission = workspace === undefined ? undefined : quota.admit(workspace, units);
 		if (admission?.granted === false) {
-			refuse(headers, {reply, facts}, {name: 'over_quota', retryAfterMs: admission.retryAfterMs});
-			tell('over_quota');
+			const {retryAfterMs, level, own} = admission;
+			refuse(headers, {reply, facts}, {name: 'over_quota', retryAfterMs});
+			tell('over_quota', {route, workspace, quota: {units, level, own}});
 			return;
 		}
 
@@ -134,7 +137,7 @@
 			admission?.refund();
 		}
 
-		tell(reason, call);
+		tell(reason, {call, route, workspace});
 	};
 
 	return {
@@ -150,18 +153,35 @@
 	};
 }
 
-function describeEnd({reason, call, reply, requestId, startedAt}: {reason: string; call: Call | undefined; reply: CallerReply; requestId: string | undefined; startedAt: number}): RequestEnd {
+/** What is known of a request that ended, beside its reason. */
+type EndDetails = {
+	call?: Call;
+	route?: Route;
+	workspace?: Workspace | undefined;
+	quota?: RequestEnd['quota'];
+};
+
+type EndOfRequest = EndDetails & {
+	reason: string;
+	reply: CallerReply;
+	requestId: string | undefined;
+	startedAt: number;
+};
+
+function describeEnd(end: EndOfRequest): RequestEnd {
+	const {call, route, workspace, reply, requestId, reason, quota} = end;
 	return {
 		requestId,
-		route: call?.route.name,
-		workspace: call?.workspace?.name,
+		route: route?.name,
+		workspace: workspace?.name,
 		service: call?.service,
 		endpoint: call?.choice?.endpoint.id,
 		status: reply.status(),
 		attempts: call?.attempts ?? 0,
-		ms: performance.now() - startedAt,
-		firstMs: call?.progress.firstAt === undefined ? undefined : call.progress.firstAt - startedAt,
+		ms: performance.now() - end.startedAt,
+		firstMs: call?.progress.firstAt === undefined ? undefined : call.progress.firstAt - end.startedAt,
 		expectedMs: call?.choice?.expectedMs,
 		reason,
+		quota,
 	};
 }
--- a/packages/router/src/lib/forwarding/forwarding-events.ts
+++ b/packages/router/src/lib/forwarding/forwarding-events.ts
@@ -18,6 +18,8 @@
 	/** Milliseconds to the first byte that the decision expected. */
 	expectedMs: number | undefined;
 	reason: string;
+	/** Of a request over its workspace's quota: units asked for, and units left for the fleet and for this daemon. */
+	quota?: {units: number; level: number; own: number};
 };
 
 /** Hears of requests. */
--- a/packages/router/src/lib/observability/log.ts
+++ b/packages/router/src/lib/observability/log.ts
@@ -33,6 +33,10 @@
 	'count',
 	'bytes',
 	'tokens',
+	/** Units asked of a quota, and left of it for the fleet and for this daemon. */
+	'units',
+	'level',
+	'own',
 	'order',
 	'path',
 	'attempt',
--- a/packages/router/src/lib/quotas/fleet-quota.ts
+++ b/packages/router/src/lib/quotas/fleet-quota.ts
@@ -16,8 +16,11 @@
 /** What came of asking. */
 export type Admission
 	= | {granted: true; refund: () => void}
-	/** `retryAfterMs`: when the same request would pass if nothing else came. */
-		| {granted: false; retryAfterMs: number};
+	/**
+	 * `retryAfterMs`: when the same request would pass if nothing else came.
+	 * `level` and `own`: units left for the fleet, and for this daemon, as it saw them.
+	 */
+		| {granted: false; retryAfterMs: number; level: number; own: number};
 
 /** Options of {@link createFleetQuota}; durations in milliseconds. */
 export type FleetQuotaOptions = {
@@ -230,7 +233,9 @@
 			takeLimits(bucket, workspace);
 			bucket.demand += units * msPerSecond / demandMs;
 			if (!mayAdmit(bucket, units)) {
-				return {granted: false, retryAfterMs: retryAfter(bucket, units)};
+				return {
+					granted: false, retryAfterMs: retryAfter(bucket, units), level: bucket.level, own: bucket.own,
+				};
 			}
 
 			const take = (taken: number): void => {
