Large prompts are told to peers at once

Cause: a round of reports takes 0.2 s, in which each daemon takes an engine that became free for free; seven prompts of six daemons met on one within 0.12 s.

--- a/packages/entry/src/lib/entry-parts.ts
+++ b/packages/entry/src/lib/entry-parts.ts
@@ -100,7 +100,11 @@
 		log: asValue(createLog('entry', {vm: settings.name, dataCentre: settings.dataCentre})),
 		view: asFunction(({log}: EntryParts) => createFleetView(log)).singleton(),
 		versions: asFunction(() => createEngineVersions()).singleton(),
-		book: asFunction(() => createEndpointBook()).singleton(),
+		book: asFunction((parts: EntryParts) => createEndpointBook({
+			onLarge() {
+				parts.peers.sendSoon();
+			},
+		})).singleton(),
 		presence: asFunction(({log}: EntryParts) => createEndpointPresence(log)).singleton(),
 		health: asFunction(() => createHealthTracker({
 			consecutiveFailures: 2, ejectionMs: 1000, longestEjectionMs: 8000, returnMs: 3000,
--- a/packages/router/src/lib/placing/endpoint-book.ts
+++ b/packages/router/src/lib/placing/endpoint-book.ts
@@ -73,8 +73,21 @@
 const toldLifeMs = 700;
 const peerLifeMs = 1500;
 
+/** Options of {@link createEndpointBook}. */
+export type EndpointBookOptions = {
+	/** Called when a request began that others should know of before they choose. */
+	onLarge?: () => void;
+};
+
+/**
+ * Prompt tokens from which a request is told to peers at once: it keeps an
+ * engine busy for about as long as a round of reports, in which each of the
+ * other daemons would take the engine for free.
+ */
+const largeTokens = 2000;
+
 /** Opens an empty book. */
-export function createEndpointBook(): EndpointBook {
+export function createEndpointBook({onLarge}: EndpointBookOptions = {}): EndpointBook {
 	const entries = new Map<string, Entry>();
 	const peers = new Map<string, PeerLoads>();
 
@@ -143,6 +156,10 @@
 			const entry = entryOf(id);
 			const work: OpenWork = {size, startedAt: performance.now(), hasBegun: false};
 			entry.open.add(work);
+			if (size.missingTokens >= largeTokens) {
+				onLarge?.();
+			}
+
 			return {
 				begun() {
 					work.hasBegun = true;
