Folders of the library and the old daemon's wiring depend one way

Types of the seams lie in the lower part: keys and callers in configuration, the gateway's ports in lib/serving, rollouts and trace taps in the wiring's parts. No behaviour changed.

--- a/packages/daemon/src/lib/container.ts
+++ b/packages/daemon/src/lib/container.ts
@@ -20,8 +20,7 @@
 	liveNames, wireConfiguration, wireConfigurationStore, wireFollower, wireLimiter, wireMembership, wireNetwork, wireRecovery,
 } from './wiring/fleet-wiring.js';
 import {wireAdministration, wireModels, wireServer} from './wiring/gateway-wiring.js';
-import {type Parts} from './wiring/parts.js';
-import {type TraceTap} from './wiring/trace-wiring.js';
+import {type Parts, type TraceTap} from './wiring/parts.js';
 
 /** Creates the container of one daemon. */
 export async function createParts(settings: Settings): Promise<AwilixContainer<Parts>> {
--- a/packages/daemon/src/lib/wiring/duty-wiring.ts
+++ b/packages/daemon/src/lib/wiring/duty-wiring.ts
@@ -3,13 +3,7 @@
 import {createBurnReport, reportBurnMetrics} from 'hickorywalk/observability.js';
 import {createRolloutRunner, type RolloutRunner} from 'hickorywalk/rollouts.js';
 import {liveNames} from './fleet-wiring.js';
-import {type Parts} from './parts.js';
-
-/** The duties of one daemon, of which it may hold some. */
-export type Rollouts = {
-	start: () => void;
-	stop: () => void;
-};
+import {type Parts, type Rollouts} from './parts.js';
 
 const roundMs = 1000;
 const sweepMs = 60_000;
--- a/packages/daemon/src/lib/wiring/parts.ts
+++ b/packages/daemon/src/lib/wiring/parts.ts
@@ -6,7 +6,7 @@
 } from 'hickorywalk/endpoints.js';
 import {type FairQueue} from 'hickorywalk/fairness.js';
 import {
-	type GatewayServer, type HashPrompt, type KeyRing, type ModelGateway, type RetryBudget,
+	type GatewayServer, type HashPrompt, type KeyRing, type ModelGateway, type PlacementRequest, type RetryBudget,
 } from 'hickorywalk/gateway.js';
 import {type LeaseHolder} from 'hickorywalk/leases.js';
 import {type FleetTokenLimiter} from 'hickorywalk/limits.js';
@@ -21,8 +21,15 @@
 import {type createHttpEngineControl} from 'hickorywalk/rollouts.js';
 import {type LearningPlacer} from 'hickorywalk/routing.js';
 import {type Settings} from '../settings.js';
-import {type Rollouts} from './duty-wiring.js';
-import {type TraceTap} from './trace-wiring.js';
+
+/** The duties of one daemon, of which it may hold some. */
+export type Rollouts = {
+	start: () => void;
+	stop: () => void;
+};
+
+/** Hears of each answered request; `startedAt` is on the monotonic clock. */
+export type TraceTap = (request: PlacementRequest, startedAt: number, outputTokens: number) => void;
 
 /** What changes as a daemon starts and stops. */
 export type DaemonState = {
--- a/packages/daemon/src/lib/wiring/trace-wiring.ts
+++ b/packages/daemon/src/lib/wiring/trace-wiring.ts
@@ -6,10 +6,7 @@
 	type Outcome, type Placement, type PlacementRequest, type Placer,
 } from 'hickorywalk/gateway.js';
 import {z} from 'zod';
-import {type Parts} from './parts.js';
-
-/** Hears of each answered request; `startedAt` is on the monotonic clock. */
-export type TraceTap = (request: PlacementRequest, startedAt: number, outputTokens: number) => void;
+import {type Parts, type TraceTap} from './parts.js';
 
 /** Passes a placer's calls on, and tells taps of answered requests. */
 export function tapPlacer(placer: Placer, taps: ReadonlySet<TraceTap>): Placer {
--- a/packages/router/src/gateway.ts
+++ b/packages/router/src/gateway.ts
@@ -1,5 +1,6 @@
 /** The HTTP side toward callers, and what it asks of the other parts. */
-export type * from './lib/gateway/ports.js';
+export type * from './lib/serving/ports.js';
+export type {Caller, KeyRing} from './lib/configuration/key-ring.js';
 export * from './lib/gateway/gateway-errors.js';
 export * from './lib/gateway/gateway-server.js';
 export * from './lib/gateway/model-gateway.js';
--- a/packages/router/src/lib/configuration/key-ring.ts
+++ b/packages/router/src/lib/configuration/key-ring.ts
@@ -5,8 +5,23 @@
  */
 import {type Buffer} from 'node:buffer';
 import {createHash, randomBytes, timingSafeEqual} from 'node:crypto';
-import {type Caller, type KeyRing} from '../gateway/ports.js';
-import {type AcceptedDocument} from './document.js';
+import {type AcceptedDocument, type Workspace} from './document.js';
+
+/** Whose request it is, as its key said. */
+export type Caller = {
+	workspace: Workspace;
+	/** Public name of the key; the key itself is kept nowhere. */
+	keyId: string;
+};
+
+/** Tells whose key it is. */
+export type KeyRing = {
+	/**
+	 * Called for every request anew, also on a connection that was open before
+	 * the key was withdrawn. `undefined` when no workspace has this key now.
+	 */
+	authenticate: (key: string) => Caller | undefined;
+};
 
 /** Options of {@link createKeyRing}. */
 export type KeyRingOptions = {
--- a/packages/router/src/lib/endpoints/endpoint-errors.ts
+++ b/packages/router/src/lib/endpoints/endpoint-errors.ts
@@ -1,5 +1,5 @@
 /** Errors of the layer that speaks to endpoints. */
-import {type EngineLoad} from '../gateway/ports.js';
+import {type EngineLoad} from '../serving/ports.js';
 import {LayerError} from '../errors/layer-error.js';
 
 /** No connection came about: no byte of the request left. */
--- a/packages/router/src/lib/endpoints/endpoint-watch.ts
+++ b/packages/router/src/lib/endpoints/endpoint-watch.ts
@@ -4,7 +4,7 @@
  * new version or a full queue is known before a caller meets it.
  */
 import {type Endpoint} from '../configuration/document.js';
-import {type EngineLoad} from '../gateway/ports.js';
+import {type EngineLoad} from '../serving/ports.js';
 import {type ReadyVersions} from './version-choice.js';
 
 /** What a probe found. */
--- a/packages/router/src/lib/endpoints/engine-client.ts
+++ b/packages/router/src/lib/endpoints/engine-client.ts
@@ -4,7 +4,7 @@
  */
 import {type Readable} from 'node:stream';
 import {errors, Pool} from 'undici';
-import {type EngineLoad} from '../gateway/ports.js';
+import {type EngineLoad} from '../serving/ports.js';
 import {
 	EndpointBrokenError, EndpointCrossedError, EndpointRefusedError, EndpointSilentError, EndpointUnreachableError,
 } from './endpoint-errors.js';
--- a/packages/router/src/lib/gateway/admission.ts
+++ b/packages/router/src/lib/gateway/admission.ts
@@ -3,11 +3,10 @@
 import {type ModelService} from '../configuration/document.js';
 import {type DocumentIndex} from '../configuration/document-index.js';
 import {type FairQueue, type QueueTicket} from '../fairness/fair-queue.js';
+import {type Caller, type KeyRing} from '../configuration/key-ring.js';
+import {type Reservation, type TokenLimiter} from '../serving/ports.js';
 import {GatewayError} from './gateway-errors.js';
 import {type ModelRequest} from './model-request.js';
-import {
-	type Caller, type KeyRing, type Reservation, type TokenLimiter,
-} from './ports.js';
 
 const bearer = /^bearer +(?<key>\S+)$/iv;
 
--- a/packages/router/src/lib/gateway/attempts.ts
+++ b/packages/router/src/lib/gateway/attempts.ts
@@ -7,10 +7,10 @@
 import {
 	EndpointBrokenError, EndpointCrossedError, EndpointRefusedError, EndpointSilentError, EndpointUnreachableError,
 } from '../endpoints/endpoint-errors.js';
-import {GatewayError} from './gateway-errors.js';
 import {
 	type EngineLoad, type Outcome, type Placement, type PlacementRequest, type Placer, type RetryBudget,
-} from './ports.js';
+} from '../serving/ports.js';
+import {GatewayError} from './gateway-errors.js';
 
 /** What one attempt learned, also when it failed. */
 export type AttemptReport = {
--- a/packages/router/src/lib/gateway/gateway-server.ts
+++ b/packages/router/src/lib/gateway/gateway-server.ts
@@ -5,13 +5,13 @@
 } from 'fastify';
 import {type DocumentIndex} from '../configuration/document-index.js';
 import {type BindAddress, closeServer, listenServer} from '../http/http-server.js';
+import {type KeyRing} from '../configuration/key-ring.js';
 import {authenticate, requireConfiguration} from './admission.js';
 import {
 	errorBody, errorHeaders, GatewayError, refusals,
 } from './gateway-errors.js';
 import {type ModelGateway} from './model-gateway.js';
 import {modelForms, type ModelForm} from './model-request.js';
-import {type KeyRing} from './ports.js';
 
 /** Options of {@link createGatewayServer}. */
 export type GatewayServerOptions = {
--- a/packages/router/src/lib/gateway/model-gateway-parts.ts
+++ b/packages/router/src/lib/gateway/model-gateway-parts.ts
@@ -4,9 +4,10 @@
 import {type ReadyVersions} from '../endpoints/version-choice.js';
 import {type LayerError} from '../errors/layer-error.js';
 import {type FairQueue} from '../fairness/fair-queue.js';
+import {type KeyRing} from '../configuration/key-ring.js';
 import {
-	type HashPrompt, type KeyRing, type Placer, type RetryBudget, type TokenLimiter,
-} from './ports.js';
+	type HashPrompt, type Placer, type RetryBudget, type TokenLimiter,
+} from '../serving/ports.js';
 import {type TokenUsage} from './usage.js';
 
 /** Bounds of requests, from the daemon's settings. Times are in milliseconds. */
--- a/packages/router/src/lib/gateway/model-gateway.ts
+++ b/packages/router/src/lib/gateway/model-gateway.ts
@@ -5,6 +5,8 @@
 import {type EngineAnswer} from '../endpoints/engine-client.js';
 import {EndpointBrokenError} from '../endpoints/endpoint-errors.js';
 import {chooseVersion} from '../endpoints/version-choice.js';
+import {type Caller} from '../configuration/key-ring.js';
+import {type Placement} from '../serving/ports.js';
 import {
 	type Admission, admit, authenticate, findModelService, requireConfiguration,
 } from './admission.js';
@@ -17,7 +19,6 @@
 import {
 	modelForms, type ModelForm, type ModelRequest, parseModelRequest,
 } from './model-request.js';
-import {type Caller, type Placement} from './ports.js';
 import {createStreamRelay, type StreamRelay} from './stream-relay.js';
 import {readUsage, type TokenUsage} from './usage.js';
 
--- a/packages/router/src/lib/gateway/plain-route.ts
+++ b/packages/router/src/lib/gateway/plain-route.ts
@@ -4,11 +4,11 @@
 import {type DocumentIndex} from '../configuration/document-index.js';
 import {type EndpointPicker} from '../endpoints/endpoint-picker.js';
 import {type ServiceProxy} from '../orders/service-proxy.js';
+import {type KeyRing} from '../configuration/key-ring.js';
 import {
 	authenticate, presentedKey, requireAccess, requireConfiguration,
 } from './admission.js';
 import {GatewayError} from './gateway-errors.js';
-import {type KeyRing} from './ports.js';
 
 /** Options of {@link addPlainRoute}. */
 export type PlainRouteOptions = {
--- a/packages/router/src/lib/limits/share-holder.ts
+++ b/packages/router/src/lib/limits/share-holder.ts
@@ -9,7 +9,7 @@
 import {
 	type ShareGrant, type ShareNotice, ShardReportSchema, ShareWishSchema,
 } from '../../gen/hickorywalk/v1/limits_pb.js';
-import {type Reservation, type ReservationResult} from '../gateway/ports.js';
+import {type Reservation, type ReservationResult} from '../serving/ports.js';
 import {
 	countDemand, countSettled, createHeldShare, emptyCapacity, type HeldShare, holdsAnything, lowerAndWish, updateShare, waitingTokens,
 } from './held-share.js';
--- a/packages/router/src/lib/limits/token-limiter.ts
+++ b/packages/router/src/lib/limits/token-limiter.ts
@@ -9,7 +9,7 @@
  */
 import {create} from '@bufbuild/protobuf';
 import {ShardCallSchema, ShardReportSchema, type ShareTransfer} from '../../gen/hickorywalk/v1/limits_pb.js';
-import {type TokenLimiter} from '../gateway/ports.js';
+import {type TokenLimiter} from '../serving/ports.js';
 import {type PeerHandlers, type PeerOrigin, type SendToPeer} from '../links/peer-link.js';
 import {type TableClient, type VmList} from '../platform/platform.js';
 import {createIssuedShards} from './issued-shards.js';
--- a/packages/router/src/lib/routing/candidates.ts
+++ b/packages/router/src/lib/routing/candidates.ts
@@ -2,7 +2,7 @@
  * Which endpoints a decision looks at: the homes of the prompt's shallowest
  * level with a few spare ones, and those that answers have shown warm.
  */
-import {type PlacementRequest} from '../gateway/ports.js';
+import {type PlacementRequest} from '../serving/ports.js';
 import {type EngineModel} from './engine-model.js';
 import {type EngineRecord} from './engine-record.js';
 import {type HealthTracker} from './health.js';
--- a/packages/router/src/lib/routing/engine-model.ts
+++ b/packages/router/src/lib/routing/engine-model.ts
@@ -2,7 +2,7 @@
  * Estimates of an endpoint's queue and speed, and how news change them. Times
  * are milliseconds, `now` is the monotonic clock.
  */
-import {type EngineLoad} from '../gateway/ports.js';
+import {type EngineLoad} from '../serving/ports.js';
 import {longestSurvivalMs, type EngineRecord, type OwnStart} from './engine-record.js';
 
 /** How endpoints are estimated; every duration in milliseconds. */
--- a/packages/router/src/lib/routing/placer.ts
+++ b/packages/router/src/lib/routing/placer.ts
@@ -4,7 +4,7 @@
  * prompt that is not cached, loading an adapter, and the network. Where a
  * prefix belongs is computed, and answers correct it (docs/design/routing.md).
  */
-import {type Placement, type PlacementRequest, type Placer} from '../gateway/ports.js';
+import {type Placement, type PlacementRequest, type Placer} from '../serving/ports.js';
 import {createCandidateFinder, type Candidate, type CandidateSearch} from './candidates.js';
 import {createEngineModel} from './engine-model.js';
 import {type EngineRecord, type OwnStart} from './engine-record.js';
--- a/packages/router/src/lib/gateway/ports.ts
+++ b/packages/router/src/lib/serving/ports.ts
@@ -2,23 +2,6 @@
  * What the gateway asks of the parts behind it. Each part is built and tested
  * on its own; the daemon wires them together.
  */
-import {type Workspace} from '../configuration/document.js';
-
-/** Whose request it is, as its key said. */
-export type Caller = {
-	workspace: Workspace;
-	/** Public name of the key; the key itself is kept nowhere. */
-	keyId: string;
-};
-
-/** Tells whose key it is. */
-export type KeyRing = {
-	/**
-	 * Called for every request anew, also on a connection that was open before
-	 * the key was withdrawn. `undefined` when no workspace has this key now.
-	 */
-	authenticate: (key: string) => Caller | undefined;
-};
 
 /** Tokens that were taken from a workspace's burst for one request. */
 export type Reservation = {
