The choice of endpoints and the entry daemon's wiring in files of one job

endpoint-choice (369 lines) and entry-parts (400) each held several things: candidates, homes, warm parts and costs; feeds, peers, duty and requests.

--- /dev/null
+++ b/packages/entry/src/lib/wiring/feed-wiring.ts
@@ -0,0 +1,53 @@
+/** Wires what is heard from the store: the operator's table and the list of endpoints. */
+import {createEndpointSource, createOperatorSource, type OperatorRow} from '@hickorywalk/platform';
+import {
+	type ChangeFeed, createEndpointTracker, followChanges, type LiveEndpoint,
+} from 'hickorywalk/fleet.js';
+import {type PeerExchange} from 'hickorywalk/peers.js';
+import {type Timings} from '../timings.js';
+import {type EntryParts} from './parts.js';
+
+/**
+ * Peers tell each other what they have heard from the store, so one of them
+ * with a working connection is enough; each may then wait longer for the store,
+ * which saves calls.
+ */
+function feedWaitMs({feedWaitMs: alone, mostFeedWaits}: Timings, peers: PeerExchange): number {
+	return alone * Math.min(mostFeedWaits, 1 + peers.live().length);
+}
+
+/** Follows the document and the namings of weights. */
+export function wireOperatorFeed({store, view, timings, peers, log}: EntryParts): ChangeFeed {
+	const update = (rows: ReadonlyArray<{item: OperatorRow | undefined}>, unseenMs: number): void => {
+		for (const {item} of rows) {
+			if (item?.kind === 'document') {
+				view.acceptDocument(item.document);
+			} else if (item?.kind === 'weights') {
+				view.acceptWeights(item.model, item.version, unseenMs);
+			}
+		}
+	};
+
+	return followChanges({
+		name: 'operator', source: createOperatorSource(store, log), handler: {update, replace: update}, waitMs: () => feedWaitMs(timings, peers), answerMs: timings.storeAnswerMs, restMs: 0, log,
+	});
+}
+
+/** Follows the endpoints; what was known of one that is gone is forgotten. */
+export function wireEndpointFeed({store, view, timings, peers, health, book, presence, versions, log}: EntryParts): ChangeFeed {
+	const tracker = createEndpointTracker({view, graceMs: timings.lapsedGraceMs, outageEchoMs: timings.outageEchoMs});
+	view.onEndpoint((id, endpoint) => {
+		if (endpoint === undefined) {
+			book.forget(id);
+			presence.forget(id);
+			versions.forget(id);
+		}
+
+		for (const service of view.current()?.document.services.keys() ?? []) {
+			health.setEndpoints(service, view.endpointsOf(service).map(item => item.id));
+		}
+	});
+	return followChanges<LiveEndpoint>({
+		name: 'endpoints', source: createEndpointSource(store, log), handler: tracker, waitMs: () => feedWaitMs(timings, peers), answerMs: timings.storeAnswerMs, restMs: timings.endpointsRestMs, log,
+	});
+}
--- /dev/null
+++ b/packages/entry/src/lib/wiring/parts.ts
@@ -0,0 +1,55 @@
+/** Every part of the entry daemon, by the name under which others ask for it. */
+import {type BootSettings, type createEndpointControl, type createStoreClient} from '@hickorywalk/platform';
+import {type ChangeFeed, type EndpointPresence, type FleetView} from 'hickorywalk/fleet.js';
+import {type createEntryServer, type createForwarder, type ForwardingEvents} from 'hickorywalk/forwarding.js';
+import {type LeaseHolder} from 'hickorywalk/leases.js';
+import {type LineBudget, type Log} from 'hickorywalk/observability.js';
+import {type createUndiciTransport} from 'hickorywalk/orders.js';
+import {type createPeerDirectory, type PeerExchange} from 'hickorywalk/peers.js';
+import {type createEndpointChoice, type EndpointBook, type KeptParts} from 'hickorywalk/placing.js';
+import {type FleetQuota} from 'hickorywalk/quotas.js';
+import {type AttemptBudget, type createHealthTracker} from 'hickorywalk/routing.js';
+import {type createWeightsKeeper, type EngineVersions} from 'hickorywalk/weights.js';
+import {type DaemonMetrics} from '../daemon-metrics.js';
+import {type Timings} from '../timings.js';
+
+/** What changes while the daemon runs. */
+export type DaemonState = {
+	/** Unready: the balancer takes this process out, and its answers end their connections. */
+	isStopping: boolean;
+	/** No further request is taken. */
+	isClosed: boolean;
+};
+
+/** All parts, by name. */
+export type EntryParts = {
+	settings: BootSettings;
+	timings: Timings;
+	state: DaemonState;
+	incarnation: number;
+	log: Log;
+	view: FleetView;
+	versions: EngineVersions;
+	book: EndpointBook;
+	presence: EndpointPresence;
+	kept: KeptParts;
+	health: ReturnType<typeof createHealthTracker>;
+	quota: FleetQuota;
+	choice: ReturnType<typeof createEndpointChoice>;
+	store: ReturnType<typeof createStoreClient>;
+	ownTable: ReturnType<ReturnType<typeof createStoreClient>['table']>;
+	operatorFeed: ChangeFeed;
+	endpointFeed: ChangeFeed;
+	peers: PeerExchange;
+	directory: ReturnType<typeof createPeerDirectory>;
+	leases: LeaseHolder;
+	control: ReturnType<typeof createEndpointControl>;
+	keeper: ReturnType<typeof createWeightsKeeper>;
+	transport: ReturnType<typeof createUndiciTransport>;
+	budgetOf: (service: string) => AttemptBudget;
+	events: ForwardingEvents;
+	metrics: DaemonMetrics;
+	lines: LineBudget;
+	forwarder: ReturnType<typeof createForwarder>;
+	server: ReturnType<typeof createEntryServer>;
+};
--- /dev/null
+++ b/packages/router/src/lib/placing/choice-request.ts
@@ -0,0 +1,28 @@
+/** What a request asks of the choice of its endpoint. */
+import {type PromptPart} from '../fleet/call-headers.js';
+
+/** A request that is to be placed. */
+export type ChoiceRequest = {
+	service: string;
+	/** Set for a request to a model engine. */
+	prompt: PromptNeed | undefined;
+	/** Endpoints that have had this request already. */
+	excluded: ReadonlySet<string>;
+};
+
+/** What a request to a model engine asks for. */
+export type PromptNeed = {
+	model: string;
+	/** From the shallowest to the deepest; the last one is the request's own. */
+	parts: readonly PromptPart[];
+	promptTokens: number;
+	outputTokens: number;
+	/** Text that isolates cached parts of this workspace from others. */
+	wall: string;
+};
+
+/** The parts of a prompt that other requests may share: all but its own. */
+export const sharedPartsOf = ({parts}: PromptNeed): readonly PromptPart[] => parts.slice(0, -1);
+
+/** Text under which an engine with these weights keeps the prompt's parts: apart by wall, and by weights. */
+export const scopeOf = ({wall}: PromptNeed, weights: number | undefined): string => `${wall}:${weights ?? 0}`;
--- a/packages/router/src/placing.ts
+++ b/packages/router/src/placing.ts
@@ -1,4 +1,5 @@
 /** Chooses endpoints by what is known of their load, cache and health. */
+export type * from './lib/placing/choice-request.js';
 export * from './lib/placing/endpoint-book.js';
 export * from './lib/placing/endpoint-choice.js';
 export * from './lib/placing/kept-parts.js';
