A daemon that stops says so to its peers

Cause: the last report was handed to the socket and the socket closed at once; the system gets a datagram a moment later, so none was ever sent. Peers counted the stopped daemon's demand and load until their limits on silence.

Found by the first test of the exchange over real sockets, which failed on it.

--- a/packages/router/src/lib/peers/peer-exchange.ts
+++ b/packages/router/src/lib/peers/peer-exchange.ts
@@ -114,7 +114,26 @@
 		options.onReport(report);
 	};
 
-	const send = (isLeaving: boolean): void => {
+	/** Resolves when the datagram is with the system, also if it could not be sent. */
+	const sendTo = async (content: Buffer, address: string): Promise<void> => {
+		const [host, port] = address.split(':');
+		const opened = socket;
+		if (opened === undefined) {
+			return;
+		}
+
+		return new Promise(resolve => {
+			opened.send(content, Number(port), host, error => {
+				if (error !== null) {
+					log.debug('Report could not be sent.', {peer: host, err: error});
+				}
+
+				resolve();
+			});
+		});
+	};
+
+	const send = async (isLeaving: boolean): Promise<void> => {
 		number++;
 		sentAt = performance.now();
 		const report: PeerReport = {
@@ -122,17 +141,14 @@
 		};
 		const content = Buffer.from(JSON.stringify(report));
 		const peers = [...addresses.values()];
-		const count = Math.min(peers.length, mostPeersARound);
+		const count = isLeaving ? peers.length : Math.min(peers.length, mostPeersARound);
+		const sends: Array<Promise<void>> = [];
 		for (let index = 0; index < count; index++) {
-			const [host, port] = peers[(nextPeer + index) % peers.length].address.split(':');
-			socket?.send(content, Number(port), host, error => {
-				if (error !== null) {
-					log.debug('Report could not be sent.', {peer: host, err: error});
-				}
-			});
+			sends.push(sendTo(content, peers[(nextPeer + index) % peers.length].address));
 		}
 
 		nextPeer = peers.length === 0 ? 0 : (nextPeer + count) % peers.length;
+		await Promise.all(sends);
 	};
 
 	const forgetOld = (): void => {
@@ -160,7 +176,7 @@
 			socket = opened;
 			timer = setInterval(() => {
 				forgetOld();
-				send(false);
+				void send(false);
 			}, options.everyMs);
 		},
 		learn,
@@ -172,7 +188,10 @@
 				return;
 			}
 
-			send(true);
+			// The system gets a datagram a moment after it was handed over. Closed at
+			// once, the socket would drop the last report, and peers would count this
+			// daemon's spending and load for seconds more.
+			await send(true);
 			const closing = socket;
 			socket = undefined;
 			await new Promise<void>(resolve => {
@@ -180,11 +199,11 @@
 			});
 		},
 		sendNow() {
-			send(false);
+			void send(false);
 		},
 		sendSoon() {
 			if (performance.now() - sentAt >= leastPauseMs) {
-				send(false);
+				void send(false);
 			}
 		},
 	};
--- /dev/null
+++ b/packages/router/src/test/peers/peer-exchange.test.ts
@@ -0,0 +1,118 @@
+import {Buffer} from 'node:buffer';
+import {createSocket} from 'node:dgram';
+import {once} from 'node:events';
+import {assert} from 'chai';
+import {createSilentLog} from '../../observability.js';
+import {createPeerExchange, type PeerExchange, type PeerReport} from '../../peers.js';
+
+const host = '127.0.0.1';
+/** No round comes by itself within a test; it says when to send. */
+const neverMs = 1_000_000;
+
+async function freePort(): Promise<number> {
+	const socket = createSocket('udp4');
+	socket.bind(0, host);
+	await once(socket, 'listening');
+	const {port} = socket.address();
+	await new Promise<void>(resolve => {
+		socket.close(resolve);
+	});
+	return port;
+}
+
+describe('createPeerExchange over sockets', () => {
+	const open: PeerExchange[] = [];
+
+	/** A daemon whose reports carry `store` as the newest change that it knows. */
+	const start = async (name: string, incarnation: number, store: () => number) => {
+		const port = await freePort();
+		const heard: PeerReport[] = [];
+		let wake: () => void = () => undefined;
+		const exchange = createPeerExchange({
+			name,
+			incarnation,
+			bind: {host, port},
+			everyMs: neverMs,
+			silenceMs: neverMs,
+			compose: () => ({
+				heard: {operator: store()}, usage: [], loads: [], named: [], duty: null, engines: [], ended: [], kept: [],
+			}),
+			onReport(report) {
+				heard.push(report);
+				wake();
+			},
+			log: createSilentLog(),
+		});
+		await exchange.start();
+		open.push(exchange);
+		return {
+			exchange,
+			port,
+			heard,
+			/** Resolves once so many reports were heard. */
+			until: async (count: number) => new Promise<void>(resolve => {
+				wake = () => {
+					if (heard.length >= count) {
+						resolve();
+					}
+				};
+
+				wake();
+			}),
+		};
+	};
+
+	afterEach(async () => {
+		await Promise.all(open.splice(0).map(async exchange => exchange.leave()));
+	});
+
+	it('brings a report to peers that are known by the directory, and makes the sender known', async () => {
+		const one = await start('vm-1', 1, () => 7);
+		const two = await start('vm-2', 1, () => 9);
+		one.exchange.learn('vm-2', `${host}:${two.port}`);
+		one.exchange.sendNow();
+		await two.until(1);
+		assert.deepEqual([two.heard[0].daemon, two.heard[0].heard.operator], ['vm-1', 7]);
+		two.exchange.sendNow();
+		await one.until(1);
+		assert.equal(one.heard[0].heard.operator, 9);
+		assert.deepEqual(one.exchange.live().map(({report}) => report.daemon), ['vm-2']);
+	});
+
+	it('drops what is no report, and reports that are older than the last', async () => {
+		// Datagrams come late, twice and from anybody. An old report must not take
+		// back what a newer one said, nor a former process's that of its successor.
+		const one = await start('vm-1', 1, () => 0);
+		const socket = createSocket('udp4');
+		const send = async (content: string) => new Promise<void>(resolve => {
+			socket.send(Buffer.from(content), one.port, host, () => {
+				resolve();
+			});
+		});
+		const report = (incarnation: number, number: number) => JSON.stringify({
+			daemon: 'vm-9', incarnation, number, isLeaving: false, address: `${host}:1`, heard: {operator: (incarnation * 100) + number}, usage: [], loads: [], named: [], duty: null, engines: [],
+		});
+		await send('no report');
+		await send(report(2, 5));
+		await send(report(2, 4));
+		await send(report(1, 9));
+		await send(report(2, 5));
+		await send(report(2, 6));
+		await one.until(2);
+		assert.deepEqual(one.heard.map(({heard}) => heard.operator), [205, 206]);
+		socket.close();
+	});
+
+	it('forgets a peer that says that it stops', async () => {
+		const one = await start('vm-1', 1, () => 0);
+		const two = await start('vm-2', 1, () => 0);
+		two.exchange.learn('vm-1', `${host}:${one.port}`);
+		two.exchange.sendNow();
+		await one.until(1);
+		await two.exchange.leave();
+		await one.until(2);
+		assert.isTrue(one.heard[1].isLeaving);
+		assert.isEmpty(one.exchange.live());
+		assert.equal(one.exchange.known().size, 0);
+	});
+});
