--- /dev/null
+++ b/packages/entry/src/test/peer-wiring.test.ts
@@ -0,0 +1,81 @@
+import {Buffer} from 'node:buffer';
+import {createSocket} from 'node:dgram';
+import {once} from 'node:events';
+import {assert} from 'chai';
+import {parseBootSettings} from '@hickorywalk/platform';
+import {type LiveEndpoint} from 'hickorywalk/fleet.js';
+import {createEntryParts} from '../lib/entry-parts.js';
+import {type EntryParts} from '../lib/wiring/parts.js';
+
+const host = '127.0.0.1';
+
+async function freePort(): Promise<number> {
+	const socket = createSocket('udp4');
+	socket.bind(0, host);
+	await once(socket, 'listening');
+	const {port} = socket.address();
+	await new Promise<void>(resolve => {
+		socket.close(resolve);
+	});
+	return port;
+}
+
+const settingsWith = (port: number) => parseBootSettings(JSON.stringify({
+	node: 'vm-1',
+	role: 'entry',
+	ip: host,
+	zone: 'a',
+	listen: {front: `${host}:0`, ready: `${host}:0`},
+	port_range: [port, port],
+	bootstrap: true,
+	limits: {memory_mb: 200, max_fds: 4100},
+	heartbeat_ms: 1200,
+	bounds: {
+		stable_window_ms: 3000, drain_ms: 2000, grace_s: 8, config_ms: 2000,
+	},
+	platform: {address: `${host}:1`},
+}));
+
+const endpoint = (id: string, startedAt: number): LiveEndpoint => ({
+	id, service: 'engines', address: '10.0.0.1:80', dataCentre: 'a', slots: 8, isLeaving: false, startedAt, reportNumber: 1, weights: new Map([['m', 1]]),
+});
+
+describe('what a peer reports', () => {
+	let parts: EntryParts;
+
+	afterEach(async () => {
+		parts.operatorFeed.close();
+		parts.endpointFeed.close();
+		await parts.peers.leave();
+	});
+
+	it('ends the process that the peer found ended, and no other, and tells of parts that are kept', async () => {
+		// One daemon is refused in another process's name. The others must not each
+		// send a request there to learn it; but a later process under the same id
+		// serves, and what was said of the former one doesn't count for it.
+		const port = await freePort();
+		parts = createEntryParts(settingsWith(port)).cradle;
+		parts.view.acceptEndpoint(endpoint('e1', 100));
+		parts.view.acceptEndpoint(endpoint('e2', 200));
+		await parts.peers.start();
+		const socket = createSocket('udp4');
+		socket.send(Buffer.from(JSON.stringify({
+			daemon: 'vm-2', incarnation: 1, number: 1, isLeaving: false, address: `${host}:1`, heard: {}, usage: [], loads: [['e2', 3, 4000, 9000]], named: [], duty: null, engines: [],
+			ended: [['e1', 100], ['e2', 150], ['e3', 1]], kept: [':1 top'],
+		})), port, host);
+		while (parts.peers.live().length === 0) {
+			await new Promise(resolve => {
+				setImmediate(resolve);
+			});
+		}
+
+		socket.close();
+		assert.isTrue(parts.presence.hasEnded(endpoint('e1', 100)));
+		assert.isFalse(parts.presence.hasEnded(endpoint('e1', 101)));
+		assert.isFalse(parts.presence.hasEnded(endpoint('e2', 200)));
+		assert.isTrue(parts.kept.isKnown(':1 top'));
+		assert.deepEqual(parts.presence.endedLately(1000), [['e1', 100]]);
+		const {running, pendingTokens} = parts.book.load(endpoint('e2', 200));
+		assert.deepEqual([running, pendingTokens], [3, 4000]);
+	});
+});
--- a/packages/router/src/lib/limits/share-holder.ts
+++ b/packages/router/src/lib/limits/share-holder.ts
@@ -6,31 +6,21 @@
  * lost, doubled or late message costs at most the tokens it carried.
  */
 import {create} from '@bufbuild/protobuf';
-import {
-	type ShareGrant, type ShareNotice, ShardReportSchema, ShareWishSchema,
-} from '../../gen/hickorywalk/v1/limits_pb.js';
+import {type ShareGrant, type ShareNotice, ShardReportSchema} from '../../gen/hickorywalk/v1/limits_pb.js';
 import {type Reservation, type ReservationResult} from '../serving/ports.js';
 import {
-	countDemand, countSettled, createHeldShare, emptyCapacity, type HeldShare, holdsAnything, lowerAndWish, updateShare, waitingTokens,
+	countDemand, countSettled, createHeldShare, type HeldShare, holdsAnything, updateShare, waitingTokens,
 } from './held-share.js';
-import {type LimiterSettings, type WorkspaceLimit} from './limiter-settings.js';
-import {type Outbox} from './outbox.js';
 import {shardOf} from './shard-map.js';
-import {isDue, isForgettable, isStale} from './wish-schedule.js';
+import {createLineTimers} from './line-timers.js';
+import {isDue, isForgettable} from './wish-schedule.js';
+import {createWishSender, type WishSenderOptions} from './wish-sender.js';
 import {
-	expectedWaitMs, expireLine, judgeLine, nextLineEvent, serveLine,
+	expectedWaitMs, expireLine, judgeLine, serveLine,
 } from './waiting-line.js';
 
-/** Who issues a shard's shares, as far as this daemon knows. */
-export type KnownIssuer = {generation: number; issuer: string};
-
 /** What {@link createShareHolder} needs. */
-export type ShareHolderOptions = {
-	settings: LimiterSettings;
-	outbox: Outbox;
-	limitOf: (workspace: string) => WorkspaceLimit | undefined;
-	/** Daemon to send wishes for a shard to, with the generation to name. */
-	issuerOf: (shard: number) => KnownIssuer | undefined;
+export type ShareHolderOptions = WishSenderOptions & {
 	/** Runs what a timer called for. */
 	run: (callback: () => void) => void;
 };
@@ -62,9 +52,8 @@
 	const {settings, outbox, limitOf, issuerOf} = options;
 	const shares = new Map<string, HeldShare>();
 	const reportedAt = new Map<number, {generation: number; at: number}>();
-	const timers = new Map<string, {timer: NodeJS.Timeout; at: number}>();
-	// Counted over all workspaces: a forgotten share must not start again below its last number.
-	let sequence = 0;
+	const wishes = createWishSender(options);
+	const timers = createLineTimers({run: options.run, onDue: lookAt});
 	let scannedAt = Number.NEGATIVE_INFINITY;
 	let closed = false;
 
@@ -74,82 +63,20 @@
 			share = createHeldShare(workspace, shardOf(workspace, settings.shards), performance.now());
 			// A share of that name may have been forgotten: none of its grants is still to come, and
 			// what they carried may be spent, so the issuer must not take it for unapplied.
-			share.applied = sequence;
+			share.applied = wishes.lastNumber();
 			shares.set(workspace, share);
 		}
 
 		return share;
 	}
 
-	function sendWish(share: HeldShare, now: number, kind: 'wish' | 'quiet' | 'report' = 'wish'): void {
-		const issuer = issuerOf(share.shard);
-		if (!issuer) {
-			return;
-		}
-
-		share.sentAt = now;
-		share.sends += 1;
-		const {lastWish} = share;
-		if (share.outstanding && !isStale(share, settings, now) && lastWish?.generation === issuer.generation) {
-			// Said again as it was: an answer under way stays good, and a lost one is repeated.
-			outbox.wish(issuer.issuer, lastWish);
-			return;
-		}
-
-		const figures = lowerAndWish(share, settings, now, kind === 'report');
-		sequence += 1;
-		share.sequence = sequence;
-		share.sends = 1;
-		share.wishedAt = now;
-		share.outstanding = kind !== 'quiet';
-		share.confirm = false;
-		share.lastWish = create(ShareWishSchema, {
-			workspace: share.workspace, generation: issuer.generation, sequence: share.sequence, applied: share.applied, ...figures, quiet: kind === 'quiet',
-		});
-		outbox.wish(issuer.issuer, share.lastWish);
-	}
-
-	/**
-	 * Empty capacity here keeps the issuer's reserve from growing, so it goes
-	 * back soon. Should the message be lost, the next wish says the same.
-	 */
-	function trim(share: HeldShare, now: number): void {
-		const whole = limitOf(share.workspace)?.burstTokens ?? 0;
-		if (!share.outstanding && share.waiters.length === 0 && share.level.tokens >= 0 && emptyCapacity(share) > whole * settings.trimShare) {
-			sendWish(share, now, 'quiet');
-		}
-	}
-
-	function arm(share: HeldShare, now: number): void {
-		const at = nextLineEvent(share, now);
-		const armed = timers.get(share.workspace);
-		if (armed?.at === at) {
-			return;
-		}
-
-		if (armed) {
-			clearTimeout(armed.timer);
-			timers.delete(share.workspace);
-		}
-
-		if (Number.isFinite(at)) {
-			const timer = setTimeout(() => {
-				timers.delete(share.workspace);
-				options.run(() => {
-					lookAt(share);
-				});
-			}, Math.max(1, Math.ceil(at - now)));
-			timers.set(share.workspace, {timer, at});
-		}
-	}
-
 	function lookAt(share: HeldShare): void {
 		const now = performance.now();
 		serveLine(share, now);
 		const before = share.waiters.length;
 		expireLine(share, now);
 		share.confirm ||= share.waiters.length < before;
-		arm(share, now);
+		timers.arm(share, now);
 	}
 
 	function createReservation(share: HeldShare, tokens: number): Reservation {
@@ -206,10 +133,10 @@
 
 			judge(share, now);
 			if (!share.outstanding && isDue(share, settings, now)) {
-				sendWish(share, now);
+				wishes.send(share, now);
 			}
 
-			arm(share, now);
+			timers.arm(share, now);
 		});
 	}
 
@@ -279,10 +206,10 @@
 			level.at = now;
 			lookAt(share);
 			if (isDue(share, settings, now) && share.waiters.length > 0) {
-				sendWish(share, now);
+				wishes.send(share, now);
 			}
 
-			trim(share, now);
+			wishes.trim(share, now);
 		},
 		applyNotice(notice) {
 			const share = shares.get(notice.workspace);
@@ -294,7 +221,7 @@
 			updateShare(share, now);
 			share.notice = {ahead: notice.ahead, rate: notice.rate, at: now};
 			judge(share, now);
-			arm(share, now);
+			timers.arm(share, now);
 		},
 		report(shard) {
 			const issuer = issuerOf(shard);
@@ -311,7 +238,7 @@
 			reportedAt.set(shard, {generation: issuer.generation, at: now});
 			for (const share of shares.values()) {
 				if (share.shard === shard && (holdsAnything(share) || share.waiters.length > 0)) {
-					sendWish(share, now, 'report');
+					wishes.send(share, now, 'report');
 				}
 			}
 
@@ -329,10 +256,10 @@
 
 				updateShare(share, now);
 				if (isDue(share, settings, now)) {
-					sendWish(share, now);
+					wishes.send(share, now);
 				}
 
-				trim(share, now);
+				wishes.trim(share, now);
 				if (isForgettable(share, settings, now)) {
 					shares.delete(share.workspace);
 				}
@@ -345,7 +272,7 @@
 				share.lastAskedAt = Number.NEGATIVE_INFINITY;
 				refuseAll(share);
 				if (holdsAnything(share)) {
-					sendWish(share, now);
+					wishes.send(share, now);
 				}
 			}
 		},
@@ -364,10 +291,6 @@
 				refuseAll(share);
 			}
 
-			for (const {timer} of timers.values()) {
-				clearTimeout(timer);
-			}
-
 			timers.clear();
 		},
 	};
--- a/packages/router/src/lib/limits/token-limiter.ts
+++ b/packages/router/src/lib/limits/token-limiter.ts
@@ -12,7 +12,9 @@
 import {type TokenLimiter} from '../serving/ports.js';
 import {type PeerHandlers, type PeerOrigin, type SendToPeer} from '../links/peer-link.js';
 import {type TableClient, type VmList} from '../platform/platform.js';
+import {pause} from '../time/pause.js';
 import {createIssuedShards} from './issued-shards.js';
+import {createKnownIssuers} from './known-issuers.js';
 import {createLimitRows} from './limit-rows.js';
 import {
 	defaultLimiterSettings, type LimiterPeer, type LimiterSettings, type WorkspaceLimit,
@@ -23,7 +25,7 @@
 import {
 	hashNames, type HashedName, rankDaemons, shardOf,
 } from './shard-map.js';
-import {createShareHolder, type KnownIssuer} from './share-holder.js';
+import {createShareHolder} from './share-holder.js';
 
 /** Options of {@link createTokenLimiter}. */
 export type TokenLimiterOptions = {
@@ -90,7 +92,7 @@
 	const rows = createLimitRows(options.table);
 	const evidence = createLivenessEvidence(settings);
 	evidence.observeProcess(name, incarnation);
-	const known = new Map<number, KnownIssuer>();
+	const known = createKnownIssuers();
 	let limits = new Map<string, WorkspaceLimit>();
 	let workspacesByShard = new Map<number, string[]>();
 	let peers: LimiterPeer[] = [];
@@ -121,7 +123,7 @@
 		evidence,
 		candidates,
 		workspacesOf: () => workspacesByShard,
-		generationOf: shard => known.get(shard)?.generation ?? 0,
+		generationOf: shard => known.of(shard)?.generation ?? 0,
 		isIssuing: issued.has,
 	});
 	const holder = createShareHolder({
@@ -130,7 +132,7 @@
 		run,
 		limitOf: workspace => limits.get(workspace),
 		// Whoever holds shares must stand in the table: a new issuer asks those only.
-		issuerOf: shard => registered ? known.get(shard) : undefined,
+		issuerOf: shard => registered ? known.of(shard) : undefined,
 	});
 
 	function candidates(): HashedName[] {
@@ -157,17 +159,6 @@
 		}
 	}
 
-	/** Follows the issuer with the highest generation; never goes back. */
-	function adopt(shard: number, found: KnownIssuer): boolean {
-		const before = known.get(shard);
-		if (found.issuer === '' || (before && before.generation >= found.generation)) {
-			return false;
-		}
-
-		known.set(shard, found);
-		return true;
-	}
-
 	/** A peer gave a shard up: the table says so, and one of us should take it. */
 	function noteLeaving(origin: PeerOrigin): void {
 		leaving.set(origin.name, origin.incarnation);
@@ -191,8 +182,8 @@
 
 			// Only daemons that stand in the table are called.
 			registered = true;
-			const isNew = adopt(call.shard, call);
-			const current = known.get(call.shard);
+			const isNew = known.adopt(call.shard, call);
+			const current = known.of(call.shard);
 			if (isNew || (current?.issuer === origin.name && current.generation === call.generation)) {
 				holder.report(call.shard);
 			}
@@ -222,19 +213,9 @@
 		}
 	}
 
-	function knowsAllIssuers(): boolean {
-		for (const shard of workspacesByShard.keys()) {
-			if (!known.has(shard)) {
-				return false;
-			}
-		}
-
-		return true;
-	}
-
 	async function refresh(): Promise<void> {
 		const now = performance.now();
-		if (now < nextRefresh && knowsAllIssuers()) {
+		if (now < nextRefresh && known.hasAll(workspacesByShard.keys())) {
 			return;
 		}
 
@@ -245,7 +226,7 @@
 	function adoptWatched(): void {
 		for (const shard of workspacesByShard.keys()) {
 			const watched = keeper.watched(shard);
-			if (watched && adopt(shard, watched.row)) {
+			if (watched && known.adopt(shard, watched.row)) {
 				holder.report(shard);
 			}
 		}
@@ -273,7 +254,7 @@
 			adoptWatched();
 		} catch (error) {
 			nextMaintain = performance.now() + Math.min(mostRetryMs, maintainMs * 2);
-			if (!registered || !knowsAllIssuers()) {
+			if (!registered || !known.hasAll(workspacesByShard.keys())) {
 				askPeers();
 			}
 
@@ -286,7 +267,7 @@
 	function tellSuccessors(shards: number[]): void {
 		const successors = candidates().filter(peer => peer.name !== name);
 		for (const shard of shards) {
-			const generation = known.get(shard)?.generation ?? 0;
+			const generation = known.of(shard)?.generation ?? 0;
 			for (const successor of rankDaemons(shard, successors).slice(0, successorsTold)) {
 				outbox.call(successor, create(ShardCallSchema, {shard, generation, issuer: ''}));
 			}
@@ -344,25 +325,15 @@
 				tickTimer ??= setInterval(run, settings.tickMs, tick);
 			}
 		},
-		isReady: () => registered && knowsAllIssuers(),
-		issuers() {
-			const names = new Set<string>();
-			for (const shard of workspacesByShard.keys()) {
-				names.add(known.get(shard)?.issuer ?? '');
-			}
-
-			names.delete('');
-			return names;
-		},
+		isReady: () => registered && known.hasAll(workspacesByShard.keys()),
+		issuers: () => known.names(workspacesByShard.keys()),
 		tick,
 		async returnShares() {
 			stopping = true;
 			holder.giveBack();
 			const deadline = performance.now() + returnMs;
 			while (!holder.isEmpty() && performance.now() < deadline) {
-				await new Promise<void>(resolve => {
-					setTimeout(resolve, settings.tickMs);
-				});
+				await pause(settings.tickMs);
 			}
 
 			try {
--- a/packages/router/src/lib/weights/engine-versions.ts
+++ b/packages/router/src/lib/weights/engine-versions.ts
@@ -8,7 +8,7 @@
 /** Belief about one engine. */
 export type EngineVersion = {
 	version: number;
-	/** The engine has been told to change and takes no new requests until it has. */
+	/** The engine has been told to change, or is about to be, and gets no new requests until it has. */
 	isChanging: boolean;
 };
 
@@ -17,7 +17,7 @@
 	of: (endpoint: LiveEndpoint, model: string) => EngineVersion;
 	/** An answer or a report said which weights the engine runs. */
 	seen: (id: string, version: number) => void;
-	/** An order was accepted there. */
+	/** It will be ordered as soon as its queue is empty, or was ordered. */
 	changing: (id: string, toVersion: number) => void;
 	/** Engines that are being changed, with the version that they come to. */
 	allChanging: () => ReadonlyMap<string, number>;
