--- /dev/null
+++ b/packages/router/src/test/weights/keeper-histories.test.ts
@@ -0,0 +1,169 @@
+import FakeTimers from '@sinonjs/fake-timers';
+import {assert} from 'chai';
+import fc from 'fast-check';
+import {
+	createEndpointPresence, createFleetView, type FleetDocument, type FleetView,
+} from '../../fleet.js';
+import {createSilentLog} from '../../observability.js';
+import {
+	createEngineVersions, createWeightsKeeper, type WeightsControl, type WeightsKeeper,
+} from '../../weights.js';
+
+const ids = ['e0', 'e1', 'e2', 'e3', 'e4', 'e5'];
+const daemons = ['vm-0', 'vm-1', 'vm-2'];
+const leaseMs = 3000;
+const handoverMs = leaseMs + 200;
+const loadMs = 500;
+const dayMs = 20_000;
+const stepMs = 100;
+
+const document: FleetDocument = {
+	version: 1,
+	routes: [],
+	services: new Map([['engines', {name: 'engines', mostConnections: 10, engine: {slots: 8, memoryTokens: 1000, models: ['m']}}]]),
+	cacheStores: [],
+	workspaces: [],
+	limits: {
+		headerBytes: 1, bodyBytes: 1, headerMs: 1, idleMs: 1,
+	},
+};
+
+/** What happens on one day: who holds the lease from when on, and when weights are named. */
+const dayArbitrary = fc.record({
+	holders: fc.array(fc.record({at: fc.integer({min: 0, max: dayMs}), daemon: fc.constantFrom(...daemons)}), {minLength: 2, maxLength: 8}),
+	namings: fc.array(fc.integer({min: 0, max: dayMs - 4000}), {minLength: 1, maxLength: 5}),
+	lost: fc.array(fc.boolean(), {minLength: 8, maxLength: 8}),
+});
+
+type Day = {holders: Array<{at: number; daemon: string}>; namings: number[]; lost: boolean[]};
+
+type Order = {at: number; daemon: string; id: string};
+
+describe('createWeightsKeeper over generated histories', () => {
+	let clock: FakeTimers.Clock;
+
+	beforeEach(() => {
+		clock = FakeTimers.install({toFake: ['performance', 'setTimeout', 'clearTimeout']});
+	});
+
+	afterEach(() => {
+		clock.uninstall();
+	});
+
+	/** Engines that take any order, whoever gives it; some of their answers are lost. */
+	const createEngines = (day: Day, orders: Order[]) => {
+		const versions = new Map(ids.map(id => [id, 1]));
+		const changing = new Set<string>();
+		const taken = new Map(ids.map(id => [id, 0]));
+		return (daemon: string): WeightsControl => ({
+			async state({id}) {
+				return {
+					weights: new Map([['m', versions.get(id)!]]), waiting: 0, isChanging: changing.has(id), ordersTaken: taken.get(id)!,
+				};
+			},
+			async order({id}, {version}) {
+				orders.push({at: performance.now(), daemon, id});
+				const count = taken.get(id)! + 1;
+				taken.set(id, count);
+				changing.add(id);
+				setTimeout(() => {
+					changing.delete(id);
+					versions.set(id, version);
+				}, loadMs);
+				if (day.lost[(count + orders.length) % day.lost.length]) {
+					throw new Error('The answer was lost.');
+				}
+
+				return 'accepted';
+			},
+		});
+	};
+
+	const createView = (): FleetView => {
+		const view = createFleetView(createSilentLog());
+		view.acceptDocument(document);
+		for (const id of ids) {
+			view.acceptEndpoint({
+				id, service: 'engines', address: '10.0.0.1:80', dataCentre: 'a', slots: 8, isLeaving: false, startedAt: 1, reportNumber: 1, weights: new Map([['m', 1]]),
+			});
+		}
+
+		return view;
+	};
+
+	const play = async (day: Day): Promise<Order[]> => {
+		const orders: Order[] = [];
+		const controlOf = createEngines(day, orders);
+		const lease: {holder: string | undefined; fencing: number} = {holder: undefined, fencing: 1};
+		const keepers = new Map<string, WeightsKeeper>();
+		const views = daemons.map(() => createView());
+		for (const [index, name] of daemons.entries()) {
+			const tellOthers = (): void => {
+				for (const [other, keeper] of keepers) {
+					for (const id of other === name ? [] : ids) {
+						const sinceMs = keepers.get(name)!.sinceOrderMs(id);
+						if (Number.isFinite(sinceMs)) {
+							keeper.heardOrder(id, sinceMs);
+						}
+					}
+				}
+			};
+
+			keepers.set(name, createWeightsKeeper({
+				name,
+				view: views[index],
+				versions: createEngineVersions(),
+				control: controlOf(name),
+				held: () => lease.holder === name ? {duty: 'weights', fencing: lease.fencing, msLeft: 1000} : undefined,
+				handoverMs,
+				presence: createEndpointPresence(createSilentLog()),
+				announce: tellOthers,
+				weightsMs: 8000,
+				runningAt: () => 0,
+				log: createSilentLog(),
+			}));
+		}
+
+		let version = 1;
+		for (let at = 0; at < dayMs; at += stepMs) {
+			for (const {daemon} of day.holders.filter(item => item.at >= at && item.at < at + stepMs)) {
+				lease.fencing += lease.holder === daemon ? 0 : 1;
+				lease.holder = daemon;
+			}
+
+			for (const naming of day.namings) {
+				if (naming >= at && naming < at + stepMs) {
+					version++;
+					for (const view of views) {
+						view.acceptWeights('m', version, 0);
+					}
+				}
+			}
+
+			for (const keeper of keepers.values()) {
+				keeper.tick();
+			}
+
+			await clock.tickAsync(stepMs);
+		}
+
+		return orders;
+	};
+
+	it('lets no two daemons order one engine within the time that a lease lasts', async () => {
+		// The lease changes hands at any moment, in the middle of a change and with
+		// answers lost. Engines that don't check fencing numbers obey both holders.
+		await fc.assert(fc.asyncProperty(dayArbitrary, async day => {
+			const orders = await play(day);
+			const last = new Map<string, Order>();
+			for (const order of orders) {
+				const before = last.get(order.id);
+				if (before !== undefined && before.daemon !== order.daemon) {
+					assert.isAtLeast(order.at - before.at, leaseMs);
+				}
+
+				last.set(order.id, order);
+			}
+		}), {seed: 5, numRuns: 40});
+	});
+});
