--- a/packages/router/src/test/quotas/fleet-quota.test.ts
+++ b/packages/router/src/test/quotas/fleet-quota.test.ts
@@ -21,6 +21,8 @@
 const windowMs = 8000;
 const stepMs = 10;
 const reportEveryMs = 200;
+/** Units that a fleet starts with after a kill: half of those by which it may be over. */
+const restartUnits = 55_000;
 
 /** Units admitted in the worst window. */
 function mostInWindow(admitted: readonly Asked[]): number {
@@ -87,16 +89,26 @@
 		return load;
 	};
 
-	const play = (load: readonly Asked[], limits: Workspace, daemons: number, isCut: (daemon: number, at: number) => boolean = () => false): Played => {
+	/** What befalls the daemons: which are cut off when, and when all are killed and start again. */
+	type Troubles = {isCut?: (daemon: number, at: number) => boolean; killedAt?: number};
+
+	const play = (load: readonly Asked[], limits: Workspace, daemons: number, {isCut = () => false, killedAt}: Troubles = {}): Played => {
 		const due = new Set<number>();
 		const toldAt = Array.from({length: daemons}, () => 0);
-		const quotas = Array.from({length: daemons}, (_item, index) => createFleetQuota({
-			startsFull: true, onUnreported: () => due.add(index), startUnits: 0, daemons: () => daemons, silenceMs: 1000, goneMs: windowMs,
-		}));
+		const open = (index: number, startsFull: boolean) => createFleetQuota({
+			startsFull, onUnreported: () => due.add(index), startUnits: restartUnits, daemons: () => daemons, silenceMs: 1000, goneMs: windowMs,
+		});
+		const quotas = Array.from({length: daemons}, (_item, index) => open(index, true));
 		const played: Played = {admitted: [], refused: []};
 		let next = 0;
 		for (let at = 0; at < 30_000; at += stepMs) {
 			clock.tick(stepMs);
+			if (at === killedAt) {
+				for (const index of quotas.keys()) {
+					quotas[index] = open(index, false);
+				}
+			}
+
 			for (; next < load.length && load[next].at <= at; next++) {
 				const asked = load[next];
 				(quotas[asked.daemon].admit(limits, asked.units).granted ? played.admitted : played.refused).push(asked);
@@ -141,7 +153,14 @@
 			// Three daemons neither hear nor are heard from the fifth second on, and
 			// callers of one workspace press on all nine. What the cut ones admit counts.
 			const limits = workspace(60_000);
-			const {admitted} = play(makeLoad(seed, 9, 80, 1), limits, 9, (daemon, at) => daemon < 3 && at > 5000);
+			const {admitted} = play(makeLoad(seed, 9, 80, 1), limits, 9, {isCut: (daemon, at) => daemon < 3 && at > 5000});
+			assert.isAtMost(mostInWindow(admitted), allowed(limits, 110_000));
+		});
+
+		it(`keeps within the quota when all daemons are killed in the middle of a window, seed ${seed}`, () => {
+			// Nobody remembers what was spent before the kill, and callers press on.
+			const limits = workspace(60_000);
+			const {admitted} = play(makeLoad(seed, 9, 80, 1), limits, 9, {killedAt: 12_000});
 			assert.isAtMost(mostInWindow(admitted), allowed(limits, 110_000));
 		});
 
