--- a/packages/router/src/test/weights/keeper-histories.test.ts
+++ b/packages/router/src/test/weights/keeper-histories.test.ts
@@ -1,13 +1,12 @@
 import FakeTimers from '@sinonjs/fake-timers';
 import {assert} from 'chai';
 import fc from 'fast-check';
-import {
-	createEndpointPresence, createFleetView, type FleetDocument, type FleetView,
-} from '../../fleet.js';
+import {createEndpointPresence, createFleetView, type FleetView} from '../../fleet.js';
 import {createSilentLog} from '../../observability.js';
 import {
 	createEngineVersions, createWeightsKeeper, type WeightsControl, type WeightsKeeper,
 } from '../../weights.js';
+import {engineDocument} from './engine-document.js';
 
 const ids = ['e0', 'e1', 'e2', 'e3', 'e4', 'e5'];
 const daemons = ['vm-0', 'vm-1', 'vm-2'];
@@ -17,17 +16,6 @@
 const dayMs = 20_000;
 const stepMs = 100;
 
-const document: FleetDocument = {
-	version: 1,
-	routes: [],
-	services: new Map([['engines', {name: 'engines', mostConnections: 10, engine: {slots: 8, memoryTokens: 1000, models: ['m']}}]]),
-	cacheStores: [],
-	workspaces: [],
-	limits: {
-		headerBytes: 1, bodyBytes: 1, headerMs: 1, idleMs: 1,
-	},
-};
-
 /** What happens on one day: who holds the lease from when on, and when weights are named. */
 const dayArbitrary = fc.record({
 	holders: fc.array(fc.record({at: fc.integer({min: 0, max: dayMs}), daemon: fc.constantFrom(...daemons)}), {minLength: 2, maxLength: 8}),
@@ -81,7 +69,7 @@
 
 	const createView = (): FleetView => {
 		const view = createFleetView(createSilentLog());
-		view.acceptDocument(document);
+		view.acceptDocument(engineDocument);
 		for (const id of ids) {
 			view.acceptEndpoint({
 				id, service: 'engines', address: '10.0.0.1:80', dataCentre: 'a', slots: 8, isLeaving: false, startedAt: 1, reportNumber: 1, weights: new Map([['m', 1]]),
--- a/packages/router/src/test/weights/weights-keeper.test.ts
+++ b/packages/router/src/test/weights/weights-keeper.test.ts
@@ -1,12 +1,13 @@
 import FakeTimers from '@sinonjs/fake-timers';
 import {assert} from 'chai';
 import {
-	createEndpointPresence, createFleetView, type FleetDocument, type FleetView, type LiveEndpoint,
+	createEndpointPresence, createFleetView, type FleetView, type LiveEndpoint,
 } from '../../fleet.js';
 import {createSilentLog} from '../../observability.js';
 import {
 	createEngineVersions, createWeightsKeeper, type EngineVersions, type WeightsControl, type WeightsKeeper,
 } from '../../weights.js';
+import {engineDocument} from './engine-document.js';
 
 /** Engines that obey: runs end, then weights load. */
 type Engines = {
@@ -93,17 +94,7 @@
 			view.acceptEndpoint(endpoint(id));
 		}
 
-		const document: FleetDocument = {
-			version: 1,
-			routes: [],
-			services: new Map([['engines', {name: 'engines', mostConnections: 10, engine: {slots: 8, memoryTokens: 1000, models: ['m']}}]]),
-			cacheStores: [],
-			workspaces: [],
-			limits: {
-				headerBytes: 1, bodyBytes: 1, headerMs: 1, idleMs: 1,
-			},
-		};
-		view.acceptDocument(document);
+		view.acceptDocument(engineDocument);
 		engines = createEngines(ids);
 		versions = createEngineVersions();
 		fencing = 1;
