One choice of the next endpoint, one count of leading parts, shared tokens summed once

Cause: found on reading the change again. A silent request rebuilt the set of endpoints that had it, since the current one was only added afterwards; the walk over a prompt's leading parts stood in the choice and in warm-parts; the shared tokens were summed anew for each candidate; the build's sample settings held fields that nothing reads any more.

--- a/deploy/bundle.js
+++ b/deploy/bundle.js
@@ -49,9 +49,7 @@
 	bounds: {
 		stable_window_ms: 1, drain_ms: 1, grace_s: 1, config_ms: 1,
 	},
-	platform: {
-		address: '127.0.0.1:1', writes_per_s: 1, reads_per_s: 1, history_s: 1,
-	},
+	platform: {address: '127.0.0.1:1'},
 }));
 execFileSync(process.execPath, [...runtimeOptions, launcher], {
 	env: {...process.env, HICKORYWALK_BOOT: sampleSettings, HICKORYWALK_WRITE_CODE: '1'},
--- a/packages/router/src/lib/forwarding/call.ts
+++ b/packages/router/src/lib/forwarding/call.ts
@@ -23,7 +23,7 @@
 	prompt: PromptNeed | undefined;
 	/** `performance.now()` after which nobody waits for the answer. */
 	deadlineAt: number;
-	/** Endpoints that had it already. */
+	/** Endpoints that had it already, or have it now. */
 	excluded: Set<string>;
 	/** Endpoints that it was sent to. */
 	attempts: number;
--- a/packages/router/src/lib/forwarding/forwarder.ts
+++ b/packages/router/src/lib/forwarding/forwarder.ts
@@ -64,11 +64,7 @@
 		return call.isNextGranted;
 	};
 
-	const mayLeaveSilent = (call: Call): boolean => {
-		const excluded = new Set([...call.excluded, call.choice?.endpoint.id ?? '']);
-		const next = choice.choose({service: call.service, prompt: call.prompt, excluded});
-		return isBetterOff(call, next) && mayTryElsewhere(call);
-	};
+	const mayLeaveSilent = (call: Call): boolean => isBetterOff(call, chooseFor(call)) && mayTryElsewhere(call);
 
 	const send = createEndpointSender({...options, mayLeaveSilent});
 
@@ -81,11 +77,11 @@
 			}
 
 			call.choice = chosen;
+			call.excluded.add(chosen.endpoint.id);
 			call.attempts++;
 			call.isNextGranted = false;
 			const sentAt = performance.now();
 			const end = await send(call, chosen);
-			call.excluded.add(chosen.endpoint.id);
 			const verdict = judge(call, end, {mayTryElsewhere});
 			if (end.kind !== 'answered' && end.kind !== 'callerLeft') {
 				options.events.attemptFailed({
--- a/packages/router/src/lib/placing/choice-request.ts
+++ b/packages/router/src/lib/placing/choice-request.ts
@@ -26,3 +26,17 @@
 
 /** Text under which an engine with these weights keeps the prompt's parts: apart by wall, and by weights. */
 export const scopeOf = ({wall}: PromptNeed, weights: number | undefined): string => `${wall}:${weights ?? 0}`;
+
+/** Tokens of the shared parts from the first one on, up to the first that is not held; `isHeld` gets a part's index. */
+export function leadingTokens(prompt: PromptNeed, isHeld: (index: number) => boolean): number {
+	let tokens = 0;
+	for (const [index, part] of sharedPartsOf(prompt).entries()) {
+		if (!isHeld(index)) {
+			break;
+		}
+
+		tokens += part.tokens;
+	}
+
+	return tokens;
+}
--- a/packages/router/src/lib/placing/endpoint-choice.ts
+++ b/packages/router/src/lib/placing/endpoint-choice.ts
@@ -7,7 +7,7 @@
 import {type LiveEndpoint} from '../fleet/live-endpoint.js';
 import {type Candidate, type CandidatesOptions, createCandidates} from './candidates.js';
 import {
-	type ChoiceRequest, type PromptNeed, scopeOf, sharedPartsOf,
+	type ChoiceRequest, leadingTokens, type PromptNeed, scopeOf, sharedPartsOf,
 } from './choice-request.js';
 import {type EndpointLoad} from './endpoint-book.js';
 import {type KeptParts} from './kept-parts.js';
@@ -73,7 +73,16 @@
 	strayTokens: number;
 	/** Shared parts that the store does not have yet. */
 	isToBeSaved: boolean;
-	hasShared: boolean;
+};
+
+/** What is known of an engine and a prompt before its reading is worked out. */
+type ReadingFacts = {
+	/** Tokens of all shared parts. */
+	sharedTokens: number;
+	/** The engine is the prompt's home. */
+	isHome: boolean;
+	/** There is a cache store. */
+	hasStore: boolean;
 };
 
 /** Opens a chooser that remembers what it sent where. */
@@ -103,17 +112,9 @@
 	};
 
 	/** Tokens of shared parts that some engine has read under these weights. */
-	const knownTokens = (prompt: PromptNeed, keys: readonly string[]): number => {
-		let tokens = 0;
-		for (const [index, key] of keys.entries()) {
-			if (!kept.isKnown(key)) {
-				break;
-			}
-
-			tokens += prompt.parts[index].tokens;
-		}
-
-		return tokens;
+	const knownTokens = (prompt: PromptNeed, version: number | undefined): number => {
+		const keys = keptKeys(prompt, version);
+		return leadingTokens(prompt, index => kept.isKnown(keys[index]));
 	};
 
 	const engineMs = (candidate: Candidate, prompt: PromptNeed, missing: number, memoryTokens: number): number => {
@@ -140,9 +141,8 @@
 	 * seen, nine daemons sent cold prompts to an engine that had just changed, at a
 	 * third of what reading them took, and first events came 0.9 s late.
 	 */
-	const readingOf = ({endpoint, weights}: Candidate, prompt: PromptNeed, {isHome, hasStore}: {isHome: boolean; hasStore: boolean}): Reading => {
-		const sharedTokens = sharedPartsOf(prompt).reduce((sum, part) => sum + part.tokens, 0);
-		const storedTokens = hasStore ? knownTokens(prompt, keptKeys(prompt, weights)) : sharedTokens;
+	const readingOf = ({endpoint, weights}: Candidate, prompt: PromptNeed, {sharedTokens, isHome, hasStore}: ReadingFacts): Reading => {
+		const storedTokens = hasStore ? knownTokens(prompt, weights) : sharedTokens;
 		const warmTokens = warmParts.tokens(endpoint, weights, prompt);
 		const availableTokens = Math.max(warmTokens, storedTokens);
 		const ownTokens = isHome ? availableTokens : warmTokens;
@@ -151,7 +151,6 @@
 			missingTokens: Math.max(0, prompt.promptTokens - ownTokens - (fetchedTokens * (1 - fetchCost))),
 			strayTokens: isHome ? 0 : (sharedTokens - availableTokens) * fetchCost,
 			isToBeSaved: storedTokens < sharedTokens,
-			hasShared: sharedTokens > 0,
 		};
 	};
 
@@ -159,10 +158,11 @@
 		const home = homeOf(prompt, view.endpointsOf(request.service));
 		const memoryTokens = view.current()?.document.services.get(request.service)?.engine?.memoryTokens ?? Number.POSITIVE_INFINITY;
 		const store = nearestStore();
+		const sharedTokens = sharedPartsOf(prompt).reduce((sum, part) => sum + part.tokens, 0);
 		let best: Choice | undefined;
 		for (const candidate of candidates) {
 			const {endpoint, weights, load} = candidate;
-			const reading = readingOf(candidate, prompt, {isHome: endpoint.id === home, hasStore: store !== undefined});
+			const reading = readingOf(candidate, prompt, {sharedTokens, isHome: endpoint.id === home, hasStore: store !== undefined});
 			const expectedMs = engineMs(candidate, prompt, reading.missingTokens + reading.strayTokens, memoryTokens);
 			if (best === undefined || expectedMs < best.expectedMs) {
 				best = {
@@ -173,7 +173,7 @@
 					pendingTokens: load.pendingTokens,
 					expectedMs,
 					// Asking the store costs a millisecond where the engine has the parts after all.
-					fetchFrom: reading.hasShared ? store : undefined,
+					fetchFrom: sharedTokens > 0 ? store : undefined,
 					saveTo: reading.isToBeSaved ? store : undefined,
 				};
 			}
--- a/packages/router/src/lib/placing/warm-parts.ts
+++ b/packages/router/src/lib/placing/warm-parts.ts
@@ -1,6 +1,8 @@
 /** Shared prompt parts that this daemon has sent to engines itself, which will have them cached. */
 import {type LiveEndpoint} from '../fleet/live-endpoint.js';
-import {type PromptNeed, scopeOf, sharedPartsOf} from './choice-request.js';
+import {
+	leadingTokens, type PromptNeed, scopeOf, sharedPartsOf,
+} from './choice-request.js';
 
 /** The record. */
 export type WarmParts = {
@@ -33,16 +35,8 @@
 	return {
 		tokens(endpoint, weights, prompt) {
 			const now = performance.now();
-			let tokens = 0;
-			for (const [index, key] of keysOf(endpoint, weights, prompt).entries()) {
-				if (now - (usedAt.get(key) ?? Number.NEGATIVE_INFINITY) > warmMs) {
-					break;
-				}
-
-				tokens += prompt.parts[index].tokens;
-			}
-
-			return tokens;
+			const keys = keysOf(endpoint, weights, prompt);
+			return leadingTokens(prompt, index => now - (usedAt.get(keys[index]) ?? Number.NEGATIVE_INFINITY) <= warmMs);
 		},
 		sent(endpoint, weights, prompt) {
 			const now = performance.now();
--- a/packages/traces/src/lib/bench/policy-bench.ts
+++ b/packages/traces/src/lib/bench/policy-bench.ts
@@ -21,7 +21,7 @@
 const tracesDirectory = fileURLToPath(new URL('../../../traces/', import.meta.url));
 const docsDirectory = fileURLToPath(new URL('../../../../../docs/', import.meta.url));
 
-/** Between these lines of docs/policy.md stands what the bench writes. */
+/** Between these lines of docs/policy.md stands the measured table. */
 const tableBegin = '<!-- table: written by `npm run bench -- policy --write` -->';
 const tableEnd = '<!-- end of table -->';
 
