--- a/packages/router/src/lib/leases/lease-holder.ts
+++ b/packages/router/src/lib/leases/lease-holder.ts
@@ -35,6 +35,13 @@
 	lastWord?: (holder: string, incarnation: bigint) => LeaseWord | undefined;
 	/** Whether another daemon was just heard to hold a duty; the rows need not be read then. */
 	isHeldElsewhere?: (duty: string) => boolean;
+	/**
+	 * Called before each attempt to take or renew a lease, so that peers hear of it
+	 * first. A holder that is suspended while the answer to its renewal is on the
+	 * way has written an attempt that nobody knows; its peers would have to watch
+	 * the row for a whole lease in place of what is left of it.
+	 */
+	onAttempt?: () => void;
 	/** Told of table faults; the work is tried again by itself. */
 	onError?: (error: unknown) => void;
 	/** Milliseconds for which a lease lasts; 30,000 by default, the same on every daemon. */
@@ -201,6 +208,7 @@
 		const end = performance.now() + leaseMs - marginMs;
 		const clockOffset = Date.now() - performance.now();
 		attempts.set(duty, {attempt, end});
+		options.onAttempt?.();
 		const row = {
 			holder: name, incarnation, fencing, attempt,
 		};
--- a/packages/router/src/test/leases/lease-word.test.ts
+++ b/packages/router/src/test/leases/lease-word.test.ts
@@ -71,6 +71,30 @@
 		assert.isDefined(a.held(duty));
 	});
 
+	it('is taken over soon when the holder stops while the answer to its renewal is on the way', async () => {
+		// The renewal takes effect in the table and its holder is suspended. The row
+		// bears an attempt; had the peers not heard of it before it was written, they
+		// would take it for a lease that has just begun when they first look.
+		const a: LeaseHolder = createLeaseHolder({
+			name: 'a', incarnation: 1n, table, leaseMs, marginMs, onAttempt() {
+				hear('a', a);
+			},
+		});
+		a.contend(duty);
+		const b = contender('b');
+		await a.tick();
+		await clock.tickAsync(600);
+		await a.tick();
+		const stoppedAt = performance.now();
+		await clock.tickAsync(1000);
+		while (b.held(duty) === undefined) {
+			await b.tick();
+			await clock.tickAsync(100);
+		}
+
+		assert.isAtMost(performance.now() - stoppedAt, leaseMs + 100);
+	});
+
 	it('is not held by a machine that slept, whose monotonic clock stood still', async () => {
 		const a = contender('a');
 		await a.tick();
