--- a/packages/router/src/lib/fleet/change-feed.ts
+++ b/packages/router/src/lib/fleet/change-feed.ts
@@ -62,9 +62,10 @@
 	 */
 	answerMs: number;
 	/**
-	 * Pause after an answer with changes. A change of weights rewrites the entries
-	 * of all engines within seconds; without a pause each of them is one call of
-	 * every daemon.
+	 * Pause after an answer with changes, and before a peer's hint is acted on. A
+	 * change of weights rewrites the entries of all engines within seconds; without
+	 * a pause each of them is one call of every daemon, or two where a peer that
+	 * rests at another moment knows of it first.
 	 */
 	restMs: number;
 	log: Log;
@@ -76,7 +77,10 @@
 	ageMs: () => number;
 	/** The newest change of this table that this process has heard of; 0 before the first listing. */
 	newestChange: () => number;
-	/** A peer knows this change: if this process has not heard of it, its question may be lost, and it asks once more. */
+	/**
+	 * A peer knows this change: if this process has not heard of it after a rest,
+	 * its question may be lost, and it asks once more.
+	 */
 	hint: (newestChange: number) => void;
 	close: () => void;
 };
@@ -198,6 +202,11 @@
 			isHinted = true;
 			void (async () => {
 				try {
+					await pause(options.restMs);
+					if (known <= Math.max(version, newestChange)) {
+						return;
+					}
+
 					take(await source.changes(version, 0, answerMs), false);
 				} catch (error) {
 					log.debug('Store gave no answer to a further question.', {path: options.name, err: error});
--- a/packages/router/src/test/fleet/change-feed.test.ts
+++ b/packages/router/src/test/fleet/change-feed.test.ts
@@ -22,7 +22,7 @@
 		clock.uninstall();
 	});
 
-	const follow = (source: ChangeSource<string>): ChangeFeed => followChanges({
+	const follow = (source: ChangeSource<string>, restMs = 0): ChangeFeed => followChanges({
 		name: 'test',
 		source,
 		handler: {
@@ -35,7 +35,7 @@
 		},
 		waitMs: () => 800,
 		answerMs: 400,
-		restMs: 0,
+		restMs,
 		log: createSilentLog(),
 	});
 
@@ -94,4 +94,23 @@
 		await clock.tickAsync(10);
 		assert.match(seen[1], /^d 30\d$/v);
 	});
+
+	it('asks no second time for what it hears of within its rest', async () => {
+		// Engines change weights and their rows change for seconds. The daemons rest
+		// at different moments, so that one of them always knows of a row that another
+		// will hear of a moment later.
+		let questions = 0;
+		const {list, changes} = source([{version: 5, changes: []}], [{version: 6, changes: [change('a', 6)]}, {version: 9, changes: [change('b', 9)]}]);
+		feed = follow({
+			list, async changes(...given) {
+				questions++;
+				return changes(...given);
+			},
+		}, 250);
+		await clock.tickAsync(10);
+		feed.hint(9);
+		await clock.tickAsync(600);
+		assert.deepEqual(seen.slice(1).map(text => text.split(' ')[0]), ['a', 'b']);
+		assert.equal(questions, 3);
+	});
 });
