--- a/packages/router/src/lib/peers/peer-exchange.ts
+++ b/packages/router/src/lib/peers/peer-exchange.ts
@@ -3,10 +3,11 @@
  * Datagrams: each report replaces the one before, so a lost one is made good
  * by the next, and no connection can go silent.
  */
-import {Buffer} from 'node:buffer';
+import {type Buffer} from 'node:buffer';
 import {createSocket, type Socket} from 'node:dgram';
 import {type Log} from '../observability/log.js';
-import {type PeerReport, peerReportSchema} from './peer-report.js';
+import {type PeerReport} from './peer-report.js';
+import {decodeReport, encodeReport} from './report-codec.js';
 
 /** A peer's latest report. */
 export type HeardReport = {
@@ -88,7 +89,7 @@
 	const receive = (content: Buffer): void => {
 		let report: PeerReport;
 		try {
-			report = peerReportSchema.parse(JSON.parse(content.toString('utf8')));
+			report = decodeReport(content);
 		} catch (error) {
 			log.warn('Datagram is no report and is dropped.', {bytes: content.length, err: error});
 			return;
@@ -139,7 +140,7 @@
 		const report: PeerReport = {
 			daemon: name, incarnation, number, address, isLeaving, ...options.compose(),
 		};
-		const content = Buffer.from(JSON.stringify(report));
+		const content = encodeReport(report);
 		const peers = [...addresses.values()];
 		const count = isLeaving ? peers.length : Math.min(peers.length, mostPeersARound);
 		const sends: Array<Promise<void>> = [];
--- a/packages/router/src/peers.ts
+++ b/packages/router/src/peers.ts
@@ -2,3 +2,4 @@
 export * from './lib/peers/peer-exchange.js';
 export * from './lib/peers/peer-report.js';
 export * from './lib/peers/peer-directory.js';
+export * from './lib/peers/report-codec.js';
--- /dev/null
+++ b/packages/router/src/test/peers/report-codec.test.ts
@@ -0,0 +1,50 @@
+import {Buffer} from 'node:buffer';
+import {deflateRawSync} from 'node:zlib';
+import {assert} from 'chai';
+import {decodeReport, encodeReport, type PeerReport} from '../../peers.js';
+
+/** A report as daemons of seven send it on a usual day. */
+const report: PeerReport = {
+	daemon: 'front-fortaleza-1',
+	incarnation: 1_783_535_558_399,
+	number: 123,
+	address: '10.2.0.3:7600',
+	isLeaving: false,
+	heard: {operator: 1234, endpoints: 2345},
+	usage: [['sese880', 123_456, 23_456, -12_345], ['dago231', 1234, 100, 99_999], ['xada670', 5_555_555, 12_000, 40_000], ['fino682', 555, 120, 4000], ['dabo563', 5555, 1200, 4500]],
+	loads: [['i-5d4fb03dc1', 3, 2890, 12_345, 1200], ['i-72c4dccf3c', 2, 0, 9345, 0], ['i-c80e8557ac', 1, 0, 900, 800], ['i-f25f26b83a', 4, 5780, 22_345, 2300], ['i-e07f880326', 1, 0, 0, 0]],
+	named: [['daka510000', 5, 3456]],
+	duty: null,
+	engines: [],
+	ended: [],
+	kept: ['sese880:5 5c1e07a2', 'sese880:5 91bd3f06'],
+	placed: [['i-5d4fb03dc1', 'sese880:5', 2950, [['5c1e07a2', 2520], ['91bd3f06', 3780]]]],
+};
+
+describe('reports as datagrams', () => {
+	it('say what was written', () => {
+		assert.deepEqual(decodeReport(encodeReport(report)), report);
+	});
+
+	it('take less than half of the bytes of their text', () => {
+		// Before: the text, 655 bytes. After: 285.
+		assert.isBelow(encodeReport(report).length, Buffer.byteLength(JSON.stringify(report)) / 2);
+	});
+
+	it('are read as plain text too, also without what newer daemons add', () => {
+		// While daemons are replaced one after the other, those of the version before
+		// send plain text that says neither how long answers last nor who is due.
+		const {placed, ...rest} = report;
+		const older = {...rest, loads: [['i-1', 3, 2890, 12_345]], engines: [['i-1', 4, 0, -1]]};
+		const read = decodeReport(Buffer.from(JSON.stringify(older)));
+		assert.deepEqual([read.loads, read.engines, read.placed], [[['i-1', 3, 2890, 12_345, 0]], [['i-1', 4, 0, -1, -1]], []]);
+	});
+
+	it('that are none, or would fill the memory, are refused', () => {
+		const mark = Buffer.from([1]);
+		const bomb = deflateRawSync(Buffer.alloc(64 * 1024 * 1024, 32));
+		for (const content of [Buffer.alloc(0), Buffer.from('no report'), mark, Buffer.concat([mark, Buffer.from('no report')]), Buffer.concat([mark, bomb])]) {
+			assert.throws(() => decodeReport(content));
+		}
+	});
+});
