--- a/packages/entry/src/hickorywalk-explain.ts
+++ b/packages/entry/src/hickorywalk-explain.ts
@@ -1,26 +1,56 @@
-/** Prints the story of one request: `hickorywalk-explain ID [FILE...]`, else from standard input. */
+/**
+ * Explains what logs tell: `hickorywalk-explain ID [FILE...]` prints the story of
+ * one request, `hickorywalk-explain --day [FILE...]` the sums of all; without files
+ * lines come by standard input.
+ */
 import {createReadStream} from 'node:fs';
 import process from 'node:process';
 import {createInterface} from 'node:readline';
+import {parseArgs} from 'node:util';
+import {explainDay} from './lib/explain-day.js';
 import {explainRequest} from './lib/explain.js';
 
-const [requestId, ...files] = process.argv.slice(2);
-if (requestId === undefined) {
-	process.stderr.write('Give the id of a request, and files with log lines unless they come by standard input.\n');
-	process.exit(2);
+const usage = 'Give the id of a request, or --day, and files with log lines unless they come by standard input.\n';
+const exitUsage = 2;
+const exitNothing = 1;
+
+async function readLines(files: readonly string[]): Promise<string[]> {
+	const lines: string[] = [];
+	for (const input of files.length === 0 ? [process.stdin] : files.map(file => createReadStream(file))) {
+		for await (const text of createInterface({input})) {
+			lines.push(text);
+		}
+	}
+
+	return lines;
 }
 
-const lines: string[] = [];
-for (const input of files.length === 0 ? [process.stdin] : files.map(file => createReadStream(file))) {
-	for await (const text of createInterface({input})) {
-		lines.push(text);
+function readOptions(): {isDay: boolean; requestId: string; files: string[]} | undefined {
+	try {
+		const {values, positionals} = parseArgs({options: {day: {type: 'boolean', default: false}}, allowPositionals: true});
+		if (values.day) {
+			return {isDay: true, requestId: '', files: positionals};
+		}
+
+		const [requestId, ...files] = positionals;
+		return requestId === undefined ? undefined : {isDay: false, requestId, files};
+	} catch (error) {
+		process.stderr.write(`${(error as Error).message}\n`);
+		return undefined;
 	}
 }
 
-const story = explainRequest(lines, requestId);
+const options = readOptions();
+if (options === undefined) {
+	process.stderr.write(usage);
+	process.exit(exitUsage);
+}
+
+const lines = await readLines(options.files);
+const story = options.isDay ? explainDay(lines) : explainRequest(lines, options.requestId);
 if (story.length === 0) {
-	process.stderr.write(`No line tells of the request ${requestId}.\n`);
-	process.exit(1);
+	process.stderr.write(options.isDay ? 'No line tells of a request.\n' : `No line tells of the request ${options.requestId}.\n`);
+	process.exit(exitNothing);
 }
 
 process.stdout.write(`${story.join('\n')}\n`);
--- a/packages/entry/src/lib/explain.ts
+++ b/packages/entry/src/lib/explain.ts
@@ -1,30 +1,9 @@
 /** Tells the story of one request from the log lines of all daemons. */
 
-/** One line of a log, as far as a story needs it. */
-type LogLine = {
-	time: number;
-	message: string;
-	context: Record<string, string | number | boolean | undefined>;
-};
+import {type LogLine, parseLogLine} from './log-line.js';
 
 const fieldsInHead = new Set(['vm', 'requestId', 'logLevel', 'dataCentre']);
 
-/** Reads a line; daemons' lines may stand behind a prefix of whoever collected them. */
-function parseLine(text: string): LogLine | undefined {
-	const start = text.indexOf('{');
-	if (start === -1) {
-		return undefined;
-	}
-
-	try {
-		const line = JSON.parse(text.slice(start)) as Partial<LogLine>;
-		return typeof line.time === 'number' && typeof line.message === 'string' && typeof line.context === 'object' ? line as LogLine : undefined;
-	} catch {
-		// Other programs write to the same place; their lines tell nothing of a request.
-		return undefined;
-	}
-}
-
 function describe({message, context}: LogLine): string {
 	const fields = Object.entries(context)
 		.filter(([name]) => !fieldsInHead.has(name))
@@ -45,7 +24,7 @@
 export function explainRequest(lines: Iterable<string>, requestId: string): string[] {
 	const all: LogLine[] = [];
 	for (const text of lines) {
-		const line = parseLine(text);
+		const line = parseLogLine(text);
 		if (line !== undefined) {
 			all.push(line);
 		}
