--- a/packages/router/src/test/placing/endpoint-book.test.ts
+++ b/packages/router/src/test/placing/endpoint-book.test.ts
@@ -23,9 +23,9 @@
 
 	it('tells how fast an engine reads from what comes on top of reading', () => {
 		// An engine takes 68 ms for any first event and 0.011 ms a token. Taken for
-		// reading, the 68 ms of a prompt of 2,900 tokens made each token cost 0.027 ms,
-		// and the queue of a busy engine looked two and a half times as long as it was.
-		// Expected against actual for 30,000 tokens: 2.1 times before, 1.0 after.
+		// reading, but for 15 ms, they made each token of a prompt of 2,900 cost 0.029 ms,
+		// and the queue of a busy engine looked up to 2.7 times as long as it was.
+		// Expected against actual for 30,000 tokens: 1.5 times before, 1.0 after.
 		const book = createEndpointBook();
 		const firstMs = (tokens: number) => 68 + (tokens * 0.011);
 		for (let count = 0; count < 60; count++) {
