--- a/packages/entry/src/hickorywalk-explain.ts
+++ b/packages/entry/src/hickorywalk-explain.ts
@@ -25,15 +25,19 @@
 	return lines;
 }
 
-function readOptions(): {isDay: boolean; requestId: string; files: string[]} | undefined {
+/** What is asked for: one request, or with no id a whole day. */
+type Options = {requestId: string | undefined; files: string[]};
+
+/** `undefined` when the command line makes no sense. */
+function readOptions(): Options | undefined {
 	try {
 		const {values, positionals} = parseArgs({options: {day: {type: 'boolean', default: false}}, allowPositionals: true});
 		if (values.day) {
-			return {isDay: true, requestId: '', files: positionals};
+			return {requestId: undefined, files: positionals};
 		}
 
 		const [requestId, ...files] = positionals;
-		return requestId === undefined ? undefined : {isDay: false, requestId, files};
+		return requestId === undefined ? undefined : {requestId, files};
 	} catch (error) {
 		process.stderr.write(`${(error as Error).message}\n`);
 		return undefined;
@@ -46,10 +50,11 @@
 	process.exit(exitUsage);
 }
 
-const lines = await readLines(options.files);
-const story = options.isDay ? explainDay(lines) : explainRequest(lines, options.requestId);
+const {requestId, files} = options;
+const lines = await readLines(files);
+const story = requestId === undefined ? explainDay(lines) : explainRequest(lines, requestId);
 if (story.length === 0) {
-	process.stderr.write(options.isDay ? 'No line tells of a request.\n' : `No line tells of the request ${options.requestId}.\n`);
+	process.stderr.write(requestId === undefined ? 'No line tells of a request.\n' : `No line tells of the request ${requestId}.\n`);
 	process.exit(exitNothing);
 }
 
--- a/packages/entry/src/lib/explain-day.ts
+++ b/packages/entry/src/lib/explain-day.ts
@@ -41,11 +41,14 @@
 	};
 }
 
-function quantile(values: readonly number[], share: number): number | undefined {
+/** The values below which these shares lie; `undefined` where there are no values. */
+function quantiles(values: readonly number[], shares: readonly number[]): Array<number | undefined> {
 	const sorted = values.toSorted((a, b) => a - b);
-	return sorted.at(Math.min(sorted.length - 1, Math.floor(sorted.length * share)));
+	return shares.map(share => sorted.at(Math.min(sorted.length - 1, Math.floor(sorted.length * share))));
 }
 
+const medianOf = (values: readonly number[]): number | undefined => quantiles(values, [0.5])[0];
+
 function sumBy(ends: readonly Ended[], nameOf: (end: Ended) => string): Group[] {
 	const groups = new Map<string, Group>();
 	for (const end of ends) {
@@ -69,8 +72,8 @@
 
 function describe({name, requests, results, firstMs, ratios}: Group): string {
 	const ended = [...results].toSorted(([, a], [, b]) => b - a).map(([result, count]) => `${result} ${count}`).join(', ');
-	const times = [0.5, 0.9, 0.99].map(share => Math.round(quantile(firstMs, share) ?? Number.NaN)).join(', ');
-	const ratio = quantile(ratios, 0.5);
+	const times = quantiles(firstMs, [0.5, 0.9, 0.99]).map(ms => Math.round(ms ?? Number.NaN)).join(', ');
+	const ratio = medianOf(ratios);
 	return [
 		`${name}: ${requests} requests; ${ended}`,
 		...(firstMs.length > 0 ? [`first of the answer after ${times} ms (median, 90, 99 in 100)`] : []),
@@ -79,8 +82,8 @@
 }
 
 /** The moments at which most went wrong, in the order of time. */
-function worstMoments(ends: readonly Ended[], begin: number): string[] {
-	const usualMs = new Map(sumBy(ends, end => end.path).map(group => [group.name, quantile(group.firstMs, 0.5) ?? Number.POSITIVE_INFINITY]));
+function worstMoments(ends: readonly Ended[], begin: number, routes: readonly Group[]): string[] {
+	const usualMs = new Map(routes.map(({name, firstMs}) => [name, medianOf(firstMs) ?? Number.POSITIVE_INFINITY]));
 	const moments = new Map<number, {requests: number; late: number; lost: number}>();
 	for (const {at, path, result, firstMs} of ends) {
 		const moment = Math.floor((at - begin) / momentMs);
@@ -118,12 +121,13 @@
 	}
 
 	const [{at: begin}] = ends.toSorted((a, b) => a.at - b.at);
+	const routes = sumBy(ends, end => end.path);
 	return [
 		'By route',
-		...sumBy(ends, end => end.path).map(group => `  ${describe(group)}`),
+		...routes.map(group => `  ${describe(group)}`),
 		'By workspace',
 		...sumBy(ends, end => end.workspace).map(group => `  ${describe(group)}`),
 		`The moments at which most went wrong, from ${new Date(begin).toISOString()}`,
-		...worstMoments(ends, begin).map(text => `  ${text}`),
+		...worstMoments(ends, begin, routes).map(text => `  ${text}`),
 	];
 }
--- a/packages/entry/src/lib/wiring/feed-wiring.ts
+++ b/packages/entry/src/lib/wiring/feed-wiring.ts
@@ -36,8 +36,7 @@
 /** Follows the endpoints; what was known of one that is gone is forgotten. */
 export function wireEndpointFeed({store, view, timings, peers, health, book, presence, versions, resident, log}: EntryParts): ChangeFeed {
 	const tracker = createEndpointTracker({view, graceMs: timings.lapsedGraceMs, outageEchoMs: timings.outageEchoMs});
-	const startOf = new Map<string, number>();
-	view.onEndpoint((id, endpoint) => {
+	view.onEndpoint((id, endpoint, before) => {
 		if (endpoint === undefined) {
 			book.forget(id);
 			presence.forget(id);
@@ -45,16 +44,10 @@
 		}
 
 		// Another process under the same id has nothing of what was sent to the one before.
-		if (startOf.get(id) !== endpoint?.startedAt) {
+		if (before?.startedAt !== endpoint?.startedAt) {
 			resident.forget(id);
 		}
 
-		if (endpoint === undefined) {
-			startOf.delete(id);
-		} else {
-			startOf.set(id, endpoint.startedAt);
-		}
-
 		for (const service of view.current()?.document.services.keys() ?? []) {
 			health.setEndpoints(service, view.endpointsOf(service).map(item => item.id));
 		}
--- a/packages/router/src/lib/fleet/fleet-view.ts
+++ b/packages/router/src/lib/fleet/fleet-view.ts
@@ -28,6 +28,9 @@
 	outdatedMs: (version: number) => number;
 };
 
+/** Hears what an endpoint says of itself now and said before; `undefined` while it is not listed. */
+export type EndpointListener = (id: string, endpoint: LiveEndpoint | undefined, before: LiveEndpoint | undefined) => void;
+
 /** The view, as the router's parts read it and as sources of news write it. */
 export type FleetView = {
 	current: () => AcceptedDocument | undefined;
@@ -51,7 +54,7 @@
 	/** Recent namings that this process or a peer heard of at once: model, version, milliseconds since. */
 	recentWeights: (mostMs: number) => Array<[model: string, version: number, ageMs: number]>;
 	/** Hears of every endpoint that came, changed or went. */
-	onEndpoint: (listener: (id: string, endpoint: LiveEndpoint | undefined) => void) => void;
+	onEndpoint: (listener: EndpointListener) => void;
 	/** Hears of every document that came into force. */
 	onDocument: (listener: (accepted: AcceptedDocument) => void) => void;
 };
@@ -71,7 +74,7 @@
 	const endpoints = new Map<string, LiveEndpoint>();
 	const byService = new Map<string, readonly LiveEndpoint[]>();
 	const named = new Map<string, Naming[]>();
-	const endpointListeners: Array<(id: string, endpoint: LiveEndpoint | undefined) => void> = [];
+	const endpointListeners: EndpointListener[] = [];
 	const documentListeners: Array<(accepted: AcceptedDocument) => void> = [];
 	let accepted: AcceptedDocument | undefined;
 
@@ -79,9 +82,9 @@
 		byService.set(service, [...endpoints.values()].filter(endpoint => endpoint.service === service));
 	};
 
-	const tell = (id: string, endpoint: LiveEndpoint | undefined): void => {
+	const tell: EndpointListener = (id, endpoint, before) => {
 		for (const listener of endpointListeners) {
-			listener(id, endpoint);
+			listener(id, endpoint, before);
 		}
 	};
 
@@ -118,7 +121,7 @@
 				log.info(endpoint.isLeaving ? 'Endpoint is leaving.' : 'Endpoint is live.', {endpoint: endpoint.id, service: endpoint.service});
 			}
 
-			tell(endpoint.id, endpoint);
+			tell(endpoint.id, endpoint, known);
 		},
 		dropEndpoint(id) {
 			const known = endpoints.get(id);
@@ -129,7 +132,7 @@
 			endpoints.delete(id);
 			regroup(known.service);
 			log.info('Endpoint is gone.', {endpoint: id, service: known.service});
-			tell(id, undefined);
+			tell(id, undefined, known);
 		},
 		endpointIds: () => endpoints.keys(),
 		namedWeights(model) {
--- a/packages/router/src/lib/peers/report-codec.ts
+++ b/packages/router/src/lib/peers/report-codec.ts
@@ -1,7 +1,7 @@
 /**
- * Reports as datagrams. They are the larger part of what daemons send between
- * data centres, and nearly the same text each time: deflated against a typical
- * report, one of 700 to 900 bytes takes 250 to 400.
+ * Reports as datagrams. They go to every peer several times a second and are nearly
+ * the same text each time: deflated against a typical report, one of 668 bytes takes
+ * 275.
  */
 import {Buffer} from 'node:buffer';
 import {deflateRawSync, inflateRawSync} from 'node:zlib';
--- a/packages/router/src/lib/placing/choice-request.ts
+++ b/packages/router/src/lib/placing/choice-request.ts
@@ -30,6 +30,15 @@
 /** Text under which an engine with these weights keeps the prompt's parts: apart by wall, and by weights. */
 export const scopeOf = ({wall}: PromptNeed, weights: number | undefined): string => `${wall}:${weights ?? 0}`;
 
+/** What makes a cached copy of a part distinct: the scope under which it is kept, and the part. */
+export const partKey = (scope: string, part: string): string => `${scope} ${part}`;
+
+/** Keys of a prompt's shared parts as engines with these weights and the store keep them. */
+export function partKeys(prompt: PromptNeed, weights: number | undefined): string[] {
+	const scope = scopeOf(prompt, weights);
+	return sharedPartsOf(prompt).map(part => partKey(scope, part.id));
+}
+
 /** Tokens of the shared parts from the first one on, up to the first that is not held; `isHeld` gets a part's index. */
 export function leadingTokens(prompt: PromptNeed, isHeld: (index: number) => boolean): number {
 	let tokens = 0;
--- a/packages/router/src/lib/placing/endpoint-choice.ts
+++ b/packages/router/src/lib/placing/endpoint-choice.ts
@@ -6,10 +6,12 @@
  */
 import {type LiveEndpoint} from '../fleet/live-endpoint.js';
 import {type Candidate, type CandidatesOptions, createCandidates} from './candidates.js';
-import {type ChoiceRequest, type PromptNeed, scopeOf} from './choice-request.js';
+import {
+	type ChoiceRequest, partKeys, type PromptNeed, scopeOf,
+} from './choice-request.js';
 import {type EndpointLoad} from './endpoint-book.js';
 import {type KeptParts} from './kept-parts.js';
-import {createPromptReader, keptKeys, type Reading} from './prompt-reading.js';
+import {createPromptReader, type Reading} from './prompt-reading.js';
 import {type ResidentParts} from './resident-parts.js';
 
 /** Where a request goes, and what that rests on. */
@@ -71,9 +73,6 @@
 	const candidatesOf = createCandidates(options);
 	const read = createPromptReader(options);
 
-	const memoryOf = (service: string): number =>
-		view.current()?.document.services.get(service)?.engine?.memoryTokens ?? Number.POSITIVE_INFINITY;
-
 	const distanceMs = (endpoint: LiveEndpoint): number => endpoint.dataCentre === options.dataCentre ? 0 : otherDataCentreMs;
 
 	const hangMs = ({oldestWaitMs}: EndpointLoad): number => Math.max(0, oldestWaitMs - hangingMs);
@@ -87,9 +86,10 @@
 		return named !== undefined && named.outdatedMs(version) > oldWeightsAfterMs ? oldWeightsMs : 0;
 	};
 
-	const engineMs = (candidate: Candidate, prompt: PromptNeed, reading: Reading, memoryTokens: number): number => {
+	const engineMs = (candidate: Candidate, prompt: PromptNeed, reading: Reading): number => {
 		const {endpoint, load} = candidate;
 		const msPerToken = book.msPerToken(endpoint.id);
+		const memoryTokens = view.memoryTokens(endpoint.id) ?? Number.POSITIVE_INFINITY;
 		const need = load.memoryTokens + prompt.promptTokens + prompt.outputTokens;
 		const isFull = need > memoryTokens * fullMemoryShare;
 		return book.baseMs(endpoint.id) + ((load.pendingTokens + reading.missingTokens) * msPerToken)
@@ -102,12 +102,11 @@
 
 	const chooseEngine = (request: ChoiceRequest, prompt: PromptNeed, candidates: readonly Candidate[]): Choice | undefined => {
 		const readingOf = read(request, prompt);
-		const memoryTokens = memoryOf(request.service);
 		let best: Choice | undefined;
 		for (const candidate of candidates) {
 			const {endpoint, weights, load} = candidate;
 			const reading = readingOf(candidate);
-			const expectedMs = engineMs(candidate, prompt, reading, memoryTokens);
+			const expectedMs = engineMs(candidate, prompt, reading);
 			if (best === undefined || expectedMs < best.expectedMs) {
 				best = {
 					endpoint,
@@ -147,7 +146,7 @@
 		},
 		placed({endpoint, weights, saveTo}, prompt) {
 			if (saveTo !== undefined) {
-				kept.saved(keptKeys(prompt, weights));
+				kept.saved(partKeys(prompt, weights));
 			}
 
 			resident.sent({id: endpoint.id, weights}, prompt);
--- a/packages/router/src/lib/placing/kept-parts.ts
+++ b/packages/router/src/lib/placing/kept-parts.ts
@@ -35,9 +35,6 @@
 /** Keys in one report at most, so that it stays one datagram; others are saved twice. */
 const mostNews = 24;
 
-/** Key of a part under a cache scope. */
-export const keptKey = (scope: string, part: string): string => `${scope} ${part}`;
-
 /** Opens the record; nothing is known to be kept. */
 export function createKeptParts(): KeptParts {
 	const savedAt = new Map<string, number>();
--- a/packages/router/src/lib/placing/prompt-reading.ts
+++ b/packages/router/src/lib/placing/prompt-reading.ts
@@ -17,10 +17,10 @@
 import {type EngineVersions} from '../weights/engine-versions.js';
 import {type Candidate} from './candidates.js';
 import {
-	type ChoiceRequest, leadingTokens, type PromptNeed, scopeOf, sharedPartsOf,
+	type ChoiceRequest, leadingTokens, partKeys, type PromptNeed, sharedPartsOf,
 } from './choice-request.js';
 import {type EndpointBook} from './endpoint-book.js';
-import {keptKey, type KeptParts} from './kept-parts.js';
+import {type KeptParts} from './kept-parts.js';
 import {createHomeFinder} from './prompt-home.js';
 import {type ResidentParts} from './resident-parts.js';
 
@@ -83,7 +83,7 @@
 
 	/** Tokens of shared parts that some engine has had saved under these weights. */
 	const keptTokens = (prompt: PromptNeed, weights: number | undefined): number => {
-		const keys = keptKeys(prompt, weights);
+		const keys = partKeys(prompt, weights);
 		return leadingTokens(prompt, index => kept.isKnown(keys[index]));
 	};
 
@@ -167,9 +167,3 @@
 		};
 	};
 }
-
-/** Keys of a prompt's shared parts as they lie in the store. */
-export function keptKeys(prompt: PromptNeed, weights: number | undefined): string[] {
-	const scope = scopeOf(prompt, weights);
-	return sharedPartsOf(prompt).map(part => keptKey(scope, part.id));
-}
--- a/packages/router/src/lib/placing/resident-parts.ts
+++ b/packages/router/src/lib/placing/resident-parts.ts
@@ -8,7 +8,7 @@
  */
 import {LRUCache} from 'lru-cache';
 import {
-	leadingTokens, type PromptNeed, type PromptPartTokens, scopeOf, sharedPartsOf,
+	leadingTokens, partKey, partKeys, type PromptNeed, type PromptPartTokens, scopeOf, sharedPartsOf,
 } from './choice-request.js';
 
 /** One prompt that was sent to an engine, as peers tell it: engine, cache scope, tokens that no other prompt shares, shared parts with their tokens. */
@@ -83,8 +83,6 @@
 		return memory;
 	};
 
-	const keyOf = (scope: string, part: string): string => `${scope} ${part}`;
-
 	const note = ([id, scope, ownTokens, parts]: Placement): void => {
 		const memory = memoryOf(id);
 		if (memory === undefined) {
@@ -92,7 +90,7 @@
 		}
 
 		for (const [part, tokens] of parts) {
-			const key = keyOf(scope, part);
+			const key = partKey(scope, part);
 			memory.set(key, Math.max(1, tokens));
 			if (memory.has(key)) {
 				engines.set(key, (engines.get(key) ?? new Set()).add(id));
@@ -107,13 +105,12 @@
 	return {
 		tokens({id, weights}, prompt) {
 			const memory = memories.get(id);
-			const scope = scopeOf(prompt, weights);
-			const parts = sharedPartsOf(prompt);
-			return memory === undefined ? 0 : leadingTokens(prompt, index => memory.has(keyOf(scope, parts[index].id)));
+			const keys = partKeys(prompt, weights);
+			return memory === undefined ? 0 : leadingTokens(prompt, index => memory.has(keys[index]));
 		},
 		holders(weights, prompt) {
-			const deepest = sharedPartsOf(prompt).at(-1);
-			return deepest === undefined ? [] : engines.get(keyOf(scopeOf(prompt, weights), deepest.id)) ?? [];
+			const deepest = partKeys(prompt, weights).at(-1);
+			return deepest === undefined ? [] : engines.get(deepest) ?? [];
 		},
 		sent({id, weights}, prompt) {
 			const shared = sharedPartsOf(prompt);
