--- a/packages/entry/src/lib/entry-parts.ts
+++ b/packages/entry/src/lib/entry-parts.ts
@@ -1,4 +1,4 @@
-/** Registers the parts of the entry daemon; each is made when it is first asked for. */
+/** Dependency injection container of the entry daemon; parts are created lazily. */
 import {
 	type BootSettings, createCallHeaders, createEndpointControl, createStoreClient,
 } from '@hickorywalk/platform';
@@ -22,17 +22,12 @@
 	wireBudgets, wireChoice, wireEvents, wireQuota,
 } from './wiring/request-wiring.js';
 
-/** Milliseconds for a connection to an endpoint; data centres are a millisecond apart. */
 const endpointConnectMs = 300;
 
-/**
- * Log lines a second. One line costs some 30 µs of processor time, so these
- * bound it to about one hundredth of a core; a daemon has some 15 requests a
- * second on a usual day.
- */
+/** Log lines per second; bounds the CPU time spent on logging. */
 const linesPerSecond = {answered: 100, other: 60};
 
-/** Connections to one endpoint that one daemon opens at most; the choice of endpoints keeps far below. */
+/** Upper bound on open connections per endpoint; admission normally stays far below it. */
 const connectionsPerEndpoint = 512;
 
 /** Creates the container of one daemon. */
--- a/packages/entry/src/lib/timings.ts
+++ b/packages/entry/src/lib/timings.ts
@@ -1,45 +1,44 @@
-/** Times of the entry daemon, worked out from what the platform's settings bound. All in milliseconds. */
+/** Timings of the entry daemon, derived from the bounds in the platform's settings. */
 import {type BootSettings} from '@hickorywalk/platform';
 
-/** Times that the parts are made with. */
+/** Durations in milliseconds, unless noted. */
 export type Timings = {
-	/** For how long the store may hold a question back. */
+	/** Long-poll wait at the store, for a daemon without peers. */
 	feedWaitMs: number;
-	/** By how many times that is longer with as many peers heard. */
+	/** Maximum factor on `feedWaitMs`, which grows with the number of live peers. */
 	mostFeedWaits: number;
-	/** After which an answer of the store counts as lost. */
+	/** Timeout of a store call, on top of its long-poll wait. */
 	storeAnswerMs: number;
-	/** Pause after changes of the list of endpoints; a leaving one may get work for `drainMs`. */
+	/**
+	 * Pause after a change of the endpoint list, to coalesce updates; short against `drainMs`,
+	 * within which a leaving endpoint may still get work.
+	 */
 	endpointsRestMs: number;
-	/** Between two reports to peers. */
 	reportEveryMs: number;
 	/** Silence after which a peer counts as away. */
 	peerSilenceMs: number;
-	/** Silence after which a peer is thought to have stopped. */
+	/** Silence after which a peer is presumed stopped. */
 	peerGoneMs: number;
-	/** Between two readings of the directory of daemons. */
 	directoryEveryMs: number;
-	/** How long a lease lasts, and by how much its holder stops early. */
+	/** Lease duration, and the safety margin by which its holder stops early. */
 	leaseMs: number;
 	leaseMarginMs: number;
-	/** Time that must lie between orders of two daemons to one engine. */
+	/** Minimum time between orders of two different daemons to one engine. */
 	handoverMs: number;
-	/** For how long an entry that lapsed in an outage may be missing. */
+	/** Grace period for entries that expired during a store outage. */
 	lapsedGraceMs: number;
-	/** For how long after an outage lapsed entries are given that grace. */
+	/** Time after an outage during which expired entries get that grace period. */
 	outageEchoMs: number;
-	/** Calls to engines that ask or order; they answer within a few milliseconds, and one whose answer is lost is asked anew. */
+	/** Timeout of state and order calls to engines. */
 	engineCallMs: number;
-	/** Between two rounds of the keeper of weights. */
 	keeperEveryMs: number;
-	/** For how long new connections still come after this process said that it stops. */
+	/** Time for which the load balancer may still open connections after this process became unready. */
 	balancerMs: number;
 };
 
 /**
- * Works the times out. A document must be in force after `documentMs`: a feed
- * that went silent is noticed after `feedWaitMs` and `storeAnswerMs`, and one
- * more question without waiting follows, which together stay below it.
+ * Derives the timings. `feedWaitMs` + `storeAnswerMs` and one more call without waiting stay
+ * below `documentMs`, so a dead connection can't delay a document beyond its bound.
  */
 export function timingsFor(settings: BootSettings): Timings {
 	return {
--- a/packages/entry/src/lib/wiring/duty-wiring.ts
+++ b/packages/entry/src/lib/wiring/duty-wiring.ts
@@ -1,12 +1,12 @@
-/** Wires the duty that one daemon holds at a time: orders to engines. */
+/** Wires the lease on ordering weight changes, and the keeper that runs under it. */
 import {createLeaseHolder, type LeaseHolder} from 'hickorywalk/leases.js';
 import {createWeightsKeeper} from 'hickorywalk/weights.js';
 import {type EntryParts} from './parts.js';
 
-/** Name of the duty to give orders to engines. */
+/** Name of the lease on ordering weight changes. */
 export const weightsDuty = 'weights';
 
-/** The lease on the duty. */
+/** Contends for the lease; peers' reports shorten the takeover. */
 export function wireLeases({settings, timings, incarnation, ownTable, peers, log}: EntryParts): LeaseHolder {
 	const holder = createLeaseHolder({
 		name: settings.name,
@@ -31,7 +31,7 @@
 	return holder;
 }
 
-/** Brings engines to the named weights while the lease is held. */
+/** Creates the weights keeper; it acts only while the lease is held. */
 export function wireKeeper(parts: EntryParts) {
 	const {settings, timings, view, versions, control, leases, book, presence, log} = parts;
 	return createWeightsKeeper({
--- a/packages/entry/src/lib/wiring/feed-wiring.ts
+++ b/packages/entry/src/lib/wiring/feed-wiring.ts
@@ -1,4 +1,4 @@
-/** Wires what is heard from the store: the operator's table and the list of endpoints. */
+/** Wires the store's change feeds: the operator's table and the endpoint list. */
 import {createEndpointSource, createOperatorSource, type OperatorRow} from '@hickorywalk/platform';
 import {
 	type ChangeFeed, createEndpointTracker, followChanges, type LiveEndpoint,
@@ -8,15 +8,14 @@
 import {type EntryParts} from './parts.js';
 
 /**
- * Peers tell each other what they have heard from the store, so one of them
- * with a working connection is enough; each may then wait longer for the store,
- * which saves calls.
+ * Peers share which changes they have seen, so one working connection is enough. Each daemon
+ * may then use longer polls, which saves calls.
  */
 function feedWaitMs({feedWaitMs: alone, mostFeedWaits}: Timings, peers: PeerExchange): number {
 	return alone * Math.min(mostFeedWaits, 1 + peers.live().length);
 }
 
-/** Follows the document and the namings of weights. */
+/** Follows the fleet document and the named weights. */
 export function wireOperatorFeed({store, view, timings, peers, log}: EntryParts): ChangeFeed {
 	const update = (rows: ReadonlyArray<{item: OperatorRow | undefined}>, unseenMs: number): void => {
 		for (const {item} of rows) {
@@ -33,7 +32,7 @@
 	});
 }
 
-/** Follows the endpoints; what was known of one that is gone is forgotten. */
+/** Follows the endpoint list and drops local state of removed endpoints. */
 export function wireEndpointFeed({store, view, timings, peers, health, book, presence, versions, resident, log}: EntryParts): ChangeFeed {
 	const tracker = createEndpointTracker({view, graceMs: timings.lapsedGraceMs, outageEchoMs: timings.outageEchoMs});
 	view.onEndpoint((id, endpoint, before) => {
@@ -43,7 +42,7 @@
 			versions.forget(id);
 		}
 
-		// Another process under the same id has nothing of what was sent to the one before.
+		// A restarted process under the same id has an empty cache.
 		if (before?.startedAt !== endpoint?.startedAt) {
 			resident.forget(id);
 		}
--- a/packages/entry/src/lib/wiring/parts.ts
+++ b/packages/entry/src/lib/wiring/parts.ts
@@ -1,4 +1,4 @@
-/** Every part of the entry daemon, by the name under which others ask for it. */
+/** Types of the entry daemon's parts, by their name in the container. */
 import {type BootSettings, type createEndpointControl, type createStoreClient} from '@hickorywalk/platform';
 import {type ChangeFeed, type EndpointPresence, type FleetView} from 'hickorywalk/fleet.js';
 import {type createEntryServer, type createForwarder, type ForwardingEvents} from 'hickorywalk/forwarding.js';
@@ -15,15 +15,15 @@
 import {type DaemonMetrics} from '../daemon-metrics.js';
 import {type Timings} from '../timings.js';
 
-/** What changes while the daemon runs. */
+/** Shutdown state of the daemon. */
 export type DaemonState = {
-	/** Unready: the balancer takes this process out, and its answers end their connections. */
+	/** Reports unready and closes connections after each response. */
 	isStopping: boolean;
-	/** No further request is taken. */
+	/** Rejects all further requests. */
 	isClosed: boolean;
 };
 
-/** All parts, by name. */
+/** All parts by name. */
 export type EntryParts = {
 	settings: BootSettings;
 	timings: Timings;
--- a/packages/entry/src/lib/wiring/peer-wiring.ts
+++ b/packages/entry/src/lib/wiring/peer-wiring.ts
@@ -1,11 +1,11 @@
-/** Wires what daemons tell each other. */
+/** Wires the exchange of reports between daemons. */
 import {
 	createPeerDirectory, createPeerExchange, type PeerExchange, type PeerReport,
 } from 'hickorywalk/peers.js';
 import {weightsDuty} from './duty-wiring.js';
 import {type EntryParts} from './parts.js';
 
-/** Reports to peers, and what theirs change here. */
+/** Creates the exchange and applies peers' reports to the local state. */
 export function wirePeers(parts: EntryParts): PeerExchange {
 	const {settings, timings, incarnation, log, quota, book, versions} = parts;
 	const onReport = (report: PeerReport): void => {
@@ -71,24 +71,24 @@
 	});
 }
 
-/** What this daemon says of the lease on orders, so that a successor need not wait longer than it must. */
+/** Tells peers how long the lease may still be held, so that a successor waits no longer than needed. */
 function dutyForReport({leases}: EntryParts): PeerReport['duty'] {
 	const word = leases.word(weightsDuty);
 	return word === undefined ? null : [word.attempt, Math.ceil(word.msLeft)];
 }
 
-/** A finite time in whole milliseconds, else -1. */
-function roundedOr(ms: number): number {
+/** Rounds a finite number; -1 otherwise, since JSON has no infinity. */
+function roundedOrMinusOne(ms: number): number {
 	return Number.isFinite(ms) ? Math.round(ms) : -1;
 }
 
-/** An engine that is to be emptied comes to the newest weights of its model. */
+/** A planned change always targets the newest named weights. */
 function plannedVersion({view}: EntryParts, id: string): number {
 	const [model] = view.endpoint(id)?.weights.keys() ?? [];
 	return model === undefined ? 0 : view.namedWeights(model)?.version ?? 0;
 }
 
-/** Only the daemon that gives orders knows more of engines than the platform's list. */
+/** Only the lease holder knows more about engines than the endpoint list. */
 function enginesForReport({leases, versions, view, keeper}: EntryParts): PeerReport['engines'] {
 	if (leases.held(weightsDuty) === undefined) {
 		return [];
@@ -102,14 +102,14 @@
 		if (endpoint !== undefined && model !== undefined) {
 			const sinceOrderMs = keeper.sinceOrderMs(id);
 			const {version, dueInMs} = versions.of(endpoint, model);
-			engines.push([id, version, changing.get(id) ?? 0, roundedOr(sinceOrderMs), roundedOr(dueInMs)]);
+			engines.push([id, version, changing.get(id) ?? 0, roundedOrMinusOne(sinceOrderMs), roundedOrMinusOne(dueInMs)]);
 		}
 	}
 
 	return engines;
 }
 
-/** Finds peers by their rows in the store. */
+/** Discovers peers by their rows in the store. */
 export function wireDirectory({settings, timings, incarnation, ownTable, peers, log}: EntryParts) {
 	return createPeerDirectory({
 		name: settings.name,
--- a/packages/entry/src/lib/wiring/request-wiring.ts
+++ b/packages/entry/src/lib/wiring/request-wiring.ts
@@ -1,23 +1,26 @@
-/** Wires what decides on requests: quotas, the choice of endpoints, retry budgets, and what is told of requests. */
+/** Wires the request path: quotas, endpoint choice, retry budgets, logs and metrics. */
 import {type ForwardingEvents} from 'hickorywalk/forwarding.js';
 import {createEndpointChoice} from 'hickorywalk/placing.js';
 import {createFleetQuota, type FleetQuota} from 'hickorywalk/quotas.js';
 import {type AttemptBudget, createRetryBudget} from 'hickorywalk/routing.js';
 import {type EntryParts} from './parts.js';
 
-/** Part of what the platform allows that this project uses of the retry budget. */
-const budgetUsed = 0.7;
+/** Safety margin below the platform's retry budget. */
+const retryBudgetRatio = 0.7;
 
-/** Part of the units that a workspace may be over its quota which a restarted fleet starts with. */
-const quotaExtraAtStart = 0.5;
+/** Fraction of the tolerated excess over a quota that a restarted fleet starts with. */
+const startExtraRatio = 0.5;
 
-/** Part of the connections that endpoints accept which all daemons together use; the rest is for those that come and go. */
-const connectionsUsed = 0.9;
+/**
+ * Fraction of an endpoint's connection limit that all daemons share; leaves headroom while
+ * daemons join and leave.
+ */
+const connectionsRatio = 0.9;
 
-/** Daemons that are known, this one included. */
+/** Known daemons, including this one. */
 const countDaemons = (parts: EntryParts): number => parts.peers.known().size + 1;
 
-/** Rates and bursts of workspaces. */
+/** Creates the fleet-wide quota. */
 export function wireQuota(parts: EntryParts): FleetQuota {
 	const {settings, timings} = parts;
 	return createFleetQuota({
@@ -25,41 +28,40 @@
 		onUnreported() {
 			parts.peers.sendSoon();
 		},
-		startUnits: settings.quota.extraUnits * quotaExtraAtStart,
+		startUnits: settings.quota.extraUnits * startExtraRatio,
 		daemons: () => countDaemons(parts),
 		silenceMs: timings.peerSilenceMs,
 		goneMs: timings.peerGoneMs,
 	});
 }
 
-/** Which endpoint gets a request. */
+/** Creates the endpoint choice. */
 export function wireChoice({view, book, health, presence, versions, kept, resident, peers, settings}: EntryParts) {
 	return createEndpointChoice({
-		view, book, health, presence, versions, kept, resident, dataCentre: settings.dataCentre, connectionShare: () => connectionsUsed / (peers.live().length + 1), weightsMs: settings.weightsMs,
+		view, book, health, presence, versions, kept, resident, dataCentre: settings.dataCentre, connectionShare: () => connectionsRatio / (peers.live().length + 1), weightsMs: settings.weightsMs,
 	});
 }
 
-/** One retry budget for each service. */
+/** Returns a look-up of retry budgets, one for each service. */
 export function wireBudgets(parts: EntryParts): (service: string) => AttemptBudget {
 	const budgets = new Map<string, AttemptBudget>();
 	const {isFirstStart, retries: {share, extra, windowMs}} = parts.settings;
 	const openedAt = performance.now();
 
 	/**
-	 * This daemon's part of the fixed number. A process that was started again
-	 * doesn't know what the one before it has spent, so its part grows from
-	 * nothing over one window; else a fleet that is killed could spend it twice.
+	 * This daemon's part of the fixed allowance. A restarted process doesn't know what its
+	 * predecessor spent, so its part grows from zero over one window.
 	 */
 	const ownExtra = (): number => {
 		const knownShare = isFirstStart ? 1 : Math.min(1, (performance.now() - openedAt) / windowMs);
-		return Math.floor(extra * budgetUsed * knownShare / countDaemons(parts));
+		return Math.floor(extra * retryBudgetRatio * knownShare / countDaemons(parts));
 	};
 
 	return service => {
 		let budget = budgets.get(service);
 		if (budget === undefined) {
 			budget = createRetryBudget({
-				share: share * budgetUsed, fewest: ownExtra, isFewestExtra: true, windowMs,
+				share: share * retryBudgetRatio, fewest: ownExtra, isFewestExtra: true, windowMs,
 			});
 			budgets.set(service, budget);
 		}
@@ -68,7 +70,7 @@
 	};
 }
 
-/** Logs and metrics of requests. */
+/** Logs requests and records their metrics. */
 export function wireEvents({log, metrics, lines}: EntryParts): ForwardingEvents {
 	return {
 		ended(end) {
--- a/packages/router/src/lib/fleet/change-feed.ts
+++ b/packages/router/src/lib/fleet/change-feed.ts
@@ -1,12 +1,9 @@
-/**
- * Follows a table of the platform's store: lists it once, then asks for what
- * has changed since, again and again.
- */
+/** Follows a table of the store: one listing, then long polls for changes. */
 import {LayerError} from '../errors/layer-error.js';
 import {type Log} from '../observability/log.js';
 import {pause} from '../time/pause.js';
 
-/** The store no longer has the changes that were asked for; the table must be listed anew. */
+/** The store no longer has the requested history; the table must be listed again. */
 export class HistoryGoneError extends LayerError {
 	readonly code = 'history_gone';
 }
@@ -14,13 +11,13 @@
 /** One row of a followed table. */
 export type Change<T> = {
 	key: string;
-	/** What the row holds now; `undefined` when it is gone or can't be read. */
+	/** `undefined` when the row was deleted or is invalid. */
 	item: T | undefined;
-	/** The store's version at which the row was written. */
+	/** Store version that wrote the row. */
 	version: number;
 };
 
-/** Rows with the store's version that they stand at. */
+/** Rows, with the store version that they are current at. */
 export type Changes<T> = {
 	changes: ReadonlyArray<Change<T>>;
 	/** Grows with each transaction of the store. */
@@ -31,19 +28,19 @@
 export type ChangeSource<T> = {
 	list: (limitMs: number) => Promise<Changes<T>>;
 	/**
-	 * What changed after a version; waits up to `waitMs` for something.
+	 * Changes after a version; waits up to `waitMs` for one.
 	 * @throws {HistoryGoneError} when the store has dropped that part of its history.
 	 */
 	changes: (after: number, waitMs: number, limitMs: number) => Promise<Changes<T>>;
 };
 
-/** What a follower does with the rows. */
+/** Receives the rows of a followed table. */
 export type ChangeHandler<T> = {
-	/** All rows of the table; what is not among them is gone. They may have changed up to `unseenMs` ago. */
+	/** All rows; rows not among them were deleted. They may have changed up to `unseenMs` ago. */
 	replace: (rows: ReadonlyArray<Change<T>>, unseenMs: number) => void;
-	/** Rows that changed, up to `unseenMs` ago: 0 while the store answers at once. */
+	/** Changed rows, at most `unseenMs` old; 0 while the feed is current. */
 	update: (rows: ReadonlyArray<Change<T>>, unseenMs: number) => void;
-	/** The first successful answer after failures, `awayMs` after the last one before them. */
+	/** The first successful call after failures, `awayMs` after the last success. */
 	regained?: (awayMs: number) => void;
 };
 
@@ -53,19 +50,16 @@
 	name: string;
 	source: ChangeSource<T>;
 	handler: ChangeHandler<T>;
-	/** For how long the store may hold a question back when nothing changes; asked anew each time. */
+	/** Long-poll wait; evaluated for each call. */
 	waitMs: () => number;
 	/**
-	 * Time over `waitMs` after which a question counts as lost. A connection may
-	 * have gone silent for good, and only this shows it; with `waitMs` it bounds
-	 * how late a change is heard of.
+	 * Timeout on top of `waitMs`, since a dead connection shows no other sign. The sum bounds
+	 * how late a change is seen.
 	 */
 	answerMs: number;
 	/**
-	 * Pause after an answer with changes, and before a peer's hint is acted on. A
-	 * change of weights rewrites the entries of all engines within seconds; without
-	 * a pause each of them is one call of every daemon, or two where a peer that
-	 * rests at another moment knows of it first.
+	 * Pause after an answer with changes and before a hint is followed, to coalesce bursts of
+	 * updates into one call.
 	 */
 	restMs: number;
 	log: Log;
@@ -73,21 +67,21 @@
 
 /** A running follower. */
 export type ChangeFeed = {
-	/** Milliseconds since the store last answered; infinite before the first time. */
+	/** Milliseconds since the last successful call; infinite before the first. */
 	ageMs: () => number;
-	/** The newest change of this table that this process has heard of; 0 before the first listing. */
+	/** Newest change of this table seen so far; 0 before the first listing. */
 	newestChange: () => number;
 	/**
-	 * A peer knows this change: if this process has not heard of it after a rest,
-	 * its question may be lost, and it asks once more.
+	 * A peer has seen this change. Unless it arrives within `restMs`, the feed asks the store
+	 * without waiting.
 	 */
 	hint: (newestChange: number) => void;
 	close: () => void;
 };
 
-/** First pause after a failed question; doubles up to the longest. A store that refuses is not to be pressed. */
-const firstPauseMs = 50;
-const longestPauseMs = 400;
+/** Exponential backoff after failed calls. */
+const minBackoffMs = 50;
+const maxBackoffMs = 400;
 
 /** Follows a table until closed. */
 export function followChanges<T>(options: ChangeFeedOptions<T>): ChangeFeed {
@@ -121,7 +115,7 @@
 		const all = await source.list(answerMs * 2);
 		const unseenMs = performance.now() - answeredAt;
 		answered();
-		// A listing older than what was heard already would take the view back.
+		// A stale listing must not revert newer state.
 		if (version === undefined || all.version >= version) {
 			version = all.version;
 			note(all.changes);
@@ -129,7 +123,7 @@
 		}
 	};
 
-	const take = (news: Changes<T>, isPrompt: boolean): void => {
+	const apply = (news: Changes<T>, isPrompt: boolean): void => {
 		const unseenMs = isPrompt && failures === 0 ? 0 : performance.now() - answeredAt;
 		answered();
 		if (version === undefined || news.version < version) {
@@ -150,10 +144,10 @@
 			return;
 		}
 
-		// After a failure the store may be far ahead: it is asked without waiting.
+		// After a failure the feed may be far behind, so it doesn't wait.
 		const wait = failures > 0 || isHinted ? 0 : options.waitMs();
 		isHinted = false;
-		take(await source.changes(version, wait, wait + answerMs), true);
+		apply(await source.changes(version, wait, wait + answerMs), true);
 	};
 
 	const failed = async (error: unknown): Promise<void> => {
@@ -169,10 +163,10 @@
 
 		failures++;
 		if (failures === 1) {
-			log.warn('Store gave no answer.', {path: options.name, ms: ageOf(answeredAt), err: error});
+			log.warn('Store gave no answer.', {path: options.name, ms: roundedAgeMs(answeredAt), err: error});
 		}
 
-		await pause(Math.min(longestPauseMs, firstPauseMs * (2 ** Math.min(failures - 1, 8))));
+		await pause(Math.min(maxBackoffMs, minBackoffMs * (2 ** Math.min(failures - 1, 8))));
 	};
 
 	const run = async (): Promise<void> => {
@@ -207,7 +201,7 @@
 						return;
 					}
 
-					take(await source.changes(version, 0, answerMs), false);
+					apply(await source.changes(version, 0, answerMs), false);
 				} catch (error) {
 					log.debug('Store gave no answer to a further question.', {path: options.name, err: error});
 				} finally {
@@ -221,6 +215,6 @@
 	};
 }
 
-function ageOf(at: number): number | undefined {
+function roundedAgeMs(at: number): number | undefined {
 	return Number.isFinite(at) ? Math.round(performance.now() - at) : undefined;
 }
--- a/packages/router/src/lib/fleet/endpoint-presence.ts
+++ b/packages/router/src/lib/fleet/endpoint-presence.ts
@@ -1,49 +1,38 @@
 /**
- * What answers and failed connections prove about an endpoint that is still
- * listed: that its process has ended, that nothing listens there, or that it
- * takes no work just now. The list lags by seconds, and more when the store
- * loses its history; without this each request learns the same thing anew, and
- * one that may be sent only once is refused for it.
- *
- * Unlike ejection by health this is no statistic and has no largest share: a
- * process that has ended serves nobody, however many of them there are.
+ * Evidence from responses and failed connections about endpoints that are still listed.
+ * Unlike outlier ejection it has no maximum ratio: an ended process serves nobody.
  */
 import {type Log} from '../observability/log.js';
 import {type LiveEndpoint} from './live-endpoint.js';
 
-/** What is known beyond the list. */
+/** Evidence beyond the endpoint list. */
 export type EndpointPresence = {
-	/** Another process answers at the endpoint's address, so its own has ended. */
+	/** Another process answered at the endpoint's address, so the endpoint's own has ended. */
 	replaced: (endpoint: LiveEndpoint) => void;
-	/** No connection came about. */
+	/** The connection failed. */
 	unreached: (endpoint: LiveEndpoint) => void;
-	/** It said that it takes no work now. */
+	/** The endpoint refused to take work now. */
 	declined: (endpoint: LiveEndpoint) => void;
-	/** It took a request. */
+	/** The endpoint served a request. */
 	accepted: (endpoint: LiveEndpoint) => void;
 	/** The process has ended; only a later start under the same id can serve again. */
 	hasEnded: (endpoint: LiveEndpoint) => boolean;
-	/** Others are to be asked first for a moment. */
+	/** The endpoint should be tried last for now. */
 	isDoubtful: (endpoint: LiveEndpoint) => boolean;
 	/** The endpoint is no longer listed. */
 	forget: (id: string) => void;
-	/** Ended processes that this daemon found within the last `mostMs`, for its peers. */
+	/** Endpoints that this daemon found to have ended within the last `mostMs`. */
 	endedLately: (mostMs: number) => Array<[id: string, startedAt: number]>;
 };
 
-/**
- * How long an endpoint that could not be reached, or declined, is asked last, in
- * milliseconds. A change of weights takes 400 ms and more and a restart a
- * second; a few requests in that time are enough to see the end of it.
- */
+/** Time for which an endpoint is tried last after a failure; doubles with each further one. */
 const doubtMs = 200;
 
-/** Longest doubt, in milliseconds, after one failure behind another. */
-const longestDoubtMs = 800;
+const maxDoubtMs = 800;
 
 type Doubt = {startedAt: number; until: number; lastsMs: number};
 
-/** Opens the record; all listed endpoints are taken to be there. */
+/** Creates the record; all listed endpoints are presumed present. */
 export function createEndpointPresence(log: Log): EndpointPresence {
 	const ended = new Map<string, {startedAt: number; foundAt: number}>();
 	const doubts = new Map<string, Doubt>();
@@ -55,7 +44,7 @@
 			return;
 		}
 
-		const lastsMs = known?.startedAt === startedAt ? Math.min(longestDoubtMs, known.lastsMs * 2) : doubtMs;
+		const lastsMs = known?.startedAt === startedAt ? Math.min(maxDoubtMs, known.lastsMs * 2) : doubtMs;
 		doubts.set(id, {startedAt, until: now + lastsMs, lastsMs});
 	};
 
@@ -83,14 +72,14 @@
 			doubts.delete(id);
 		},
 		endedLately(mostMs) {
-			const lately: Array<[string, number]> = [];
+			const recent: Array<[string, number]> = [];
 			for (const [id, {startedAt, foundAt}] of ended) {
 				if (performance.now() - foundAt <= mostMs) {
-					lately.push([id, startedAt]);
+					recent.push([id, startedAt]);
 				}
 			}
 
-			return lately;
+			return recent;
 		},
 	};
 }
--- a/packages/router/src/lib/fleet/endpoint-tracker.ts
+++ b/packages/router/src/lib/fleet/endpoint-tracker.ts
@@ -1,7 +1,6 @@
 /**
- * Turns the platform's list of endpoints into the view. Entries also lapse
- * while the store is away and can't take heartbeats: then they say nothing of
- * the endpoint, which goes on serving and is listed again soon after.
+ * Applies the endpoint list to the view. Entries that expire around a store outage
+ * only show missed heartbeats, so their endpoints stay for a grace period.
  */
 import {type Change, type ChangeHandler} from './change-feed.js';
 import {type FleetView} from './fleet-view.js';
@@ -10,22 +9,22 @@
 /** Options of {@link createEndpointTracker}; durations in milliseconds. */
 export type EndpointTrackerOptions = {
 	view: FleetView;
-	/** For how long an entry that lapsed around an outage of the store may be missing. */
+	/** Grace period for entries that expired around a store outage. */
 	graceMs: number;
-	/** For how long after an outage lapsed entries are given that grace. */
+	/** Time after an outage during which expired entries get the grace period. */
 	outageEchoMs: number;
 };
 
-/** A handler of the list's changes. */
+/** Handler of endpoint list changes. */
 export type EndpointTracker = ChangeHandler<LiveEndpoint> & {close: () => void};
 
-/** Outages shorter than this let no entry lapse. */
-const shortestOutageMs = 1000;
+/** Outages shorter than this let no entry expire. */
+const minOutageMs = 1000;
 
 /** Creates a tracker that writes into a view. */
 export function createEndpointTracker({view, graceMs, outageEchoMs}: EndpointTrackerOptions): EndpointTracker {
 	const missing = new Map<string, NodeJS.Timeout>();
-	let echoUntil = Number.NEGATIVE_INFINITY;
+	let graceUntil = Number.NEGATIVE_INFINITY;
 
 	const keep = (id: string): void => {
 		clearTimeout(missing.get(id));
@@ -33,7 +32,7 @@
 	};
 
 	const drop = (id: string): void => {
-		if (performance.now() >= echoUntil) {
+		if (performance.now() >= graceUntil) {
 			keep(id);
 			view.dropEndpoint(id);
 			return;
@@ -70,8 +69,8 @@
 			}
 		},
 		regained(awayMs) {
-			if (awayMs >= shortestOutageMs) {
-				echoUntil = performance.now() + outageEchoMs;
+			if (awayMs >= minOutageMs) {
+				graceUntil = performance.now() + outageEchoMs;
 			}
 		},
 		close() {
--- a/packages/router/src/lib/fleet/fleet-view.ts
+++ b/packages/router/src/lib/fleet/fleet-view.ts
@@ -1,19 +1,17 @@
 /**
- * What this process believes of the fleet: the document in force, the live
- * endpoints and the weights that were named. Beliefs only move forward: news
- * that is older than what is known changes nothing, so a late answer of the
- * store or an endpoint's outdated report can't bring back what has ended.
+ * State of the fleet as this process knows it: document, endpoints, named weights.
+ * State is monotonic: stale updates are ignored.
  */
 import {type Log} from '../observability/log.js';
 import {type FleetDocument, type Workspace} from './fleet-document.js';
 import {isNewer, type LiveEndpoint} from './live-endpoint.js';
 import {createRouteTable, type RouteTable} from './route-table.js';
 
-/** A document with what is looked up in it. */
+/** The document in force, with its indexes. */
 export type AcceptedDocument = {
 	document: FleetDocument;
 	routes: RouteTable;
-	/** By the digest of a key. */
+	/** By key digest. */
 	workspaceOfKey: ReadonlyMap<string, Workspace>;
 };
 
@@ -21,55 +19,51 @@
 export type NamedWeights = {
 	/** The newest version. */
 	version: number;
-	/**
-	 * Milliseconds since a version was outdated: since the first newer one was
-	 * named, however many have been named after it. 0 for the newest one.
-	 */
+	/** Milliseconds since the first newer version was named; 0 for the newest. */
 	outdatedMs: (version: number) => number;
 };
 
-/** Hears what an endpoint says of itself now and said before; `undefined` while it is not listed. */
+/** Gets an endpoint's new and previous state; `undefined` while it is not listed. */
 export type EndpointListener = (id: string, endpoint: LiveEndpoint | undefined, before: LiveEndpoint | undefined) => void;
 
-/** The view, as the router's parts read it and as sources of news write it. */
+/** The view, for the router's parts to read and the feeds to write. */
 export type FleetView = {
 	current: () => AcceptedDocument | undefined;
-	/** Takes a document over unless it is older than the one in force. */
+	/** Ignores documents that are not newer than the current one. */
 	acceptDocument: (document: FleetDocument) => void;
-	/** Live endpoints of a service, leaving ones included. */
+	/** Live endpoints of a service, including leaving ones. */
 	endpointsOf: (service: string) => readonly LiveEndpoint[];
 	endpoint: (id: string) => LiveEndpoint | undefined;
-	/** Tokens that an engine's memory holds; `undefined` for what is no engine, or not known. */
+	/** Tokens that an engine's memory holds; `undefined` if unknown or not an engine. */
 	memoryTokens: (id: string) => number | undefined;
-	/** Takes over what an endpoint says of itself. */
+	/** Ignores state that is not newer than what is known. */
 	acceptEndpoint: (endpoint: LiveEndpoint) => void;
-	/** An endpoint is no longer listed. */
+	/** The endpoint is no longer listed. */
 	dropEndpoint: (id: string) => void;
 	endpointIds: () => Iterable<string>;
 	namedWeights: (model: string) => NamedWeights | undefined;
-	/** Weights were named, at most `unseenMs` before this process heard of it; 0 when it heard at once. */
+	/** Weights were named at most `unseenMs` ago; 0 when this process saw it at once. */
 	acceptWeights: (model: string, version: number, unseenMs: number) => void;
-	/** A peer that heard of the naming at once says how long ago that was. */
+	/** A peer that saw the naming at once reports its age. */
 	datedWeights: (model: string, version: number, ageMs: number) => void;
-	/** Recent namings that this process or a peer heard of at once: model, version, milliseconds since. */
+	/** Namings of the last `mostMs` whose age is exact. */
 	recentWeights: (mostMs: number) => Array<[model: string, version: number, ageMs: number]>;
-	/** Hears of every endpoint that came, changed or went. */
+	/** Called for every added, changed or removed endpoint. */
 	onEndpoint: (listener: EndpointListener) => void;
-	/** Hears of every document that came into force. */
+	/** Called for every document that comes into force. */
 	onDocument: (listener: (accepted: AcceptedDocument) => void) => void;
 };
 
 /**
- * One naming of weights. A process that was away does not know when it was; it
- * takes the earliest moment possible, so that it begins no request on weights
- * that are too old, until a peer that was there says better.
+ * One naming of weights. Without an exact time (`isDated`), `learntAt` is the earliest
+ * possible one, so that staleness is never underestimated.
  */
 type Naming = {version: number; learntAt: number; isDated: boolean};
 
-/** Versions of a model's weights whose naming is remembered; engines are a few behind at most. */
-const namedKept = 16;
+/** Namings remembered for each model. */
+const maxNamings = 16;
 
-/** Opens a view that knows nothing yet. */
+/** Creates an empty view. */
 export function createFleetView(log: Log): FleetView {
 	const endpoints = new Map<string, LiveEndpoint>();
 	const byService = new Map<string, readonly LiveEndpoint[]>();
@@ -78,11 +72,11 @@
 	const documentListeners: Array<(accepted: AcceptedDocument) => void> = [];
 	let accepted: AcceptedDocument | undefined;
 
-	const regroup = (service: string): void => {
+	const updateService = (service: string): void => {
 		byService.set(service, [...endpoints.values()].filter(endpoint => endpoint.service === service));
 	};
 
-	const tell: EndpointListener = (id, endpoint, before) => {
+	const notify: EndpointListener = (id, endpoint, before) => {
 		for (const listener of endpointListeners) {
 			listener(id, endpoint, before);
 		}
@@ -112,16 +106,16 @@
 			}
 
 			endpoints.set(endpoint.id, endpoint);
-			regroup(endpoint.service);
+			updateService(endpoint.service);
 			if (known !== undefined && known.service !== endpoint.service) {
-				regroup(known.service);
+				updateService(known.service);
 			}
 
 			if (known?.isLeaving !== endpoint.isLeaving || known.startedAt !== endpoint.startedAt) {
 				log.info(endpoint.isLeaving ? 'Endpoint is leaving.' : 'Endpoint is live.', {endpoint: endpoint.id, service: endpoint.service});
 			}
 
-			tell(endpoint.id, endpoint, known);
+			notify(endpoint.id, endpoint, known);
 		},
 		dropEndpoint(id) {
 			const known = endpoints.get(id);
@@ -130,9 +124,9 @@
 			}
 
 			endpoints.delete(id);
-			regroup(known.service);
+			updateService(known.service);
 			log.info('Endpoint is gone.', {endpoint: id, service: known.service});
-			tell(id, undefined, known);
+			notify(id, undefined, known);
 		},
 		endpointIds: () => endpoints.keys(),
 		namedWeights(model) {
@@ -151,7 +145,7 @@
 				return;
 			}
 
-			named.set(model, [...history, {version, learntAt: performance.now() - unseenMs, isDated: unseenMs === 0}].slice(-namedKept));
+			named.set(model, [...history, {version, learntAt: performance.now() - unseenMs, isDated: unseenMs === 0}].slice(-maxNamings));
 			log.info('New weights were named.', {version});
 		},
 		datedWeights(model, version, ageMs) {
@@ -163,9 +157,9 @@
 			const learntAt = performance.now() - ageMs;
 			const naming = history.find(item => item.version === version);
 			if (naming === undefined) {
-				// The store tells only the newest one; engines may be further behind.
+				// The store lists only the newest naming, but engines may run older ones.
 				const dated = [...history, {version, learntAt, isDated: true}];
-				named.set(model, dated.toSorted((a, b) => a.version - b.version).slice(-namedKept));
+				named.set(model, dated.toSorted((a, b) => a.version - b.version).slice(-maxNamings));
 				return;
 			}
 
--- a/packages/router/src/lib/forwarding/call.ts
+++ b/packages/router/src/lib/forwarding/call.ts
@@ -1,4 +1,4 @@
-/** One request as the forwarder handles it. */
+/** State of one request in the forwarder. */
 import {type Buffer} from 'node:buffer';
 import {type IncomingMessage} from 'node:http';
 import {type CallFacts} from '../fleet/call-headers.js';
@@ -10,7 +10,7 @@
 import {type CallerReply} from './caller-reply.js';
 import {type RefusalName} from './refusals.js';
 
-/** One request under way. */
+/** One request in flight. */
 export type Call = {
 	req: IncomingMessage;
 	body: Buffer | undefined;
@@ -19,29 +19,29 @@
 	route: Route;
 	workspace: Workspace | undefined;
 	service: string;
-	/** Set for a request to a model engine. */
+	/** Set for requests to model engines. */
 	prompt: PromptNeed | undefined;
-	/** `performance.now()` after which nobody waits for the answer. */
+	/** `performance.now()` at which the caller gives up. */
 	deadlineAt: number;
-	/** Endpoints that had it already, or have it now. */
+	/** Endpoints that were tried already. */
 	excluded: Set<string>;
-	/** Endpoints that it was sent to. */
+	/** Endpoints that the request was sent to. */
 	attempts: number;
-	/** Once true, no answer may say that nothing ran. */
+	/** Once true, no response may claim that nothing ran. */
 	mayHaveRun: boolean;
 	/** The retry budget has granted the next attempt. */
 	isNextGranted: boolean;
 	progress: AttemptProgress;
-	/** Where it was sent last. */
+	/** The endpoint of the latest attempt. */
 	choice: Choice | undefined;
-	/** An endpoint's own failure, which the caller gets if no other endpoint does better. */
+	/** An endpoint's error response, returned if no retry succeeds. */
 	errorAnswer: WholeAnswer | undefined;
 };
 
-/** What {@link createCall} starts from. */
+/** Arguments of {@link createCall}. */
 export type CallOrigin = Pick<Call, 'req' | 'body' | 'facts' | 'reply' | 'route' | 'workspace' | 'service'> & {startedAt: number};
 
-/** A request that has been sent nowhere yet. */
+/** Creates a call without attempts. */
 export function createCall({startedAt, ...origin}: CallOrigin): Call {
 	const {facts, route, workspace} = origin;
 	return {
@@ -58,13 +58,13 @@
 	};
 }
 
-/** Whether the request may run more than once. */
+/** Whether the request is safe to run more than once. */
 export const mayRunAgain = ({route}: Call): boolean => route.kind === 'idempotent' || (route.kind === 'stream' && route.isResumable);
 
-/** What decides on a request's route. */
+/** Arguments of {@link findRoute}. */
 export type RouteQuestion = Pick<Call, 'req' | 'facts'> & {bodyBytes: number};
 
-/** Route and workspace of a request, or why it has none. */
+/** Route and workspace of a request, or the reason to reject it. */
 export function findRoute(accepted: AcceptedDocument | undefined, {req, facts, bodyBytes}: RouteQuestion): {route: Route; workspace: Workspace | undefined} | RefusalName {
 	if (accepted === undefined) {
 		return 'no_document';
@@ -87,7 +87,7 @@
 	return workspace === undefined ? 'no_key' : {route, workspace};
 }
 
-/** What a request counts against its workspace's rate and burst. */
+/** Units that a request counts against its workspace's rate and burst. */
 export function unitsOf(facts: CallFacts, workspace: Workspace): number {
 	return workspace.countsTokens && facts.promptTokens !== undefined
 		? facts.promptTokens + (facts.outputTokens ?? 0)
--- a/packages/router/src/lib/forwarding/forwarder.ts
+++ b/packages/router/src/lib/forwarding/forwarder.ts
@@ -1,7 +1,4 @@
-/**
- * Brings one request to an endpoint and its answer back: route, key, quota,
- * choice of the endpoint, further attempts where the request may run again.
- */
+/** Forwards one request: routing, authentication, quota, endpoint choice and retries. */
 import {type Buffer} from 'node:buffer';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Route, type Workspace} from '../fleet/fleet-document.js';
@@ -26,11 +23,11 @@
 export type ForwarderOptions = Omit<EndpointSenderOptions, 'mayLeaveSilent'> & {
 	view: FleetView;
 	quota: FleetQuota;
-	/** The process is about to end: what comes now could be cut. */
+	/** The process is about to exit and rejects new requests. */
 	isClosed: () => boolean;
 	/** The retry budget of a service. */
 	budgetOf: (service: string) => AttemptBudget;
-	/** Numbers from 0 up to 1. */
+	/** Returns a number in [0, 1). */
 	random: () => number;
 	events: ForwardingEvents;
 };
@@ -39,12 +36,11 @@
 export type Forwarder = {
 	/** Handles one request whose body has been read; resolves when it has ended. */
 	handle: (req: IncomingMessage, body: Buffer | undefined, res: ServerResponse) => Promise<void>;
-	/** Requests under way. */
+	/** Number of requests in flight. */
 	underWay: () => number;
 };
 
-/** Pause to come back after when this process has no document yet, in milliseconds: about a call of the store. */
-const noDocumentMs = 500;
+const noDocumentRetryMs = 500;
 
 /** Creates the forwarder. */
 export function createForwarder(options: ForwarderOptions): Forwarder {
@@ -54,7 +50,7 @@
 	const chooseFor = (call: Call): Choice | undefined =>
 		choice.choose({service: call.service, prompt: call.prompt, excluded: call.excluded});
 
-	/** Whether another endpoint may get the request now; takes it from the retry budget, once for each attempt. */
+	/** Whether another endpoint may get the request; withdraws from the retry budget once per attempt. */
 	const mayTryElsewhere = (call: Call): boolean => {
 		if (call.attempts >= call.route.mostEndpoints || performance.now() >= call.deadlineAt || call.reply.isGone()) {
 			return false;
@@ -68,7 +64,6 @@
 
 	const send = createEndpointSender({...options, mayLeaveSilent});
 
-	/** One attempt after another until there is a verdict. */
 	const run = async (call: Call): Promise<Verdict> => {
 		for (;;) {
 			const chosen = chooseFor(call);
@@ -99,7 +94,7 @@
 		const startedAt = performance.now();
 		const facts = headers.readCall(req.rawHeaders);
 		const reply = createCallerReply(res);
-		const tell = (reason: string, more: EndDetails = {}): void => {
+		const reportEnd = (reason: string, more: EndDetails = {}): void => {
 			options.events.ended(describeEnd({
 				...more, reason, reply, requestId: facts.requestId, startedAt,
 			}));
@@ -107,8 +102,8 @@
 
 		const found = options.isClosed() ? 'stopping' : findRoute(view.current(), {req, facts, bodyBytes: body?.length ?? 0});
 		if (typeof found === 'string') {
-			refuse(headers, {reply, facts}, {name: found, retryAfterMs: found === 'no_document' ? noDocumentMs : 0});
-			tell(found);
+			refuse(headers, {reply, facts}, {name: found, retryAfterMs: found === 'no_document' ? noDocumentRetryMs : 0});
+			reportEnd(found);
 			return;
 		}
 
@@ -118,7 +113,7 @@
 		if (admission?.granted === false) {
 			const {retryAfterMs, level, own} = admission;
 			refuse(headers, {reply, facts}, {name: 'over_quota', retryAfterMs});
-			tell('over_quota', {route, workspace, quota: {units, level, own}});
+			reportEnd('over_quota', {route, workspace, quota: {units, level, own}});
 			return;
 		}
 
@@ -133,7 +128,7 @@
 			admission?.refund();
 		}
 
-		tell(reason, {call, route, workspace});
+		reportEnd(reason, {call, route, workspace});
 	};
 
 	return {
@@ -149,7 +144,6 @@
 	};
 }
 
-/** What is known of a request that ended, beside its reason. */
 type EndDetails = {
 	call?: Call;
 	route?: Route;
--- a/packages/router/src/lib/forwarding/send-to-endpoint.ts
+++ b/packages/router/src/lib/forwarding/send-to-endpoint.ts
@@ -1,4 +1,4 @@
-/** One attempt of a request: what goes to the endpoint, and what its end teaches about the endpoint. */
+/** Runs one attempt of a request and records what its outcome tells about the endpoint. */
 import {type CallHeaders, type Dispatch} from '../fleet/call-headers.js';
 import {type EndpointPresence} from '../fleet/endpoint-presence.js';
 import {type EndpointTransport} from '../orders/endpoint-transport.js';
@@ -20,18 +20,18 @@
 	presence: EndpointPresence;
 	versions: EngineVersions;
 	transport: EndpointTransport;
-	/** Whether a request may leave an endpoint that is silent. */
+	/** Whether a request may be moved away from a silent endpoint. */
 	mayLeaveSilent: (call: Call) => boolean;
 };
 
-/** Sends a request to the endpoint that was chosen; resolves when the attempt has ended, never rejects. */
+/** Sends a request to the chosen endpoint; resolves when the attempt has ended, never rejects. */
 export type SendToEndpoint = (call: Call, chosen: Choice) => Promise<AttemptEnd>;
 
-/** A failure this close to the deadline is the endpoint giving up in time, in milliseconds, and no sign of trouble. */
+/** Failures this close to the deadline are timeouts of the request and don't count against the endpoint. */
 const deadlineMarginMs = 50;
 
-/** The least urgent rank that an endpoint knows. */
-const lastRank = 9;
+/** The lowest priority that endpoints accept. */
+const lowestPriority = 9;
 
 /** Creates a sender. */
 export function createEndpointSender(options: EndpointSenderOptions): SendToEndpoint {
@@ -43,7 +43,7 @@
 		workspace: call.workspace?.name,
 		weights,
 		cacheScope,
-		priority: call.prompt === undefined ? undefined : Math.min(lastRank, Math.max(0, call.workspace?.rank ?? call.route.rank)),
+		priority: call.prompt === undefined ? undefined : Math.min(lowestPriority, Math.max(0, call.workspace?.rank ?? call.route.rank)),
 		resumeAfter: call.progress.lastEventId ?? call.facts.resumeAfter,
 		fetchFrom,
 		saveTo,
--- a/packages/router/src/lib/forwarding/silence.ts
+++ b/packages/router/src/lib/forwarding/silence.ts
@@ -1,48 +1,39 @@
 /**
- * How long an endpoint may be silent before a request goes elsewhere.
- *
- * A silent endpoint is either broken or has too much to do. Taking a request
- * away from a busy one throws away the time that it has waited there and puts
- * the same load on another, so it goes only where its answer would begin soon.
+ * Silence timeouts of attempts. Moving a request off a busy endpoint loses its place in
+ * the queue, so it moves only where the response would begin soon.
  */
 import {type Choice} from '../placing/endpoint-choice.js';
 import {type Call, mayRunAgain} from './call.js';
 
-/** A plain request that may run twice goes elsewhere after this many times its target time without an answer. */
-const silentTargets = 2.5;
+/** Timeout to the response head, as a multiple of the target time. */
+const headTimeoutRatio = 2.5;
 
-/** The same for the first event of a stream that can be resumed; the caller itself leaves after four. */
-const silentStreamTargets = 3;
+/** Timeout to a stream's first event, as a multiple of the target time. */
+const streamHeadTimeoutRatio = 3;
 
-/** Silence within a stream after which it goes on elsewhere, as a multiple of the pause that is on time, and at least. The caller leaves after eight pauses or two seconds. */
-const silentPauses = 4;
-const leastSilentPauseMs = 800;
+/** Timeout between two events, as a multiple of the target pause, with a lower bound. */
+const eventTimeoutRatio = 4;
+const minEventTimeoutMs = 800;
 
-/**
- * Part of the target time within which another endpoint's answer must be
- * expected to begin. On a day that left 5 of 13 engines, 141 streams of 1,970
- * were given up while they waited their turn, and failed since the retry budget
- * was spent; expected times there were 300 ms and more, against 100 ms on calm
- * days, at a target of 400 ms.
- */
-const soonShare = 0.5;
+/** Fraction of the target time within which another endpoint must be expected to respond. */
+const soonRatio = 0.5;
 
-/** Milliseconds of silence that are borne: up to the head of an answer, and from one event to the next. */
+/** Silence timeouts in milliseconds, up to the response head and between events. */
 export type SilenceLimits = {headMs: number; eventMs: number};
 
-/** The limits of a request's next attempt. */
+/** Timeouts of a request's next attempt. */
 export function silenceLimits(call: Call): SilenceLimits {
 	const {route} = call;
-	const lastMs = call.deadlineAt - performance.now();
+	const remainingMs = call.deadlineAt - performance.now();
 	if (!mayRunAgain(call) || call.attempts >= route.mostEndpoints) {
-		return {headMs: lastMs, eventMs: lastMs};
+		return {headMs: remainingMs, eventMs: remainingMs};
 	}
 
 	return route.kind === 'stream'
-		? {headMs: route.targetMs * silentStreamTargets, eventMs: Math.max(leastSilentPauseMs, (route.targetPauseMs ?? 0) * silentPauses)}
-		: {headMs: route.targetMs * silentTargets, eventMs: route.targetMs};
+		? {headMs: route.targetMs * streamHeadTimeoutRatio, eventMs: Math.max(minEventTimeoutMs, (route.targetPauseMs ?? 0) * eventTimeoutRatio)}
+		: {headMs: route.targetMs * headTimeoutRatio, eventMs: route.targetMs};
 }
 
-/** Whether a silent request is better off at the endpoint that would be next. */
+/** Whether the next endpoint is expected to respond soon enough to move a silent request there. */
 export const isBetterOff = (call: Call, next: Choice | undefined): boolean =>
-	next !== undefined && next.expectedMs <= call.route.targetMs * soonShare;
+	next !== undefined && next.expectedMs <= call.route.targetMs * soonRatio;
--- a/packages/router/src/lib/forwarding/verdict.ts
+++ b/packages/router/src/lib/forwarding/verdict.ts
@@ -1,33 +1,32 @@
-/** What follows from the end of an attempt: another endpoint, or an answer to the caller. */
+/** Decides what follows an attempt: a retry, or a response to the caller. */
 import {failureClasses, type FailureClass} from '../orders/failure-classes.js';
 import {type AttemptEnd, type WholeAnswer} from './attempt.js';
 import {type Call, mayRunAgain} from './call.js';
 import {type RefusalName} from './refusals.js';
 
-/** How a request goes on, or how it came to its end. */
+/** Outcome of a request, or the decision to retry it. */
 export type Verdict
 	= | {kind: 'done'; reason: string}
 		| {kind: 'refuse'; name: RefusalName; retryAfterMs?: number}
 		| {kind: 'next'; reason: string};
 
-/** Pause to come back after, in milliseconds: a change of weights or a full queue passes in about this time. */
+/** Retry-After in milliseconds for conditions that pass quickly, such as full queues. */
 export const comeBackMs = 250;
 
-/** Endpoints that a request may fail to reach before it is given up. */
-const mostUnreached = 4;
+/** Endpoints that a request may fail to connect to before it is rejected. */
+const maxUnreached = 4;
 
-/** What {@link judge} asks. */
+/** Options of {@link judge}. */
 export type JudgeOptions = {
-	/** Whether another endpoint may get the request; takes it from the retry budget. */
+	/** Whether another endpoint may get the request; withdraws from the retry budget. */
 	mayTryElsewhere: (call: Call) => boolean;
 };
 
-/** When no endpoint is left that could take the request. */
+/** Verdict when no eligible endpoint is left. */
 export function withoutEndpoint(call: Call): Verdict {
 	return call.mayHaveRun ? {kind: 'refuse', name: 'endpoint_failed'} : {kind: 'refuse', name: 'no_endpoint', retryAfterMs: comeBackMs};
 }
 
-/** The endpoint proved that it ran nothing. */
 function afterNotRun(call: Call, {mayTryElsewhere}: JudgeOptions): Verdict {
 	if (mayTryElsewhere(call)) {
 		return {kind: 'next', reason: 'not_run'};
@@ -37,9 +36,9 @@
 }
 
 function afterUnreached(call: Call, failure: FailureClass): Verdict {
-	// The endpoint never had the request, so it doesn't count as sent there.
+	// The endpoint never got the request, so the attempt doesn't count.
 	call.attempts--;
-	return performance.now() < call.deadlineAt && call.excluded.size < mostUnreached
+	return performance.now() < call.deadlineAt && call.excluded.size < maxUnreached
 		? {kind: 'next', reason: failure}
 		: withoutEndpoint(call);
 }
@@ -63,7 +62,7 @@
 	return mayRunAgain(call) && mayTryElsewhere(call) ? {kind: 'next', reason: 'error_answer'} : {kind: 'done', reason: 'error_answer'};
 }
 
-/** Judges the end of an attempt. */
+/** Decides what follows an attempt. */
 export function judge(call: Call, end: AttemptEnd, options: JudgeOptions): Verdict {
 	switch (end.kind) {
 		case 'answered': {
@@ -88,7 +87,7 @@
 	}
 }
 
-/** Short name of an end, for logs and metrics. */
+/** Short name of an outcome, for logs and metrics. */
 export function reasonOf(end: AttemptEnd): string {
 	if (end.kind === 'failed') {
 		return end.failure;
--- a/packages/router/src/lib/peers/peer-directory.ts
+++ b/packages/router/src/lib/peers/peer-directory.ts
@@ -1,6 +1,6 @@
 /**
- * Where daemons listen for reports: each writes its address to the platform's
- * table when it starts and reads those of the others now and then.
+ * Peer discovery: each daemon writes its report address to the store and polls those of
+ * the others.
  */
 import {z} from 'zod';
 import {type Log} from '../observability/log.js';
@@ -14,10 +14,10 @@
 export type PeerDirectoryOptions = {
 	name: string;
 	incarnation: number;
-	/** IP:PORT at which this daemon hears reports. */
+	/** IP:PORT at which this daemon receives reports. */
 	address: string;
 	table: TableClient;
-	/** Time between two readings. */
+	/** Poll interval. */
 	everyMs: number;
 	onPeer: (name: string, address: string) => void;
 	log: Log;
@@ -26,14 +26,13 @@
 /** The directory. */
 export type PeerDirectory = {
 	start: () => void;
-	/** Takes this daemon out, for a planned stop. */
+	/** Removes this daemon's entry, for a planned stop. */
 	leave: () => Promise<void>;
 };
 
-/** Pause before a failed writing or reading is tried again. */
-const againMs = 500;
+const retryMs = 500;
 
-/** Opens the directory; nothing is read or written until it is started. */
+/** Creates the directory; it makes no calls until started. */
 export function createPeerDirectory(options: PeerDirectoryOptions): PeerDirectory {
 	const {table, name, log} = options;
 	const key = prefix + name;
@@ -65,7 +64,7 @@
 			await read();
 		} catch (error) {
 			log.debug('Directory of daemons could not be read or written.', {err: error});
-			pauseMs = againMs;
+			pauseMs = retryMs;
 		}
 
 		if (!isClosed) {
--- a/packages/router/src/lib/peers/peer-exchange.ts
+++ b/packages/router/src/lib/peers/peer-exchange.ts
@@ -1,7 +1,6 @@
 /**
- * Sends this daemon's report to its peers and keeps the latest one of each.
- * Datagrams: each report replaces the one before, so a lost one is made good
- * by the next, and no connection can go silent.
+ * Exchanges state reports with peers by UDP. Each report replaces the one before, so
+ * lost datagrams need no retransmission.
  */
 import {type Buffer} from 'node:buffer';
 import {createSocket, type Socket} from 'node:dgram';
@@ -16,7 +15,7 @@
 	heardAt: number;
 };
 
-/** What this daemon says, without what the exchange adds. */
+/** Report contents, without the fields that the exchange adds. */
 export type OwnReport = Omit<PeerReport, 'daemon' | 'incarnation' | 'number' | 'address' | 'isLeaving'>;
 
 /** Options of {@link createPeerExchange}. */
@@ -28,41 +27,41 @@
 	everyMs: number;
 	/** Milliseconds of silence after which a peer counts as away. */
 	silenceMs: number;
-	/** Makes the report of this moment. */
+	/** Returns the current report contents. */
 	compose: () => OwnReport;
-	/** Hears of each new report. */
+	/** Called for each new report. */
 	onReport: (report: PeerReport) => void;
 	log: Log;
 };
 
 /** The exchange. */
 export type PeerExchange = {
-	/** Binds and starts to send. */
+	/** Binds the socket and starts sending. */
 	start: () => Promise<void>;
-	/** Where a peer listens, from the directory; reports tell as well. */
+	/** Adds a peer's address from the directory; reports carry it as well. */
 	learn: (daemon: string, address: string) => void;
 	/** Latest reports of peers that are not away. */
 	live: () => HeardReport[];
-	/** Latest reports of all peers of the last minute, away ones included. */
+	/** Latest reports of all peers that are not yet forgotten, including away ones. */
 	known: () => ReadonlyMap<string, HeardReport>;
-	/** Tells peers that this process stops, and closes. */
+	/** Tells peers that this process stops, and closes the socket. */
 	leave: () => Promise<void>;
-	/** Sends a report now. */
+	/** Sends a report at once. */
 	sendNow: () => void;
-	/** Sends a report unless one was sent a moment ago. */
+	/** Sends a report, unless one was sent within the minimum interval. */
 	sendSoon: () => void;
 };
 
-/** Peers that were silent for this long are forgotten, in milliseconds. */
+/** Silence after which a peer is forgotten. */
 const forgetMs = 60_000;
 
-/** Least time between two reports that are not due, in milliseconds; a fifth of a round bounds their cost to six rounds' worth. */
-const leastPauseMs = 40;
+/** Minimum interval between unscheduled reports. */
+const minPauseMs = 40;
 
-/** Peers that one round of reports goes to, so that its cost does not grow with the fleet. */
-const mostPeersARound = 16;
+/** Fan-out limit, so that the cost of a round doesn't grow with the fleet. */
+const maxPeersPerRound = 16;
 
-/** Opens an exchange; it is silent until started. */
+/** Creates an exchange; it is silent until started. */
 export function createPeerExchange(options: PeerExchangeOptions): PeerExchange {
 	const {name, incarnation, log} = options;
 	const address = `${options.bind.host}:${options.bind.port}`;
@@ -115,7 +114,7 @@
 		options.onReport(report);
 	};
 
-	/** Resolves when the datagram is with the system, also if it could not be sent. */
+	/** Resolves when the datagram was handed to the system, even if sending failed. */
 	const sendTo = async (content: Buffer, address: string): Promise<void> => {
 		const [host, port] = address.split(':');
 		const opened = socket;
@@ -142,7 +141,7 @@
 		};
 		const content = encodeReport(report);
 		const peers = [...addresses.values()];
-		const count = isLeaving ? peers.length : Math.min(peers.length, mostPeersARound);
+		const count = isLeaving ? peers.length : Math.min(peers.length, maxPeersPerRound);
 		const sends: Array<Promise<void>> = [];
 		for (let index = 0; index < count; index++) {
 			sends.push(sendTo(content, peers[(nextPeer + index) % peers.length].address));
@@ -189,9 +188,8 @@
 				return;
 			}
 
-			// The system gets a datagram a moment after it was handed over. Closed at
-			// once, the socket would drop the last report, and peers would count this
-			// daemon's spending and load for seconds more.
+			// Closing the socket before the send completes would drop the last report, and peers
+			// would count this daemon's load until it times out.
 			await send(true);
 			const closing = socket;
 			socket = undefined;
@@ -203,7 +201,7 @@
 			void send(false);
 		},
 		sendSoon() {
-			if (performance.now() - sentAt >= leastPauseMs) {
+			if (performance.now() - sentAt >= minPauseMs) {
 				void send(false);
 			}
 		},
--- a/packages/router/src/lib/peers/peer-report.ts
+++ b/packages/router/src/lib/peers/peer-report.ts
@@ -1,38 +1,46 @@
-/** What a daemon tells its peers, a few times a second. */
+/** Schema of the state reports between daemons. */
 import {z} from 'zod';
 
-/** Report of one daemon. Lists of numbers are tuples: a report travels often and to many. */
+/** Report of one daemon. Lists hold tuples to keep datagrams small. */
 export const peerReportSchema = z.object({
-	/** Name of the daemon. */
 	daemon: z.string(),
-	/** Unix milliseconds of the start of its process. */
+	/** Unix milliseconds at process start. */
 	incarnation: z.number(),
-	/** Number of the report, from 1. */
+	/** Sequence number, from 1. */
 	number: z.number(),
-	/** The process is stopping and will send no more. */
+	/** The process is stopping and sends no further reports. */
 	isLeaving: z.boolean(),
-	/** IP:PORT to which reports for it go. */
+	/** IP:PORT that receives reports for this daemon. */
 	address: z.string(),
-	/** Versions of the store up to which it has heard, by table. */
+	/** Newest store version seen, by table. */
 	heard: z.record(z.string(), z.number()),
-	/** Workspace, units admitted since its start, units asked for a second, units left in the fleet's bucket as it sees it. */
+	/** Workspace, units admitted since start, units requested per second, units left in the fleet's bucket. */
 	usage: z.array(z.tuple([z.string(), z.number(), z.number(), z.number()])),
-	/** Endpoint, requests under way, prompt tokens that wait to be computed, tokens in memory, milliseconds until the last of them ends. */
+	/**
+	 * Endpoint, requests in flight, prompt tokens not computed yet, tokens in memory,
+	 * milliseconds until the last request is expected to end.
+	 */
 	loads: z.array(z.tuple([z.string(), z.number(), z.number(), z.number(), z.number().default(0)])),
-	/** Model, version of weights, and milliseconds since they were named, for recent namings. */
+	/** Model, weights version, milliseconds since it was named; recent namings only. */
 	named: z.array(z.tuple([z.string(), z.number(), z.number()])),
 	/**
-	 * From a daemon that gives or gave orders to engines: its latest attempt to
-	 * write the lease's row, and milliseconds for which it may hold the lease.
+	 * Current or former lease holders: latest attempt to write the lease row, milliseconds for
+	 * which the lease may be held.
 	 */
 	duty: z.tuple([z.number(), z.number()]).nullable(),
-	/** From the daemon that gives orders: engine, weights version, the version that it changes to or 0, milliseconds since its last order or -1, milliseconds until it is emptied for a change or -1. */
+	/**
+	 * Lease holder only: engine, weights version, target version or 0, milliseconds since its
+	 * last order or -1, milliseconds until its planned drain or -1.
+	 */
 	engines: z.array(z.tuple([z.string(), z.number(), z.number(), z.number(), z.number().default(-1)])),
-	/** Listed endpoints whose process was found to have ended, with its start. */
+	/** Listed endpoints whose process has ended, with its start time. */
 	ended: z.array(z.tuple([z.string(), z.number()])).default([]),
-	/** Shared prompt parts that were sent to the cache store since the report before. */
+	/** Keys of prompt parts sent to the cache store since the previous report. */
 	kept: z.array(z.string()).default([]),
-	/** Prompts sent to engines since the report before: engine, cache scope, tokens that no other prompt shares, shared parts with their tokens. */
+	/**
+	 * Prompts placed since the previous report: engine, cache scope, unshared tokens, shared
+	 * parts with their tokens.
+	 */
 	placed: z.array(z.tuple([z.string(), z.string(), z.number(), z.array(z.tuple([z.string(), z.number()]))])).default([]),
 });
 
--- a/packages/router/src/lib/placing/candidates.ts
+++ b/packages/router/src/lib/placing/candidates.ts
@@ -1,4 +1,4 @@
-/** Which endpoints may take a request at all. */
+/** Selects the endpoints that are eligible for a request. */
 import {type EndpointPresence} from '../fleet/endpoint-presence.js';
 import {type FleetView} from '../fleet/fleet-view.js';
 import {type LiveEndpoint} from '../fleet/live-endpoint.js';
@@ -14,78 +14,77 @@
 	health: HealthTracker;
 	presence: EndpointPresence;
 	versions: EngineVersions;
-	/** Part of the connections that an endpoint accepts which this daemon may use. */
+	/** Fraction of an endpoint's connection limit that this daemon may use. */
 	connectionShare: () => number;
-	/** Requests must begin on weights that were named this long ago. */
+	/** Maximum staleness of weights on which a request may begin. */
 	weightsMs: number;
 };
 
-/** An endpoint that may take the request, with what was looked up of it. */
+/** An eligible endpoint, with the state that was looked up for it. */
 export type Candidate = {
 	endpoint: LiveEndpoint;
 	load: EndpointLoad;
-	/** Weights that an engine is thought to run. */
+	/** Weights version that an engine is believed to run. */
 	weights: number | undefined;
-	/** Milliseconds by which the answer would outlast the time until the engine is to be emptied; 0 when it ends before. */
+	/** Milliseconds by which the answer would overrun the engine's planned drain; 0 if it fits. */
 	outlastsMs: number;
 };
 
-/** Part of the time after which no request may begin on old weights; the rest is for the way there and waiting. */
-const oldWeightsEndShare = 0.8;
+/**
+ * Fraction of `weightsMs` after which no request is sent to old weights; leaves time for
+ * transit and queueing.
+ */
+const maxWeightsAgeRatio = 0.8;
 
 /**
- * Milliseconds by which an answer may outlast the turn of its engine to change
- * weights. An engine that waits for its runs to end serves nobody meanwhile: with
- * answers of 1 to 4 s it was away for 2 to 4 s for a load of 1.3 s.
+ * Tolerated overrun of a planned drain. An engine that drains serves nobody, so long overruns
+ * reduce capacity.
  */
-const bearableMs = 300;
+const maxOverrunMs = 300;
 
-/** Connections to an endpoint that each daemon may use, however many daemons there are. */
-const leastConnections = 4;
+/** Lower bound on connections per endpoint, regardless of the number of daemons. */
+const minConnections = 4;
 
-/** Creates a look-up of candidates; doubtful endpoints are among them only when there are no others. */
+/** Creates a look-up of candidates; doubtful endpoints are returned only when there are no others. */
 export function createCandidates(options: CandidatesOptions): (request: ChoiceRequest) => Candidate[] {
 	const {view, book, health, presence, versions} = options;
 
-	/**
-	 * A process that has just started can't know when weights were named, and
-	 * keeps to the engines that are furthest.
-	 */
-	const furthestVersion = (model: string): number => {
-		let furthest = 0;
+	/** Fallback for a process that has just started and doesn't know when weights were named. */
+	const newestVersion = (model: string): number => {
+		let newest = 0;
 		for (const id of view.endpointIds()) {
 			const endpoint = view.endpoint(id)!;
 			if (endpoint.weights.has(model)) {
-				furthest = Math.max(furthest, versions.of(endpoint, model).version);
+				newest = Math.max(newest, versions.of(endpoint, model).version);
 			}
 		}
 
-		return furthest;
+		return newest;
 	};
 
-	const weightsAllowed = (prompt: PromptNeed, version: number): boolean => {
+	const isFreshEnough = (prompt: PromptNeed, version: number): boolean => {
 		const named = view.namedWeights(prompt.model);
 		if (named === undefined) {
 			return true;
 		}
 
 		const outdatedMs = named.outdatedMs(version);
-		return outdatedMs === Number.POSITIVE_INFINITY ? version >= furthestVersion(prompt.model) : outdatedMs < options.weightsMs * oldWeightsEndShare;
+		return outdatedMs === Number.POSITIVE_INFINITY ? version >= newestVersion(prompt.model) : outdatedMs < options.weightsMs * maxWeightsAgeRatio;
 	};
 
-	/** Engines that the answer keeps from their turn least: none of them, or those that come last. */
-	const withLeastWait = (candidates: readonly Candidate[]): Candidate[] => {
+	/** Prefers engines whose drain the answer would not overrun, then those with the least overrun. */
+	const withLeastOverrun = (candidates: readonly Candidate[]): Candidate[] => {
 		const leastMs = Math.min(...candidates.map(({outlastsMs}) => outlastsMs));
-		return candidates.filter(({outlastsMs}) => outlastsMs === 0 || outlastsMs <= leastMs + bearableMs);
+		return candidates.filter(({outlastsMs}) => outlastsMs === 0 || outlastsMs <= leastMs + maxOverrunMs);
 	};
 
 	/**
-	 * An endpoint resets connections beyond what it accepts from all daemons, and
-	 * what was sent on one that is reset may have run; so each keeps to its part.
+	 * Endpoints reset connections above their limit, and requests on them may have run; so
+	 * daemons split the limit.
 	 */
-	const mostOwn = ({service}: LiveEndpoint): number => {
+	const maxOwnConnections = ({service}: LiveEndpoint): number => {
 		const most = view.current()?.document.services.get(service)?.mostConnections ?? Number.POSITIVE_INFINITY;
-		return Math.max(leastConnections, Math.floor(most * options.connectionShare()));
+		return Math.max(minConnections, Math.floor(most * options.connectionShare()));
 	};
 
 	const candidateOf = (endpoint: LiveEndpoint, request: ChoiceRequest): Candidate | undefined => {
@@ -94,7 +93,7 @@
 		}
 
 		const load = book.load(endpoint);
-		if (load.running >= health.roomOf(endpoint.id) || book.ownRunning(endpoint.id) >= mostOwn(endpoint)) {
+		if (load.running >= health.roomOf(endpoint.id) || book.ownRunning(endpoint.id) >= maxOwnConnections(endpoint)) {
 			return undefined;
 		}
 
@@ -105,12 +104,12 @@
 		}
 
 		const {version, isChanging, dueInMs} = versions.of(endpoint, request.prompt.model);
-		if (isChanging || !weightsAllowed(request.prompt, version)) {
+		if (isChanging || !isFreshEnough(request.prompt, version)) {
 			return undefined;
 		}
 
 		return {
-			endpoint, load, weights: version, outlastsMs: Math.max(0, book.runMs(request.prompt.outputTokens) - bearableMs - dueInMs),
+			endpoint, load, weights: version, outlastsMs: Math.max(0, book.runMs(request.prompt.outputTokens) - maxOverrunMs - dueInMs),
 		};
 	};
 
@@ -124,6 +123,6 @@
 			}
 		}
 
-		return sound.length > 0 ? withLeastWait(sound) : doubtful;
+		return sound.length > 0 ? withLeastOverrun(sound) : doubtful;
 	};
 }
--- a/packages/router/src/lib/placing/choice-request.ts
+++ b/packages/router/src/lib/placing/choice-request.ts
@@ -1,45 +1,45 @@
-/** What a request asks of the choice of its endpoint. */
+/** Input of the endpoint choice. */
 import {type PromptPart} from '../fleet/call-headers.js';
 
-/** A request that is to be placed. */
+/** A request that needs an endpoint. */
 export type ChoiceRequest = {
 	service: string;
-	/** Set for a request to a model engine. */
+	/** Set for requests to model engines. */
 	prompt: PromptNeed | undefined;
-	/** Endpoints that have had this request already. */
+	/** Endpoints that were tried already. */
 	excluded: ReadonlySet<string>;
 };
 
-/** What a request to a model engine asks for. */
+/** Requirements of a request to a model engine. */
 export type PromptNeed = {
 	model: string;
-	/** From the shallowest to the deepest; the last one is the request's own. */
+	/** Ordered from the root; the last part is unique to the request. */
 	parts: readonly PromptPart[];
 	promptTokens: number;
 	outputTokens: number;
-	/** Text that isolates cached parts of this workspace from others. */
+	/** Isolates cached parts of this workspace from others; empty when shared. */
 	wall: string;
 };
 
-/** A part of a prompt with its tokens, as reports hold it. */
+/** A prompt part with its tokens, as reports carry it. */
 export type PromptPartTokens = [id: string, tokens: number];
 
-/** The parts of a prompt that other requests may share: all but its own. */
+/** The parts that other requests may share: all but the last. */
 export const sharedPartsOf = ({parts}: PromptNeed): readonly PromptPart[] => parts.slice(0, -1);
 
-/** Text under which an engine with these weights keeps the prompt's parts: apart by wall, and by weights. */
+/** Cache scope of a prompt: its isolation and the weights version. */
 export const scopeOf = ({wall}: PromptNeed, weights: number | undefined): string => `${wall}:${weights ?? 0}`;
 
-/** What makes a cached copy of a part distinct: the scope under which it is kept, and the part. */
+/** Cache key of a part within a scope. */
 export const partKey = (scope: string, part: string): string => `${scope} ${part}`;
 
-/** Keys of a prompt's shared parts as engines with these weights and the store keep them. */
+/** Cache keys of a prompt's shared parts under these weights. */
 export function partKeys(prompt: PromptNeed, weights: number | undefined): string[] {
 	const scope = scopeOf(prompt, weights);
 	return sharedPartsOf(prompt).map(part => partKey(scope, part.id));
 }
 
-/** Tokens of the shared parts from the first one on, up to the first that is not held; `isHeld` gets a part's index. */
+/** Tokens of the leading shared parts for which `isHeld` returns true; it gets a part's index. */
 export function leadingTokens(prompt: PromptNeed, isHeld: (index: number) => boolean): number {
 	let tokens = 0;
 	for (const [index, part] of sharedPartsOf(prompt).entries()) {
--- a/packages/router/src/lib/placing/endpoint-book.ts
+++ b/packages/router/src/lib/placing/endpoint-book.ts
@@ -1,64 +1,63 @@
 /**
- * What this daemon knows of each endpoint's load: its own requests under way,
- * what peers report of theirs, what answers tell, and how fast the endpoint
- * reads prompts.
+ * Load of each endpoint, from own requests, peers' reports and response headers, and
+ * estimates of its prompt speed.
  */
 import {type EndpointLoadReport} from '../fleet/call-headers.js';
 import {type LiveEndpoint} from '../fleet/live-endpoint.js';
 import {type PeerReport} from '../peers/peer-report.js';
 
-/** Load of an endpoint over all daemons, as far as this one knows. */
+/** Known load of an endpoint over all daemons. */
 export type EndpointLoad = {
-	/** Requests under way. */
+	/** Requests in flight. */
 	running: number;
-	/** Prompt tokens that wait to be computed before a new request's own. */
+	/** Queued prompt tokens that are computed before a new request's own. */
 	pendingTokens: number;
-	/** Tokens in memory of requests under way. */
+	/** Tokens in memory of requests in flight. */
 	memoryTokens: number;
-	/** How long the oldest own request has waited for the start of its answer, in milliseconds. */
+	/** Milliseconds for which the oldest own request has waited for its first event. */
 	oldestWaitMs: number;
-	/** Until the last of the requests under way ends, as expected, in milliseconds. */
+	/** Milliseconds until the last request in flight is expected to end. */
 	lastsMs: number;
 };
 
-/** One request under way. */
+/** One request in flight. */
 export type Work = {
-	/** The answer began: the prompt has been computed. */
+	/** The first event arrived, so the prompt has been computed. */
 	begun: () => void;
 	/** The request ended; `isWhole` when its answer is complete. */
 	ended: (isWhole: boolean) => void;
 };
 
-/** What a request brings to an endpoint. */
+/** Size of a request. */
 export type WorkSize = {
 	/** Prompt tokens that are not expected to be cached. */
 	missingTokens: number;
 	/** Prompt and output tokens. */
 	memoryTokens: number;
-	/** Tokens that may be generated; they say how long the answer takes once it has begun. */
+	/** Upper bound on generated tokens; determines the expected run time. */
 	outputTokens: number;
 };
 
 /** The loads of all endpoints. */
 export type EndpointBook = {
 	load: (endpoint: LiveEndpoint) => EndpointLoad;
-	/** This daemon's own requests under way there. */
+	/** Own requests in flight. */
 	ownRunning: (id: string) => number;
-	/** Milliseconds to compute one prompt token there. */
+	/** Estimated milliseconds to compute one prompt token. */
 	msPerToken: (id: string) => number;
-	/** Milliseconds to a first event there that are no computing of the prompt. */
+	/** Estimated milliseconds to the first event, apart from computing the prompt. */
 	baseMs: (id: string) => number;
-	/** Milliseconds from the first event of an answer of so many tokens to its end, as seen lately. */
+	/** Estimated milliseconds from the first event of an answer of this size to its end. */
 	runMs: (outputTokens: number) => number;
 	start: (id: string, size: WorkSize) => Work;
-	/** An answer told the endpoint's whole load. */
+	/** A response reported the endpoint's load. */
 	told: (id: string, report: EndpointLoadReport) => void;
-	/** A request's answer began this long after it was sent. */
+	/** Updates the estimates with the time from sending a request to its first event. */
 	learn: (id: string, firstMs: number, missingTokens: number, pendingTokens: number) => void;
 	heard: (report: PeerReport) => void;
 	leftPeer: (daemon: string) => void;
 	forget: (id: string) => void;
-	/** This daemon's own part of the report. */
+	/** This daemon's loads, for its report. */
 	report: () => PeerReport['loads'];
 };
 
@@ -75,49 +74,45 @@
 
 type PeerLoads = {at: number; loads: Map<string, PeerLoad>};
 
-/** A first guess, in milliseconds; answers correct it within a few requests. */
-const firstMsPerToken = 0.03;
-/** A first guess of what comes on top of computing the prompt, in milliseconds: network, admission, the first step. */
-const firstBaseMs = 15;
-/** Requests with fewer tokens to compute than this say what comes on top of computing; those with more say how fast it is. */
-const fewestTokensToLearn = 1024;
-const learnStep = 0.2;
-/** Slower than the rate, so that the two don't chase each other. */
-const learnBaseStep = 0.1;
-/** Fewest tokens of an answer whose time says something about generating. */
-const fewestTokensOfRun = 32;
-/** A twentieth: answers end before their largest size, some soon, some late. */
-const learnRunStep = 0.05;
-/** First guess of the time to generate a token, in milliseconds; a decoding step of today's engines. */
-const firstRunMsPerToken = 5;
-/** Age in milliseconds at which a told load or a peer's report says nothing any more. */
-const toldLifeMs = 700;
-const peerLifeMs = 1500;
+/** Initial estimates, in milliseconds; replaced by moving averages. */
+const initialMsPerToken = 0.03;
+const initialBaseMs = 15;
+/** Requests with fewer tokens to compute update `baseMs`, larger ones `msPerToken`. */
+const minTokensForRate = 1024;
+const rateSmoothing = 0.2;
+/** Slower than the rate, so that the two estimates don't oscillate. */
+const baseSmoothing = 0.1;
+const minTokensForRun = 32;
+/** Small, since answers often end before their upper bound. */
+const runSmoothing = 0.05;
+const initialRunMsPerToken = 5;
+/** Reports older than this are ignored. */
+const toldTtlMs = 700;
+const peerTtlMs = 1500;
 
 /** Options of {@link createEndpointBook}. */
 export type EndpointBookOptions = {
-	/** Called when a request began that others should know of before they choose. */
+	/** Called when a request begins that peers should know of at once. */
 	onLarge?: () => void;
 };
 
 /**
- * Prompt tokens from which a request is told to peers at once: it keeps an
- * engine busy for about as long as a round of reports, in which each of the
- * other daemons would take the engine for free.
+ * Prompt tokens from which peers are told at once; until the next report they would take the
+ * busy engine for idle.
  */
 const largeTokens = 2000;
 
-/** Opens an empty book. */
+/** Creates an empty book. */
 export function createEndpointBook({onLarge}: EndpointBookOptions = {}): EndpointBook {
 	const entries = new Map<string, Entry>();
 	const peers = new Map<string, PeerLoads>();
-	let runMsPerToken = firstRunMsPerToken;
+	let runMsPerToken = initialRunMsPerToken;
 
 	const entryOf = (id: string): Entry => {
 		let entry = entries.get(id);
 		if (entry === undefined) {
 			entry = {
-				open: new Set(), msPerToken: firstMsPerToken, baseMs: firstBaseMs, told: undefined,
+				open: new Set(), msPerToken: initialMsPerToken, baseMs: initialBaseMs, told: undefined,
 			};
 			entries.set(id, entry);
 		}
@@ -147,7 +142,7 @@
 			running: 0, pendingTokens: 0, memoryTokens: 0, lastsMs: 0,
 		};
 		for (const {at, loads} of peers.values()) {
-			const load = now - at > peerLifeMs ? undefined : loads.get(id);
+			const load = now - at > peerTtlMs ? undefined : loads.get(id);
 			if (load !== undefined) {
 				sum.running += load.running;
 				sum.pendingTokens += load.pendingTokens;
@@ -167,8 +162,8 @@
 			const others = peerLoad(id, now);
 			const {told} = entry;
 			let running = load.running + others.running;
-			if (told !== undefined && now - told.at <= toldLifeMs) {
-				// What the endpoint counted then, and what this daemon has sent since.
+			if (told !== undefined && now - told.at <= toldTtlMs) {
+				// The load at the time of the response, and what this daemon has sent since.
 				running = Math.max(running, told.report.running + told.report.waiting - told.ownThen + load.running);
 			}
 
@@ -198,8 +193,8 @@
 				},
 				ended(isWhole) {
 					entry.open.delete(work);
-					if (isWhole && work.begunAt !== undefined && size.outputTokens >= fewestTokensOfRun) {
-						runMsPerToken += learnRunStep * (((performance.now() - work.begunAt) / size.outputTokens) - runMsPerToken);
+					if (isWhole && work.begunAt !== undefined && size.outputTokens >= minTokensForRun) {
+						runMsPerToken += runSmoothing * (((performance.now() - work.begunAt) / size.outputTokens) - runMsPerToken);
 					}
 				},
 			};
@@ -211,12 +206,12 @@
 		learn(id, firstMs, missingTokens, pendingTokens) {
 			const entry = entryOf(id);
 			const tokens = missingTokens + pendingTokens;
-			if (tokens < fewestTokensToLearn) {
+			if (tokens < minTokensForRate) {
 				const seen = Math.max(0, firstMs - (tokens * entry.msPerToken));
-				entry.baseMs += learnBaseStep * (Math.min(seen, entry.baseMs * 4) - entry.baseMs);
+				entry.baseMs += baseSmoothing * (Math.min(seen, entry.baseMs * 4) - entry.baseMs);
 			} else {
 				const seen = Math.max(0, firstMs - entry.baseMs) / tokens;
-				entry.msPerToken += learnStep * (Math.min(seen, entry.msPerToken * 2) - entry.msPerToken);
+				entry.msPerToken += rateSmoothing * (Math.min(seen, entry.msPerToken * 2) - entry.msPerToken);
 			}
 		},
 		heard(report) {
--- a/packages/router/src/lib/placing/endpoint-choice.ts
+++ b/packages/router/src/lib/placing/endpoint-choice.ts
@@ -1,8 +1,6 @@
 /**
- * Chooses the endpoint of a request by the time until its answer begins:
- * what waits there, and what of the prompt has to be computed. The same shared
- * parts go to the same engine as long as it has room, since each daemon works
- * out the same order of engines for them.
+ * Chooses the endpoint with the shortest expected time to the first event, from its queue
+ * and the uncached part of the prompt. Rendezvous hashing gives shared parts a home engine.
  */
 import {type LiveEndpoint} from '../fleet/live-endpoint.js';
 import {type Candidate, type CandidatesOptions, createCandidates} from './candidates.js';
@@ -14,76 +12,76 @@
 import {createPromptReader, type Reading} from './prompt-reading.js';
 import {type ResidentParts} from './resident-parts.js';
 
-/** Where a request goes, and what that rests on. */
+/** The chosen endpoint, with the estimates behind it. */
 export type Choice = {
 	endpoint: LiveEndpoint;
-	/** Weights that the endpoint is thought to run. */
+	/** Weights version that the endpoint is believed to run. */
 	weights: number | undefined;
-	/** Text under which its cached parts are found. */
+	/** Scope of its cached parts. */
 	cacheScope: string | undefined;
-	/** Prompt tokens that it is thought to have to compute. */
+	/** Prompt tokens that it is expected to compute. */
 	missingTokens: number;
 	pendingTokens: number;
-	/** Milliseconds until the answer begins, as expected. */
+	/** Expected milliseconds to the first event. */
 	expectedMs: number;
-	/** Part of them that goes into fetching shared parts. */
+	/** Part of `expectedMs` spent fetching shared parts. */
 	fetchMs: number;
-	/** IP:PORT of an engine or store to fetch shared parts from, where the chosen engine may lack them. */
+	/** IP:PORT of an engine or store to fetch missing shared parts from. */
 	fetchFrom: string | undefined;
-	/** IP:PORT of the store that keeps what the engine reads. */
+	/** IP:PORT of the store that saves computed parts. */
 	saveTo: string | undefined;
 };
 
 /** Options of {@link createEndpointChoice}. */
 export type EndpointChoiceOptions = CandidatesOptions & {
-	/** What lies in the cache store. */
+	/** Contents of the cache store. */
 	kept: KeptParts;
-	/** What lies in engines' memory. */
+	/** Contents of the engines' memory. */
 	resident: ResidentParts;
 	dataCentre: string;
 };
 
 /** The chooser. */
 export type EndpointChoice = {
-	/** `undefined` when no endpoint may take the request now. */
+	/** Returns `undefined` when no endpoint is eligible. */
 	choose: (request: ChoiceRequest) => Choice | undefined;
-	/** The request went there: its shared parts will be cached. */
+	/** The request was sent, so its shared parts will be cached. */
 	placed: (choice: Choice, prompt: PromptNeed) => void;
 };
 
-/** Milliseconds that an endpoint in another data centre counts as slower: it costs bytes between data centres. */
-const otherDataCentreMs = 4;
-/** Milliseconds that one more request under way slows down those that run. */
-const runningMs = 1.2;
-/** Milliseconds that a plain service's request holds a slot, before anything is known. */
+/** Penalty for the traffic between data centres. */
+const crossDataCentreMs = 4;
+/** Slowdown by each request in flight. */
+const perRunningMs = 1.2;
+/** Estimated time for which a plain service's request occupies a slot. */
 const plainServiceMs = 40;
-/** Named weights are preferred from this age on, in milliseconds, by as much time as given. */
-const oldWeightsAfterMs = 1000;
-const oldWeightsMs = 400;
-/** Part of an engine's memory that running requests may take before it counts as full. */
-const fullMemoryShare = 0.85;
-/** Milliseconds that a request waits, by experience, for memory that is taken. */
+/** Staleness from which old weights get a penalty, and the penalty. */
+const staleAfterMs = 1000;
+const stalePenaltyMs = 400;
+/** Fraction of an engine's memory above which it counts as full. */
+const fullMemoryRatio = 0.85;
+/** Estimated wait for memory at a full engine. */
 const memoryWaitMs = 400;
-/** A first event this much later than expected shows an engine that hangs, in milliseconds. */
-const hangingMs = 1500;
+/** Wait for a first event beyond which an engine is presumed hung. */
+const hangAfterMs = 1500;
 
-/** Opens a chooser that remembers what it sent where. */
+/** Creates a chooser. */
 export function createEndpointChoice(options: EndpointChoiceOptions): EndpointChoice {
 	const {view, book, kept, resident} = options;
 	const candidatesOf = createCandidates(options);
 	const read = createPromptReader(options);
 
-	const distanceMs = (endpoint: LiveEndpoint): number => endpoint.dataCentre === options.dataCentre ? 0 : otherDataCentreMs;
+	const distanceMs = (endpoint: LiveEndpoint): number => endpoint.dataCentre === options.dataCentre ? 0 : crossDataCentreMs;
 
-	const hangMs = ({oldestWaitMs}: EndpointLoad): number => Math.max(0, oldestWaitMs - hangingMs);
+	const hangMs = ({oldestWaitMs}: EndpointLoad): number => Math.max(0, oldestWaitMs - hangAfterMs);
 
 	const plainMs = ({endpoint, load}: Candidate): number =>
 		(Math.max(0, load.running + 1 - endpoint.slots) / endpoint.slots * plainServiceMs)
 		+ (load.running / endpoint.slots * plainServiceMs) + distanceMs(endpoint) + hangMs(load);
 
-	const oldMs = (prompt: PromptNeed, version: number): number => {
+	const stalenessMs = (prompt: PromptNeed, version: number): number => {
 		const named = view.namedWeights(prompt.model);
-		return named !== undefined && named.outdatedMs(version) > oldWeightsAfterMs ? oldWeightsMs : 0;
+		return named !== undefined && named.outdatedMs(version) > staleAfterMs ? stalePenaltyMs : 0;
 	};
 
 	const engineMs = (candidate: Candidate, prompt: PromptNeed, reading: Reading): number => {
@@ -91,13 +89,13 @@
 		const msPerToken = book.msPerToken(endpoint.id);
 		const memoryTokens = view.memoryTokens(endpoint.id) ?? Number.POSITIVE_INFINITY;
 		const need = load.memoryTokens + prompt.promptTokens + prompt.outputTokens;
-		const isFull = need > memoryTokens * fullMemoryShare;
+		const isFull = need > memoryTokens * fullMemoryRatio;
 		return book.baseMs(endpoint.id) + ((load.pendingTokens + reading.missingTokens) * msPerToken)
 			+ reading.fetchMs + reading.strayMs
-			+ (load.running * runningMs)
-			+ (load.running >= endpoint.slots ? (load.running - endpoint.slots + 1) * runningMs * 10 : 0)
+			+ (load.running * perRunningMs)
+			+ (load.running >= endpoint.slots ? (load.running - endpoint.slots + 1) * perRunningMs * 10 : 0)
 			+ (isFull ? memoryWaitMs * need / memoryTokens : 0)
-			+ distanceMs(endpoint) + hangMs(load) + oldMs(prompt, candidate.weights ?? 0);
+			+ distanceMs(endpoint) + hangMs(load) + stalenessMs(prompt, candidate.weights ?? 0);
 	};
 
 	const chooseEngine = (request: ChoiceRequest, prompt: PromptNeed, candidates: readonly Candidate[]): Choice | undefined => {
--- a/packages/router/src/lib/placing/kept-parts.ts
+++ b/packages/router/src/lib/placing/kept-parts.ts
@@ -1,41 +1,29 @@
 /**
- * Which shared prompt parts lie in the cache store, as far as this daemon and
- * its peers have had them saved. An engine that is told to save sends all that
- * it has read of a prompt, the request's own part included, and all engines
- * share the store's link: telling it with each prompt filled that link to three
- * quarters on a calm day, so that fetching took longer than reading.
- *
- * The same record tells what must be computed: parts that nobody has had saved
- * under these weights are cached nowhere.
+ * Shared prompt parts in the cache store, as saved on behalf of this daemon and its peers.
+ * All engines share the store's link, so parts that are known are not saved again.
  */
 
-/** Parts that were saved lately, each by a key of all that makes its saved copy distinct. */
+/** Recently saved parts, by cache key. */
 export type KeptParts = {
-	/** Whether an engine has read the part lately, so that it need not be read again. */
+	/** Whether the part was saved recently. */
 	isKnown: (key: string) => boolean;
-	/** A request that has these parts saved was sent. */
+	/** A request that saves these parts was sent. */
 	saved: (keys: readonly string[]) => void;
-	/** A peer had them saved. */
+	/** A peer had these parts saved. */
 	heard: (keys: readonly string[]) => void;
-	/** Keys that this daemon had saved since the last report, for its peers. */
+	/** Returns and clears the keys saved since the last report. */
 	takeNews: () => string[];
 };
 
-/**
- * Time after which shared parts are saved once more, in milliseconds. The store
- * drops what is used least and comes back empty after a crash, and no answer
- * says so; a subject that is asked for all the time costs one saved prompt in
- * this time.
- */
-const keptMs = 20_000;
+/** Parts are saved again after this time, since the store evicts without notice. */
+const savedTtlMs = 20_000;
 
-/** Keys remembered at most; at the target size a daemon meets some ten new ones a second. */
-const mostKept = 4096;
+const maxKeys = 4096;
 
-/** Keys in one report at most, so that it stays one datagram; others are saved twice. */
-const mostNews = 24;
+/** Keeps a report within one datagram; further keys may be saved twice. */
+const maxNews = 24;
 
-/** Opens the record; nothing is known to be kept. */
+/** Creates an empty record. */
 export function createKeptParts(): KeptParts {
 	const savedAt = new Map<string, number>();
 	let news: string[] = [];
@@ -43,20 +31,20 @@
 	const note = (key: string): void => {
 		savedAt.delete(key);
 		savedAt.set(key, performance.now());
-		if (savedAt.size > mostKept) {
+		if (savedAt.size > maxKeys) {
 			const [oldest] = savedAt.keys();
 			savedAt.delete(oldest);
 		}
 	};
 
 	const isKnown = (key: string): boolean =>
-		performance.now() - (savedAt.get(key) ?? Number.NEGATIVE_INFINITY) < keptMs;
+		performance.now() - (savedAt.get(key) ?? Number.NEGATIVE_INFINITY) < savedTtlMs;
 
 	return {
 		isKnown,
 		saved(keys) {
 			for (const key of keys) {
-				if (!isKnown(key) && news.length < mostNews) {
+				if (!isKnown(key) && news.length < maxNews) {
 					news.push(key);
 				}
 
--- a/packages/router/src/lib/placing/prompt-home.ts
+++ b/packages/router/src/lib/placing/prompt-home.ts
@@ -1,12 +1,12 @@
 /**
- * The engine at which a prompt's shared parts are kept, worked out alike by all
- * daemons: rendezvous hashing of the deepest shared part.
+ * Home engine of a prompt's shared parts: rendezvous hashing of the deepest shared part,
+ * so that all daemons agree without coordination.
  */
 import {type LiveEndpoint} from '../fleet/live-endpoint.js';
 import {halvesOf, rankOf, seedOfName} from '../routing/rendezvous.js';
 import {type PromptNeed, sharedPartsOf} from './choice-request.js';
 
-/** 64-bit FNV-1a of a part's id with all that makes its cached copy distinct. */
+/** 64-bit FNV-1a. */
 function hashOf(text: string): bigint {
 	let hash = 0xCB_F2_9C_E4_84_22_23_25n;
 	for (let index = 0; index < text.length; index++) {
@@ -16,10 +16,10 @@
 	return hash;
 }
 
-/** Finds homes among the live endpoints of a service; all of them count, so that it is the same on every daemon. */
+/** Returns the id of the home engine; considers all live endpoints, so that daemons agree. */
 export type FindHome = (prompt: PromptNeed, endpoints: readonly LiveEndpoint[]) => string | undefined;
 
-/** Creates a look-up that remembers the seeds of engines' names. */
+/** Creates a look-up that caches the seeds of endpoint names. */
 export function createHomeFinder(): FindHome {
 	const seeds = new Map<string, number>();
 
--- a/packages/router/src/lib/placing/prompt-reading.ts
+++ b/packages/router/src/lib/placing/prompt-reading.ts
@@ -1,13 +1,6 @@
 /**
- * What an engine has to do for a prompt before its answer can begin: what it
- * computes, and what it fetches from whom.
- *
- * The cache store has one link for all engines. Where every engine fetched from
- * it, that link carried 6.1 to 8.5 GB/s of the 8.5 that it can (prompt memory moved
- * on played days with six engines and 26 long prompts a second), and fetches waited
- * for each other. Engines have links of their own, many times as wide in sum. So
- * parts come from an engine that has them in memory, and from the store only when
- * none has.
+ * Cost of a prompt at an engine: tokens to compute, and shared parts to fetch. All engines
+ * share the cache store's link, so parts come from another engine's memory if possible.
  */
 import {type CacheStore, type EngineTraits} from '../fleet/fleet-document.js';
 import {type FleetView} from '../fleet/fleet-view.js';
@@ -31,47 +24,47 @@
 	health: HealthTracker;
 	presence: EndpointPresence;
 	versions: EngineVersions;
-	/** What lies in the cache store. */
+	/** Contents of the cache store. */
 	kept: KeptParts;
-	/** What lies in engines' memory. */
+	/** Contents of the engines' memory. */
 	resident: ResidentParts;
 	dataCentre: string;
 };
 
-/** What one engine has to do for a prompt. */
+/** Cost of a prompt at one engine. */
 export type Reading = {
-	/** Prompt tokens that it computes. */
+	/** Prompt tokens to compute. */
 	missingTokens: number;
-	/** Milliseconds to fetch shared parts from elsewhere. */
+	/** Milliseconds to fetch shared parts. */
 	fetchMs: number;
-	/** Milliseconds of fetching that others pay later, since the copy takes memory from parts that they use. */
+	/** Later cost in milliseconds of the cached parts that a copy away from home evicts. */
 	strayMs: number;
 	/** IP:PORT to fetch from. */
 	fetchFrom: string | undefined;
-	/** IP:PORT of the store that keeps what the engine computes. */
+	/** IP:PORT of the store that saves computed parts. */
 	saveTo: string | undefined;
 };
 
-/** A place that has shared parts of a prompt. */
+/** A source of a prompt's shared parts. */
 type Supply = {
 	address: string;
 	dataCentre: string;
 	linkBytesPerMs: number;
-	/** Tokens of shared parts, from the first part on. */
+	/** Tokens of leading shared parts. */
 	tokens: number;
 };
 
-/** Times longer that a transfer takes between two data centres, as the platform says. */
-const otherDataCentreTransfer = 2;
+/** Factor on transfer times between data centres. */
+const crossDataCentreFactor = 2;
 
-/** Part of the displaced tokens that are asked for again before they would have been evicted anyway. */
-const displacedShare = 0.5;
+/** Fraction of evicted tokens that would have been used again. */
+const reuseRatio = 0.5;
 
-const nowhere: Supply = {
+const noSupply: Supply = {
 	address: '', dataCentre: '', linkBytesPerMs: Number.POSITIVE_INFINITY, tokens: 0,
 };
 
-/** Creates a reader; it is asked once for a request and then for each candidate. */
+/** Creates a reader; it is called once per request, and its result once per candidate. */
 export function createPromptReader(options: PromptReaderOptions): (request: ChoiceRequest, prompt: PromptNeed) => (candidate: Candidate) => Reading {
 	const {view, book, health, presence, versions, kept, resident} = options;
 	const homeOf = createHomeFinder();
@@ -81,26 +74,22 @@
 		return stores.find(store => store.dataCentre === options.dataCentre) ?? stores.at(0);
 	};
 
-	/** Tokens of shared parts that some engine has had saved under these weights. */
+	/** Tokens of leading shared parts in the store. */
 	const keptTokens = (prompt: PromptNeed, weights: number | undefined): number => {
 		const keys = partKeys(prompt, weights);
 		return leadingTokens(prompt, index => kept.isKnown(keys[index]));
 	};
 
-	/**
-	 * A source that is dead costs the fetching engine some hundred milliseconds, so
-	 * it must not be known to fail. One that is only slow still gives its parts at
-	 * once; where those were left out, crowded fleets fetched all from the store.
-	 */
+	/** Fetching from a dead source delays the request, so it must not be known to fail. A slow one is fine. */
 	const isSound = (endpoint: LiveEndpoint, model: string, weights: number | undefined): boolean => {
 		const {version, isChanging} = versions.of(endpoint, model);
 		return version === weights && !isChanging && !endpoint.isLeaving
 			&& !presence.hasEnded(endpoint) && !presence.isDoubtful(endpoint) && health.healthOf(endpoint.id) === 'healthy';
 	};
 
-	/** The engine that has most of the prompt's shared parts under these weights. */
+	/** The engine with most of the prompt's shared parts under these weights. */
 	const bestHolder = (prompt: PromptNeed, weights: number | undefined, {linkBytesPerMs}: EngineTraits): Supply => {
-		let best = nowhere;
+		let best = noSupply;
 		for (const id of resident.holders(weights, prompt)) {
 			const endpoint = view.endpoint(id);
 			if (endpoint === undefined || !isSound(endpoint, prompt.model, weights)) {
@@ -118,9 +107,9 @@
 		return best;
 	};
 
-	/** Milliseconds to fetch one token; never more than computing it, since nothing forces an engine to fetch. */
+	/** Milliseconds to fetch one token, bounded by the time to compute it instead. */
 	const fetchMsPerToken = (endpoint: LiveEndpoint, supply: Supply, {tokenBytes, linkBytesPerMs}: EngineTraits): number => {
-		const distance = endpoint.dataCentre === supply.dataCentre ? 1 : otherDataCentreTransfer;
+		const distance = endpoint.dataCentre === supply.dataCentre ? 1 : crossDataCentreFactor;
 		return Math.min(book.msPerToken(endpoint.id), tokenBytes * distance / Math.min(linkBytesPerMs, supply.linkBytesPerMs));
 	};
 
@@ -135,8 +124,8 @@
 			let known = supplies.get(weights);
 			if (known === undefined) {
 				known = {
-					store: store === undefined ? nowhere : {...store, tokens: keptTokens(prompt, weights)},
-					holder: traits === undefined ? nowhere : bestHolder(prompt, weights, traits),
+					store: store === undefined ? noSupply : {...store, tokens: keptTokens(prompt, weights)},
+					holder: traits === undefined ? noSupply : bestHolder(prompt, weights, traits),
 				};
 				supplies.set(weights, known);
 			}
@@ -159,8 +148,8 @@
 			return {
 				missingTokens: Math.max(0, prompt.promptTokens - ownTokens - fetchedTokens),
 				fetchMs: fetchedTokens * fetchMsPerToken(endpoint, supply, traits),
-				strayMs: strayTokens * displacedShare * fetchMsPerToken(endpoint, from.store, traits),
-				// Asking costs a millisecond where the engine has the parts after all.
+				strayMs: strayTokens * reuseRatio * fetchMsPerToken(endpoint, from.store, traits),
+				// The estimate of the engine's own memory may be wrong, and asking is cheap.
 				fetchFrom: supply === from.holder ? supply.address : store?.address,
 				saveTo: store !== undefined && from.store.tokens < sharedTokens ? store.address : undefined,
 			};
--- a/packages/router/src/lib/placing/resident-parts.ts
+++ b/packages/router/src/lib/placing/resident-parts.ts
@@ -1,71 +1,67 @@
 /**
- * Which shared prompt parts lie in which engine's memory, as far as this daemon
- * and its peers have sent them there.
- *
- * Engines evict what was used least lately. Each one's memory is followed part by
- * part, by the same rule, which holds for any load, memory and reading speed; a
- * time after which parts count as evicted would hold for one of them.
+ * Shared prompt parts in engines' memory. Models each engine's LRU cache from the prompts
+ * that this daemon and its peers sent there.
  */
 import {LRUCache} from 'lru-cache';
 import {
 	leadingTokens, partKey, partKeys, type PromptNeed, type PromptPartTokens, scopeOf, sharedPartsOf,
 } from './choice-request.js';
 
-/** One prompt that was sent to an engine, as peers tell it: engine, cache scope, tokens that no other prompt shares, shared parts with their tokens. */
+/** A prompt sent to an engine, as reports carry it; `ownTokens` are not shared with other prompts. */
 export type Placement = [engine: string, scope: string, ownTokens: number, parts: PromptPartTokens[]];
 
-/** An engine and the weights with which it would run a prompt. */
+/** An engine and the weights version that it would use. */
 export type EngineWeights = {id: string; weights: number | undefined};
 
 /** The record. */
 export type ResidentParts = {
-	/** Tokens of a prompt's shared parts that the engine has in memory, from the first part on. */
+	/** Tokens of the prompt's leading shared parts in the engine's memory. */
 	tokens: (engine: EngineWeights, prompt: PromptNeed) => number;
-	/** Engines that have a prompt's deepest shared part under these weights. */
+	/** Engines that hold the prompt's deepest shared part under these weights. */
 	holders: (weights: number | undefined, prompt: PromptNeed) => Iterable<string>;
-	/** A prompt was sent there. */
+	/** A prompt was sent to the engine. */
 	sent: (engine: EngineWeights, prompt: PromptNeed) => void;
 	/** Peers sent prompts. */
 	heard: (placements: readonly Placement[]) => void;
-	/** What this daemon sent since the last report, for its peers. */
+	/** Returns and clears the placements since the last report. */
 	takeNews: () => Placement[];
-	/** The engine is gone, or its process is another one. */
+	/** The endpoint is gone, or was restarted. */
 	forget: (id: string) => void;
 };
 
 /** Options of {@link createResidentParts}. */
 export type ResidentPartsOptions = {
-	/** Tokens that an engine's memory holds; `undefined` for one that isn't known. */
+	/** Tokens that an engine's memory holds; `undefined` if unknown. */
 	memoryTokens: (id: string) => number | undefined;
 };
 
-/** Part of an engine's memory that cached parts have beside the requests that run. */
-const cachedShare = 0.75;
+/** Fraction of memory available to cached parts; running requests use the rest. */
+const cacheRatio = 0.75;
 
-/** Placements in one report at most, so that it stays one datagram; of others peers learn by the next use. */
-const mostNews = 16;
+/** Keeps a report within one datagram; peers learn of further placements by the next use. */
+const maxNews = 16;
 
 type Memory = LRUCache<string, number>;
 
-/** Opens an empty record. */
+/** Creates an empty record. */
 export function createResidentParts({memoryTokens}: ResidentPartsOptions): ResidentParts {
 	const memories = new Map<string, Memory>();
-	/** By key of a part: the engines that have it. */
-	const engines = new Map<string, Set<string>>();
+	/** Engines that hold a part, by cache key. */
+	const holdersByKey = new Map<string, Set<string>>();
 	let news: Placement[] = [];
 	let prompts = 0;
 
 	const evicted = (id: string, key: string): void => {
-		const holders = engines.get(key);
+		const holders = holdersByKey.get(key);
 		holders?.delete(id);
 		if (holders?.size === 0) {
-			engines.delete(key);
+			holdersByKey.delete(key);
 		}
 	};
 
 	const memoryOf = (id: string): Memory | undefined => {
 		const known = memories.get(id);
-		const maxSize = Math.floor((memoryTokens(id) ?? 0) * cachedShare);
+		const maxSize = Math.floor((memoryTokens(id) ?? 0) * cacheRatio);
 		if (known !== undefined || maxSize === 0) {
 			return known;
 		}
@@ -93,11 +89,11 @@
 			const key = partKey(scope, part);
 			memory.set(key, Math.max(1, tokens));
 			if (memory.has(key)) {
-				engines.set(key, (engines.get(key) ?? new Set()).add(id));
+				holdersByKey.set(key, (holdersByKey.get(key) ?? new Set()).add(id));
 			}
 		}
 
-		// Nobody asks for it again, but it takes memory all the same.
+		// The unshared part is never reused, but occupies memory.
 		prompts++;
 		memory.set(`own ${prompts}`, Math.max(1, ownTokens));
 	};
@@ -110,7 +106,7 @@
 		},
 		holders(weights, prompt) {
 			const deepest = partKeys(prompt, weights).at(-1);
-			return deepest === undefined ? [] : engines.get(deepest) ?? [];
+			return deepest === undefined ? [] : holdersByKey.get(deepest) ?? [];
 		},
 		sent({id, weights}, prompt) {
 			const shared = sharedPartsOf(prompt);
@@ -119,7 +115,7 @@
 				id, scopeOf(prompt, weights), prompt.promptTokens - sharedTokens + prompt.outputTokens, shared.map(part => [part.id, part.tokens]),
 			];
 			note(placement);
-			if (news.length < mostNews) {
+			if (news.length < maxNews) {
 				news.push(placement);
 			}
 		},
--- a/packages/router/src/lib/weights/change-turns.ts
+++ b/packages/router/src/lib/weights/change-turns.ts
@@ -1,42 +1,37 @@
 /**
- * Which engines change their weights now, and when the others will.
- *
- * The turns are planned ahead and told to all daemons, so that an engine gets no
- * answer that would outlast its turn. Ordered without a plan, engines waited for
- * answers of 1 to 4 s to end and served nobody meanwhile: they were away for 2.8
- * to 4.5 s for a load of 1.3 s, by the logs of played days, and for 1.7 to 2 s
- * with it.
+ * Plans the rolling update of engine weights. Turns are announced ahead, so that no engine
+ * gets an answer that would overrun its drain.
  */
 import {type LiveEndpoint} from '../fleet/live-endpoint.js';
 
-/** One engine that should get other weights. */
+/** An engine that needs other weights. */
 export type ChangeTask = {endpoint: LiveEndpoint; model: string; version: number};
 
-/** A task that has not begun, with what its turn depends on. */
+/** A pending task, with the state that its turn depends on. */
 export type WaitingTask = {
 	task: ChangeTask;
-	/** The engine still carries out an older order: it is empty, and has its place among those that are away. */
+	/** The engine still carries out an earlier order and already counts as away. */
 	isAway: boolean;
-	/** The engine did not answer a moment ago. */
+	/** The engine failed to answer recently. */
 	isDoubtful: boolean;
-	/** Its weights are too old for any new request. */
+	/** Its weights are too stale for any new request. */
 	isUnusable: boolean;
-	/** Milliseconds until its turn as planned before; infinite when it has none. */
+	/** Milliseconds until its announced turn; infinite if none. */
 	dueInMs: number;
-	/** Milliseconds until its last answer under way ends, as expected. */
+	/** Expected milliseconds until its last answer in flight ends. */
 	lastsMs: number;
 };
 
-/** What a plan rests on. */
+/** Input of {@link ChangeTurns.plan}. */
 export type TurnQuestion = {
 	/** Engines of the service that serve or change. */
 	engines: number;
-	/** Those of them that are away for a change. */
+	/** Engines among them that are away for a change. */
 	away: number;
 	waiting: readonly WaitingTask[];
 };
 
-/** Who begins, and when the others will. */
+/** Tasks to begin now, and the turns of the others. */
 export type TurnPlan = {
 	due: ChangeTask[];
 	later: Array<{task: ChangeTask; inMs: number}>;
@@ -45,28 +40,25 @@
 /** The planner. */
 export type ChangeTurns = {
 	plan: (question: TurnQuestion) => TurnPlan;
-	/** An engine was away for so many milliseconds, from the last request that it got until it had its weights. */
+	/**
+	 * Updates the estimate of how long a change takes, from the last request sent to the engine
+	 * until it runs its new weights.
+	 */
 	learn: (awayMs: number) => void;
 };
 
 /**
- * Part of a service's serving engines that change at the same time. Engines
- * finish their runs before they load, and stand empty afterwards, so those that
- * are left carry nearly all. Four played days on which engines crash as well
- * served 0.786 to 0.814 of their worth with a third, 0.697 to 0.774 with a half,
- * 0.785 to 0.828 with a quarter (three days), which takes longest to be done.
- *
- * It holds for engines with weights that are too old as well: loads share the
- * rate of the weight store, so more of them at once are done no sooner.
+ * Maximum ratio of a service's engines that change at the same time. It also holds for engines
+ * with stale weights: concurrent loads share the weight store's rate.
  */
-const changingShare = 0.34;
+const maxChangingRatio = 0.34;
 
-/** First guess of how long an engine is away, in milliseconds. */
-const firstAwayMs = 2000;
-const learnStep = 0.3;
+/** Initial estimate. */
+const initialAwayMs = 2000;
+const awaySmoothing = 0.3;
 
-/** The order of turns: each of these decides where those before it are equal. */
-const orders: ReadonlyArray<(waiting: WaitingTask) => number> = [
+/** Sort keys, by precedence. */
+const sortKeys: ReadonlyArray<(waiting: WaitingTask) => number> = [
 	({isDoubtful}) => Number(isDoubtful),
 	({isUnusable}) => -Number(isUnusable),
 	({dueInMs}) => dueInMs,
@@ -74,9 +66,9 @@
 ];
 
 function compare(a: WaitingTask, b: WaitingTask): number {
-	for (const order of orders) {
-		if (order(a) !== order(b)) {
-			return order(a) < order(b) ? -1 : 1;
+	for (const sortKey of sortKeys) {
+		if (sortKey(a) !== sortKey(b)) {
+			return sortKey(a) < sortKey(b) ? -1 : 1;
 		}
 	}
 
@@ -85,11 +77,11 @@
 
 /** Creates a planner. */
 export function createChangeTurns(): ChangeTurns {
-	let usualAwayMs = firstAwayMs;
+	let averageAwayMs = initialAwayMs;
 
 	return {
 		plan({engines, away, waiting}) {
-			const most = Math.max(1, Math.floor(engines * changingShare));
+			const maxAway = Math.max(1, Math.floor(engines * maxChangingRatio));
 			const due: ChangeTask[] = [];
 			const later: TurnPlan['later'] = [];
 			let place = away;
@@ -99,11 +91,12 @@
 					continue;
 				}
 
-				if (place < most) {
+				if (place < maxAway) {
 					due.push(task);
 				} else {
-					// A turn that was told is not put off: it would be a turn's length away until the very moment that it comes.
-					later.push({task, inMs: Math.min(dueInMs, Math.floor(place / most) * usualAwayMs)});
+					// An announced turn is never postponed; otherwise its due time would slip with
+					// every plan.
+					later.push({task, inMs: Math.min(dueInMs, Math.floor(place / maxAway) * averageAwayMs)});
 				}
 
 				place++;
@@ -112,7 +105,7 @@
 			return {due, later};
 		},
 		learn(awayMs) {
-			usualAwayMs += learnStep * (awayMs - usualAwayMs);
+			averageAwayMs += awaySmoothing * (awayMs - averageAwayMs);
 		},
 	};
 }
--- a/packages/router/src/lib/weights/engine-versions.ts
+++ b/packages/router/src/lib/weights/engine-versions.ts
@@ -1,51 +1,46 @@
 /**
- * What this process believes of the weights that engines run. It comes from
- * the platform's list (some seconds late), from answers (at once), and from the
- * daemon that gives orders; the newest word counts, and versions only grow.
+ * Weights versions that engines are believed to run, from the endpoint list, responses and
+ * the lease holder. Versions only grow.
  */
 import {type LiveEndpoint} from '../fleet/live-endpoint.js';
 
 /** Belief about one engine. */
 export type EngineVersion = {
 	version: number;
-	/** The engine has been told to change, or is about to be, and gets no new requests until it has. */
+	/** The engine is being drained or changed and gets no new requests. */
 	isChanging: boolean;
-	/** Milliseconds until the engine is emptied for a change that is planned; infinite when none is. */
+	/** Milliseconds until its planned drain; infinite if none. */
 	dueInMs: number;
 };
 
-/** Beliefs about all engines, by endpoint. */
+/** Beliefs about all engines. */
 export type EngineVersions = {
 	of: (endpoint: LiveEndpoint, model: string) => EngineVersion;
-	/** An answer or a report said which weights the engine runs. */
+	/** A response or report told the version that the engine runs. */
 	seen: (id: string, version: number) => void;
-	/** It will be ordered as soon as its queue is empty, or was ordered. */
+	/** The engine is being drained or changed to a version. */
 	changing: (id: string, toVersion: number) => void;
-	/** It is to be emptied in so many milliseconds, to come to this version. */
+	/** The engine will be drained in `dueInMs` for a change to a version. */
 	planned: (id: string, toVersion: number, dueInMs: number) => void;
-	/** Engines that are being changed, with the version that they come to. */
+	/** Engines that are being changed, with their target version. */
 	allChanging: () => ReadonlyMap<string, number>;
 	forget: (id: string) => void;
 };
 
 /**
- * Longest time for which an engine counts as changing without further word, in
- * milliseconds: runs end first and the load follows, a few seconds in all. It
- * bounds how long an engine stays unused when the daemon that ordered has died.
+ * Time after which a change without further news is void; bounds how long an engine stays
+ * unused when the lease holder dies.
  */
-const longestChangeMs = 4000;
+const maxChangeMs = 4000;
 
-/**
- * Time after which a plan that nobody has repeated is void, in milliseconds; the
- * daemon that orders tells it with each report.
- */
-const planLifeMs = 1000;
+/** Time after which a plan is void unless the lease holder's report repeats it. */
+const planTtlMs = 1000;
 
 type Change = {toVersion: number; since: number};
 
 type Plan = {toVersion: number; dueAt: number; heardAt: number};
 
-/** Opens the beliefs; nothing is known yet. */
+/** Creates empty beliefs. */
 export function createEngineVersions(): EngineVersions {
 	const versions = new Map<string, number>();
 	const changes = new Map<string, Change>();
@@ -54,7 +49,7 @@
 	const dueInMs = (id: string, version: number): number => {
 		const plan = plans.get(id);
 		const now = performance.now();
-		return plan === undefined || plan.toVersion <= version || now - plan.heardAt > planLifeMs
+		return plan === undefined || plan.toVersion <= version || now - plan.heardAt > planTtlMs
 			? Number.POSITIVE_INFINITY
 			: Math.max(0, plan.dueAt - now);
 	};
@@ -65,7 +60,7 @@
 			return undefined;
 		}
 
-		if (performance.now() - change.since < longestChangeMs) {
+		if (performance.now() - change.since < maxChangeMs) {
 			return change;
 		}
 
--- a/packages/router/src/lib/weights/weights-keeper.ts
+++ b/packages/router/src/lib/weights/weights-keeper.ts
@@ -1,7 +1,6 @@
 /**
- * Brings engines to the weights that the operator names. One daemon acts, by
- * lease; it changes a part of a service's engines at a time, so that the rest
- * goes on serving.
+ * Rolls engines over to the weights that the operator names. Only the lease holder acts,
+ * and only a part of a service's engines changes at a time.
  */
 import {type EndpointPresence} from '../fleet/endpoint-presence.js';
 import {type FleetView} from '../fleet/fleet-view.js';
@@ -16,53 +15,44 @@
 
 /** Options of {@link createWeightsKeeper}; durations in milliseconds. */
 export type WeightsKeeperOptions = {
-	/** Name of this daemon. */
 	name: string;
 	view: FleetView;
-	/** Engines that have ended are not ordered, and those that don't answer don't count as serving. */
+	/** Excludes ended engines from orders, and doubtful ones from the serving count. */
 	presence: EndpointPresence;
 	versions: EngineVersions;
 	control: WeightsControl;
-	/** The lease, looked up on the clock anew. */
+	/** The lease, evaluated at each call. */
 	held: () => HeldLease | undefined;
-	/**
-	 * Orders of two holders to one engine must lie this far apart: engines that
-	 * don't check fencing numbers obey any sender.
-	 */
+	/** Minimum time between orders of two holders to one engine, for engines that ignore fencing tokens. */
 	handoverMs: number;
-	/** Called before an order leaves, so that peers know of it should this daemon end. */
+	/** Called before an order is sent, so that peers know of it should this daemon die. */
 	announce: () => void;
-	/** Requests must begin on weights that were named this long ago. */
+	/** Maximum staleness of weights on which a request may begin. */
 	weightsMs: number;
-	/** Milliseconds until the last request under way at an endpoint ends, as expected. */
+	/** Expected milliseconds until an endpoint's last request in flight ends. */
 	lastsMs: (id: string) => number;
 	log: Log;
 };
 
-/** The keeper; `tick` is called some times a second. */
+/** The keeper; `tick` is called several times per second. */
 export type WeightsKeeper = {
 	tick: () => void;
-	/** Milliseconds since this daemon ordered an engine; infinite when it has not. */
+	/** Milliseconds since this daemon's last order to an engine; infinite if none. */
 	sinceOrderMs: (id: string) => number;
-	/** Another daemon ordered an engine so long ago. */
+	/** Another daemon ordered an engine this long ago. */
 	heardOrder: (id: string, sinceMs: number) => void;
 };
 
-/** Part of the time allowed for old weights after which an engine gets hardly any request. */
-const unusableShare = 0.7;
+/** Fraction of `weightsMs` above which an engine gets hardly any requests. */
+const maxWeightsAgeRatio = 0.7;
 
-/** Pause between two looks at an engine that is changing, in milliseconds. */
-const lookEveryMs = 150;
+const pollMs = 150;
 
-/**
- * How long an accepted order is not given again, in milliseconds. An engine's
- * state is told some hundred milliseconds late and does not show the order yet;
- * each engine was ordered twice.
- */
-const acceptedMs = 600;
+/** Time for which an accepted order is not repeated, since the engine's reported state lags behind. */
+const acceptedOrderTtlMs = 600;
 
-/** Time left of the lease below which no order is sent: it has to arrive within the lease. */
-const leastLeaseMs = 300;
+/** Minimum remaining lease to send an order, which must arrive within the lease. */
+const minLeaseMs = 300;
 
 /** Creates a keeper; it acts only while the lease is held. */
 export function createWeightsKeeper(options: WeightsKeeperOptions): WeightsKeeper {
@@ -71,9 +61,9 @@
 	let ownedFencing: number | undefined;
 	const startedAt = performance.now();
 	const ownOrders = new Map<string, number>();
-	/** Orders that engines have accepted: version, and when. */
+	/** Accepted orders, by engine. */
 	const accepted = new Map<string, {version: number; at: number}>();
-	const othersOrders = new Map<string, number>();
+	const peerOrders = new Map<string, number>();
 	const emptying = createEngineEmptying({versions, lastsMs: options.lastsMs, announce: options.announce});
 	const turns = createChangeTurns();
 
@@ -89,10 +79,10 @@
 			log.info('Orders to engines are this daemon\'s duty now.', {order: held.fencing});
 		}
 
-		// A process that has just started has not heard of the last orders of a
-		// holder that is gone; by then they are old enough.
-		const mayKnow = held.fencing === 1 || performance.now() - startedAt >= options.handoverMs;
-		return mayKnow && held.msLeft >= leastLeaseMs ? held : undefined;
+		// A restarted process doesn't know its predecessor's last orders, so it waits out the
+		// handover time.
+		const isPastHandover = held.fencing === 1 || performance.now() - startedAt >= options.handoverMs;
+		return isPastHandover && held.msLeft >= minLeaseMs ? held : undefined;
 	};
 
 	const isNeeded = ({endpoint, model, version}: ChangeTask): boolean =>
@@ -101,19 +91,19 @@
 		&& view.namedWeights(model)?.version === version
 		&& versions.of(endpoint, model).version < version;
 
-	/** Whether another daemon ordered the engine too short a time ago. */
-	const isAnothersStill = (id: string): boolean =>
-		performance.now() - (othersOrders.get(id) ?? Number.NEGATIVE_INFINITY) < options.handoverMs;
+	/** Whether another daemon ordered the engine within the handover time. */
+	const isOrderedByPeer = (id: string): boolean =>
+		performance.now() - (peerOrders.get(id) ?? Number.NEGATIVE_INFINITY) < options.handoverMs;
 
-	/** The state that an engine tells is from before it took the order. */
-	const isAcceptedLately = ({endpoint, version}: ChangeTask): boolean => {
+	/** The reported state may predate the order. */
+	const isRecentlyAccepted = ({endpoint, version}: ChangeTask): boolean => {
 		const order = accepted.get(endpoint.id);
-		return order?.version === version && performance.now() - order.at < acceptedMs;
+		return order?.version === version && performance.now() - order.at < acceptedOrderTtlMs;
 	};
 
-	/** Engines whose weights are too old for any new request lose nothing by changing at once. */
+	/** Engines too stale for new requests lose nothing by changing at once. */
 	const isUnusable = ({endpoint, model}: ChangeTask): boolean =>
-		view.namedWeights(model)!.outdatedMs(versions.of(endpoint, model).version) > options.weightsMs * unusableShare;
+		view.namedWeights(model)!.outdatedMs(versions.of(endpoint, model).version) > options.weightsMs * maxWeightsAgeRatio;
 
 	const step = async (task: ChangeTask): Promise<void> => {
 		const {endpoint, model, version} = task;
@@ -128,11 +118,11 @@
 		}
 
 		const held = lease();
-		if (running === undefined || running >= version || state.isChanging || held === undefined || isAnothersStill(endpoint.id)) {
+		if (running === undefined || running >= version || state.isChanging || held === undefined || isOrderedByPeer(endpoint.id)) {
 			return;
 		}
 
-		if (!emptying.isEmpty(task, state.waiting) || isAcceptedLately(task)) {
+		if (!emptying.isEmpty(task, state.waiting) || isRecentlyAccepted(task)) {
 			return;
 		}
 
@@ -167,7 +157,7 @@
 				return;
 			}
 
-			await pause(lookEveryMs);
+			await pause(pollMs);
 		}
 	};
 
@@ -206,11 +196,7 @@
 		return tasks;
 	};
 
-	/**
-	 * An engine goes on with an order though newer weights have been named, and
-	 * serves nobody until it has them. Where only the newest orders were counted,
-	 * four of six engines were away at once after two namings in quick succession.
-	 */
+	/** An engine finishes an earlier order even if newer weights were named, and counts as away until then. */
 	const isCarryingOut = (endpoint: LiveEndpoint, models: readonly string[]): boolean =>
 		models.some(model => versions.of(endpoint, model).isChanging);
 
@@ -241,7 +227,7 @@
 	return {
 		sinceOrderMs: id => performance.now() - (ownOrders.get(id) ?? Number.NEGATIVE_INFINITY),
 		heardOrder(id, sinceMs) {
-			othersOrders.set(id, Math.max(othersOrders.get(id) ?? 0, performance.now() - sinceMs));
+			peerOrders.set(id, Math.max(peerOrders.get(id) ?? 0, performance.now() - sinceMs));
 		},
 		tick() {
 			const document = view.current()?.document;
