Failing tests: a restarted fleet begins requests on weights of unknown age

A daemon that has restarted with the whole fleet knows which weights are named, not since when. It keeps to the newest version that engines are listed with, which may have been replaced long ago; and told by a peer of the newest naming alone, it counts older versions from that one.

--- a/packages/router/src/test/fleet/fleet-view.test.ts
+++ b/packages/router/src/test/fleet/fleet-view.test.ts
@@ -77,4 +77,12 @@
 		assert.deepEqual([named.outdatedMs(3), named.outdatedMs(2)], [1000, 5000]);
 		assert.deepEqual(view.recentWeights(2000), [['m', 4, 1000]]);
 	});
+
+	it('takes weights for too old while a newer version than theirs may have been named unheard', () => {
+		const view = createFleetView(createSilentLog());
+		view.acceptWeights('m', 5, Number.POSITIVE_INFINITY);
+		view.datedWeights('m', 5, 1000);
+		const named = view.namedWeights('m')!;
+		assert.deepEqual([named.outdatedMs(2), named.outdatedMs(4)], [Number.POSITIVE_INFINITY, 1000]);
+	});
 });
--- a/packages/router/src/test/placing/endpoint-choice.test.ts
+++ b/packages/router/src/test/placing/endpoint-choice.test.ts
@@ -271,6 +271,12 @@
 		}
 	});
 
+	it('begins nothing on weights of unknown age after the whole fleet has restarted', () => {
+		view.acceptWeights('m', 5, Number.POSITIVE_INFINITY);
+		versions.seen('e2', 3);
+		assert.isUndefined(choose(prompt('s1')));
+	});
+
 	it('goes round an engine that does not answer', () => {
 		const chosen = choose(prompt('s1'))!;
 		book.start(chosen.endpoint.id, {missingTokens: 100, memoryTokens: 100, outputTokens: 0});
