Requests' log lines say the weights that the decision assumed and their age

The logs of an incident could not tell whether a request went to replaced weights because their age was unknown or because it was taken for less; nor whether late answers were those of the few engines with new weights.

--- a/packages/entry/src/lib/wiring/request-wiring.ts
+++ b/packages/entry/src/lib/wiring/request-wiring.ts
@@ -83,6 +83,7 @@
 			log.info('Request ended.', {
 				requestId, workspace, service, endpoint, status, result: reason, attempt: end.attempts, path: end.route,
 				ms: Math.round(end.ms), firstMs: rounded(end.firstMs), expectedMs: rounded(end.expectedMs),
+				weights: end.weights, weightsAgeMs: ageForLog(end.weightsAgeMs),
 				units: end.quota?.units, level: rounded(end.quota?.level), own: rounded(end.quota?.own),
 			});
 		},
@@ -99,6 +100,11 @@
 	};
 }
 
+/** JSON has no infinity. */
+function ageForLog(ms: number | undefined): number | string | undefined {
+	return ms === Number.POSITIVE_INFINITY ? 'unknown' : rounded(ms);
+}
+
 function rounded(value: number | undefined): number | undefined {
 	return value === undefined ? undefined : Math.round(value);
 }
--- a/packages/router/src/lib/forwarding/call.ts
+++ b/packages/router/src/lib/forwarding/call.ts
@@ -34,6 +34,8 @@
 	progress: AttemptProgress;
 	/** The endpoint of the latest attempt. */
 	choice: Choice | undefined;
+	/** Milliseconds since the weights of the latest attempt were replaced, at dispatch. */
+	weightsAgeMs: number | undefined;
 	/** An endpoint's error response, returned if no retry succeeds. */
 	errorAnswer: WholeAnswer | undefined;
 };
@@ -54,6 +56,7 @@
 		isNextGranted: false,
 		progress: {firstAt: undefined, lastEventId: undefined, facts: undefined},
 		choice: undefined,
+		weightsAgeMs: undefined,
 		errorAnswer: undefined,
 	};
 }
--- a/packages/router/src/lib/forwarding/forwarder.ts
+++ b/packages/router/src/lib/forwarding/forwarder.ts
@@ -50,6 +50,9 @@
 	const chooseFor = (call: Call): Choice | undefined =>
 		choice.choose({service: call.service, prompt: call.prompt, excluded: call.excluded});
 
+	const weightsAgeMs = ({prompt}: Call, {weights}: Choice): number | undefined =>
+		prompt === undefined || weights === undefined ? undefined : view.namedWeights(prompt.model)?.outdatedMs(weights);
+
 	/** Whether another endpoint may get the request; withdraws from the retry budget once per attempt. */
 	const mayTryElsewhere = (call: Call): boolean => {
 		if (call.attempts >= call.route.mostEndpoints || performance.now() >= call.deadlineAt || call.reply.isGone()) {
@@ -72,6 +75,7 @@
 			}
 
 			call.choice = chosen;
+			call.weightsAgeMs = weightsAgeMs(call, chosen);
 			call.excluded.add(chosen.endpoint.id);
 			call.attempts++;
 			call.isNextGranted = false;
@@ -171,6 +175,8 @@
 		ms: performance.now() - end.startedAt,
 		firstMs: call?.progress.firstAt === undefined ? undefined : call.progress.firstAt - end.startedAt,
 		expectedMs: call?.choice?.expectedMs,
+		weights: call?.choice?.weights,
+		weightsAgeMs: call?.weightsAgeMs,
 		reason,
 		quota,
 	};
--- a/packages/router/src/lib/forwarding/forwarding-events.ts
+++ b/packages/router/src/lib/forwarding/forwarding-events.ts
@@ -17,6 +17,10 @@
 	firstMs: number | undefined;
 	/** Milliseconds to the first byte that the decision expected. */
 	expectedMs: number | undefined;
+	/** Weights version that the decision assumed; `undefined` for plain services. */
+	weights: number | undefined;
+	/** Milliseconds since that version was replaced, at dispatch; 0 if it is the newest, infinite if unknown. */
+	weightsAgeMs: number | undefined;
 	reason: string;
 	/** Of a request over its workspace's quota: units asked for, and units left for the fleet and for this daemon. */
 	quota?: {units: number; level: number; own: number};
--- a/packages/router/src/lib/observability/log.ts
+++ b/packages/router/src/lib/observability/log.ts
@@ -38,6 +38,9 @@
 	'level',
 	'own',
 	'order',
+	/** Weights version that a decision assumed, and milliseconds since it was replaced. */
+	'weights',
+	'weightsAgeMs',
 	'path',
 	'attempt',
 	'reason',
