A restarted fleet knows when weights were named; weights of unknown age get no requests

A daemon that has restarted with the whole fleet knew which weights are named, not since when, and kept to the newest version that engines were listed with, on the assumption that a rollout is nearly done. Where it had stalled, that version was an old one, and few engines had it. A daemon told by a peer of the newest naming alone counted all older versions from that one.

The holder of the lease on weight changes now stores the namings in the lease's row, by the store's steady clock: no further write, and every daemon reads the row at its start. A naming that is not listed came after the time for which the row vouches. An age that is not known any more excludes the engine, also where a version in between may have been named unheard.

The test 'keeps to the engines that are furthest when it can't know the age of weights' asserted the fault and is replaced by two: nothing begins on weights of unknown age, and weights that the store says were replaced lately may be used until their age is reached.

--- a/packages/entry/src/lib/entry-parts.ts
+++ b/packages/entry/src/lib/entry-parts.ts
@@ -14,7 +14,7 @@
 import {createEngineVersions} from 'hickorywalk/weights.js';
 import {createDaemonMetrics} from './daemon-metrics.js';
 import {timingsFor} from './timings.js';
-import {wireKeeper, wireLeases} from './wiring/duty-wiring.js';
+import {wireKeeper, wireLeases, wireNamingRecord} from './wiring/duty-wiring.js';
 import {wireEndpointFeed, wireOperatorFeed} from './wiring/feed-wiring.js';
 import {type EntryParts} from './wiring/parts.js';
 import {wireDirectory, wirePeers} from './wiring/peer-wiring.js';
@@ -63,6 +63,7 @@
 		leases: asFunction(wireLeases).singleton(),
 		control: asFunction(({timings}: EntryParts) => createEndpointControl({callMs: timings.engineCallMs})).singleton(),
 		keeper: asFunction(wireKeeper).singleton(),
+		namingRecord: asFunction(wireNamingRecord).singleton(),
 		transport: asFunction(() => createUndiciTransport({connectMs: endpointConnectMs, connectionsPerPool: connectionsPerEndpoint})).singleton(),
 		budgetOf: asFunction(wireBudgets).singleton(),
 		events: asFunction(wireEvents).singleton(),
--- a/packages/entry/src/lib/wiring/duty-wiring.ts
+++ b/packages/entry/src/lib/wiring/duty-wiring.ts
@@ -1,13 +1,19 @@
 /** Wires the lease on ordering weight changes, and the keeper that runs under it. */
 import {createLeaseHolder, type LeaseHolder} from 'hickorywalk/leases.js';
-import {createWeightsKeeper} from 'hickorywalk/weights.js';
+import {createNamingRecord, createWeightsKeeper, type NamingRecord} from 'hickorywalk/weights.js';
 import {type EntryParts} from './parts.js';
 
 /** Name of the lease on ordering weight changes. */
 export const weightsDuty = 'weights';
 
+/** Stores the namings of weights beside the lease. */
+export const wireNamingRecord = ({view, store, operatorFeed, log}: EntryParts): NamingRecord =>
+	createNamingRecord({
+		view, storeMs: store.clockMs, unseenMs: operatorFeed.ageMs, log,
+	});
+
 /** Contends for the lease; peers' reports shorten the takeover. */
-export function wireLeases({settings, timings, incarnation, ownTable, peers, log}: EntryParts): LeaseHolder {
+export function wireLeases({settings, timings, incarnation, ownTable, peers, namingRecord, log}: EntryParts): LeaseHolder {
 	const holder = createLeaseHolder({
 		name: settings.name,
 		incarnation: BigInt(incarnation),
@@ -21,6 +27,10 @@
 				: undefined;
 		},
 		onAttempt: peers.sendNow,
+		note: namingRecord.encode,
+		onNote(_duty, note) {
+			namingRecord.accept(note);
+		},
 		leaseMs: timings.leaseMs,
 		marginMs: timings.leaseMarginMs,
 		onError(err) {
--- a/packages/entry/src/lib/wiring/feed-wiring.ts
+++ b/packages/entry/src/lib/wiring/feed-wiring.ts
@@ -16,13 +16,15 @@
 }
 
 /** Follows the fleet document and the named weights. */
-export function wireOperatorFeed({store, view, timings, peers, log}: EntryParts): ChangeFeed {
+export function wireOperatorFeed(parts: EntryParts): ChangeFeed {
+	const {store, view, timings, peers, log} = parts;
 	const update = (rows: ReadonlyArray<{item: OperatorRow | undefined}>, unseenMs: number): void => {
 		for (const {item} of rows) {
 			if (item?.kind === 'document') {
 				view.acceptDocument(item.document);
 			} else if (item?.kind === 'weights') {
 				view.acceptWeights(item.model, item.version, unseenMs);
+				parts.namingRecord.apply();
 			}
 		}
 	};
--- a/packages/entry/src/lib/wiring/parts.ts
+++ b/packages/entry/src/lib/wiring/parts.ts
@@ -11,7 +11,7 @@
 } from 'hickorywalk/placing.js';
 import {type FleetQuota} from 'hickorywalk/quotas.js';
 import {type AttemptBudget, type createHealthTracker} from 'hickorywalk/routing.js';
-import {type createWeightsKeeper, type EngineVersions} from 'hickorywalk/weights.js';
+import {type createWeightsKeeper, type EngineVersions, type NamingRecord} from 'hickorywalk/weights.js';
 import {type DaemonMetrics} from '../daemon-metrics.js';
 import {type Timings} from '../timings.js';
 
@@ -48,6 +48,7 @@
 	leases: LeaseHolder;
 	control: ReturnType<typeof createEndpointControl>;
 	keeper: ReturnType<typeof createWeightsKeeper>;
+	namingRecord: NamingRecord;
 	transport: ReturnType<typeof createUndiciTransport>;
 	budgetOf: (service: string) => AttemptBudget;
 	events: ForwardingEvents;
--- a/packages/router/src/lib/fleet/fleet-view.ts
+++ b/packages/router/src/lib/fleet/fleet-view.ts
@@ -48,6 +48,10 @@
 	datedWeights: (model: string, version: number, ageMs: number) => void;
 	/** Namings of the last `mostMs` whose age is exact. */
 	recentWeights: (mostMs: number) => Array<[model: string, version: number, ageMs: number]>;
+	/** Lowers the possible age of a naming whose time is not known. */
+	boundWeights: (model: string, version: number, atMostMs: number) => void;
+	/** All remembered namings; the age is the largest possible one, infinite if unknown. */
+	namings: () => Array<{model: string; version: number; ageMs: number}>;
 	/** Called for every added, changed or removed endpoint. */
 	onEndpoint: (listener: EndpointListener) => void;
 	/** Called for every document that comes into force. */
@@ -134,8 +138,14 @@
 			return history && {
 				version: history.at(-1)!.version,
 				outdatedMs(version) {
-					const next = history.find(item => item.version > version);
-					return next === undefined ? 0 : performance.now() - next.learntAt;
+					const index = history.findIndex(item => item.version > version);
+					if (index === -1) {
+						return 0;
+					}
+
+					// Versions in between may have been named unheard.
+					const isNextKnown = index > 0 || history[0].version === version + 1;
+					return isNextKnown ? performance.now() - history[index].learntAt : Number.POSITIVE_INFINITY;
 				},
 			};
 		},
@@ -179,6 +189,16 @@
 
 			return recent;
 		},
+		boundWeights(model, version, atMostMs) {
+			const naming = named.get(model)?.find(item => item.version === version);
+			if (naming !== undefined && !naming.isDated) {
+				naming.learntAt = Math.max(naming.learntAt, performance.now() - atMostMs);
+			}
+		},
+		namings() {
+			const now = performance.now();
+			return [...named].flatMap(([model, history]) => history.map(({version, learntAt}) => ({model, version, ageMs: now - learntAt})));
+		},
 		onEndpoint(listener) {
 			endpointListeners.push(listener);
 		},
--- a/packages/router/src/lib/leases/lease-holder.ts
+++ b/packages/router/src/lib/leases/lease-holder.ts
@@ -42,6 +42,10 @@
 	 * the row for a whole lease in place of what is left of it.
 	 */
 	onAttempt?: () => void;
+	/** Text that a holder stores with its lease for its successors. */
+	note?: (duty: string) => string | undefined;
+	/** Called with the note of another process whenever its row is read. */
+	onNote?: (duty: string, note: string) => void;
 	/** Told of table faults; the work is tried again by itself. */
 	onError?: (error: unknown) => void;
 	/** Milliseconds for which a lease lasts; 30,000 by default, the same on every daemon. */
@@ -153,6 +157,9 @@
 
 		if (!isOurs(row)) {
 			held.delete(duty);
+			if (row.note !== undefined) {
+				options.onNote?.(duty, row.note);
+			}
 		}
 
 		return row;
@@ -210,7 +217,7 @@
 		attempts.set(duty, {attempt, end});
 		options.onAttempt?.();
 		const row = {
-			holder: name, incarnation, fencing, attempt,
+			holder: name, incarnation, fencing, attempt, note: options.note?.(duty),
 		};
 		if (await write(duty, row) && !released) {
 			held.set(duty, {fencing, end, clockOffset});
@@ -289,7 +296,7 @@
 				try {
 					attempts.set(duty, {attempt, end: performance.now()});
 					await write(duty, {
-						holder: '', incarnation, fencing, attempt,
+						holder: '', incarnation, fencing, attempt, note: options.note?.(duty),
 					});
 				} catch (error) {
 					options.onError?.(new LeaseTableError(`The duty ${duty} could not be given back. It becomes free when its lease ends.`, {cause: error}));
--- a/packages/router/src/lib/leases/lease-row.ts
+++ b/packages/router/src/lib/leases/lease-row.ts
@@ -13,6 +13,8 @@
 	fencing: z.number().int(),
 	/** Number of the write attempt by that process; never used twice. */
 	attempt: z.number().int(),
+	/** What the holder leaves to its successors. */
+	note: z.string().optional(),
 });
 
 /** A parsed row. */
--- a/packages/router/src/lib/placing/candidates.ts
+++ b/packages/router/src/lib/placing/candidates.ts
@@ -49,27 +49,10 @@
 export function createCandidates(options: CandidatesOptions): (request: ChoiceRequest) => Candidate[] {
 	const {view, book, health, presence, versions} = options;
 
-	/** Fallback for a process that has just started and doesn't know when weights were named. */
-	const newestVersion = (model: string): number => {
-		let newest = 0;
-		for (const id of view.endpointIds()) {
-			const endpoint = view.endpoint(id)!;
-			if (endpoint.weights.has(model)) {
-				newest = Math.max(newest, versions.of(endpoint, model).version);
-			}
-		}
-
-		return newest;
-	};
-
-	const isFreshEnough = (prompt: PromptNeed, version: number): boolean => {
-		const named = view.namedWeights(prompt.model);
-		if (named === undefined) {
-			return true;
-		}
-
-		const outdatedMs = named.outdatedMs(version);
-		return outdatedMs === Number.POSITIVE_INFINITY ? version >= newestVersion(prompt.model) : outdatedMs < options.weightsMs * maxWeightsAgeRatio;
+	/** Weights of unknown age count as too old: they may have been replaced before this process started. */
+	const isFreshEnough = ({model}: PromptNeed, version: number): boolean => {
+		const named = view.namedWeights(model);
+		return named === undefined || named.outdatedMs(version) < options.weightsMs * maxWeightsAgeRatio;
 	};
 
 	/** Prefers engines whose drain the answer would not overrun, then those with the least overrun. */
--- /dev/null
+++ b/packages/router/src/lib/weights/naming-record.ts
@@ -0,0 +1,95 @@
+/**
+ * Carries the times at which weights were named over a restart of the whole fleet. The lease
+ * holder stores them beside its lease, on the store's clock.
+ */
+import {z} from 'zod';
+import {type FleetView} from '../fleet/fleet-view.js';
+import {type Log} from '../observability/log.js';
+
+const recordSchema = z.object({
+	/** Store time up to which all namings are listed, in milliseconds. */
+	asOf: z.number(),
+	/** Model, version, store time of the naming; null if unknown. */
+	named: z.array(z.tuple([z.string(), z.number(), z.number().nullable()])),
+});
+
+type StoredRecord = z.infer<typeof recordSchema>;
+
+/** Options of {@link createNamingRecord}. */
+export type NamingRecordOptions = {
+	view: FleetView;
+	/** The store's steady clock in milliseconds; `undefined` before its first answer. */
+	storeMs: () => number | undefined;
+	/** Milliseconds since this daemon was last up to date with the namings; infinite if never. */
+	unseenMs: () => number;
+	log: Log;
+};
+
+/** The record. */
+export type NamingRecord = {
+	/** The record to store; `undefined` while nothing is known. */
+	encode: () => string | undefined;
+	/** Takes over a stored record. */
+	accept: (text: string) => void;
+	/** Dates the namings that the view has learnt since. */
+	apply: () => void;
+};
+
+/** Creates an empty record. */
+export function createNamingRecord({view, storeMs, unseenMs, log}: NamingRecordOptions): NamingRecord {
+	let stored: StoredRecord | undefined;
+	let storedText: string | undefined;
+
+	const apply = (): void => {
+		const now = storeMs();
+		if (stored === undefined || now === undefined) {
+			return;
+		}
+
+		const {asOf, named} = stored;
+		for (const [model, version, at] of named) {
+			if (at !== null) {
+				view.datedWeights(model, version, Math.max(0, now - at));
+			}
+		}
+
+		for (const {model, version} of view.namings()) {
+			if (!named.some(([storedModel, storedVersion]) => storedModel === model && storedVersion === version)) {
+				view.boundWeights(model, version, Math.max(0, now - asOf));
+			}
+		}
+	};
+
+	return {
+		encode() {
+			const now = storeMs();
+			const namings = view.namings();
+			const unseen = unseenMs();
+			if (now === undefined || namings.length === 0 || !Number.isFinite(unseen)) {
+				return storedText;
+			}
+
+			const record: StoredRecord = {
+				asOf: Math.floor(now - unseen),
+				named: namings.map(({model, version, ageMs}) => [model, version, Number.isFinite(ageMs) ? Math.floor(now - ageMs) : null]),
+			};
+			return JSON.stringify(record);
+		},
+		accept(text) {
+			if (text === storedText) {
+				return;
+			}
+
+			try {
+				stored = recordSchema.parse(JSON.parse(text));
+				storedText = text;
+			} catch (error) {
+				log.warn('Record of named weights can\'t be read.', {err: error});
+				return;
+			}
+
+			apply();
+		},
+		apply,
+	};
+}
--- a/packages/router/src/test/placing/endpoint-choice.test.ts
+++ b/packages/router/src/test/placing/endpoint-choice.test.ts
@@ -263,17 +263,18 @@
 		}
 	});
 
-	it('keeps to the engines that are furthest when it can\'t know the age of weights', () => {
+	it('begins nothing on weights of unknown age after the whole fleet has restarted', () => {
 		view.acceptWeights('m', 5, Number.POSITIVE_INFINITY);
 		versions.seen('e2', 3);
-		for (let subject = 0; subject < 20; subject++) {
-			assert.equal(choose(prompt(`s${subject}`))?.endpoint.id, 'e2');
-		}
+		assert.isUndefined(choose(prompt('s1')));
 	});
 
-	it('begins nothing on weights of unknown age after the whole fleet has restarted', () => {
+	it('begins on replaced weights after a restart when the store says that they were replaced lately', () => {
 		view.acceptWeights('m', 5, Number.POSITIVE_INFINITY);
-		versions.seen('e2', 3);
+		view.boundWeights('m', 5, 1000);
+		versions.seen('e2', 4);
+		assert.equal(choose(prompt('s1'))?.endpoint.id, 'e2');
+		clock.tick(6000);
 		assert.isUndefined(choose(prompt('s1')));
 	});
 
--- /dev/null
+++ b/packages/router/src/test/weights/naming-record.test.ts
@@ -0,0 +1,108 @@
+import FakeTimers from '@sinonjs/fake-timers';
+import {assert} from 'chai';
+import {createFleetView, type FleetView} from '../../fleet.js';
+import {createLeaseHolder} from '../../leases.js';
+import {createSilentLog} from '../../observability.js';
+import {createNamingRecord, type NamingRecord} from '../../weights.js';
+import {createFakeTable} from '../limits/fleet.js';
+
+const duty = 'weights';
+const leaseMs = 1800;
+
+type Daemon = {view: FleetView; record: NamingRecord; tick: () => Promise<void>};
+
+describe('createNamingRecord', () => {
+	let clock: FakeTimers.Clock;
+	let table: ReturnType<typeof createFakeTable>;
+	let unseenMs: number;
+
+	beforeEach(() => {
+		clock = FakeTimers.install();
+		table = createFakeTable(() => 'none');
+		unseenMs = 0;
+	});
+
+	afterEach(() => {
+		clock.uninstall();
+	});
+
+	const start = (name: string): Daemon => {
+		const view = createFleetView(createSilentLog());
+		const record = createNamingRecord({
+			view, storeMs: () => 1_000_000 + performance.now(), unseenMs: () => unseenMs, log: createSilentLog(),
+		});
+		const leases = createLeaseHolder({
+			name,
+			incarnation: BigInt(Math.round(performance.now())),
+			table,
+			leaseMs,
+			marginMs: 450,
+			note: record.encode,
+			onNote(_duty, note) {
+				record.accept(note);
+			},
+		});
+		leases.contend(duty);
+		return {view, record, tick: leases.tick};
+	};
+
+	const learn = ({view, record}: Daemon, version: number): void => {
+		view.acceptWeights('m', version, Number.POSITIVE_INFINITY);
+		record.apply();
+	};
+
+	/** Ages of versions 2, 3 and 4, in seconds. */
+	const ages = ({view}: Daemon): number[] => [2, 3, 4].map(version => view.namedWeights('m')!.outdatedMs(version) / 1000);
+
+	/** Three namings, five seconds apart; the holder renews its lease until one second after the last. */
+	const serve = async (): Promise<void> => {
+		const holder = start('vm-1');
+		for (const version of [2, 3, 4]) {
+			holder.view.acceptWeights('m', version, 0);
+			for (let ms = 0; ms < 5000; ms += 500) {
+				await holder.tick();
+				await clock.tickAsync(500);
+			}
+		}
+	};
+
+	it('keeps the age of replaced weights when all daemons restart at once', async () => {
+		await serve();
+		await clock.tickAsync(1000);
+		const restarted = start('vm-2');
+		await restarted.tick();
+		learn(restarted, 4);
+		assert.deepEqual(ages(restarted), [11, 6, 0]);
+	});
+
+	it('hands the ages on through a second restart, before which the new holder had heard nothing', async () => {
+		await serve();
+		const second = start('vm-2');
+		for (let ms = 0; ms < 4000; ms += 500) {
+			await second.tick();
+			await clock.tickAsync(500);
+		}
+
+		const third = start('vm-3');
+		await third.tick();
+		learn(third, 4);
+		assert.deepEqual(ages(third), [14, 9, 0]);
+	});
+
+	it('takes a naming that is not listed for one that came right after the last entry', async () => {
+		unseenMs = 300;
+		await serve();
+		await clock.tickAsync(1000);
+		const restarted = start('vm-2');
+		await restarted.tick();
+		learn(restarted, 5);
+		assert.deepEqual(ages(restarted), [11, 6, 1.8]);
+	});
+
+	it('leaves out a record that can\'t be read', () => {
+		const daemon = start('vm-1');
+		daemon.record.accept('{"asOf":"soon"}');
+		learn(daemon, 4);
+		assert.deepEqual(ages(daemon), [Number.POSITIVE_INFINITY, Number.POSITIVE_INFINITY, 0]);
+	});
+});
