A rollout costs its holder half the calls, and a small VM can finish it

Callers saw VERSION and late answers (SHORT). With a VM of a third of a core as the holder of the lease, a rollout over 98 engines nearly stopped: each engine was polled each 150 ms while it loaded, each engine that was drained or ordered sent a report of its own, and each report listed all engines. The holder's processor was full, its lease ran out, and the engines that were drained for orders that never came stood idle.

An engine that loads is now polled first when its load is expected to end, by what loads have taken, and then ever less often. Announcements within 50 ms are one; the order waits for it and checks lease and peers again. Reports list the engines with news only.

An accepted order is not repeated until some time after the first poll, since that one may show the state before the order.

--- a/packages/entry/src/lib/wiring/peer-wiring.ts
+++ b/packages/entry/src/lib/wiring/peer-wiring.ts
@@ -88,8 +88,8 @@
 	return model === undefined ? 0 : view.namedWeights(model)?.version ?? 0;
 }
 
-/** Only the lease holder knows more about engines than the endpoint list. */
-function enginesForReport({leases, versions, view, keeper}: EntryParts): PeerReport['engines'] {
+/** Only the lease holder knows more about engines than the endpoint list; engines without news are left out. */
+function enginesForReport({leases, versions, view, keeper, timings}: EntryParts): PeerReport['engines'] {
 	if (leases.held(weightsDuty) === undefined) {
 		return [];
 	}
@@ -102,6 +102,11 @@
 		if (endpoint !== undefined && model !== undefined) {
 			const sinceOrderMs = keeper.sinceOrderMs(id);
 			const {version, dueInMs} = versions.of(endpoint, model);
+			const isListedVersion = version === endpoint.weights.get(model);
+			if (isListedVersion && !changing.has(id) && !Number.isFinite(dueInMs) && sinceOrderMs > timings.handoverMs) {
+				continue;
+			}
+
 			engines.push([id, version, changing.get(id) ?? 0, roundedOrMinusOne(sinceOrderMs), roundedOrMinusOne(dueInMs)]);
 		}
 	}
--- a/packages/router/src/lib/weights/weights-keeper.ts
+++ b/packages/router/src/lib/weights/weights-keeper.ts
@@ -48,7 +48,20 @@
 
 const pollMs = 150;
 
-/** Time for which an accepted order is not repeated, since the engine's reported state lags behind. */
+/** Interval within which announcements to peers are merged into one. */
+const announceMs = 50;
+
+/** Initial estimate of the time from an accepted order to the new weights. */
+const initialLoadMs = 800;
+const loadSmoothing = 0.3;
+
+/** Fraction of the expected load time after which an engine is first polled again. */
+const firstPollRatio = 0.85;
+
+/** Pause between later polls, as a fraction of the time that has passed since the order. */
+const nextPollRatio = 0.3;
+
+/** Time after the first poll for which an accepted order is not repeated, since the engine's reported state lags behind. */
 const acceptedOrderTtlMs = 600;
 
 /** Minimum remaining lease to send an order, which must arrive within the lease. */
@@ -64,7 +77,26 @@
 	/** Accepted orders, by engine. */
 	const accepted = new Map<string, {version: number; at: number}>();
 	const peerOrders = new Map<string, number>();
-	const emptying = createEngineEmptying({versions, lastsMs: options.lastsMs, announce: options.announce});
+	let announcement: Promise<void> | undefined;
+	let averageLoadMs = initialLoadMs;
+
+	/** Resolves once peers have been told; calls within one interval share an announcement. */
+	const announce = async (): Promise<void> => {
+		announcement ??= (async () => {
+			await pause(announceMs);
+			announcement = undefined;
+			options.announce();
+		})();
+		return announcement;
+	};
+
+	const emptying = createEngineEmptying({
+		versions,
+		lastsMs: options.lastsMs,
+		announce() {
+			void announce();
+		},
+	});
 	const turns = createChangeTurns();
 
 	const lease = (): HeldLease | undefined => {
@@ -98,7 +130,7 @@
 	/** The reported state may predate the order. */
 	const isRecentlyAccepted = ({endpoint, version}: ChangeTask): boolean => {
 		const order = accepted.get(endpoint.id);
-		return order?.version === version && performance.now() - order.at < acceptedOrderTtlMs;
+		return order?.version === version && performance.now() - order.at < (averageLoadMs * firstPollRatio) + acceptedOrderTtlMs;
 	};
 
 	/** Engines too stale for new requests lose nothing by changing at once. */
@@ -127,7 +159,13 @@
 		}
 
 		ownOrders.set(endpoint.id, performance.now());
-		options.announce();
+		await announce();
+		const renewed = lease();
+		if (renewed?.fencing !== held.fencing || isOrderedByPeer(endpoint.id)) {
+			return;
+		}
+
+		ownOrders.set(endpoint.id, performance.now());
 		const result = await control.order(endpoint, {
 			model, version, holder: options.name, fencing: held.fencing, ordersTaken: state.ordersTaken,
 		});
@@ -144,6 +182,24 @@
 		});
 	};
 
+	/** An engine that loads weights is left alone until it is expected to be done. */
+	const pollPauseMs = ({endpoint, version}: ChangeTask): number => {
+		const order = accepted.get(endpoint.id);
+		if (order?.version !== version) {
+			return pollMs;
+		}
+
+		const loadingMs = performance.now() - order.at;
+		return Math.max(pollMs, (averageLoadMs * firstPollRatio) - loadingMs, loadingMs * nextPollRatio);
+	};
+
+	const learnLoad = ({endpoint, version}: ChangeTask): void => {
+		const order = accepted.get(endpoint.id);
+		if (order?.version === version) {
+			averageLoadMs += loadSmoothing * (performance.now() - order.at - averageLoadMs);
+		}
+	};
+
 	const work = async (task: ChangeTask): Promise<void> => {
 		while (lease() !== undefined && isNeeded(task)) {
 			try {
@@ -157,7 +213,7 @@
 				return;
 			}
 
-			await pause(pollMs);
+			await pause(pollPauseMs(task));
 		}
 	};
 
@@ -169,6 +225,7 @@
 			const awayMs = emptying.ended(id);
 			if (awayMs !== undefined && versions.of(task.endpoint, task.model).version >= task.version) {
 				turns.learn(awayMs);
+				learnLoad(task);
 			}
 
 			busy.delete(id);
