--- a/packages/entry/src/lib/wiring/peer-wiring.ts
+++ b/packages/entry/src/lib/wiring/peer-wiring.ts
@@ -1,12 +1,12 @@
 /** Wires the exchange of reports between daemons. */
 import {
-	createPeerDirectory, createPeerExchange, type PeerExchange, type PeerReport,
+	createPeerDirectory, createPeerExchange, type OpenDatagramTransport, type PeerExchange, type PeerReport,
 } from 'hickorywalk/peers.js';
 import {weightsDuty} from './duty-wiring.js';
 import {type EntryParts} from './parts.js';
 
 /** Creates the exchange and applies peers' reports to the local state. */
-export function wirePeers(parts: EntryParts): PeerExchange {
+export function wirePeers(parts: EntryParts, openTransport?: OpenDatagramTransport): PeerExchange {
 	const {settings, timings, incarnation, log, quota, book, versions} = parts;
 	const onReport = (report: PeerReport): void => {
 		if (report.isLeaving) {
@@ -67,6 +67,7 @@
 			placed: parts.resident.takeNews(),
 		}),
 		onReport,
+		openTransport,
 		log,
 	});
 }
--- a/packages/entry/src/test/peer-wiring.test.ts
+++ b/packages/entry/src/test/peer-wiring.test.ts
@@ -1,11 +1,14 @@
 import {Buffer} from 'node:buffer';
 import {createSocket} from 'node:dgram';
 import {once} from 'node:events';
+import FakeTimers from '@sinonjs/fake-timers';
 import {assert} from 'chai';
 import {parseBootSettings} from '@hickorywalk/platform';
 import {type LiveEndpoint} from 'hickorywalk/fleet.js';
+import {decodeReport, type PeerExchange} from 'hickorywalk/peers.js';
 import {createEntryParts} from '../lib/entry-parts.js';
 import {type EntryParts} from '../lib/wiring/parts.js';
+import {wirePeers} from '../lib/wiring/peer-wiring.js';
 
 const host = '127.0.0.1';
 
@@ -79,3 +82,50 @@
 		assert.deepEqual([running, pendingTokens], [3, 4000]);
 	});
 });
+
+describe('what is reported to 66 peers', () => {
+	const peerNames = Array.from({length: 66}, (_item, index) => `vm-${index + 2}`);
+	let clock: FakeTimers.Clock;
+	let parts: EntryParts;
+	let peers: PeerExchange;
+	/** Endpoints that each peer was told to have ended. */
+	let toldOf: Map<string, Set<string>>;
+
+	beforeEach(async () => {
+		clock = FakeTimers.install({toFake: ['performance', 'setInterval', 'clearInterval']});
+		parts = createEntryParts(settingsWith(1)).cradle;
+		toldOf = new Map(peerNames.map(name => [`${name}:1`, new Set()]));
+		let datagrams = 0;
+		peers = wirePeers(parts, async () => ({
+			async send(content, address) {
+				datagrams++;
+				if (datagrams % 50 === 0) {
+					return;
+				}
+
+				for (const [id] of decodeReport(content).ended) {
+					toldOf.get(address)!.add(id);
+				}
+			},
+			async close() {
+				// Nothing is open.
+			},
+		}));
+		for (const name of peerNames) {
+			peers.learn(name, `${name}:1`);
+		}
+
+		await peers.start();
+	});
+
+	afterEach(async () => {
+		await peers.leave();
+		clock.uninstall();
+	});
+
+	it('tells every peer of an ended endpoint, though one datagram in 50 is lost', async () => {
+		parts.presence.replaced(endpoint('e1', 100));
+		await clock.tickAsync(10_000);
+		assert.deepEqual([...toldOf.values()].map(ids => [...ids]), peerNames.map(() => ['e1']));
+	});
+});
--- /dev/null
+++ b/packages/router/src/lib/peers/datagram-transport.ts
@@ -0,0 +1,54 @@
+/** Carries datagrams between daemons by UDP. */
+import {type Buffer} from 'node:buffer';
+import {createSocket} from 'node:dgram';
+import {type Log} from '../observability/log.js';
+
+/** An open transport. */
+export type DatagramTransport = {
+	/** Resolves when the datagram was handed to the system, even if sending failed. */
+	send: (content: Buffer, address: string) => Promise<void>;
+	close: () => Promise<void>;
+};
+
+/** Options of {@link openUdpTransport}. */
+export type DatagramTransportOptions = {
+	bind: {host: string; port: number};
+	onDatagram: (content: Buffer) => void;
+	log: Log;
+};
+
+/** Binds a transport. */
+export type OpenDatagramTransport = (options: DatagramTransportOptions) => Promise<DatagramTransport>;
+
+/** Binds a UDP socket. */
+export const openUdpTransport: OpenDatagramTransport = async ({bind, onDatagram, log}) => {
+	const socket = createSocket('udp4');
+	await new Promise<void>((resolve, reject) => {
+		socket.once('error', reject);
+		socket.bind(bind.port, bind.host, resolve);
+	});
+	socket.on('error', error => {
+		log.warn('Socket for reports failed.', {err: error});
+	});
+	socket.on('message', onDatagram);
+
+	return {
+		async send(content, address) {
+			const [host, port] = address.split(':');
+			return new Promise(resolve => {
+				socket.send(content, Number(port), host, error => {
+					if (error !== null) {
+						log.debug('Report could not be sent.', {peer: host, err: error});
+					}
+
+					resolve();
+				});
+			});
+		},
+		async close() {
+			await new Promise<void>(resolve => {
+				socket.close(resolve);
+			});
+		},
+	};
+};
--- a/packages/router/src/lib/peers/peer-exchange.ts
+++ b/packages/router/src/lib/peers/peer-exchange.ts
@@ -3,8 +3,8 @@
  * lost datagrams need no retransmission.
  */
 import {type Buffer} from 'node:buffer';
-import {createSocket, type Socket} from 'node:dgram';
 import {type Log} from '../observability/log.js';
+import {type DatagramTransport, type OpenDatagramTransport, openUdpTransport} from './datagram-transport.js';
 import {type PeerReport} from './peer-report.js';
 import {decodeReport, encodeReport} from './report-codec.js';
 
@@ -31,12 +31,14 @@
 	compose: () => OwnReport;
 	/** Called for each new report. */
 	onReport: (report: PeerReport) => void;
+	/** Defaults to UDP. */
+	openTransport?: OpenDatagramTransport | undefined;
 	log: Log;
 };
 
 /** The exchange. */
 export type PeerExchange = {
-	/** Binds the socket and starts sending. */
+	/** Opens the transport and starts sending. */
 	start: () => Promise<void>;
 	/** Adds a peer's address from the directory; reports carry it as well. */
 	learn: (daemon: string, address: string) => void;
@@ -44,7 +46,7 @@
 	live: () => HeardReport[];
 	/** Latest reports of all peers that are not yet forgotten, including away ones. */
 	known: () => ReadonlyMap<string, HeardReport>;
-	/** Tells peers that this process stops, and closes the socket. */
+	/** Tells peers that this process stops, and closes the transport. */
 	leave: () => Promise<void>;
 	/** Sends a report at once. */
 	sendNow: () => void;
@@ -67,7 +69,7 @@
 	const address = `${options.bind.host}:${options.bind.port}`;
 	const addresses = new Map<string, {address: string; learntAt: number}>();
 	const reports = new Map<string, HeardReport>();
-	let socket: Socket | undefined;
+	let transport: DatagramTransport | undefined;
 	let timer: NodeJS.Timeout | undefined;
 	let number = 0;
 	let nextPeer = 0;
@@ -114,26 +116,11 @@
 		options.onReport(report);
 	};
 
-	/** Resolves when the datagram was handed to the system, even if sending failed. */
-	const sendTo = async (content: Buffer, address: string): Promise<void> => {
-		const [host, port] = address.split(':');
-		const opened = socket;
-		if (opened === undefined) {
+	const send = async (isLeaving: boolean): Promise<void> => {
+		if (transport === undefined) {
 			return;
 		}
 
-		return new Promise(resolve => {
-			opened.send(content, Number(port), host, error => {
-				if (error !== null) {
-					log.debug('Report could not be sent.', {peer: host, err: error});
-				}
-
-				resolve();
-			});
-		});
-	};
-
-	const send = async (isLeaving: boolean): Promise<void> => {
 		number++;
 		sentAt = performance.now();
 		const report: PeerReport = {
@@ -144,7 +131,7 @@
 		const count = isLeaving ? peers.length : Math.min(peers.length, maxPeersPerRound);
 		const sends: Array<Promise<void>> = [];
 		for (let index = 0; index < count; index++) {
-			sends.push(sendTo(content, peers[(nextPeer + index) % peers.length].address));
+			sends.push(transport.send(content, peers[(nextPeer + index) % peers.length].address));
 		}
 
 		nextPeer = peers.length === 0 ? 0 : (nextPeer + count) % peers.length;
@@ -164,16 +151,7 @@
 
 	return {
 		async start() {
-			const opened = createSocket('udp4');
-			await new Promise<void>((resolve, reject) => {
-				opened.once('error', reject);
-				opened.bind(options.bind.port, options.bind.host, resolve);
-			});
-			opened.on('error', error => {
-				log.warn('Socket for reports failed.', {err: error});
-			});
-			opened.on('message', receive);
-			socket = opened;
+			transport = await (options.openTransport ?? openUdpTransport)({bind: options.bind, onDatagram: receive, log});
 			timer = setInterval(() => {
 				forgetOld();
 				void send(false);
@@ -184,18 +162,16 @@
 		known: () => reports,
 		async leave() {
 			clearInterval(timer);
-			if (socket === undefined) {
+			if (transport === undefined) {
 				return;
 			}
 
-			// Closing the socket before the send completes would drop the last report, and peers
+			// Closing the transport before the send completes would drop the last report, and peers
 			// would count this daemon's load until it times out.
 			await send(true);
-			const closing = socket;
-			socket = undefined;
-			await new Promise<void>(resolve => {
-				closing.close(resolve);
-			});
+			const closing = transport;
+			transport = undefined;
+			await closing.close();
 		},
 		sendNow() {
 			void send(false);
--- a/packages/router/src/peers.ts
+++ b/packages/router/src/peers.ts
@@ -3,3 +3,4 @@
 export * from './lib/peers/peer-report.js';
 export * from './lib/peers/peer-directory.js';
 export * from './lib/peers/report-codec.js';
+export * from './lib/peers/datagram-transport.js';
