Staleness of peers follows from the fan-out; news and urgent reports reach all peers

Cause: a round reaches 16 peers, so a peer is heard once in ceil(n / 16) rounds, but readers had fixed limits that fit one round: away after 1.0 s, plans 1.0 s, loads 1.5 s, ended endpoints told for 1.0 s. What takeNews() gave out went to one round, and so did the reports before an order, a renewal of the lease and an engine's drain.

Now the exchange says both: refreshMs(), rounds per cycle times the interval, and silenceMs(), five of these and 1.0 s at least. Quotas, ended endpoints, loads (three refresh intervals, 1.5 s at least) and plans (silence, but no longer than a lease, since each renewal goes to all; 1.0 s at least) follow them; with 16 peers or fewer every limit is what it was. A peer that stopped is assumed to spend for as long as before, from when it counts as away.

News stay in a log of the exchange with the number of their first report, and a peer gets what is newer than its last report: once each, the oldest dropped beyond the former caps. Peers that lack the same share an encoded datagram. Peers queue for rounds, so one that leaves makes none wait a cycle more. A round is 16 datagrams as before; sendNow() goes to all, once for several calls in a turn of the event loop, and never after the report that the process leaves.

The lease is taken to be held elsewhere only until the holder's last word has run out, not until the holder counts as away, which takes longer now (duty-wiring.ts).

"Peer is heard." comes for a new process or after "Peer is away.", which is new; more than eight that go away in one round share a line.

--- a/packages/entry/src/lib/entry-parts.ts
+++ b/packages/entry/src/lib/entry-parts.ts
@@ -40,11 +40,15 @@
 		incarnation: asValue(Date.now()),
 		log: asValue(createLog('entry', {vm: settings.name, dataCentre: settings.dataCentre})),
 		view: asFunction(({log}: EntryParts) => createFleetView(log)).singleton(),
-		versions: asFunction(() => createEngineVersions()).singleton(),
+		versions: asFunction((parts: EntryParts) => createEngineVersions({
+			// Each renewal of the lease is reported to all peers, and a plan can't outlive its lease.
+			planRepeatMs: () => Math.min(parts.peers.silenceMs(), parts.timings.leaseMs),
+		})).singleton(),
 		book: asFunction((parts: EntryParts) => createEndpointBook({
 			onLarge() {
 				parts.peers.sendSoon();
 			},
+			refreshMs: () => parts.peers.refreshMs(),
 		})).singleton(),
 		presence: asFunction(({log}: EntryParts) => createEndpointPresence(log)).singleton(),
 		health: asFunction(() => createHealthTracker({
--- a/packages/entry/src/lib/timings.ts
+++ b/packages/entry/src/lib/timings.ts
@@ -15,10 +15,10 @@
 	 */
 	endpointsRestMs: number;
 	reportEveryMs: number;
-	/** Silence after which a peer counts as away. */
-	peerSilenceMs: number;
-	/** Silence after which a peer is presumed stopped. */
-	peerGoneMs: number;
+	/** Silence after which a peer counts as away, while each round of reports reaches all peers. */
+	minPeerSilenceMs: number;
+	/** Silence after which a peer is presumed stopped, while each round of reports reaches all peers. */
+	minPeerGoneMs: number;
 	directoryEveryMs: number;
 	/** Lease duration, and the safety margin by which its holder stops early. */
 	leaseMs: number;
@@ -47,8 +47,8 @@
 		storeAnswerMs: settings.documentMs * 0.2,
 		endpointsRestMs: settings.drainMs * 0.125,
 		reportEveryMs: 200,
-		peerSilenceMs: 1000,
-		peerGoneMs: settings.quota.windowMs,
+		minPeerSilenceMs: 1000,
+		minPeerGoneMs: settings.quota.windowMs,
 		directoryEveryMs: 15_000,
 		leaseMs: settings.leaseMs * 0.6,
 		leaseMarginMs: settings.leaseMs * 0.15,
--- a/packages/entry/src/lib/wiring/duty-wiring.ts
+++ b/packages/entry/src/lib/wiring/duty-wiring.ts
@@ -13,7 +13,7 @@
 		incarnation: BigInt(incarnation),
 		table: ownTable,
 		candidates: () => [settings.name, ...peers.live().map(({report}) => report.daemon)],
-		isHeldElsewhere: () => peers.live().some(({report}) => report.duty !== null && report.duty[1] > 0),
+		isHeldElsewhere: () => peers.live().some(({report, heardAt}) => report.duty !== null && report.duty[1] > performance.now() - heardAt),
 		lastWord(name, incarnation) {
 			const heard = peers.known().get(name);
 			return heard?.report.duty && BigInt(heard.report.incarnation) === incarnation
--- a/packages/entry/src/lib/wiring/peer-wiring.ts
+++ b/packages/entry/src/lib/wiring/peer-wiring.ts
@@ -49,12 +49,12 @@
 		parts.endpointFeed.hint(report.heard.endpoints ?? 0);
 	};
 
-	return createPeerExchange({
+	const exchange = createPeerExchange({
 		name: settings.name,
 		incarnation,
 		bind: {host: settings.peerPorts.host, port: settings.peerPorts.first},
 		everyMs: timings.reportEveryMs,
-		silenceMs: timings.peerSilenceMs,
+		minSilenceMs: timings.minPeerSilenceMs,
 		compose: () => ({
 			heard: {operator: parts.operatorFeed.newestChange(), endpoints: parts.endpointFeed.newestChange()},
 			usage: quota.report(),
@@ -62,7 +62,7 @@
 			named: parts.view.recentWeights(settings.weightsMs * 2),
 			duty: dutyForReport(parts),
 			engines: enginesForReport(parts),
-			ended: parts.presence.endedLately(timings.peerSilenceMs),
+			ended: parts.presence.endedLately(exchange.silenceMs()),
 			kept: parts.kept.takeNews(),
 			placed: parts.resident.takeNews(),
 		}),
@@ -70,6 +70,7 @@
 		openTransport,
 		log,
 	});
+	return exchange;
 }
 
 /** Tells peers how long the lease may still be held, so that a successor waits no longer than needed. */
--- a/packages/entry/src/lib/wiring/request-wiring.ts
+++ b/packages/entry/src/lib/wiring/request-wiring.ts
@@ -30,8 +30,8 @@
 		},
 		startUnits: settings.quota.extraUnits * startExtraRatio,
 		daemons: () => countDaemons(parts),
-		silenceMs: timings.peerSilenceMs,
-		goneMs: timings.peerGoneMs,
+		silenceMs: () => parts.peers.silenceMs(),
+		goneMs: () => parts.peers.silenceMs() + timings.minPeerGoneMs - timings.minPeerSilenceMs,
 	});
 }
 
--- a/packages/entry/src/test/peer-wiring.test.ts
+++ b/packages/entry/src/test/peer-wiring.test.ts
@@ -5,8 +5,10 @@
 import {assert} from 'chai';
 import {parseBootSettings} from '@hickorywalk/platform';
 import {type LiveEndpoint} from 'hickorywalk/fleet.js';
-import {decodeReport, type PeerExchange} from 'hickorywalk/peers.js';
+import {createSilentLog} from 'hickorywalk/observability.js';
+import {decodeReport, type PeerExchange, type PeerReport} from 'hickorywalk/peers.js';
 import {createEntryParts} from '../lib/entry-parts.js';
+import {wireLeases} from '../lib/wiring/duty-wiring.js';
 import {type EntryParts} from '../lib/wiring/parts.js';
 import {wirePeers} from '../lib/wiring/peer-wiring.js';
 
@@ -129,3 +131,71 @@
 		assert.deepEqual([...toldOf.values()].map(ids => [...ids]), peerNames.map(() => ['e1']));
 	});
 });
+
+describe('what is believed of 66 peers', () => {
+	let clock: FakeTimers.Clock;
+	let parts: EntryParts;
+
+	beforeEach(() => {
+		clock = FakeTimers.install({toFake: ['performance']});
+		parts = createEntryParts(settingsWith(1)).cradle;
+		for (let index = 0; index < 66; index++) {
+			parts.peers.learn(`vm-${index + 2}`, `vm-${index + 2}:1`);
+		}
+	});
+
+	afterEach(() => {
+		parts.operatorFeed.close();
+		parts.endpointFeed.close();
+		clock.uninstall();
+	});
+
+	const reportOf = (daemon: string, more: Partial<PeerReport>): PeerReport => ({
+		daemon, incarnation: 1, number: 1, isLeaving: false, address: `${daemon}:1`, heard: {}, usage: [], loads: [], named: [], duty: null, engines: [], ended: [], kept: [], placed: [], ...more,
+	});
+
+	it('keeps a load for three refresh intervals, and a plan for a lease', () => {
+		// Each peer is heard once a second, or after two seconds where a report is lost.
+		parts.book.heard(reportOf('vm-2', {loads: [['e1', 3, 4000, 9000, 0]]}));
+		parts.versions.planned('e1', 2, 5000);
+		const dueInMs = () => parts.versions.of(endpoint('e1', 100), 'm').dueInMs;
+		clock.tick(parts.timings.leaseMs);
+		assert.equal(dueInMs(), 5000 - parts.timings.leaseMs);
+		clock.tick(1);
+		assert.equal(dueInMs(), Number.POSITIVE_INFINITY);
+		clock.tick(2999 - parts.timings.leaseMs);
+		assert.equal(parts.book.load(endpoint('e1', 100)).running, 3);
+		clock.tick(1);
+		assert.equal(parts.book.load(endpoint('e1', 100)).running, 0);
+	});
+
+	it('reads the lease as soon as its holder\'s last word has run out', async () => {
+		// A holder that died would else be trusted until it counts as away.
+		let reads = 0;
+		const heardAt = performance.now();
+		const holder = {report: reportOf('vm-2', {duty: [1, 1200]}), heardAt};
+		const leases = wireLeases({
+			...parts,
+			log: createSilentLog(),
+			peers: {...parts.peers, live: () => [holder], known: () => new Map([['vm-2', holder]])},
+			ownTable: {
+				...parts.ownTable,
+				async list() {
+					reads++;
+					return [{
+						key: 'leases/weights', value: JSON.stringify({
+							holder: 'vm-9', incarnation: '1', fencing: 1, attempt: 1,
+						}), version: 1,
+					}];
+				},
+			},
+		});
+		await leases.tick();
+		clock.tick(1199);
+		await leases.tick();
+		assert.equal(reads, 0);
+		clock.tick(1);
+		await leases.tick();
+		assert.equal(reads, 1);
+	});
+});
--- a/packages/router/src/lib/peers/peer-exchange.ts
+++ b/packages/router/src/lib/peers/peer-exchange.ts
@@ -1,11 +1,16 @@
 /**
  * Exchanges state reports with peers by UDP. Each report replaces the one before, so
  * lost datagrams need no retransmission.
+ *
+ * A round reaches a limited number of peers, those first that have waited longest. The time
+ * in which rounds reach all peers thus grows with the fleet; what readers call stale
+ * follows from it, see `refreshMs`.
  */
 import {type Buffer} from 'node:buffer';
 import {type Log} from '../observability/log.js';
+import {createNewsLog} from './news-log.js';
 import {type DatagramTransport, type OpenDatagramTransport, openUdpTransport} from './datagram-transport.js';
-import {type PeerReport} from './peer-report.js';
+import {maxReportedParts, maxReportedPlacements, type PeerReport} from './peer-report.js';
 import {decodeReport, encodeReport} from './report-codec.js';
 
 /** A peer's latest report. */
@@ -25,9 +30,9 @@
 	bind: {host: string; port: number};
 	/** Milliseconds between two reports. */
 	everyMs: number;
-	/** Milliseconds of silence after which a peer counts as away. */
-	silenceMs: number;
-	/** Returns the current report contents. */
+	/** Lower bound of {@link PeerExchange.silenceMs}. */
+	minSilenceMs: number;
+	/** Returns the current report contents; `kept` and `placed` hold what is new since the last call. */
 	compose: () => OwnReport;
 	/** Called for each new report. */
 	onReport: (report: PeerReport) => void;
@@ -48,14 +53,25 @@
 	known: () => ReadonlyMap<string, HeardReport>;
 	/** Tells peers that this process stops, and closes the transport. */
 	leave: () => Promise<void>;
-	/** Sends a report at once. */
+	/** Sends a report to all peers, for what each must know at once. */
 	sendNow: () => void;
-	/** Sends a report, unless one was sent within the minimum interval. */
+	/** Sends a report to one round's peers, unless one was sent within the minimum interval. */
 	sendSoon: () => void;
+	/** Maximum time between two reports from one live peer, if none is lost. */
+	refreshMs: () => number;
+	/** Silence after which a peer counts as away. */
+	silenceMs: () => number;
 };
 
-/** Silence after which a peer is forgotten. */
-const forgetMs = 60_000;
+type Peer = {
+	address: string;
+	learntAt: number;
+	/** Number of the last report that was sent to it. */
+	sentNumber: number;
+};
+
+/** Lower bound of the silence after which a peer is forgotten. */
+const minForgetMs = 60_000;
 
 /** Minimum interval between unscheduled reports. */
 const minPauseMs = 40;
@@ -63,23 +79,40 @@
 /** Fan-out limit, so that the cost of a round doesn't grow with the fleet. */
 const maxPeersPerRound = 16;
 
+/** Refresh intervals without a report after which a peer counts as away. */
+const refreshesUntilAway = 5;
+
+/** More peers that go away in one round share one log line. */
+const maxAwayLines = 8;
+
 /** Creates an exchange; it is silent until started. */
 export function createPeerExchange(options: PeerExchangeOptions): PeerExchange {
 	const {name, incarnation, log} = options;
 	const address = `${options.bind.host}:${options.bind.port}`;
-	const addresses = new Map<string, {address: string; learntAt: number}>();
+	/** Peers to send to; those first whose last scheduled report is the oldest. */
+	const queue = new Map<string, Peer>();
 	const reports = new Map<string, HeardReport>();
+	/** Peers that were logged as away. */
+	const away = new Set<string>();
+	const keptNews = createNewsLog<PeerReport['kept'][number]>(maxReportedParts);
+	const placedNews = createNewsLog<PeerReport['placed'][number]>(maxReportedPlacements);
 	let transport: DatagramTransport | undefined;
 	let timer: NodeJS.Timeout | undefined;
 	let number = 0;
-	let nextPeer = 0;
+	let isAnnouncing = false;
+	let hasLeft = false;
 	let sentAt = Number.NEGATIVE_INFINITY;
 
-	const isAway = (heard: HeardReport): boolean => performance.now() - heard.heardAt > options.silenceMs;
+	const refreshMs = (): number => Math.max(1, Math.ceil(queue.size / maxPeersPerRound)) * options.everyMs;
+
+	const silenceMs = (): number => Math.max(options.minSilenceMs, refreshMs() * refreshesUntilAway);
+
+	const isAway = (heard: HeardReport): boolean => performance.now() - heard.heardAt > silenceMs();
 
 	const learn = (daemon: string, peerAddress: string): void => {
 		if (daemon !== name) {
-			addresses.set(daemon, {address: peerAddress, learntAt: performance.now()});
+			const sentNumber = queue.get(daemon)?.sentNumber ?? number;
+			queue.set(daemon, {address: peerAddress, learntAt: performance.now(), sentNumber});
 		}
 	};
 
@@ -101,7 +134,8 @@
 			return;
 		}
 
-		if (known?.report.incarnation !== report.incarnation || isAway(known)) {
+		const wasAway = away.delete(report.daemon);
+		if (known?.report.incarnation !== report.incarnation || wasAway) {
 			log.info('Peer is heard.', {peer: report.daemon, incarnation: report.incarnation, ms: known && Math.round(performance.now() - known.heardAt)});
 		}
 
@@ -109,52 +143,96 @@
 		learn(report.daemon, report.address);
 		if (report.isLeaving) {
 			reports.delete(report.daemon);
-			addresses.delete(report.daemon);
+			queue.delete(report.daemon);
 			log.info('Peer leaves.', {peer: report.daemon});
 		}
 
 		options.onReport(report);
 	};
 
-	const send = async (isLeaving: boolean): Promise<void> => {
+	/** Returns an encoder of one report; peers that lack the same news share a datagram. */
+	const createEncoder = (isLeaving: boolean): (peer: Peer) => Buffer => {
+		const {kept, placed, ...state} = options.compose();
+		keptNews.add(kept, number);
+		placedNews.add(placed, number);
+		const contents = new Map<string, Buffer>();
+		return ({sentNumber}) => {
+			const news = {kept: keptNews.since(sentNumber), placed: placedNews.since(sentNumber)};
+			const key = `${news.kept.length} ${news.placed.length}`;
+			const content = contents.get(key) ?? encodeReport({
+				daemon: name, incarnation, number, address, isLeaving, ...state, ...news,
+			});
+			contents.set(key, content);
+			return content;
+		};
+	};
+
+	const send = async (peers: ReadonlyArray<[string, Peer]>, isLeaving = false): Promise<void> => {
 		if (transport === undefined) {
 			return;
 		}
 
 		number++;
 		sentAt = performance.now();
-		const report: PeerReport = {
-			daemon: name, incarnation, number, address, isLeaving, ...options.compose(),
-		};
-		const content = encodeReport(report);
-		const peers = [...addresses.values()];
-		const count = isLeaving ? peers.length : Math.min(peers.length, maxPeersPerRound);
+		const encode = createEncoder(isLeaving);
 		const sends: Array<Promise<void>> = [];
-		for (let index = 0; index < count; index++) {
-			sends.push(transport.send(content, peers[(nextPeer + index) % peers.length].address));
+		for (const [, peer] of peers) {
+			sends.push(transport.send(encode(peer), peer.address));
+			peer.sentNumber = number;
 		}
 
-		nextPeer = peers.length === 0 ? 0 : (nextPeer + count) % peers.length;
 		await Promise.all(sends);
 	};
 
+	const sendRound = (): void => {
+		if (hasLeft) {
+			return;
+		}
+
+		const peers = [...queue].slice(0, maxPeersPerRound);
+		for (const [daemon, peer] of peers) {
+			queue.delete(daemon);
+			queue.set(daemon, peer);
+		}
+
+		void send(peers);
+	};
+
 	const forgetOld = (): void => {
 		const now = performance.now();
-		for (const [daemon, {learntAt}] of addresses) {
+		const forgetMs = Math.max(minForgetMs, silenceMs());
+		for (const [daemon, {learntAt}] of queue) {
 			const heardAt = reports.get(daemon)?.heardAt ?? learntAt;
 			if (now - Math.max(heardAt, learntAt) > forgetMs) {
-				addresses.delete(daemon);
+				queue.delete(daemon);
 				reports.delete(daemon);
+				away.delete(daemon);
 			}
 		}
 	};
 
+	const logAway = (): void => {
+		const now = performance.now();
+		const newlyAway = [...reports.values()].filter(heard => isAway(heard) && !away.has(heard.report.daemon));
+		for (const {report: {daemon}, heardAt} of newlyAway) {
+			away.add(daemon);
+			if (newlyAway.length <= maxAwayLines) {
+				log.info('Peer is away.', {peer: daemon, ms: Math.round(now - heardAt)});
+			}
+		}
+
+		if (newlyAway.length > maxAwayLines) {
+			log.info('Many peers are away.', {count: newlyAway.length});
+		}
+	};
+
 	return {
 		async start() {
 			transport = await (options.openTransport ?? openUdpTransport)({bind: options.bind, onDatagram: receive, log});
 			timer = setInterval(() => {
 				forgetOld();
-				void send(false);
+				logAway();
+				sendRound();
 			}, options.everyMs);
 		},
 		learn,
@@ -162,24 +240,38 @@
 		known: () => reports,
 		async leave() {
 			clearInterval(timer);
+			hasLeft = true;
 			if (transport === undefined) {
 				return;
 			}
 
 			// Closing the transport before the send completes would drop the last report, and peers
 			// would count this daemon's load until it times out.
-			await send(true);
+			await send([...queue], true);
 			const closing = transport;
 			transport = undefined;
 			await closing.close();
 		},
 		sendNow() {
-			void send(false);
+			if (isAnnouncing) {
+				return;
+			}
+
+			// Several calls of one turn of the event loop share a report.
+			isAnnouncing = true;
+			queueMicrotask(() => {
+				isAnnouncing = false;
+				if (!hasLeft) {
+					void send([...queue]);
+				}
+			});
 		},
 		sendSoon() {
 			if (performance.now() - sentAt >= minPauseMs) {
-				void send(false);
+				sendRound();
 			}
 		},
+		refreshMs,
+		silenceMs,
 	};
 }
--- a/packages/router/src/lib/peers/peer-report.ts
+++ b/packages/router/src/lib/peers/peer-report.ts
@@ -1,6 +1,10 @@
 /** Schema of the state reports between daemons. */
 import {z} from 'zod';
 
+/** Most saved parts and placements in one report, which keep it within one datagram. */
+export const maxReportedParts = 24;
+export const maxReportedPlacements = 16;
+
 /** Report of one daemon. Lists hold tuples to keep datagrams small. */
 export const peerReportSchema = z.object({
 	daemon: z.string(),
@@ -35,10 +39,10 @@
 	engines: z.array(z.tuple([z.string(), z.number(), z.number(), z.number(), z.number().default(-1)])),
 	/** Listed endpoints whose process has ended, with its start time. */
 	ended: z.array(z.tuple([z.string(), z.number()])).default([]),
-	/** Keys of prompt parts sent to the cache store since the previous report. */
+	/** Keys of prompt parts sent to the cache store since the previous report to this peer. */
 	kept: z.array(z.string()).default([]),
 	/**
-	 * Prompts placed since the previous report: engine, cache scope, unshared tokens, shared
+	 * Prompts placed since the previous report to this peer: engine, cache scope, unshared tokens, shared
 	 * parts with their tokens.
 	 */
 	placed: z.array(z.tuple([z.string(), z.string(), z.number(), z.array(z.tuple([z.string(), z.number()]))])).default([]),
--- a/packages/router/src/lib/placing/endpoint-book.ts
+++ b/packages/router/src/lib/placing/endpoint-book.ts
@@ -88,12 +88,16 @@
 const initialRunMsPerToken = 5;
 /** Reports older than this are ignored. */
 const toldTtlMs = 700;
-const peerTtlMs = 1500;
+const minPeerTtlMs = 1500;
+/** Refresh intervals after which a peer's loads are ignored. */
+const refreshesPerPeerTtl = 3;
 
 /** Options of {@link createEndpointBook}. */
 export type EndpointBookOptions = {
 	/** Called when a request begins that peers should know of at once. */
 	onLarge?: () => void;
+	/** Maximum time between two reports from one peer. */
+	refreshMs?: () => number;
 };
 
 /**
@@ -103,7 +107,7 @@
 const largeTokens = 2000;
 
 /** Creates an empty book. */
-export function createEndpointBook({onLarge}: EndpointBookOptions = {}): EndpointBook {
+export function createEndpointBook({onLarge, refreshMs = () => 0}: EndpointBookOptions = {}): EndpointBook {
 	const entries = new Map<string, Entry>();
 	const peers = new Map<string, PeerLoads>();
 	let runMsPerToken = initialRunMsPerToken;
@@ -141,6 +145,7 @@
 		const sum: PeerLoad = {
 			running: 0, pendingTokens: 0, memoryTokens: 0, lastsMs: 0,
 		};
+		const peerTtlMs = Math.max(minPeerTtlMs, refreshMs() * refreshesPerPeerTtl);
 		for (const {at, loads} of peers.values()) {
 			const load = now - at > peerTtlMs ? undefined : loads.get(id);
 			if (load !== undefined) {
--- a/packages/router/src/lib/placing/kept-parts.ts
+++ b/packages/router/src/lib/placing/kept-parts.ts
@@ -2,6 +2,7 @@
  * Shared prompt parts in the cache store, as saved on behalf of this daemon and its peers.
  * All engines share the store's link, so parts that are known are not saved again.
  */
+import {maxReportedParts} from '../peers/peer-report.js';
 
 /** Recently saved parts, by cache key. */
 export type KeptParts = {
@@ -11,7 +12,7 @@
 	saved: (keys: readonly string[]) => void;
 	/** A peer had these parts saved. */
 	heard: (keys: readonly string[]) => void;
-	/** Returns and clears the keys saved since the last report. */
+	/** Returns and clears the latest keys saved since the last call; older ones may be saved twice. */
 	takeNews: () => string[];
 };
 
@@ -20,9 +21,6 @@
 
 const maxKeys = 4096;
 
-/** Keeps a report within one datagram; further keys may be saved twice. */
-const maxNews = 24;
-
 /** Creates an empty record. */
 export function createKeptParts(): KeptParts {
 	const savedAt = new Map<string, number>();
@@ -44,12 +42,14 @@
 		isKnown,
 		saved(keys) {
 			for (const key of keys) {
-				if (!isKnown(key) && news.length < maxNews) {
+				if (!isKnown(key)) {
 					news.push(key);
 				}
 
 				note(key);
 			}
+
+			news = news.slice(-maxReportedParts);
 		},
 		heard(keys) {
 			for (const key of keys) {
--- a/packages/router/src/lib/placing/resident-parts.ts
+++ b/packages/router/src/lib/placing/resident-parts.ts
@@ -3,6 +3,7 @@
  * that this daemon and its peers sent there.
  */
 import {LRUCache} from 'lru-cache';
+import {maxReportedPlacements} from '../peers/peer-report.js';
 import {
 	leadingTokens, partKey, partKeys, type PromptNeed, type PromptPartTokens, scopeOf, sharedPartsOf,
 } from './choice-request.js';
@@ -23,7 +24,7 @@
 	sent: (engine: EngineWeights, prompt: PromptNeed) => void;
 	/** Peers sent prompts. */
 	heard: (placements: readonly Placement[]) => void;
-	/** Returns and clears the placements since the last report. */
+	/** Returns and clears the latest placements since the last call; peers learn of older ones by the next use. */
 	takeNews: () => Placement[];
 	/** The endpoint is gone, or was restarted. */
 	forget: (id: string) => void;
@@ -38,9 +39,6 @@
 /** Fraction of memory available to cached parts; running requests use the rest. */
 const cacheRatio = 0.75;
 
-/** Keeps a report within one datagram; peers learn of further placements by the next use. */
-const maxNews = 16;
-
 type Memory = LRUCache<string, number>;
 
 /** Creates an empty record. */
@@ -115,9 +113,7 @@
 				id, scopeOf(prompt, weights), prompt.promptTokens - sharedTokens + prompt.outputTokens, shared.map(part => [part.id, part.tokens]),
 			];
 			note(placement);
-			if (news.length < maxNews) {
-				news.push(placement);
-			}
+			news = [...news, placement].slice(-maxReportedPlacements);
 		},
 		heard(placements) {
 			for (const placement of placements) {
--- a/packages/router/src/lib/quotas/fleet-quota.ts
+++ b/packages/router/src/lib/quotas/fleet-quota.ts
@@ -36,9 +36,9 @@
 	/** Daemons that are known, this one included. */
 	daemons: () => number;
 	/** Silence after which a peer is thought to go on admitting unheard. */
-	silenceMs: number;
+	silenceMs: () => number;
 	/** Silence after which a peer is thought to admit nothing any more: it has stopped. */
-	goneMs: number;
+	goneMs: () => number;
 };
 
 /** The quotas of all workspaces. */
@@ -156,11 +156,12 @@
 
 	/** A peer that fell silent may be cut off and still admit its part. */
 	const assumeForSilent = (bucket: Bucket, elapsedMs: number, now: number): void => {
+		const [silenceMs, goneMs] = [options.silenceMs(), options.goneMs()];
 		for (const [daemon, peer] of bucket.peers) {
 			const silentMs = now - peer.heardAt;
-			if (silentMs > options.goneMs) {
+			if (silentMs > goneMs) {
 				bucket.peers.delete(daemon);
-			} else if (silentMs > options.silenceMs) {
+			} else if (silentMs > silenceMs) {
 				const units = Math.min(peer.demand, bucket.rate) * elapsedMs / msPerSecond;
 				peer.assumed += units;
 				bucket.level -= units;
--- a/packages/router/src/lib/weights/engine-versions.ts
+++ b/packages/router/src/lib/weights/engine-versions.ts
@@ -33,15 +33,21 @@
  */
 const maxChangeMs = 4000;
 
-/** Time after which a plan is void unless the lease holder's report repeats it. */
-const planTtlMs = 1000;
+/** Lower bound of the time after which a plan is void unless the lease holder's report repeats it. */
+const minPlanTtlMs = 1000;
+
+/** Options of {@link createEngineVersions}. */
+export type EngineVersionsOptions = {
+	/** Time within which a live lease holder repeats its plans, even if reports are lost. */
+	planRepeatMs?: () => number;
+};
 
 type Change = {toVersion: number; since: number};
 
 type Plan = {toVersion: number; dueAt: number; heardAt: number};
 
 /** Creates empty beliefs. */
-export function createEngineVersions(): EngineVersions {
+export function createEngineVersions({planRepeatMs = () => 0}: EngineVersionsOptions = {}): EngineVersions {
 	const versions = new Map<string, number>();
 	const changes = new Map<string, Change>();
 	const plans = new Map<string, Plan>();
@@ -49,7 +55,7 @@
 	const dueInMs = (id: string, version: number): number => {
 		const plan = plans.get(id);
 		const now = performance.now();
-		return plan === undefined || plan.toVersion <= version || now - plan.heardAt > planTtlMs
+		return plan === undefined || plan.toVersion <= version || now - plan.heardAt > Math.max(minPlanTtlMs, planRepeatMs())
 			? Number.POSITIVE_INFINITY
 			: Math.max(0, plan.dueAt - now);
 	};
--- a/packages/router/src/test/peers/large-fleet.test.ts
+++ b/packages/router/src/test/peers/large-fleet.test.ts
@@ -4,7 +4,7 @@
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {createSilentLog, type Log} from '../../observability.js';
 import {
-	createPeerExchange, decodeReport, type OpenDatagramTransport, type OwnReport, type PeerExchange,
+	createPeerExchange, decodeReport, encodeReport, type OpenDatagramTransport, type OwnReport, type PeerExchange,
 } from '../../peers.js';
 
 const peerCount = 66;
@@ -53,21 +53,23 @@
 		};
 	};
 
-	type ExchangeOptions = {openTransport: OpenDatagramTransport; compose?: () => OwnReport; log?: Log};
+	type ExchangeOptions = {openTransport: OpenDatagramTransport; peers?: readonly string[]; compose?: () => OwnReport; log?: Log};
 
-	const open = (name: string, {openTransport, compose = emptyReport, log = createSilentLog()}: ExchangeOptions): PeerExchange => {
+	const open = (name: string, {
+		openTransport, peers = ['observer', ...peerNames], compose = emptyReport, log = createSilentLog(),
+	}: ExchangeOptions): PeerExchange => {
 		const exchange = createPeerExchange({
 			name,
 			incarnation: 1,
 			bind: {host: name, port: 1},
 			everyMs,
-			silenceMs: 1000,
+			minSilenceMs: 1000,
 			compose,
 			onReport: () => undefined,
 			openTransport,
 			log,
 		});
-		for (const peer of ['observer', ...peerNames]) {
+		for (const peer of peers) {
 			exchange.learn(peer, addressOf(peer));
 		}
 
@@ -112,6 +114,46 @@
 		assert.deepEqual(lines, peerNames.map(() => 'Peer is heard.'));
 	}).timeout(120_000);
 
+	it('counts a peer as away only after several refresh intervals, which grow with the fleet', () => {
+		const limitsWith = (count: number): number[] => {
+			const exchange = open('vm-0', {openTransport: openLossy, peers: Array.from({length: count}, (_item, index) => `vm-${index + 1}`)});
+			return [exchange.refreshMs(), exchange.silenceMs()];
+		};
+
+		assert.deepEqual([0, 16, 17, 66, 650].map(count => limitsWith(count)), [
+			[200, 1000], [200, 1000], [400, 2000], [1000, 5000], [8200, 41_000],
+		]);
+	});
+
+	it('logs a peer once when it is away and once when it is back, and an outage of many in one line', async () => {
+		const lines: unknown[] = [];
+		const log: Log = {
+			...createSilentLog(),
+			info(sentence, context) {
+				lines.push([sentence, context?.peer ?? context?.count]);
+			},
+		};
+		const observer = open('observer', {openTransport: openLossy, log});
+		await observer.start();
+		const deliver = (names: readonly string[], number: number): void => {
+			for (const daemon of names) {
+				receivers.get(addressOf('observer'))!(encodeReport({
+					...emptyReport(), daemon, incarnation: 1, number, isLeaving: false, address: addressOf(daemon),
+				}));
+			}
+		};
+
+		deliver(['vm-1'], 1);
+		await clock.tickAsync(9000);
+		deliver(['vm-1'], 2);
+		deliver(['vm-1'], 3);
+		assert.deepEqual(lines.splice(0), [['Peer is heard.', 'vm-1'], ['Peer is away.', 'vm-1'], ['Peer is heard.', 'vm-1']]);
+		deliver(peerNames, 4);
+		lines.splice(0);
+		await clock.tickAsync(9000);
+		assert.deepEqual(lines, [['Many peers are away.', 66]]);
+	});
+
 	/** An exchange whose datagrams are recorded by address. */
 	const startRecorded = async (compose: () => OwnReport) => {
 		const sent = new Map<string, Buffer[]>(peerNames.map(name => [addressOf(name), []]));
@@ -164,4 +206,57 @@
 		await clock.tickAsync(0);
 		assert.deepEqual([...sent.values()].map(contents => contents.length), peerNames.map(() => 1));
 	});
+
+	it('tells a peer that joins no news from before', async () => {
+		const kept = [':1 early'];
+		const {exchange, sent} = await startRecorded(() => ({...emptyReport(), kept: kept.splice(0)}));
+		await clock.tickAsync(2000);
+		sent.set('vm-67:1', []);
+		exchange.learn('vm-67', 'vm-67:1');
+		kept.push(':1 late');
+		await clock.tickAsync(2000);
+		assert.deepEqual(sent.get('vm-67:1')!.flatMap(content => decodeReport(content).kept), [':1 late']);
+	});
+
+	it('keeps the latest news where there is more than a report holds', async () => {
+		const keys = Array.from({length: 30}, (_item, index) => `:1 part-${index}`);
+		const kept = [...keys];
+		const {sent} = await startRecorded(() => ({...emptyReport(), kept: kept.splice(0, 20)}));
+		await clock.tickAsync(2000);
+		// The last peers of a cycle are first told after both batches.
+		assert.deepEqual(sent.get('vm-66:1')!.flatMap(content => decodeReport(content).kept), keys.slice(-24));
+	});
+
+	it('sends to 16 peers a round, and reaches each within a refresh interval', async () => {
+		const {exchange, sent} = await startRecorded(emptyReport);
+		const counts = (): number[] => [...sent.values()].map(contents => contents.length);
+		for (let round = 1; round <= 50; round++) {
+			await clock.tickAsync(everyMs);
+			assert.equal(counts().reduce((sum, count) => sum + count, 0), round * 16);
+		}
+
+		assert.isAtLeast(Math.min(...counts()), Math.floor(50 * everyMs / exchange.refreshMs()));
+	});
+
+	it('shares one report between urgent calls of one turn', async () => {
+		const {exchange, sent} = await startRecorded(emptyReport);
+		exchange.sendNow();
+		exchange.sendNow();
+		await clock.tickAsync(0);
+		assert.deepEqual([...sent.values()].map(contents => contents.length), peerNames.map(() => 1));
+	});
+
+	it('sends nothing after the report that it leaves', async () => {
+		// A later report would make peers count the load of a process that is gone.
+		const {exchange, sent} = await startRecorded(emptyReport);
+		exchange.sendNow();
+		const left = exchange.leave();
+		exchange.sendNow();
+		exchange.sendSoon();
+		await left;
+		await clock.tickAsync(2000);
+		for (const contents of sent.values()) {
+			assert.deepEqual(contents.map(content => decodeReport(content).isLeaving), [true]);
+		}
+	});
 });
--- a/packages/router/src/test/peers/peer-exchange.test.ts
+++ b/packages/router/src/test/peers/peer-exchange.test.ts
@@ -33,7 +33,7 @@
 			incarnation,
 			bind: {host, port},
 			everyMs: neverMs,
-			silenceMs: neverMs,
+			minSilenceMs: neverMs,
 			compose: () => ({
 				heard: {operator: store()}, usage: [], loads: [], named: [], duty: null, engines: [], ended: [], kept: [], placed: [],
 			}),
--- a/packages/router/src/test/quotas/fleet-quota.test.ts
+++ b/packages/router/src/test/quotas/fleet-quota.test.ts
@@ -96,7 +96,7 @@
 		const due = new Set<number>();
 		const toldAt = Array.from({length: daemons}, () => 0);
 		const open = (index: number, startsFull: boolean) => createFleetQuota({
-			startsFull, onUnreported: () => due.add(index), startUnits: restartUnits, daemons: () => daemons, silenceMs: 1000, goneMs: windowMs,
+			startsFull, onUnreported: () => due.add(index), startUnits: restartUnits, daemons: () => daemons, silenceMs: () => 1000, goneMs: () => windowMs,
 		});
 		const quotas = Array.from({length: daemons}, (_item, index) => open(index, true));
 		const played: Played = {admitted: [], refused: []};
@@ -180,4 +180,31 @@
 			assert.isAtLeast(units, 0.9 * ((30 * limits.rate) + limits.burst));
 		});
 	}
+
+	it('assumes spending of a silent peer between two limits, which follow the size of the fleet', () => {
+		// In a large fleet a live peer is heard less often; what it is assumed to spend
+		// meanwhile would be refused to callers.
+		let silenceMs = 5000;
+		const quota = createFleetQuota({
+			startsFull: true, onUnreported: () => undefined, startUnits: 0, daemons: () => 2, silenceMs: () => silenceMs, goneMs: () => silenceMs + 7000,
+		});
+		const limits = workspace(1000, 100_000);
+		const level = (): number => quota.report()[0][3];
+		quota.admit(limits, 90_000);
+		const usage = (admitted: number): PeerReport => ({...report('vm-2', quota, 1), usage: [['school', admitted, 1000, 10_000]]});
+		quota.heard(usage(0));
+		assert.equal(level(), 10_000);
+		clock.tick(5000);
+		assert.equal(level(), 15_000);
+		// The peer may spend at the whole rate, so nothing is left of the refill.
+		clock.tick(1000);
+		assert.equal(level(), 15_000);
+		quota.heard(usage(0));
+		assert.equal(level(), 16_000);
+		silenceMs = 1000;
+		clock.tick(2000);
+		assert.equal(level(), 16_000);
+		clock.tick(7000);
+		assert.equal(level(), 23_000);
+	});
 });
