--- a/packages/entry/src/lib/wiring/peer-wiring.ts
+++ b/packages/entry/src/lib/wiring/peer-wiring.ts
@@ -1,12 +1,12 @@
 /** Wires the exchange of reports between daemons. */
 import {
-	createPeerDirectory, createPeerExchange, type PeerExchange, type PeerReport,
+	createPeerDirectory, createPeerExchange, type OpenDatagramTransport, type PeerExchange, type PeerReport,
 } from 'hickorywalk/peers.js';
 import {weightsDuty} from './duty-wiring.js';
 import {type EntryParts} from './parts.js';
 
 /** Creates the exchange and applies peers' reports to the local state. */
-export function wirePeers(parts: EntryParts): PeerExchange {
+export function wirePeers(parts: EntryParts, openTransport?: OpenDatagramTransport): PeerExchange {
 	const {settings, timings, incarnation, log, quota, book, versions} = parts;
 	const onReport = (report: PeerReport): void => {
 		if (report.isLeaving) {
@@ -49,12 +49,12 @@
 		parts.endpointFeed.hint(report.heard.endpoints ?? 0);
 	};
 
-	return createPeerExchange({
+	const exchange = createPeerExchange({
 		name: settings.name,
 		incarnation,
 		bind: {host: settings.peerPorts.host, port: settings.peerPorts.first},
 		everyMs: timings.reportEveryMs,
-		silenceMs: timings.peerSilenceMs,
+		minSilenceMs: timings.minPeerSilenceMs,
 		compose: () => ({
 			heard: {operator: parts.operatorFeed.newestChange(), endpoints: parts.endpointFeed.newestChange()},
 			usage: quota.report(),
@@ -62,13 +62,15 @@
 			named: parts.view.recentWeights(settings.weightsMs * 2),
 			duty: dutyForReport(parts),
 			engines: enginesForReport(parts),
-			ended: parts.presence.endedLately(timings.peerSilenceMs),
+			ended: parts.presence.endedLately(exchange.silenceMs()),
 			kept: parts.kept.takeNews(),
 			placed: parts.resident.takeNews(),
 		}),
 		onReport,
+		openTransport,
 		log,
 	});
+	return exchange;
 }
 
 /** Tells peers how long the lease may still be held, so that a successor waits no longer than needed. */
--- /dev/null
+++ b/packages/router/src/test/peers/large-fleet.test.ts
@@ -0,0 +1,262 @@
+import {type Buffer} from 'node:buffer';
+import FakeTimers from '@sinonjs/fake-timers';
+import {assert} from 'chai';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {createSilentLog, type Log} from '../../observability.js';
+import {
+	createPeerExchange, decodeReport, encodeReport, type OpenDatagramTransport, type OwnReport, type PeerExchange,
+} from '../../peers.js';
+
+const peerCount = 66;
+const everyMs = 200;
+const maxJitterMs = 50;
+const lossRatio = 1 / 50;
+
+const peerNames = Array.from({length: peerCount}, (_item, index) => `vm-${index + 1}`);
+const addressOf = (name: string): string => `${name}:1`;
+
+const emptyReport = (): OwnReport => ({
+	heard: {}, usage: [], loads: [], named: [], duty: null, engines: [], ended: [], kept: [], placed: [],
+});
+
+type Deliver = (content: Buffer) => void;
+
+describe('createPeerExchange with 66 peers', () => {
+	let clock: FakeTimers.Clock;
+	let receivers: Map<string, Deliver>;
+	let random: () => number;
+
+	beforeEach(() => {
+		clock = FakeTimers.install({toFake: ['performance', 'setTimeout', 'setInterval', 'clearInterval']});
+		receivers = new Map();
+		const generator = xoroshiro128plus(23);
+		random = () => (generator.next() >>> 0) / (2 ** 32); // eslint-disable-line no-bitwise
+	});
+
+	afterEach(() => {
+		clock.uninstall();
+	});
+
+	/** A network with jitter and loss; datagrams to addresses without a receiver vanish. */
+	const openLossy: OpenDatagramTransport = async ({bind, onDatagram}) => {
+		receivers.set(`${bind.host}:${bind.port}`, onDatagram);
+		return {
+			async send(content, address) {
+				const deliver = receivers.get(address);
+				if (deliver !== undefined && random() >= lossRatio) {
+					setTimeout(deliver, random() * maxJitterMs, content);
+				}
+			},
+			async close() {
+				receivers.delete(`${bind.host}:${bind.port}`);
+			},
+		};
+	};
+
+	type ExchangeOptions = {openTransport: OpenDatagramTransport; peers?: readonly string[]; compose?: () => OwnReport; log?: Log};
+
+	const open = (name: string, {
+		openTransport, peers = ['observer', ...peerNames], compose = emptyReport, log = createSilentLog(),
+	}: ExchangeOptions): PeerExchange => {
+		const exchange = createPeerExchange({
+			name,
+			incarnation: 1,
+			bind: {host: name, port: 1},
+			everyMs,
+			minSilenceMs: 1000,
+			compose,
+			onReport: () => undefined,
+			openTransport,
+			log,
+		});
+		for (const peer of peers) {
+			exchange.learn(peer, addressOf(peer));
+		}
+
+		return exchange;
+	};
+
+	/** Starts the peers at random phases of their rounds, and an observer that alone receives. */
+	const startFleet = async (log: Log): Promise<PeerExchange> => {
+		const observer = open('observer', {openTransport: openLossy, log});
+		await observer.start();
+		const sendOnly: OpenDatagramTransport = async options => {
+			const transport = await openLossy(options);
+			receivers.delete(`${options.bind.host}:${options.bind.port}`);
+			return transport;
+		};
+
+		for (const name of peerNames) {
+			const peer = open(name, {openTransport: sendOnly});
+			setTimeout(() => {
+				void peer.start();
+			}, random() * everyMs);
+		}
+
+		return observer;
+	};
+
+	it('counts no live peer as away while some reports are late or lost', async () => {
+		const lines: string[] = [];
+		const log: Log = {
+			...createSilentLog(),
+			info(sentence) {
+				lines.push(sentence);
+			},
+		};
+		const observer = await startFleet(log);
+		await clock.tickAsync(4000);
+		for (let at = 4000; at < 30_000; at += 50) {
+			await clock.tickAsync(50);
+			assert.equal(observer.live().length, peerCount, `after ${at} ms`);
+		}
+
+		assert.deepEqual(lines, peerNames.map(() => 'Peer is heard.'));
+	}).timeout(120_000);
+
+	it('counts a peer as away only after several refresh intervals, which grow with the fleet', () => {
+		const limitsWith = (count: number): number[] => {
+			const exchange = open('vm-0', {openTransport: openLossy, peers: Array.from({length: count}, (_item, index) => `vm-${index + 1}`)});
+			return [exchange.refreshMs(), exchange.silenceMs()];
+		};
+
+		assert.deepEqual([0, 16, 17, 66, 650].map(count => limitsWith(count)), [
+			[200, 1000], [200, 1000], [400, 2000], [1000, 5000], [8200, 41_000],
+		]);
+	});
+
+	it('logs a peer once when it is away and once when it is back, and an outage of many in one line', async () => {
+		const lines: unknown[] = [];
+		const log: Log = {
+			...createSilentLog(),
+			info(sentence, context) {
+				lines.push([sentence, context?.peer ?? context?.count]);
+			},
+		};
+		const observer = open('observer', {openTransport: openLossy, log});
+		await observer.start();
+		const deliver = (names: readonly string[], number: number): void => {
+			for (const daemon of names) {
+				receivers.get(addressOf('observer'))!(encodeReport({
+					...emptyReport(), daemon, incarnation: 1, number, isLeaving: false, address: addressOf(daemon),
+				}));
+			}
+		};
+
+		deliver(['vm-1'], 1);
+		await clock.tickAsync(9000);
+		deliver(['vm-1'], 2);
+		deliver(['vm-1'], 3);
+		assert.deepEqual(lines.splice(0), [['Peer is heard.', 'vm-1'], ['Peer is away.', 'vm-1'], ['Peer is heard.', 'vm-1']]);
+		deliver(peerNames, 4);
+		lines.splice(0);
+		await clock.tickAsync(9000);
+		assert.deepEqual(lines, [['Many peers are away.', 66]]);
+	});
+
+	/** An exchange whose datagrams are recorded by address. */
+	const startRecorded = async (compose: () => OwnReport) => {
+		const sent = new Map<string, Buffer[]>(peerNames.map(name => [addressOf(name), []]));
+		const exchange = open('observer', {
+			compose,
+			openTransport: async () => ({
+				async send(content, address) {
+					sent.get(address)!.push(content);
+				},
+				async close() {
+					// Nothing is open.
+				},
+			}),
+		});
+		await exchange.start();
+		return {exchange, sent};
+	};
+
+	it('tells each item of news to each peer once', async () => {
+		// An item told to the peers of one round alone never reaches the rest of the fleet.
+		const kept: string[] = [];
+		const placed: OwnReport['placed'] = [];
+		const {exchange, sent} = await startRecorded(() => ({...emptyReport(), kept: kept.splice(0), placed: placed.splice(0)}));
+		const keys = Array.from({length: 40}, (_item, index) => `:1 part-${index}`);
+		for (const [index, key] of keys.entries()) {
+			kept.push(key);
+			placed.push([key, ':1', 10, []]);
+			await clock.tickAsync(30 + (index * 7));
+			if (index % 5 === 0) {
+				exchange.sendSoon();
+			}
+
+			if (index % 9 === 0) {
+				exchange.sendNow();
+			}
+		}
+
+		await clock.tickAsync(2000);
+		for (const [address, contents] of sent) {
+			const reports = contents.map(content => decodeReport(content));
+			assert.deepEqual(reports.flatMap(report => report.kept), keys, address);
+			assert.deepEqual(reports.flatMap(report => report.placed.map(([engine]) => engine)), keys, address);
+		}
+	});
+
+	it('sends an urgent report to every peer at once', async () => {
+		// The next lease holder must know of an order even if its sender dies right after it.
+		const {exchange, sent} = await startRecorded(emptyReport);
+		exchange.sendNow();
+		await clock.tickAsync(0);
+		assert.deepEqual([...sent.values()].map(contents => contents.length), peerNames.map(() => 1));
+	});
+
+	it('tells a peer that joins no news from before', async () => {
+		const kept = [':1 early'];
+		const {exchange, sent} = await startRecorded(() => ({...emptyReport(), kept: kept.splice(0)}));
+		await clock.tickAsync(2000);
+		sent.set('vm-67:1', []);
+		exchange.learn('vm-67', 'vm-67:1');
+		kept.push(':1 late');
+		await clock.tickAsync(2000);
+		assert.deepEqual(sent.get('vm-67:1')!.flatMap(content => decodeReport(content).kept), [':1 late']);
+	});
+
+	it('keeps the latest news where there is more than a report holds', async () => {
+		const keys = Array.from({length: 30}, (_item, index) => `:1 part-${index}`);
+		const kept = [...keys];
+		const {sent} = await startRecorded(() => ({...emptyReport(), kept: kept.splice(0, 20)}));
+		await clock.tickAsync(2000);
+		// The last peers of a cycle are first told after both batches.
+		assert.deepEqual(sent.get('vm-66:1')!.flatMap(content => decodeReport(content).kept), keys.slice(-24));
+	});
+
+	it('sends to 16 peers a round, and reaches each within a refresh interval', async () => {
+		const {exchange, sent} = await startRecorded(emptyReport);
+		const counts = (): number[] => [...sent.values()].map(contents => contents.length);
+		for (let round = 1; round <= 50; round++) {
+			await clock.tickAsync(everyMs);
+			assert.equal(counts().reduce((sum, count) => sum + count, 0), round * 16);
+		}
+
+		assert.isAtLeast(Math.min(...counts()), Math.floor(50 * everyMs / exchange.refreshMs()));
+	});
+
+	it('shares one report between urgent calls of one turn', async () => {
+		const {exchange, sent} = await startRecorded(emptyReport);
+		exchange.sendNow();
+		exchange.sendNow();
+		await clock.tickAsync(0);
+		assert.deepEqual([...sent.values()].map(contents => contents.length), peerNames.map(() => 1));
+	});
+
+	it('sends nothing after the report that it leaves', async () => {
+		// A later report would make peers count the load of a process that is gone.
+		const {exchange, sent} = await startRecorded(emptyReport);
+		exchange.sendNow();
+		const left = exchange.leave();
+		exchange.sendNow();
+		exchange.sendSoon();
+		await left;
+		await clock.tickAsync(2000);
+		for (const contents of sent.values()) {
+			assert.deepEqual(contents.map(content => decodeReport(content).isLeaving), [true]);
+		}
+	});
+});
