--- a/packages/entry/src/lib/wiring/request-wiring.ts
+++ b/packages/entry/src/lib/wiring/request-wiring.ts
@@ -17,12 +17,17 @@
  */
 const connectionsRatio = 0.9;
 
+/** Refresh intervals without a report after which a peer's spending is assumed. */
+const refreshesUntilSilent = 2;
+
 /** Known daemons, including this one. */
 const countDaemons = (parts: EntryParts): number => parts.peers.known().size + 1;
 
 /** Creates the fleet-wide quota. */
 export function wireQuota(parts: EntryParts): FleetQuota {
 	const {settings, timings} = parts;
+	// Shorter than for other readers: a peer that is cut off goes on spending.
+	const silenceMs = (): number => Math.max(timings.minPeerSilenceMs, parts.peers.refreshMs() * refreshesUntilSilent);
 	return createFleetQuota({
 		startsFull: settings.isFirstStart,
 		onUnreported() {
@@ -30,8 +35,8 @@
 		},
 		startUnits: settings.quota.extraUnits * startExtraRatio,
 		daemons: () => countDaemons(parts),
-		silenceMs: () => parts.peers.silenceMs(),
-		goneMs: () => parts.peers.silenceMs() + timings.minPeerGoneMs - timings.minPeerSilenceMs,
+		silenceMs,
+		goneMs: () => silenceMs() + timings.minPeerGoneMs - timings.minPeerSilenceMs,
 	});
 }
 
--- a/packages/router/src/lib/weights/weights-keeper.ts
+++ b/packages/router/src/lib/weights/weights-keeper.ts
@@ -49,7 +49,7 @@
 const pollMs = 150;
 
 /** Interval within which announcements to peers are merged into one. */
-const announceMs = 50;
+const announceMs = 100;
 
 /** Initial estimate of the time from an accepted order to the new weights. */
 const initialLoadMs = 800;
