Prompts choose among a random sample of engines and their home

Cause: each daemon compared all engines, with loads of other daemons that are up to 0.8 s old. All daemons saw the same engine as the best and sent there until the next reports.

Now a prompt chooses among its home and a random sample: candidates / daemons, at least two. Each engine is thus looked at by about one daemon at a time, whatever the size of the fleet, and a few engines with new weights can draw only the prompts whose sample has one. A single daemon still compares all. If no drawn engine has a free slot, memory and no silent request, drawing goes on, so that hung or full engines don't fill the sample.

--- a/packages/entry/src/lib/wiring/request-wiring.ts
+++ b/packages/entry/src/lib/wiring/request-wiring.ts
@@ -36,9 +36,11 @@
 }
 
 /** Creates the endpoint choice. */
-export function wireChoice({view, book, health, presence, versions, kept, resident, peers, settings}: EntryParts) {
+export function wireChoice(parts: EntryParts) {
+	const {view, book, health, presence, versions, kept, resident, peers, settings} = parts;
 	return createEndpointChoice({
 		view, book, health, presence, versions, kept, resident, dataCentre: settings.dataCentre, connectionShare: () => connectionsRatio / (peers.live().length + 1), weightsMs: settings.weightsMs,
+		daemons: () => countDaemons(parts), random: Math.random,
 	});
 }
 
--- a/packages/router/src/lib/placing/endpoint-choice.ts
+++ b/packages/router/src/lib/placing/endpoint-choice.ts
@@ -1,14 +1,17 @@
 /**
  * Chooses the endpoint with the shortest expected time to the first event, from its queue
- * and the uncached part of the prompt. Rendezvous hashing gives shared parts a home engine.
+ * and the uncached part of the prompt. Rendezvous hashing gives shared parts a home engine,
+ * which competes with a sample of the others.
  */
 import {type LiveEndpoint} from '../fleet/live-endpoint.js';
+import {createSampler, type SamplerOptions} from './candidate-sample.js';
 import {type Candidate, type CandidatesOptions, createCandidates} from './candidates.js';
 import {
 	type ChoiceRequest, partKeys, type PromptNeed, scopeOf,
 } from './choice-request.js';
 import {type EndpointLoad} from './endpoint-book.js';
 import {type KeptParts} from './kept-parts.js';
+import {createHomeFinder} from './prompt-home.js';
 import {createPromptReader, type Reading} from './prompt-reading.js';
 import {type ResidentParts} from './resident-parts.js';
 
@@ -33,7 +36,7 @@
 };
 
 /** Options of {@link createEndpointChoice}. */
-export type EndpointChoiceOptions = CandidatesOptions & {
+export type EndpointChoiceOptions = CandidatesOptions & SamplerOptions & {
 	/** Contents of the cache store. */
 	kept: KeptParts;
 	/** Contents of the engines' memory. */
@@ -70,6 +73,8 @@
 	const {view, book, kept, resident} = options;
 	const candidatesOf = createCandidates(options);
 	const read = createPromptReader(options);
+	const homeOf = createHomeFinder();
+	const sample = createSampler(options);
 
 	const distanceMs = (endpoint: LiveEndpoint): number => endpoint.dataCentre === options.dataCentre ? 0 : crossDataCentreMs;
 
@@ -84,24 +89,38 @@
 		return named !== undefined && named.outdatedMs(version) > staleAfterMs ? stalePenaltyMs : 0;
 	};
 
+	/** Fraction of the engine's memory that would be in use. */
+	const memoryRatio = ({endpoint, load}: Candidate, prompt: PromptNeed): number =>
+		(load.memoryTokens + prompt.promptTokens + prompt.outputTokens) / (view.memoryTokens(endpoint.id) ?? Number.POSITIVE_INFINITY);
+
+	const canBegin = (candidate: Candidate, prompt: PromptNeed): boolean => {
+		const {endpoint, load} = candidate;
+		return load.running < endpoint.slots && hangMs(load) === 0 && memoryRatio(candidate, prompt) <= fullMemoryRatio;
+	};
+
 	const engineMs = (candidate: Candidate, prompt: PromptNeed, reading: Reading): number => {
 		const {endpoint, load} = candidate;
 		const msPerToken = book.msPerToken(endpoint.id);
-		const memoryTokens = view.memoryTokens(endpoint.id) ?? Number.POSITIVE_INFINITY;
-		const need = load.memoryTokens + prompt.promptTokens + prompt.outputTokens;
-		const isFull = need > memoryTokens * fullMemoryRatio;
+		const usedRatio = memoryRatio(candidate, prompt);
 		return book.baseMs(endpoint.id) + ((load.pendingTokens + reading.missingTokens) * msPerToken)
 			+ reading.fetchMs + reading.strayMs
 			+ (load.running * perRunningMs)
 			+ (load.running >= endpoint.slots ? (load.running - endpoint.slots + 1) * perRunningMs * 10 : 0)
-			+ (isFull ? memoryWaitMs * need / memoryTokens : 0)
+			+ (usedRatio > fullMemoryRatio ? memoryWaitMs * usedRatio : 0)
 			+ distanceMs(endpoint) + hangMs(load) + stalenessMs(prompt, candidate.weights ?? 0);
 	};
 
+	const sampleWithHome = (request: ChoiceRequest, prompt: PromptNeed, candidates: readonly Candidate[]): Candidate[] => {
+		const drawn = sample(candidates, candidate => canBegin(candidate, prompt));
+		const homeId = homeOf(prompt, view.endpointsOf(request.service));
+		const home = candidates.find(({endpoint}) => endpoint.id === homeId);
+		return home === undefined || drawn.includes(home) ? drawn : [...drawn, home];
+	};
+
 	const chooseEngine = (request: ChoiceRequest, prompt: PromptNeed, candidates: readonly Candidate[]): Choice | undefined => {
 		const readingOf = read(request, prompt);
 		let best: Choice | undefined;
-		for (const candidate of candidates) {
+		for (const candidate of sampleWithHome(request, prompt, candidates)) {
 			const {endpoint, weights, load} = candidate;
 			const reading = readingOf(candidate);
 			const expectedMs = engineMs(candidate, prompt, reading);
--- a/packages/router/src/test/placing/endpoint-choice.test.ts
+++ b/packages/router/src/test/placing/endpoint-choice.test.ts
@@ -1,5 +1,7 @@
 import FakeTimers from '@sinonjs/fake-timers';
 import {assert} from 'chai';
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {
 	createEndpointPresence, createFleetView, type EndpointPresence, type FleetDocument, type FleetView, type LiveEndpoint,
 } from '../../fleet.js';
@@ -58,9 +60,10 @@
 		presence = createEndpointPresence(createSilentLog());
 		kept = createKeptParts();
 		versions = createEngineVersions();
+		const random = xoroshiro128plus(1);
 		choice = createEndpointChoice({
 			view, book, health: createHealthTracker(), presence, versions, kept, resident: createResidentParts({memoryTokens: view.memoryTokens}),
-			dataCentre: 'a', connectionShare: () => 0.1, weightsMs: 8000,
+			dataCentre: 'a', connectionShare: () => 0.1, weightsMs: 8000, daemons: () => 10, random: () => uniformFloat64(random),
 		});
 		for (let index = 0; index < 8; index++) {
 			list(`e${index}`);
@@ -271,6 +274,31 @@
 		}
 	});
 
+	it('spreads prompts without shared parts over engines that look alike', () => {
+		// Daemons with the same knowledge would all send to the first engine of the list.
+		const used = new Set<string>();
+		for (let count = 0; count < 100; count++) {
+			used.add(choose(prompt('s1', {parts: [{id: 'own', tokens: 800}], promptTokens: 800}))!.endpoint.id);
+		}
+
+		assert.lengthOf(used, 8);
+	});
+
+	it('finds the only engine with a free slot, memory and no silent request', () => {
+		// A sample of two engines that can't begin would let the prompt wait.
+		for (let index = 0; index < 7; index++) {
+			const [count, memoryTokens] = [[64, 0], [1, 96_000], [1, 0]][index % 3];
+			for (let started = 0; started < count; started++) {
+				book.start(`e${index}`, {missingTokens: 0, memoryTokens, outputTokens: 0});
+			}
+		}
+
+		clock.tick(4000);
+		for (let subject = 0; subject < 100; subject++) {
+			assert.equal(choose(prompt(`s${subject}`))!.endpoint.id, 'e7');
+		}
+	});
+
 	it('goes round an engine that does not answer', () => {
 		const chosen = choose(prompt('s1'))!;
 		book.start(chosen.endpoint.id, {missingTokens: 100, memoryTokens: 100, outputTokens: 0});
--- a/packages/router/src/test/placing/rolling-update.test.ts
+++ b/packages/router/src/test/placing/rolling-update.test.ts
@@ -143,7 +143,7 @@
 	};
 }
 
-function createDaemon() {
+function createDaemon(random: () => number) {
 	const view = createFleetView(createSilentLog());
 	view.acceptDocument(document);
 	const book = createEndpointBook();
@@ -152,7 +152,7 @@
 	const resident = createResidentParts({memoryTokens: view.memoryTokens});
 	const choice = createEndpointChoice({
 		view, book, health: createHealthTracker(), presence: createEndpointPresence(createSilentLog()), versions, kept, resident,
-		dataCentre: 'a', connectionShare: () => 1 / daemonCount, weightsMs: 10_000,
+		dataCentre: 'a', connectionShare: () => 1 / daemonCount, weightsMs: 10_000, daemons: () => daemonCount, random,
 	});
 	return {
 		view, book, versions, kept, resident, choice,
@@ -174,7 +174,7 @@
 	const clock = FakeTimers.install({toFake: ['performance', 'setTimeout', 'clearTimeout']});
 	try {
 		const random = xoroshiro128plus(seed);
-		const daemons = Array.from({length: daemonCount}, createDaemon);
+		const daemons = Array.from({length: daemonCount}, () => createDaemon(() => uniformFloat64(random)));
 		const engines = new Map(Array.from({length: engineCount}, (_item, index) => [`e${index}`, createEngine()]));
 		const idOf = new Map([...engines.keys()].map((id, index) => [`10.0.0.${index}:80`, id]));
 		const stored = new Set<string>();
--- a/packages/router/src/test/weights/change-under-load.test.ts
+++ b/packages/router/src/test/weights/change-under-load.test.ts
@@ -71,7 +71,7 @@
 		const versions = createEngineVersions();
 		const choice = createEndpointChoice({
 			view, book, health: createHealthTracker(), presence, versions, kept: createKeptParts(), resident: createResidentParts({memoryTokens: view.memoryTokens}),
-			dataCentre: 'a', connectionShare: () => 1, weightsMs: 12_000,
+			dataCentre: 'a', connectionShare: () => 1, weightsMs: 12_000, daemons: () => 1, random: () => uniformFloat64(random),
 		});
 		const keeper = createWeightsKeeper({
 			name: 'vm-1', view, presence, versions, control, held: () => ({duty: 'weights', fencing: 1, msLeft: 1000}), handoverMs: 3200, announce: () => undefined, weightsMs: 12_000,
