A restarted daemon samples engines for the whole fleet before it has heard its peers

Until peers were heard each daemon took itself for the only one and compared all engines, so a fleet that restarts as a whole sent to the same few. The directory tells its size.

--- a/packages/entry/src/lib/wiring/request-wiring.ts
+++ b/packages/entry/src/lib/wiring/request-wiring.ts
@@ -45,7 +45,7 @@
 	const {view, book, health, presence, versions, kept, resident, peers, settings} = parts;
 	return createEndpointChoice({
 		view, book, health, presence, versions, kept, resident, dataCentre: settings.dataCentre, connectionShare: () => connectionsRatio / (peers.live().length + 1), weightsMs: settings.weightsMs,
-		daemons: () => countDaemons(parts), random: Math.random,
+		daemons: peers.fleetSize, random: Math.random,
 	});
 }
 
--- a/packages/router/src/lib/peers/peer-exchange.ts
+++ b/packages/router/src/lib/peers/peer-exchange.ts
@@ -51,6 +51,8 @@
 	live: () => HeardReport[];
 	/** Latest reports of all peers that are not yet forgotten, including away ones. */
 	known: () => ReadonlyMap<string, HeardReport>;
+	/** Daemons with a known address, including this one; complete once the directory was read. */
+	fleetSize: () => number;
 	/** Tells peers that this process stops, and closes the transport. */
 	leave: () => Promise<void>;
 	/** Sends a report to all peers, for what each must know at once. */
@@ -238,6 +240,7 @@
 		learn,
 		live: () => [...reports.values()].filter(heard => !isAway(heard)),
 		known: () => reports,
+		fleetSize: () => queue.size + 1,
 		async leave() {
 			clearInterval(timer);
 			hasLeft = true;
--- a/packages/router/src/test/peers/large-fleet.test.ts
+++ b/packages/router/src/test/peers/large-fleet.test.ts
@@ -114,6 +114,10 @@
 		assert.deepEqual(lines, peerNames.map(() => 'Peer is heard.'));
 	}).timeout(120_000);
 
+	it('knows the size of the fleet before it has heard a peer', () => {
+		assert.equal(open('vm-0', {openTransport: openLossy, peers: peerNames}).fleetSize(), peerCount + 1);
+	});
+
 	it('counts a peer as away only after several refresh intervals, which grow with the fleet', () => {
 		const limitsWith = (count: number): number[] => {
 			const exchange = open('vm-0', {openTransport: openLossy, peers: Array.from({length: count}, (_item, index) => `vm-${index + 1}`)});
