Cost of an endpoint's list entry no longer grows with the fleet's size squared

Cause: each changed row, mostly a heartbeat, rebuilt its service's list from all endpoints and set the endpoints of every service in the health tracker, which searched the new list for each known name. Now the list of a service is rebuilt when it is read after a change, health is told only of changed memberships and of a new document, and looks names up in a set.

Two edges change. Endpoints that were listed before the document count for health as soon as it is in force, not from the next row on. An endpoint that moves to a service that comes earlier in the document kept no health entry, and ejectedOf threw; the new test "follows an endpoint that returns under another service" fails on the code before.

--- a/packages/entry/src/lib/wiring/feed-wiring.ts
+++ b/packages/entry/src/lib/wiring/feed-wiring.ts
@@ -35,6 +35,17 @@
 /** Follows the endpoint list and drops local state of removed endpoints. */
 export function wireEndpointFeed({store, view, timings, peers, health, book, presence, versions, resident, log}: EntryParts): ChangeFeed {
 	const tracker = createEndpointTracker({view, graceMs: timings.lapsedGraceMs, outageEchoMs: timings.outageEchoMs});
+	const updateHealth = (service: string | undefined): void => {
+		if (service !== undefined && view.current()?.document.services.has(service)) {
+			health.setEndpoints(service, view.endpointsOf(service).map(item => item.id));
+		}
+	};
+
+	view.onDocument(({document}) => {
+		for (const service of document.services.keys()) {
+			updateHealth(service);
+		}
+	});
 	view.onEndpoint((id, endpoint, before) => {
 		if (endpoint === undefined) {
 			book.forget(id);
@@ -47,8 +58,10 @@
 			resident.forget(id);
 		}
 
-		for (const service of view.current()?.document.services.keys() ?? []) {
-			health.setEndpoints(service, view.endpointsOf(service).map(item => item.id));
+		// Most changes are heartbeats, which leave the membership of services as it is.
+		if (before?.service !== endpoint?.service) {
+			updateHealth(before?.service);
+			updateHealth(endpoint?.service);
 		}
 	});
 	return followChanges<LiveEndpoint>({
--- /dev/null
+++ b/packages/entry/src/test/feed-wiring.test.ts
@@ -0,0 +1,92 @@
+import {parseBootSettings} from '@hickorywalk/platform';
+import {assert} from 'chai';
+import {type FleetDocument, type LiveEndpoint, type Service} from 'hickorywalk/fleet.js';
+import {createEntryParts} from '../lib/entry-parts.js';
+import {type EntryParts} from '../lib/wiring/parts.js';
+
+const host = '127.0.0.1';
+
+const settings = parseBootSettings(JSON.stringify({
+	node: 'vm-1',
+	role: 'entry',
+	ip: host,
+	zone: 'a',
+	listen: {front: `${host}:0`, ready: `${host}:0`},
+	port_range: [1, 1],
+	bootstrap: true,
+	limits: {memory_mb: 200, max_fds: 4100},
+	heartbeat_ms: 1200,
+	bounds: {
+		stable_window_ms: 3000, drain_ms: 2000, grace_s: 8, config_ms: 2000,
+	},
+	platform: {address: `${host}:1`},
+}));
+
+const service = (name: string): [string, Service] => [name, {name, mostConnections: 10, engine: undefined}];
+
+const document = (version: number, services: readonly string[]): FleetDocument => ({
+	version,
+	routes: [],
+	services: new Map(services.map(name => service(name))),
+	cacheStores: [],
+	workspaces: [],
+	limits: {
+		headerBytes: 1, bodyBytes: 1, headerMs: 1, idleMs: 1,
+	},
+});
+
+const endpoint = (id: string, more: Partial<LiveEndpoint> = {}): LiveEndpoint => ({
+	id, service: 'desk', address: '10.0.0.1:80', dataCentre: 'a', slots: 8, isLeaving: false, startedAt: 100, reportNumber: 1, weights: new Map(), ...more,
+});
+
+describe('health of listed endpoints', () => {
+	let parts: EntryParts;
+
+	const fail = (id: string): void => {
+		for (let count = 0; count < 3; count++) {
+			parts.health.failed(id);
+		}
+	};
+
+	beforeEach(() => {
+		parts = createEntryParts(settings).cradle;
+		// Wires the listeners; the store is out of reach.
+		parts.endpointFeed.ageMs();
+	});
+
+	afterEach(() => {
+		parts.endpointFeed.close();
+	});
+
+	it('counts failures whether the endpoint or the document with its service comes first', () => {
+		parts.view.acceptEndpoint(endpoint('e1'));
+		parts.view.acceptEndpoint(endpoint('e2'));
+		parts.view.acceptDocument(document(1, ['desk']));
+		parts.view.acceptEndpoint(endpoint('e3'));
+		fail('e1');
+		assert.deepEqual(parts.health.ejectedOf('desk'), ['e1']);
+		fail('e3');
+		assert.deepEqual(parts.health.ejectedOf('desk'), ['e1'], 'one of three at most');
+	});
+
+	it('keeps an ejection over heartbeats, and forgets it with the endpoint', () => {
+		parts.view.acceptDocument(document(1, ['desk']));
+		parts.view.acceptEndpoint(endpoint('e1'));
+		parts.view.acceptEndpoint(endpoint('e2'));
+		fail('e1');
+		parts.view.acceptEndpoint(endpoint('e1', {reportNumber: 2}));
+		assert.equal(parts.health.healthOf('e1'), 'ejected');
+		parts.view.dropEndpoint('e1');
+		parts.view.acceptEndpoint(endpoint('e1', {startedAt: 200}));
+		assert.equal(parts.health.healthOf('e1'), 'healthy');
+	});
+
+	it('follows an endpoint that returns under another service', () => {
+		parts.view.acceptDocument(document(1, ['mail', 'desk']));
+		parts.view.acceptEndpoint(endpoint('e1'));
+		parts.view.acceptEndpoint(endpoint('e2', {service: 'mail'}));
+		parts.view.acceptEndpoint(endpoint('e1', {service: 'mail', startedAt: 200}));
+		fail('e1');
+		assert.deepEqual([parts.health.ejectedOf('desk'), parts.health.ejectedOf('mail')], [[], ['e1']]);
+	});
+});
--- a/packages/router/src/lib/fleet/fleet-view.ts
+++ b/packages/router/src/lib/fleet/fleet-view.ts
@@ -66,14 +66,21 @@
 /** Creates an empty view. */
 export function createFleetView(log: Log): FleetView {
 	const endpoints = new Map<string, LiveEndpoint>();
+	/** Filled when read; a change removes the service's list. */
 	const byService = new Map<string, readonly LiveEndpoint[]>();
 	const named = new Map<string, Naming[]>();
 	const endpointListeners: EndpointListener[] = [];
 	const documentListeners: Array<(accepted: AcceptedDocument) => void> = [];
 	let accepted: AcceptedDocument | undefined;
 
-	const updateService = (service: string): void => {
-		byService.set(service, [...endpoints.values()].filter(endpoint => endpoint.service === service));
+	const endpointsOf = (service: string): readonly LiveEndpoint[] => {
+		let list = byService.get(service);
+		if (list === undefined) {
+			list = [...endpoints.values()].filter(endpoint => endpoint.service === service);
+			byService.set(service, list);
+		}
+
+		return list;
 	};
 
 	const notify: EndpointListener = (id, endpoint, before) => {
@@ -96,7 +103,7 @@
 				listener(accepted);
 			}
 		},
-		endpointsOf: service => byService.get(service) ?? [],
+		endpointsOf,
 		endpoint: id => endpoints.get(id),
 		memoryTokens: id => accepted?.document.services.get(endpoints.get(id)?.service ?? '')?.engine?.memoryTokens,
 		acceptEndpoint(endpoint) {
@@ -106,9 +113,9 @@
 			}
 
 			endpoints.set(endpoint.id, endpoint);
-			updateService(endpoint.service);
-			if (known !== undefined && known.service !== endpoint.service) {
-				updateService(known.service);
+			byService.delete(endpoint.service);
+			if (known !== undefined) {
+				byService.delete(known.service);
 			}
 
 			if (known?.isLeaving !== endpoint.isLeaving || known.startedAt !== endpoint.startedAt) {
@@ -124,7 +131,7 @@
 			}
 
 			endpoints.delete(id);
-			updateService(known.service);
+			byService.delete(known.service);
 			log.info('Endpoint is gone.', {endpoint: id, service: known.service});
 			notify(id, undefined, known);
 		},
--- a/packages/router/src/lib/routing/health.ts
+++ b/packages/router/src/lib/routing/health.ts
@@ -132,8 +132,9 @@
 
 	return {
 		setEndpoints(service, endpoints) {
+			const kept = new Set(endpoints);
 			for (const name of services.get(service) ?? []) {
-				if (!endpoints.includes(name)) {
+				if (!kept.has(name)) {
 					entries.delete(name);
 				}
 			}
