Peers' loads are summed once per change, not for each engine of each choice

Cause: the load of an engine walked over the reports of all peers, so that a choice among 98 engines beside 66 peers made 6,468 look-ups; each report was copied into a map. Now the sums are built at the first look-up after a report, a leave or an expiry. Each is as before but for rounding of lastsMs below a microsecond.

The new test passes on the code before as well.

--- a/packages/router/src/lib/placing/endpoint-book.ts
+++ b/packages/router/src/lib/placing/endpoint-book.ts
@@ -70,9 +70,14 @@
 	told: {report: EndpointLoadReport; at: number; ownThen: number} | undefined;
 };
 
-type PeerLoad = Omit<EndpointLoad, 'oldestWaitMs'>;
+type PeerLoads = {at: number; loads: PeerReport['loads']};
 
-type PeerLoads = {at: number; loads: Map<string, PeerLoad>};
+/** Load of one endpoint from all peers; `endsAt` is when its last request is expected to end. */
+type PeerSum = Pick<EndpointLoad, 'running' | 'pendingTokens' | 'memoryTokens'> & {endsAt: number};
+
+const noPeerLoad: Readonly<PeerSum> = {
+	running: 0, pendingTokens: 0, memoryTokens: 0, endsAt: Number.NEGATIVE_INFINITY,
+};
 
 /** Initial estimates, in milliseconds; replaced by moving averages. */
 const initialMsPerToken = 0.03;
@@ -106,6 +111,9 @@
 export function createEndpointBook({onLarge}: EndpointBookOptions = {}): EndpointBook {
 	const entries = new Map<string, Entry>();
 	const peers = new Map<string, PeerLoads>();
+	/** Sums over `peers`, by endpoint; void after `peerSumsUntil`. */
+	let peerSums = new Map<string, PeerSum>();
+	let peerSumsUntil = Number.NEGATIVE_INFINITY;
 	let runMsPerToken = initialRunMsPerToken;
 
 	const entryOf = (id: string): Entry => {
@@ -137,21 +145,37 @@
 		return load;
 	};
 
-	const peerLoad = (id: string, now: number): PeerLoad => {
-		const sum: PeerLoad = {
-			running: 0, pendingTokens: 0, memoryTokens: 0, lastsMs: 0,
-		};
+	const sumPeers = (now: number): void => {
+		peerSums = new Map();
+		peerSumsUntil = Number.POSITIVE_INFINITY;
 		for (const {at, loads} of peers.values()) {
-			const load = now - at > peerTtlMs ? undefined : loads.get(id);
-			if (load !== undefined) {
-				sum.running += load.running;
-				sum.pendingTokens += load.pendingTokens;
-				sum.memoryTokens += load.memoryTokens;
-				sum.lastsMs = Math.max(sum.lastsMs, load.lastsMs - (now - at));
+			if (now > at + peerTtlMs) {
+				continue;
+			}
+
+			peerSumsUntil = Math.min(peerSumsUntil, at + peerTtlMs);
+			for (const [id, running, pendingTokens, memoryTokens, lastsMs] of loads) {
+				const sum = peerSums.get(id) ?? noPeerLoad;
+				peerSums.set(id, {
+					running: sum.running + running,
+					pendingTokens: sum.pendingTokens + pendingTokens,
+					memoryTokens: sum.memoryTokens + memoryTokens,
+					endsAt: Math.max(sum.endsAt, at + lastsMs),
+				});
 			}
 		}
+	};
+
+	const forgetPeerSums = (): void => {
+		peerSumsUntil = Number.NEGATIVE_INFINITY;
+	};
+
+	const peerLoad = (id: string, now: number): PeerSum => {
+		if (now > peerSumsUntil) {
+			sumPeers(now);
+		}
 
-		return sum;
+		return peerSums.get(id) ?? noPeerLoad;
 	};
 
 	return {
@@ -172,7 +196,7 @@
 				pendingTokens: load.pendingTokens + others.pendingTokens,
 				memoryTokens: load.memoryTokens + others.memoryTokens,
 				oldestWaitMs: load.oldestWaitMs,
-				lastsMs: Math.max(load.lastsMs, others.lastsMs),
+				lastsMs: Math.max(load.lastsMs, others.endsAt - now),
 			};
 		},
 		ownRunning: id => entries.get(id)?.open.size ?? 0,
@@ -215,13 +239,12 @@
 			}
 		},
 		heard(report) {
-			const loads = new Map(report.loads.map(([id, running, pendingTokens, memoryTokens, lastsMs]) => [id, {
-				running, pendingTokens, memoryTokens, lastsMs,
-			}]));
-			peers.set(report.daemon, {at: performance.now(), loads});
+			peers.set(report.daemon, {at: performance.now(), loads: report.loads});
+			forgetPeerSums();
 		},
 		leftPeer(daemon) {
 			peers.delete(daemon);
+			forgetPeerSums();
 		},
 		forget(id) {
 			entries.delete(id);
--- a/packages/router/src/test/placing/endpoint-book.test.ts
+++ b/packages/router/src/test/placing/endpoint-book.test.ts
@@ -70,4 +70,41 @@
 			clock.uninstall();
 		}
 	});
+
+	it('takes the sum of what peers said last, without those that left or fell silent', () => {
+		// A memoised sum that outlived a report would show a free engine as busy.
+		const clock = FakeTimers.install({toFake: ['performance']});
+		try {
+			const endpoint: LiveEndpoint = {
+				id: 'e1', service: 'engines', address: '10.0.0.1:80', dataCentre: 'a', slots: 8, isLeaving: false, startedAt: 1, reportNumber: 1, weights: new Map(),
+			};
+			const book = createEndpointBook();
+			const hear = (daemon: string, running: number) => {
+				book.heard({
+					daemon, incarnation: 1, number: 1, isLeaving: false, address: '', heard: {}, usage: [], named: [], duty: null, engines: [], ended: [], kept: [], placed: [],
+					loads: [['e1', running, running * 100, running * 1000, 5000]],
+				});
+			};
+
+			const sums = () => {
+				const {running, pendingTokens, memoryTokens, lastsMs} = book.load(endpoint);
+				return [running, pendingTokens, memoryTokens, lastsMs];
+			};
+
+			hear('vm-2', 1);
+			clock.tick(1000);
+			hear('vm-3', 2);
+			assert.deepEqual(sums(), [3, 300, 3000, 5000]);
+			hear('vm-3', 4);
+			assert.deepEqual(sums(), [5, 500, 5000, 5000]);
+			clock.tick(500);
+			assert.deepEqual(sums(), [5, 500, 5000, 4500]);
+			clock.tick(1);
+			assert.deepEqual(sums(), [4, 400, 4000, 4499]);
+			book.leftPeer('vm-3');
+			assert.deepEqual(sums(), [0, 0, 0, 0]);
+		} finally {
+			clock.uninstall();
+		}
+	});
 });
