Weights must stay fresh for the time that a request waits at its engine

The check before sending looked at the age at that moment; queues of seconds could carry a request beyond the limit. The test fails on the code before (a prompt goes to a queue of 60,000 tokens on weights replaced 5 s ago).

--- a/packages/router/src/lib/placing/candidates.ts
+++ b/packages/router/src/lib/placing/candidates.ts
@@ -49,10 +49,17 @@
 export function createCandidates(options: CandidatesOptions): (request: ChoiceRequest) => Candidate[] {
 	const {view, book, health, presence, versions} = options;
 
-	/** Weights of unknown age count as too old: they may have been replaced before this process started. */
-	const isFreshEnough = ({model}: PromptNeed, version: number): boolean => {
-		const named = view.namedWeights(model);
-		return named === undefined || named.outdatedMs(version) < options.weightsMs * maxWeightsAgeRatio;
+	/** Expected wait in the engine's queue; a request that waits already shows its least. */
+	const queueMs = ({id}: LiveEndpoint, load: EndpointLoad): number =>
+		Math.max(load.oldestWaitMs, load.pendingTokens * book.msPerToken(id));
+
+	/**
+	 * Whether weights are fresh enough for a request that waits so long before it begins. Those
+	 * of unknown age are not: they may have been replaced before this process started.
+	 */
+	const isFreshEnough = ({model}: PromptNeed, version: number, waitMs: number): boolean => {
+		const outdatedMs = view.namedWeights(model)?.outdatedMs(version) ?? 0;
+		return outdatedMs === 0 || outdatedMs + waitMs < options.weightsMs * maxWeightsAgeRatio;
 	};
 
 	/** Prefers engines whose drain the answer would not overrun, then those with the least overrun. */
@@ -87,7 +94,7 @@
 		}
 
 		const {version, isChanging, dueInMs} = versions.of(endpoint, request.prompt.model);
-		if (isChanging || !isFreshEnough(request.prompt, version)) {
+		if (isChanging || !isFreshEnough(request.prompt, version, queueMs(endpoint, load))) {
 			return undefined;
 		}
 
--- a/packages/router/src/test/placing/endpoint-choice.test.ts
+++ b/packages/router/src/test/placing/endpoint-choice.test.ts
@@ -266,6 +266,19 @@
 		}
 	});
 
+	it('sends nothing to a queue in which replaced weights would become too old', () => {
+		view.acceptWeights('m', 2, 0);
+		clock.tick(5000);
+		for (let index = 0; index < 8; index++) {
+			book.start(`e${index}`, {missingTokens: 60_000, memoryTokens: 100, outputTokens: 0});
+		}
+
+		versions.seen('e4', 2);
+		for (let subject = 0; subject < 20; subject++) {
+			assert.equal(choose(prompt(`s${subject}`))?.endpoint.id, 'e4');
+		}
+	});
+
 	it('begins nothing on weights of unknown age after the whole fleet has restarted', () => {
 		view.acceptWeights('m', 5, Number.POSITIVE_INFINITY);
 		versions.seen('e2', 3);
