Engines that can't be reached in one rollout no longer slow the next

What one load adds to the estimate is bounded, and so is the pause. An order is not sent if its version was replaced while its announcement waited, and peers have been told before it leaves. Engines get no requests for 200 ms before an order in place of 150, since the announcement takes up to 50 ms.

--- a/packages/router/src/lib/weights/engine-emptying.ts
+++ b/packages/router/src/lib/weights/engine-emptying.ts
@@ -40,7 +40,7 @@
 const maxEmptyingMs = 800;
 
 /** Minimum wait, until peers have stopped sending and the reported queue reflects it. */
-const minEmptyingMs = 150;
+const minEmptyingMs = 200;
 
 /** Creates the record; no engine is being drained. */
 export function createEngineEmptying({versions, lastsMs, announce}: EngineEmptyingOptions): EngineEmptying {
--- a/packages/router/src/lib/weights/weights-keeper.ts
+++ b/packages/router/src/lib/weights/weights-keeper.ts
@@ -26,7 +26,7 @@
 	/** Minimum time between orders of two holders to one engine, for engines that ignore fencing tokens. */
 	handoverMs: number;
 	/** Called before an order is sent, so that peers know of it should this daemon die. */
-	announce: () => void;
+	announce: () => Promise<void> | void;
 	/** Maximum staleness of weights on which a request may begin. */
 	weightsMs: number;
 	/** Expected milliseconds until an endpoint's last request in flight ends. */
@@ -46,20 +46,25 @@
 /** Fraction of `weightsMs` above which an engine gets hardly any requests. */
 const maxWeightsAgeRatio = 0.7;
 
-const pollMs = 150;
+const pollMs = 200;
 
 /** Interval within which announcements to peers are merged into one. */
-const announceMs = 100;
+const announceMs = 50;
 
 /** Initial estimate of the time from an accepted order to the new weights. */
 const initialLoadMs = 800;
 const loadSmoothing = 0.3;
 
+/** Bounds on what one load may add to the estimate. */
+const maxLoadGrowth = 2;
+const maxLoadMs = 2000;
+
 /** Fraction of the expected load time after which an engine is first polled again. */
 const firstPollRatio = 0.85;
 
 /** Pause between later polls, as a fraction of the time that has passed since the order. */
 const nextPollRatio = 0.3;
+const maxPollMs = 1000;
 
 /** Time after the first poll for which an accepted order is not repeated, since the engine's reported state lags behind. */
 const acceptedOrderTtlMs = 600;
@@ -85,7 +90,7 @@
 		announcement ??= (async () => {
 			await pause(announceMs);
 			announcement = undefined;
-			options.announce();
+			await options.announce();
 		})();
 		return announcement;
 	};
@@ -161,7 +166,7 @@
 		ownOrders.set(endpoint.id, performance.now());
 		await announce();
 		const renewed = lease();
-		if (renewed?.fencing !== held.fencing || isOrderedByPeer(endpoint.id)) {
+		if (renewed?.fencing !== held.fencing || isOrderedByPeer(endpoint.id) || !isNeeded(task)) {
 			return;
 		}
 
@@ -190,13 +195,15 @@
 		}
 
 		const loadingMs = performance.now() - order.at;
-		return Math.max(pollMs, (averageLoadMs * firstPollRatio) - loadingMs, loadingMs * nextPollRatio);
+		return Math.max(pollMs, (averageLoadMs * firstPollRatio) - loadingMs, Math.min(maxPollMs, loadingMs * nextPollRatio));
 	};
 
 	const learnLoad = ({endpoint, version}: ChangeTask): void => {
 		const order = accepted.get(endpoint.id);
 		if (order?.version === version) {
-			averageLoadMs += loadSmoothing * (performance.now() - order.at - averageLoadMs);
+			// A load may have gone unseen for long after its end.
+			const loadMs = Math.min(performance.now() - order.at, averageLoadMs * maxLoadGrowth, maxLoadMs);
+			averageLoadMs += loadSmoothing * (loadMs - averageLoadMs);
 		}
 	};
 
@@ -220,6 +227,10 @@
 	const begin = (task: ChangeTask): void => {
 		const {id} = task.endpoint;
 		const startedMs = performance.now();
+		if (!isRecentlyAccepted(task)) {
+			accepted.delete(id);
+		}
+
 		busy.set(id, (async () => {
 			await work(task);
 			const awayMs = emptying.ended(id);
--- a/packages/router/src/test/weights/rollout-cost.test.ts
+++ b/packages/router/src/test/weights/rollout-cost.test.ts
@@ -10,8 +10,15 @@
 
 type Cost = {calls: number; announcements: number; doneMs: number};
 
-/** One holder brings so many engines to new weights. */
-async function play(count: number): Promise<Cost> {
+type Rollout = {
+	count: number;
+	/** Engines that can't be reached from 0.6 to 5 s after the first naming. */
+	unreached?: number;
+	namings?: number;
+};
+
+/** One holder brings engines to new weights, as often as they are named; tells the cost of the last time. */
+async function play({count, unreached = 0, namings = 1}: Rollout): Promise<Cost> {
 	const clock = FakeTimers.install({toFake: ['performance', 'setTimeout', 'clearTimeout', 'setInterval', 'clearInterval']});
 	try {
 		const view = createFleetView(createSilentLog());
@@ -27,15 +34,24 @@
 		view.acceptDocument(engineDocument);
 		const cost: Cost = {calls: 0, announcements: 0, doneMs: 0};
 		const changing = new Set<string>();
+		let at = 0;
+		const checkReached = (id: string): void => {
+			if (at >= 600 && at < 5000 && Number(id.slice(1)) < unreached) {
+				throw new Error('No answer.');
+			}
+		};
+
 		const control: WeightsControl = {
 			async state({id}) {
 				cost.calls++;
+				checkReached(id);
 				return {
 					weights: new Map([['m', running.get(id)!]]), waiting: 0, isChanging: changing.has(id), ordersTaken: 0,
 				};
 			},
 			async order({id}, {version}) {
 				cost.calls++;
+				checkReached(id);
 				changing.add(id);
 				setTimeout(() => {
 					changing.delete(id);
@@ -59,11 +75,15 @@
 			presence: createEndpointPresence(createSilentLog()),
 			log: createSilentLog(),
 		});
-		view.acceptWeights('m', 2, 0);
-		while ([...running.values()].some(version => version < 2)) {
-			keeper.tick();
-			await clock.tickAsync(tickMs);
-			cost.doneMs += tickMs;
+		for (let version = 2; version < namings + 2; version++) {
+			Object.assign(cost, {calls: 0, announcements: 0, doneMs: 0});
+			view.acceptWeights('m', version, 0);
+			while ([...running.values()].some(one => one < version)) {
+				keeper.tick();
+				await clock.tickAsync(tickMs);
+				at += tickMs;
+				cost.doneMs += tickMs;
+			}
 		}
 
 		return cost;
@@ -75,10 +95,16 @@
 describe('the cost of a rollout for its holder', () => {
 	it('leaves a small VM enough processor time to renew its lease and finish the rollout', async () => {
 		for (const count of [12, 98, 300]) {
-			const {calls, announcements, doneMs} = await play(count);
+			const {calls, announcements, doneMs} = await play({count});
 			assert.isAtMost(calls / count, 6, `${count} engines`);
 			assert.isAtMost(announcements / doneMs * 1000, 10, `${count} engines`);
 			assert.isAtMost(doneMs, 8000, `${count} engines`);
 		}
 	});
+
+	it('is not raised by engines that could not be reached in the rollout before', async () => {
+		const {doneMs} = await play({count: 98, namings: 2});
+		const afterCut = await play({count: 98, unreached: 20, namings: 2});
+		assert.isAtMost(afterCut.doneMs, doneMs + 1000);
+	});
 });
