The age of weights is right where namings went unheard or versions skip numbers

A first naming that skipped a number made all older weights unusable; and a daemon that was cut off while two versions were named took the later naming for the time at which its own version had been replaced. Each naming now keeps the earliest time at which an unheard version may have been named before it. A time that is only a bound stays one in the record. A request also waits for a slot where all are taken, and that wait counts against the age of replaced weights. Both new tests of the view fail on the code before.

--- a/packages/router/src/lib/fleet/fleet-view.ts
+++ b/packages/router/src/lib/fleet/fleet-view.ts
@@ -23,6 +23,9 @@
 	outdatedMs: (version: number) => number;
 };
 
+/** One naming; the age in milliseconds is the largest possible one if it is not exact (`isDated`). */
+export type RestoredNaming = {version: number; ageMs: number; isDated: boolean};
+
 /** Gets an endpoint's new and previous state; `undefined` while it is not listed. */
 export type EndpointListener = (id: string, endpoint: LiveEndpoint | undefined, before: LiveEndpoint | undefined) => void;
 
@@ -48,10 +51,12 @@
 	datedWeights: (model: string, version: number, ageMs: number) => void;
 	/** Namings of the last `mostMs` whose age is exact. */
 	recentWeights: (mostMs: number) => Array<[model: string, version: number, ageMs: number]>;
-	/** Lowers the possible age of a naming whose time is not known. */
+	/** Takes over a naming from a complete record of namings up to some time. */
+	restoreWeights: (model: string, naming: RestoredNaming) => void;
+	/** Lowers the possible age of a naming whose time is not known, and of those before it that were not heard. */
 	boundWeights: (model: string, version: number, atMostMs: number) => void;
 	/** All remembered namings; the age is the largest possible one, infinite if unknown. */
-	namings: () => Array<{model: string; version: number; ageMs: number}>;
+	namings: () => Array<{model: string} & RestoredNaming>;
 	/** Called for every added, changed or removed endpoint. */
 	onEndpoint: (listener: EndpointListener) => void;
 	/** Called for every document that comes into force. */
@@ -62,7 +67,13 @@
  * One naming of weights. Without an exact time (`isDated`), `learntAt` is the earliest
  * possible one, so that staleness is never underestimated.
  */
-type Naming = {version: number; learntAt: number; isDated: boolean};
+type Naming = {
+	version: number;
+	learntAt: number;
+	isDated: boolean;
+	/** Earliest time at which a version between the previous naming and this one may have been named unheard. */
+	gapAt: number;
+};
 
 /** Namings remembered for each model. */
 const maxNamings = 16;
@@ -87,6 +98,11 @@
 		return list;
 	};
 
+	const insertNaming = (model: string, naming: Naming): void => {
+		const history = [...named.get(model) ?? [], naming];
+		named.set(model, history.toSorted((a, b) => a.version - b.version).slice(-maxNamings));
+	};
+
 	const notify: EndpointListener = (id, endpoint, before) => {
 		for (const listener of endpointListeners) {
 			listener(id, endpoint, before);
@@ -145,14 +161,13 @@
 			return history && {
 				version: history.at(-1)!.version,
 				outdatedMs(version) {
-					const index = history.findIndex(item => item.version > version);
-					if (index === -1) {
+					const next = history.find(item => item.version > version);
+					if (next === undefined) {
 						return 0;
 					}
 
-					// Versions in between may have been named unheard.
-					const isNextKnown = index > 0 || history[0].version === version + 1;
-					return isNextKnown ? performance.now() - history[index].learntAt : Number.POSITIVE_INFINITY;
+					const isSuccessor = next.version === version + 1;
+					return performance.now() - (isSuccessor ? next.learntAt : Math.min(next.learntAt, next.gapAt));
 				},
 			};
 		},
@@ -162,7 +177,11 @@
 				return;
 			}
 
-			named.set(model, [...history, {version, learntAt: performance.now() - unseenMs, isDated: unseenMs === 0}].slice(-maxNamings));
+			const learntAt = performance.now() - unseenMs;
+			const naming: Naming = {
+				version, learntAt, isDated: unseenMs === 0, gapAt: learntAt,
+			};
+			named.set(model, [...history, naming].slice(-maxNamings));
 			log.info('New weights were named.', {version});
 		},
 		datedWeights(model, version, ageMs) {
@@ -175,8 +194,9 @@
 			const naming = history.find(item => item.version === version);
 			if (naming === undefined) {
 				// The store lists only the newest naming, but engines may run older ones.
-				const dated = [...history, {version, learntAt, isDated: true}];
-				named.set(model, dated.toSorted((a, b) => a.version - b.version).slice(-maxNamings));
+				insertNaming(model, {
+					version, learntAt, isDated: true, gapAt: Number.NEGATIVE_INFINITY,
+				});
 				return;
 			}
 
@@ -196,15 +216,38 @@
 
 			return recent;
 		},
+		restoreWeights(model, {version, ageMs, isDated}) {
+			const history = named.get(model) ?? [];
+			const learntAt = performance.now() - ageMs;
+			const naming = history.find(item => item.version === version);
+			if (naming === undefined) {
+				if (version < (history.at(-1)?.version ?? 0)) {
+					insertNaming(model, {
+						version, learntAt, isDated, gapAt: learntAt,
+					});
+				}
+
+				return;
+			}
+
+			naming.gapAt = Math.max(naming.gapAt, learntAt);
+			if (!naming.isDated) {
+				naming.learntAt = isDated ? learntAt : Math.max(naming.learntAt, learntAt);
+				naming.isDated = isDated;
+			}
+		},
 		boundWeights(model, version, atMostMs) {
 			const naming = named.get(model)?.find(item => item.version === version);
 			if (naming !== undefined && !naming.isDated) {
 				naming.learntAt = Math.max(naming.learntAt, performance.now() - atMostMs);
+				naming.gapAt = Math.max(naming.gapAt, naming.learntAt);
 			}
 		},
 		namings() {
 			const now = performance.now();
-			return [...named].flatMap(([model, history]) => history.map(({version, learntAt}) => ({model, version, ageMs: now - learntAt})));
+			return [...named].flatMap(([model, history]) => history.map(({version, learntAt, isDated}) => ({
+				model, version, ageMs: now - learntAt, isDated,
+			})));
 		},
 		onEndpoint(listener) {
 			endpointListeners.push(listener);
--- a/packages/router/src/lib/placing/candidates.ts
+++ b/packages/router/src/lib/placing/candidates.ts
@@ -50,8 +50,8 @@
 	const {view, book, health, presence, versions} = options;
 
 	/** Expected wait in the engine's queue; a request that waits already shows its least. */
-	const queueMs = ({id}: LiveEndpoint, load: EndpointLoad): number =>
-		Math.max(load.oldestWaitMs, load.pendingTokens * book.msPerToken(id));
+	const queueMs = ({id, slots}: LiveEndpoint, load: EndpointLoad): number =>
+		Math.max(load.oldestWaitMs, load.pendingTokens * book.msPerToken(id), load.running >= slots ? load.lastsMs : 0);
 
 	/**
 	 * Whether weights are fresh enough for a request that waits so long before it begins. Those
--- a/packages/router/src/lib/weights/naming-record.ts
+++ b/packages/router/src/lib/weights/naming-record.ts
@@ -9,8 +9,8 @@
 const recordSchema = z.object({
 	/** Store time up to which all namings are listed, in milliseconds. */
 	asOf: z.number(),
-	/** Model, version, store time of the naming; null if unknown. */
-	named: z.array(z.tuple([z.string(), z.number(), z.number().nullable()])),
+	/** Model, version, store time of the naming or null, whether that time is exact or the earliest possible one. */
+	named: z.array(z.tuple([z.string(), z.number(), z.number().nullable(), z.boolean()])),
 });
 
 type StoredRecord = z.infer<typeof recordSchema>;
@@ -47,9 +47,9 @@
 		}
 
 		const {asOf, named} = stored;
-		for (const [model, version, at] of named) {
+		for (const [model, version, at, isDated] of named) {
 			if (at !== null) {
-				view.datedWeights(model, version, Math.max(0, now - at));
+				view.restoreWeights(model, {version, ageMs: Math.max(0, now - at), isDated});
 			}
 		}
 
@@ -71,7 +71,7 @@
 
 			const record: StoredRecord = {
 				asOf: Math.floor(now - unseen),
-				named: namings.map(({model, version, ageMs}) => [model, version, Number.isFinite(ageMs) ? Math.floor(now - ageMs) : null]),
+				named: namings.map(({model, version, ageMs, isDated}) => [model, version, Number.isFinite(ageMs) ? Math.floor(now - ageMs) : null, isDated]),
 			};
 			return JSON.stringify(record);
 		},
--- a/packages/router/src/test/fleet/fleet-view.test.ts
+++ b/packages/router/src/test/fleet/fleet-view.test.ts
@@ -85,4 +85,21 @@
 		const named = view.namedWeights('m')!;
 		assert.deepEqual([named.outdatedMs(2), named.outdatedMs(4)], [Number.POSITIVE_INFINITY, 1000]);
 	});
+
+	it('knows the age of the first weights when the first naming skips a version', () => {
+		const view = createFleetView(createSilentLog());
+		view.acceptWeights('m', 3, 0);
+		clock.tick(1000);
+		assert.equal(view.namedWeights('m')!.outdatedMs(1), 1000);
+	});
+
+	it('counts weights as replaced since it was cut off when a version may have been named meanwhile', () => {
+		const view = createFleetView(createSilentLog());
+		view.acceptWeights('m', 3, 0);
+		clock.tick(30_000);
+		view.acceptWeights('m', 5, 30_000);
+		view.datedWeights('m', 5, 1000);
+		const named = view.namedWeights('m')!;
+		assert.deepEqual([named.outdatedMs(3), named.outdatedMs(4)], [30_000, 1000]);
+	});
 });
--- a/packages/router/src/test/placing/endpoint-choice.test.ts
+++ b/packages/router/src/test/placing/endpoint-choice.test.ts
@@ -287,6 +287,7 @@
 
 	it('begins on replaced weights after a restart when the store says that they were replaced lately', () => {
 		view.acceptWeights('m', 5, Number.POSITIVE_INFINITY);
+		view.restoreWeights('m', {version: 4, ageMs: 60_000, isDated: true});
 		view.boundWeights('m', 5, 1000);
 		versions.seen('e2', 4);
 		assert.equal(choose(prompt('s1'))?.endpoint.id, 'e2');
