Prompts are sampled only as far as daemons choose alike; former holders report their last orders

Connections are split over the fleet as the directory tells it, so a restarted daemon doesn't take all of them.

A daemon that loses the lease goes on to report its latest orders until the handover time is over (an engine must not be ordered by two daemons within it), plans are left out first where a report would not fit a datagram, and the holder polls the operator's table as if alone, since the record in the lease's row vouches for the namings up to its latest answer.

--- a/packages/entry/src/lib/wiring/feed-wiring.ts
+++ b/packages/entry/src/lib/wiring/feed-wiring.ts
@@ -5,6 +5,7 @@
 } from 'hickorywalk/fleet.js';
 import {type PeerExchange} from 'hickorywalk/peers.js';
 import {type Timings} from '../timings.js';
+import {weightsDuty} from './duty-wiring.js';
 import {type EntryParts} from './parts.js';
 
 /**
@@ -29,8 +30,10 @@
 		}
 	};
 
+	// The lease holder vouches for the namings up to its latest answer, so it polls more often.
+	const waitMs = (): number => parts.leases.held(weightsDuty) === undefined ? feedWaitMs(timings, peers) : timings.feedWaitMs;
 	return followChanges({
-		name: 'operator', source: createOperatorSource(store, log), handler: {update, replace: update}, waitMs: () => feedWaitMs(timings, peers), answerMs: timings.storeAnswerMs, restMs: 0, log,
+		name: 'operator', source: createOperatorSource(store, log), handler: {update, replace: update}, waitMs, answerMs: timings.storeAnswerMs, restMs: 0, log,
 	});
 }
 
--- a/packages/entry/src/lib/wiring/peer-wiring.ts
+++ b/packages/entry/src/lib/wiring/peer-wiring.ts
@@ -90,30 +90,40 @@
 	return model === undefined ? 0 : view.namedWeights(model)?.version ?? 0;
 }
 
-/** Only the lease holder knows more about engines than the endpoint list; engines without news are left out. */
-function enginesForReport({leases, versions, view, keeper, timings}: EntryParts): PeerReport['engines'] {
-	if (leases.held(weightsDuty) === undefined) {
-		return [];
-	}
+/** Keeps a report within one datagram; plans are left out first. */
+const maxReportedEngines = 512;
+
+type EngineReport = PeerReport['engines'][number];
 
-	const engines: PeerReport['engines'] = [];
+/**
+ * What the lease holder knows beyond the endpoint list. A former holder goes on to report its
+ * latest orders until the handover time is over.
+ */
+function enginesForReport({leases, versions, view, keeper, timings}: EntryParts): EngineReport[] {
+	const isHolder = leases.held(weightsDuty) !== undefined;
 	const changing = versions.allChanging();
+	const current: EngineReport[] = [];
+	const planned: EngineReport[] = [];
 	for (const id of view.endpointIds()) {
 		const endpoint = view.endpoint(id);
 		const [model] = endpoint?.weights.keys() ?? [];
-		if (endpoint !== undefined && model !== undefined) {
-			const sinceOrderMs = keeper.sinceOrderMs(id);
-			const {version, dueInMs} = versions.of(endpoint, model);
-			const isListedVersion = version === endpoint.weights.get(model);
-			if (isListedVersion && !changing.has(id) && !Number.isFinite(dueInMs) && sinceOrderMs > timings.handoverMs) {
-				continue;
-			}
+		if (endpoint === undefined || model === undefined) {
+			continue;
+		}
 
-			engines.push([id, version, changing.get(id) ?? 0, roundedOrMinusOne(sinceOrderMs), roundedOrMinusOne(dueInMs)]);
+		const sinceOrderMs = keeper.sinceOrderMs(id);
+		const {version, dueInMs} = versions.of(endpoint, model);
+		const isOrdered = sinceOrderMs <= timings.handoverMs;
+		const isNews = changing.has(id) || version !== endpoint.weights.get(model);
+		const report: EngineReport = [id, version, changing.get(id) ?? 0, roundedOrMinusOne(sinceOrderMs), roundedOrMinusOne(isHolder ? dueInMs : Number.POSITIVE_INFINITY)];
+		if (isOrdered || (isHolder && isNews)) {
+			current.push(report);
+		} else if (isHolder && Number.isFinite(dueInMs)) {
+			planned.push(report);
 		}
 	}
 
-	return engines;
+	return [...current, ...planned].slice(0, maxReportedEngines);
 }
 
 /** Discovers peers by their rows in the store. */
--- a/packages/entry/src/lib/wiring/request-wiring.ts
+++ b/packages/entry/src/lib/wiring/request-wiring.ts
@@ -44,8 +44,9 @@
 export function wireChoice(parts: EntryParts) {
 	const {view, book, health, presence, versions, kept, resident, peers, settings} = parts;
 	return createEndpointChoice({
-		view, book, health, presence, versions, kept, resident, dataCentre: settings.dataCentre, connectionShare: () => connectionsRatio / (peers.live().length + 1), weightsMs: settings.weightsMs,
-		daemons: peers.fleetSize, random: Math.random,
+		view, book, health, presence, versions, kept, resident, dataCentre: settings.dataCentre, connectionShare: () => connectionsRatio / peers.fleetSize(), weightsMs: settings.weightsMs,
+		// Peers within one round hear of large prompts at once, so only the others may choose alike.
+		daemons: () => 1 + peers.peersBeyondRound(), random: Math.random,
 	});
 }
 
--- a/packages/router/src/lib/peers/datagram-transport.ts
+++ b/packages/router/src/lib/peers/datagram-transport.ts
@@ -38,7 +38,7 @@
 			return new Promise(resolve => {
 				socket.send(content, Number(port), host, error => {
 					if (error !== null) {
-						log.debug('Report could not be sent.', {peer: host, err: error});
+						log.warn('Report could not be sent.', {peer: host, err: error});
 					}
 
 					resolve();
--- a/packages/router/src/lib/peers/peer-exchange.ts
+++ b/packages/router/src/lib/peers/peer-exchange.ts
@@ -53,10 +53,12 @@
 	known: () => ReadonlyMap<string, HeardReport>;
 	/** Daemons with a known address, including this one; complete once the directory was read. */
 	fleetSize: () => number;
+	/** Peers that one round of reports doesn't reach. */
+	peersBeyondRound: () => number;
 	/** Tells peers that this process stops, and closes the transport. */
 	leave: () => Promise<void>;
-	/** Sends a report to all peers, for what each must know at once. */
-	sendNow: () => void;
+	/** Sends a report to all peers, for what each must know at once; resolves when it was handed to the system. */
+	sendNow: () => Promise<void>;
 	/** Sends a report to one round's peers, unless one was sent within the minimum interval. */
 	sendSoon: () => void;
 	/** Maximum time between two reports from one live peer, if none is lost. */
@@ -101,7 +103,7 @@
 	let transport: DatagramTransport | undefined;
 	let timer: NodeJS.Timeout | undefined;
 	let number = 0;
-	let isAnnouncing = false;
+	let announcement: Promise<void> | undefined;
 	let hasLeft = false;
 	let sentAt = Number.NEGATIVE_INFINITY;
 
@@ -200,6 +202,15 @@
 		void send(peers);
 	};
 
+	/** Several calls of one turn of the event loop share a report. */
+	const announceOnce = async (): Promise<void> => {
+		await Promise.resolve();
+		announcement = undefined;
+		if (!hasLeft) {
+			await send([...queue]);
+		}
+	};
+
 	const forgetOld = (): void => {
 		const now = performance.now();
 		const forgetMs = Math.max(minForgetMs, silenceMs());
@@ -241,6 +252,7 @@
 		live: () => [...reports.values()].filter(heard => !isAway(heard)),
 		known: () => reports,
 		fleetSize: () => queue.size + 1,
+		peersBeyondRound: () => Math.max(0, queue.size - maxPeersPerRound),
 		async leave() {
 			clearInterval(timer);
 			hasLeft = true;
@@ -255,19 +267,9 @@
 			transport = undefined;
 			await closing.close();
 		},
-		sendNow() {
-			if (isAnnouncing) {
-				return;
-			}
-
-			// Several calls of one turn of the event loop share a report.
-			isAnnouncing = true;
-			queueMicrotask(() => {
-				isAnnouncing = false;
-				if (!hasLeft) {
-					void send([...queue]);
-				}
-			});
+		async sendNow() {
+			announcement ??= announceOnce();
+			return announcement;
 		},
 		sendSoon() {
 			if (performance.now() - sentAt >= minPauseMs) {
--- a/packages/router/src/lib/placing/candidate-sample.ts
+++ b/packages/router/src/lib/placing/candidate-sample.ts
@@ -6,7 +6,7 @@
 
 /** Options of {@link createSampler}. */
 export type SamplerOptions = {
-	/** Daemons that choose at the same time, including this one. */
+	/** Daemons that choose at the same time with the same late news of loads, including this one. */
 	daemons: () => number;
 	/** Returns a number in [0, 1). */
 	random: () => number;
--- a/packages/router/src/test/peers/large-fleet.test.ts
+++ b/packages/router/src/test/peers/large-fleet.test.ts
@@ -115,7 +115,8 @@
 	}).timeout(120_000);
 
 	it('knows the size of the fleet before it has heard a peer', () => {
-		assert.equal(open('vm-0', {openTransport: openLossy, peers: peerNames}).fleetSize(), peerCount + 1);
+		const exchange = open('vm-0', {openTransport: openLossy, peers: peerNames});
+		assert.deepEqual([exchange.fleetSize(), exchange.peersBeyondRound()], [peerCount + 1, peerCount - 16]);
 	});
 
 	it('counts a peer as away only after several refresh intervals, which grow with the fleet', () => {
@@ -191,7 +192,7 @@
 			}
 
 			if (index % 9 === 0) {
-				exchange.sendNow();
+				void exchange.sendNow();
 			}
 		}
 
@@ -206,7 +207,7 @@
 	it('sends an urgent report to every peer at once', async () => {
 		// The next lease holder must know of an order even if its sender dies right after it.
 		const {exchange, sent} = await startRecorded(emptyReport);
-		exchange.sendNow();
+		void exchange.sendNow();
 		await clock.tickAsync(0);
 		assert.deepEqual([...sent.values()].map(contents => contents.length), peerNames.map(() => 1));
 	});
@@ -244,8 +245,8 @@
 
 	it('shares one report between urgent calls of one turn', async () => {
 		const {exchange, sent} = await startRecorded(emptyReport);
-		exchange.sendNow();
-		exchange.sendNow();
+		void exchange.sendNow();
+		void exchange.sendNow();
 		await clock.tickAsync(0);
 		assert.deepEqual([...sent.values()].map(contents => contents.length), peerNames.map(() => 1));
 	});
@@ -253,9 +254,9 @@
 	it('sends nothing after the report that it leaves', async () => {
 		// A later report would make peers count the load of a process that is gone.
 		const {exchange, sent} = await startRecorded(emptyReport);
-		exchange.sendNow();
+		void exchange.sendNow();
 		const left = exchange.leave();
-		exchange.sendNow();
+		void exchange.sendNow();
 		exchange.sendSoon();
 		await left;
 		await clock.tickAsync(2000);
