--- a/packages/entry/src/lib/wiring/duty-wiring.ts
+++ b/packages/entry/src/lib/wiring/duty-wiring.ts
@@ -26,7 +26,9 @@
 				? {attempt: heard.report.duty[0], heardAt: heard.heardAt, msLeft: heard.report.duty[1]}
 				: undefined;
 		},
-		onAttempt: peers.sendNow,
+		onAttempt() {
+			void peers.sendNow();
+		},
 		note: namingRecord.encode,
 		onNote(_duty, note) {
 			namingRecord.accept(note);
--- /dev/null
+++ b/packages/entry/src/test/daemon-settings.ts
@@ -0,0 +1,20 @@
+import {parseBootSettings} from '@hickorywalk/platform';
+
+export const host = '127.0.0.1';
+
+/** Settings of a daemon that binds its peer port to `port`, any other to a free one. */
+export const settingsWith = (port: number) => parseBootSettings(JSON.stringify({
+	node: 'vm-1',
+	role: 'entry',
+	ip: host,
+	zone: 'a',
+	listen: {front: `${host}:0`, ready: `${host}:0`},
+	port_range: [port, port],
+	bootstrap: true,
+	limits: {memory_mb: 200, max_fds: 4100},
+	heartbeat_ms: 1200,
+	bounds: {
+		stable_window_ms: 3000, drain_ms: 2000, grace_s: 8, config_ms: 2000,
+	},
+	platform: {address: `${host}:1`},
+}));
--- a/packages/entry/src/test/feed-wiring.test.ts
+++ b/packages/entry/src/test/feed-wiring.test.ts
@@ -1,26 +1,8 @@
-import {parseBootSettings} from '@hickorywalk/platform';
 import {assert} from 'chai';
 import {type FleetDocument, type LiveEndpoint, type Service} from 'hickorywalk/fleet.js';
 import {createEntryParts} from '../lib/entry-parts.js';
 import {type EntryParts} from '../lib/wiring/parts.js';
-
-const host = '127.0.0.1';
-
-const settings = parseBootSettings(JSON.stringify({
-	node: 'vm-1',
-	role: 'entry',
-	ip: host,
-	zone: 'a',
-	listen: {front: `${host}:0`, ready: `${host}:0`},
-	port_range: [1, 1],
-	bootstrap: true,
-	limits: {memory_mb: 200, max_fds: 4100},
-	heartbeat_ms: 1200,
-	bounds: {
-		stable_window_ms: 3000, drain_ms: 2000, grace_s: 8, config_ms: 2000,
-	},
-	platform: {address: `${host}:1`},
-}));
+import {settingsWith} from './daemon-settings.js';
 
 const service = (name: string): [string, Service] => [name, {name, mostConnections: 10, engine: undefined}];
 
@@ -49,7 +31,7 @@
 	};
 
 	beforeEach(() => {
-		parts = createEntryParts(settings).cradle;
+		parts = createEntryParts(settingsWith(1)).cradle;
 		// Wires the listeners; the store is out of reach.
 		parts.endpointFeed.ageMs();
 	});
--- a/packages/entry/src/test/peer-wiring.test.ts
+++ b/packages/entry/src/test/peer-wiring.test.ts
@@ -3,7 +3,6 @@
 import {once} from 'node:events';
 import FakeTimers from '@sinonjs/fake-timers';
 import {assert} from 'chai';
-import {parseBootSettings} from '@hickorywalk/platform';
 import {type LiveEndpoint} from 'hickorywalk/fleet.js';
 import {createSilentLog} from 'hickorywalk/observability.js';
 import {decodeReport, type PeerExchange, type PeerReport} from 'hickorywalk/peers.js';
@@ -11,8 +10,7 @@
 import {wireLeases} from '../lib/wiring/duty-wiring.js';
 import {type EntryParts} from '../lib/wiring/parts.js';
 import {wirePeers} from '../lib/wiring/peer-wiring.js';
-
-const host = '127.0.0.1';
+import {host, settingsWith} from './daemon-settings.js';
 
 async function freePort(): Promise<number> {
 	const socket = createSocket('udp4');
@@ -25,22 +23,6 @@
 	return port;
 }
 
-const settingsWith = (port: number) => parseBootSettings(JSON.stringify({
-	node: 'vm-1',
-	role: 'entry',
-	ip: host,
-	zone: 'a',
-	listen: {front: `${host}:0`, ready: `${host}:0`},
-	port_range: [port, port],
-	bootstrap: true,
-	limits: {memory_mb: 200, max_fds: 4100},
-	heartbeat_ms: 1200,
-	bounds: {
-		stable_window_ms: 3000, drain_ms: 2000, grace_s: 8, config_ms: 2000,
-	},
-	platform: {address: `${host}:1`},
-}));
-
 const endpoint = (id: string, startedAt: number): LiveEndpoint => ({
 	id, service: 'engines', address: '10.0.0.1:80', dataCentre: 'a', slots: 8, isLeaving: false, startedAt, reportNumber: 1, weights: new Map([['m', 1]]),
 });
@@ -169,6 +151,37 @@
 		assert.equal(parts.book.load(endpoint('e1', 100)).running, 0);
 	});
 
+	it('chooses among a sample of engines where most peers hear of its prompts late', () => {
+		parts.view.acceptDocument({
+			version: 1,
+			routes: [],
+			services: new Map([['engines', {
+				name: 'engines', mostConnections: 500, engine: {
+					slots: 16, memoryTokens: 100_000, tokenBytes: 0, linkBytesPerMs: 1, models: ['m'],
+				},
+			}]]),
+			cacheStores: [],
+			workspaces: [],
+			limits: {
+				headerBytes: 1, bodyBytes: 1, headerMs: 1, idleMs: 1,
+			},
+		});
+		for (let index = 0; index < 98; index++) {
+			parts.view.acceptEndpoint(endpoint(`e${index}`, 100));
+		}
+
+		const used = new Set<string>();
+		for (let count = 0; count < 200; count++) {
+			used.add(parts.choice.choose({
+				service: 'engines', excluded: new Set(), prompt: {
+					model: 'm', parts: [{id: 'own', tokens: 800}], promptTokens: 800, outputTokens: 10, wall: '',
+				},
+			})!.endpoint.id);
+		}
+
+		assert.isAbove(used.size, 20);
+	});
+
 	it('reads the lease as soon as its holder\'s last word has run out', async () => {
 		// A holder that died would else be trusted until it counts as away.
 		let reads = 0;
