--- a/packages/router/src/test/peers/peer-exchange.test.ts
+++ b/packages/router/src/test/peers/peer-exchange.test.ts
@@ -70,10 +70,10 @@
 		const one = await start('vm-1', 1, () => 7);
 		const two = await start('vm-2', 1, () => 9);
 		one.exchange.learn('vm-2', `${host}:${two.port}`);
-		one.exchange.sendNow();
+		void one.exchange.sendNow();
 		await two.until(1);
 		assert.deepEqual([two.heard[0].daemon, two.heard[0].heard.operator], ['vm-1', 7]);
-		two.exchange.sendNow();
+		void two.exchange.sendNow();
 		await one.until(1);
 		assert.equal(one.heard[0].heard.operator, 9);
 		assert.deepEqual(one.exchange.live().map(({report}) => report.daemon), ['vm-2']);
@@ -107,7 +107,7 @@
 		const one = await start('vm-1', 1, () => 0);
 		const two = await start('vm-2', 1, () => 0);
 		two.exchange.learn('vm-1', `${host}:${one.port}`);
-		two.exchange.sendNow();
+		void two.exchange.sendNow();
 		await one.until(1);
 		await two.exchange.leave();
 		await one.until(2);
