An early round of reports takes the place of the next scheduled one

Each large prompt sends a round at once, on top of five scheduled ones a second. The time between two rounds stays below its limit, so peers hear no less often; a daemon with two large prompts a second sends two rounds fewer.

--- a/packages/router/src/lib/peers/peer-exchange.ts
+++ b/packages/router/src/lib/peers/peer-exchange.ts
@@ -28,7 +28,7 @@
 	name: string;
 	incarnation: number;
 	bind: {host: string; port: number};
-	/** Milliseconds between two reports. */
+	/** Maximum time between two rounds of reports, in milliseconds. */
 	everyMs: number;
 	/** Lower bound of {@link PeerExchange.silenceMs}. */
 	minSilenceMs: number;
@@ -200,6 +200,8 @@
 		}
 
 		void send(peers);
+		// A round that is sent early takes the place of the next one.
+		timer?.refresh();
 	};
 
 	/** Several calls of one turn of the event loop share a report. */
--- a/packages/router/src/test/peers/large-fleet.test.ts
+++ b/packages/router/src/test/peers/large-fleet.test.ts
@@ -114,6 +114,32 @@
 		assert.deepEqual(lines, peerNames.map(() => 'Peer is heard.'));
 	}).timeout(120_000);
 
+	it('sends no scheduled round right after an early one', async () => {
+		let datagrams = 0;
+		const exchange = open('vm-0', {
+			peers: ['vm-1'],
+			openTransport: async () => ({
+				async send() {
+					datagrams++;
+				},
+				async close() {
+					// Nothing is open.
+				},
+			}),
+		});
+		await exchange.start();
+		for (let round = 0; round < 10; round++) {
+			await clock.tickAsync(everyMs * 0.75);
+			exchange.sendSoon();
+		}
+
+		await clock.tickAsync(0);
+		assert.equal(datagrams, 10);
+		await clock.tickAsync(everyMs);
+		assert.equal(datagrams, 11);
+		await exchange.leave();
+	});
+
 	it('knows the size of the fleet before it has heard a peer', () => {
 		const exchange = open('vm-0', {openTransport: openLossy, peers: peerNames});
 		assert.deepEqual([exchange.fleetSize(), exchange.peersBeyondRound()], [peerCount + 1, peerCount - 16]);
