A record of namings passes on that a version may have been named unheard

A holder that was cut off while two versions were named, and heard from a peer when the later one was, wrote that time as exact; a restarted fleet would have counted its older weights from there. The new test fails on the code before (1 s in place of 30 s).

--- a/packages/router/src/lib/fleet/fleet-view.ts
+++ b/packages/router/src/lib/fleet/fleet-view.ts
@@ -55,7 +55,7 @@
 	restoreWeights: (model: string, naming: RestoredNaming) => void;
 	/** Lowers the possible age of a naming whose time is not known, and of those before it that were not heard. */
 	boundWeights: (model: string, version: number, atMostMs: number) => void;
-	/** All remembered namings; the age is the largest possible one, infinite if unknown. */
+	/** All remembered namings; the age is the largest possible one of the version and any unheard before it, infinite if unknown. */
 	namings: () => Array<{model: string} & RestoredNaming>;
 	/** Called for every added, changed or removed endpoint. */
 	onEndpoint: (listener: EndpointListener) => void;
@@ -245,8 +245,8 @@
 		},
 		namings() {
 			const now = performance.now();
-			return [...named].flatMap(([model, history]) => history.map(({version, learntAt, isDated}) => ({
-				model, version, ageMs: now - learntAt, isDated,
+			return [...named].flatMap(([model, history]) => history.map(({version, learntAt, isDated, gapAt}) => ({
+				model, version, ageMs: now - Math.min(learntAt, gapAt), isDated: isDated && learntAt <= gapAt,
 			})));
 		},
 		onEndpoint(listener) {
--- a/packages/router/src/test/weights/naming-record.test.ts
+++ b/packages/router/src/test/weights/naming-record.test.ts
@@ -99,6 +99,19 @@
 		assert.deepEqual(ages(restarted), [11, 6, 1.8]);
 	});
 
+	it('passes on that a version may have been named unheard', async () => {
+		const holder = start('vm-1');
+		holder.view.acceptWeights('m', 2, 0);
+		await clock.tickAsync(30_000);
+		holder.view.acceptWeights('m', 4, 30_000);
+		holder.view.datedWeights('m', 4, 1000);
+		await holder.tick();
+		const restarted = start('vm-2');
+		await restarted.tick();
+		learn(restarted, 4);
+		assert.deepEqual(ages(restarted), [30, 30, 0]);
+	});
+
 	it('leaves out a record that can\'t be read', () => {
 		const daemon = start('vm-1');
 		daemon.record.accept('{"asOf":"soon"}');
