Peers' hints no longer press a store that refuses

Each report of a peer that knows a newer change made a daemon ask at once; where the store refused, the next report did so again, 80 times a second. Hints are now ignored while the feed itself backs off, and for its longest pause after a failed question of their own: 30 times at most.

--- a/packages/router/src/lib/fleet/change-feed.ts
+++ b/packages/router/src/lib/fleet/change-feed.ts
@@ -92,6 +92,8 @@
 	let failures = 0;
 	const closing = new AbortController();
 	let isHinted = false;
+	/** Hints are ignored until then. */
+	let hintsFrom = Number.NEGATIVE_INFINITY;
 	let hasNews = false;
 
 	const answered = (): void => {
@@ -189,7 +191,9 @@
 		ageMs: () => performance.now() - answeredAt,
 		newestChange: () => newestChange,
 		hint(known) {
-			if (version === undefined || known <= Math.max(version, newestChange) || isHinted) {
+			// After a failure the feed asks again by itself, with backoff.
+			const isBackingOff = failures > 0 || performance.now() < hintsFrom;
+			if (version === undefined || known <= Math.max(version, newestChange) || isHinted || isBackingOff) {
 				return;
 			}
 
@@ -203,6 +207,7 @@
 
 					apply(await source.changes(version, 0, answerMs), false);
 				} catch (error) {
+					hintsFrom = performance.now() + maxBackoffMs;
 					log.debug('Store gave no answer to a further question.', {path: options.name, err: error});
 				} finally {
 					isHinted = false;
--- a/packages/router/src/test/fleet/change-feed.test.ts
+++ b/packages/router/src/test/fleet/change-feed.test.ts
@@ -127,4 +127,44 @@
 		assert.deepEqual(seen.slice(1).map(text => text.split(' ')[0]), ['a', 'v7v8v9']);
 		assert.equal(questions, 3);
 	});
+
+	it('does not press a store that refuses it, however often peers tell of a change', async () => {
+		let questions = 0;
+		feed = follow({
+			list: async () => ({version: 5, changes: []}),
+			async changes() {
+				questions++;
+				throw new Error('refused');
+			},
+		}, 0);
+		for (let at = 0; at < 10_000; at += 12) {
+			await clock.tickAsync(12);
+			feed.hint(6 + at);
+		}
+
+		assert.isAtMost(questions, 30);
+	});
+
+	it('does not press a store that answers its waiting question late, and refuses others', async () => {
+		let questions = 0;
+		feed = follow({
+			list: async () => ({version: 5, changes: []}),
+			async changes(_after, waitMs) {
+				questions++;
+				if (waitMs > 0) {
+					await new Promise(resolve => {
+						setTimeout(resolve, 60_000);
+					});
+				}
+
+				throw new Error('refused');
+			},
+		}, 0);
+		for (let at = 0; at < 10_000; at += 12) {
+			await clock.tickAsync(12);
+			feed.hint(6 + at);
+		}
+
+		assert.isAtMost(questions, 30);
+	});
 });
