A few elected daemons read the store's feeds and relay them to their peers

Cause: each daemon followed both tables for itself, so each change of a row cost one call of every daemon, and idle polls grew with the fleet.

One daemon in a group of 16, two in larger ones, elected by rendezvous per table, read a table and relay the changed rows in their reports; a fleet above 32 forms a group for each data centre. The others ask the store only when no relay came for 0.7 of the bound of a change, or when they miss some rows; daemons ranked next step in one after the other, 100 ms apart.

--- a/packages/entry/src/lib/timings.ts
+++ b/packages/entry/src/lib/timings.ts
@@ -3,10 +3,12 @@
 
 /** Durations in milliseconds, unless noted. */
 export type Timings = {
-	/** Long-poll wait at the store, for a daemon without peers. */
+	/** Long-poll wait at the store, for a daemon that reads a table. */
 	feedWaitMs: number;
-	/** Maximum factor on `feedWaitMs`, which grows with the number of live peers. */
-	mostFeedWaits: number;
+	/** Time after a peer's relay for which a table counts as current without asking the store. */
+	feedTrustMs: number;
+	/** Time that a relay may take longer than a hint of the same change. */
+	relayMs: number;
 	/** Timeout of a store call, on top of its long-poll wait. */
 	storeAnswerMs: number;
 	/**
@@ -19,6 +21,7 @@
 	minPeerSilenceMs: number;
 	/** Silence after which a peer is presumed stopped, while each round of reports reaches all peers. */
 	minPeerGoneMs: number;
+	/** Interval between two looks at the directory of daemons, for each round of reports that reaches all peers. */
 	directoryEveryMs: number;
 	/** Lease duration, and the safety margin by which its holder stops early. */
 	leaseMs: number;
@@ -38,13 +41,16 @@
 
 /**
  * Derives the timings. `feedWaitMs` + `storeAnswerMs` and one more call without waiting stay
- * below `documentMs`, so a dead connection can't delay a document beyond its bound.
+ * below the bound of the document and of leaving endpoints, so a dead connection can't delay
+ * a change beyond it; nor can a reader that is lost, after `feedTrustMs` and one call.
  */
 export function timingsFor(settings: BootSettings): Timings {
+	const boundMs = Math.min(settings.documentMs, settings.drainMs);
 	return {
-		feedWaitMs: settings.documentMs * 0.4,
-		mostFeedWaits: 5,
-		storeAnswerMs: settings.documentMs * 0.2,
+		feedWaitMs: boundMs * 0.5,
+		feedTrustMs: boundMs * 0.7,
+		relayMs: 100,
+		storeAnswerMs: boundMs * 0.2,
 		endpointsRestMs: settings.drainMs * 0.125,
 		reportEveryMs: 200,
 		minPeerSilenceMs: 1000,
--- a/packages/entry/src/lib/wiring/feed-wiring.ts
+++ b/packages/entry/src/lib/wiring/feed-wiring.ts
@@ -1,24 +1,36 @@
 /** Wires the store's change feeds: the operator's table and the endpoint list. */
 import {createEndpointSource, createOperatorSource, type OperatorRow} from '@hickorywalk/platform';
 import {
-	type ChangeFeed, createEndpointTracker, followChanges, type LiveEndpoint,
+	type ChangeFeed, createEndpointTracker, type FeedSharing, followChanges, type LiveEndpoint,
 } from 'hickorywalk/fleet.js';
-import {type PeerExchange} from 'hickorywalk/peers.js';
-import {type Timings} from '../timings.js';
-import {weightsDuty} from './duty-wiring.js';
+import {createFeedReaders, type FeedReaders} from 'hickorywalk/peers.js';
 import {type EntryParts} from './parts.js';
 
-/**
- * Peers share which changes they have seen, so one working connection is enough. Each daemon
- * may then use longer polls, which saves calls.
- */
-function feedWaitMs({feedWaitMs: alone, mostFeedWaits}: Timings, peers: PeerExchange): number {
-	return alone * Math.min(mostFeedWaits, 1 + peers.live().length);
+/** Upper bound of the backoff of the daemons that read a table first, in milliseconds. */
+const maxReaderBackoffMs = 400;
+
+/** Elects the readers of a table. */
+export const wireReaders = (table: string, {settings, timings, peers}: EntryParts): FeedReaders =>
+	createFeedReaders({
+		name: settings.name, table, peers: peers.group, silenceMs: timings.feedTrustMs,
+	});
+
+/** Lets the elected readers of a table ask the store, and the others rely on their relays. */
+function sharingOf(table: string, readers: FeedReaders, {timings, peers}: EntryParts): FeedSharing {
+	return {
+		readerInMs: readers.dueInMs,
+		trustMs: () => timings.feedTrustMs,
+		relayMs: timings.relayMs,
+		maxBackoffMs: () => readers.isFirstChoice() ? maxReaderBackoffMs : timings.feedTrustMs,
+		relay(relay) {
+			peers.relay(table, relay);
+		},
+	};
 }
 
 /** Follows the fleet document and the named weights. */
 export function wireOperatorFeed(parts: EntryParts): ChangeFeed {
-	const {store, view, timings, peers, log} = parts;
+	const {store, view, timings, log} = parts;
 	const update = (rows: ReadonlyArray<{item: OperatorRow | undefined}>, unseenMs: number): void => {
 		for (const {item} of rows) {
 			if (item?.kind === 'document') {
@@ -30,15 +42,21 @@
 		}
 	};
 
-	// The lease holder vouches for the namings up to its latest answer, so it polls more often.
-	const waitMs = (): number => parts.leases.held(weightsDuty) === undefined ? feedWaitMs(timings, peers) : timings.feedWaitMs;
 	return followChanges({
-		name: 'operator', source: createOperatorSource(store, log), handler: {update, replace: update}, waitMs, answerMs: timings.storeAnswerMs, restMs: 0, log,
+		name: 'operator',
+		source: createOperatorSource(store, log),
+		handler: {update, replace: update},
+		waitMs: () => timings.feedWaitMs,
+		answerMs: timings.storeAnswerMs,
+		restMs: 0,
+		sharing: sharingOf('operator', parts.operatorReaders, parts),
+		log,
 	});
 }
 
 /** Follows the endpoint list and drops local state of removed endpoints. */
-export function wireEndpointFeed({store, view, timings, peers, health, book, presence, versions, resident, log}: EntryParts): ChangeFeed {
+export function wireEndpointFeed(parts: EntryParts): ChangeFeed {
+	const {store, view, timings, health, book, presence, versions, resident, log} = parts;
 	const tracker = createEndpointTracker({view, graceMs: timings.lapsedGraceMs, outageEchoMs: timings.outageEchoMs});
 	const updateHealth = (service: string | undefined): void => {
 		if (service !== undefined && view.current()?.document.services.has(service)) {
@@ -70,6 +88,13 @@
 		}
 	});
 	return followChanges<LiveEndpoint>({
-		name: 'endpoints', source: createEndpointSource(store, log), handler: tracker, waitMs: () => feedWaitMs(timings, peers), answerMs: timings.storeAnswerMs, restMs: timings.endpointsRestMs, log,
+		name: 'endpoints',
+		source: createEndpointSource(store, log),
+		handler: tracker,
+		waitMs: () => timings.feedWaitMs,
+		answerMs: timings.storeAnswerMs,
+		restMs: timings.endpointsRestMs,
+		sharing: sharingOf('endpoints', parts.endpointReaders, parts),
+		log,
 	});
 }
--- a/packages/entry/src/lib/wiring/peer-wiring.ts
+++ b/packages/entry/src/lib/wiring/peer-wiring.ts
@@ -1,6 +1,7 @@
 /** Wires the exchange of reports between daemons. */
+import {type ChangeFeed} from 'hickorywalk/fleet.js';
 import {
-	createPeerDirectory, createPeerExchange, type OpenDatagramTransport, type PeerExchange, type PeerReport,
+	createPeerDirectory, createPeerExchange, type FeedReaders, type OpenDatagramTransport, type PeerExchange, type PeerReport,
 } from 'hickorywalk/peers.js';
 import {weightsDuty} from './duty-wiring.js';
 import {type EntryParts} from './parts.js';
@@ -8,6 +9,12 @@
 /** Creates the exchange and applies peers' reports to the local state. */
 export function wirePeers(parts: EntryParts, openTransport?: OpenDatagramTransport): PeerExchange {
 	const {settings, timings, incarnation, log, quota, book, versions} = parts;
+	/** Followed tables by their names in reports; looked up late, since the feeds need the exchange. */
+	const followers: Record<string, {feed: () => ChangeFeed; readers: () => FeedReaders}> = {
+		operator: {feed: () => parts.operatorFeed, readers: () => parts.operatorReaders},
+		endpoints: {feed: () => parts.endpointFeed, readers: () => parts.endpointReaders},
+	};
+
 	const onReport = (report: PeerReport): void => {
 		if (report.isLeaving) {
 			quota.left(report.daemon);
@@ -45,13 +52,23 @@
 			}
 		}
 
-		parts.operatorFeed.hint(report.heard.operator ?? 0);
-		parts.endpointFeed.hint(report.heard.endpoints ?? 0);
+		for (const [table, relay] of report.relays) {
+			const followed = Object.hasOwn(followers, table) ? followers[table] : undefined;
+			if (followed !== undefined) {
+				followed.readers().relayed(report.daemon);
+				followed.feed().relayed(relay);
+			}
+		}
+
+		for (const [table, {feed}] of Object.entries(followers)) {
+			feed().hint(report.heard[table] ?? 0);
+		}
 	};
 
 	const exchange = createPeerExchange({
 		name: settings.name,
 		incarnation,
+		dataCentre: settings.dataCentre,
 		bind: {host: settings.peerPorts.host, port: settings.peerPorts.first},
 		everyMs: timings.reportEveryMs,
 		minSilenceMs: timings.minPeerSilenceMs,
@@ -133,7 +150,7 @@
 		incarnation,
 		address: `${settings.peerPorts.host}:${settings.peerPorts.first}`,
 		table: ownTable,
-		everyMs: timings.directoryEveryMs,
+		everyMs: () => timings.directoryEveryMs * peers.rounds(),
 		onPeer: peers.learn,
 		log,
 	});
--- a/packages/router/src/fleet.ts
+++ b/packages/router/src/fleet.ts
@@ -4,6 +4,7 @@
 export * from './lib/fleet/change-feed.js';
 export * from './lib/fleet/endpoint-presence.js';
 export * from './lib/fleet/endpoint-tracker.js';
+export * from './lib/fleet/feed-relay.js';
 export type * from './lib/fleet/fleet-document.js';
 export * from './lib/fleet/fleet-view.js';
 export * from './lib/fleet/live-endpoint.js';
--- a/packages/router/src/lib/fleet/change-feed.ts
+++ b/packages/router/src/lib/fleet/change-feed.ts
@@ -1,7 +1,11 @@
-/** Follows a table of the store: one listing, then long polls for changes. */
+/**
+ * Follows a table of the store: one listing, then changes, from the store or from a peer that
+ * reads the table and relays its answers.
+ */
 import {LayerError} from '../errors/layer-error.js';
 import {type Log} from '../observability/log.js';
 import {pause} from '../time/pause.js';
+import {createRelayLog, type FeedRelay, type RelayedRow} from './feed-relay.js';
 
 /** The store no longer has the requested history; the table must be listed again. */
 export class HistoryGoneError extends LayerError {
@@ -15,6 +19,8 @@
 	item: T | undefined;
 	/** Store version that wrote the row. */
 	version: number;
+	/** Content in the store; `undefined` when the row was deleted. */
+	text?: string | undefined;
 };
 
 /** Rows, with the store version that they are current at. */
@@ -24,7 +30,7 @@
 	version: number;
 };
 
-/** A table that can be listed and followed. Both methods throw the platform's errors. */
+/** A table that can be listed and followed. `list` and `changes` throw the platform's errors. */
 export type ChangeSource<T> = {
 	list: (limitMs: number) => Promise<Changes<T>>;
 	/**
@@ -32,6 +38,8 @@
 	 * @throws {HistoryGoneError} when the store has dropped that part of its history.
 	 */
 	changes: (after: number, waitMs: number, limitMs: number) => Promise<Changes<T>>;
+	/** Decodes a row that a peer relayed. */
+	decode: (row: RelayedRow) => Change<T>;
 };
 
 /** Receives the rows of a followed table. */
@@ -40,8 +48,22 @@
 	replace: (rows: ReadonlyArray<Change<T>>, unseenMs: number) => void;
 	/** Changed rows, at most `unseenMs` old; 0 while the feed is current. */
 	update: (rows: ReadonlyArray<Change<T>>, unseenMs: number) => void;
-	/** The first successful call after failures, `awayMs` after the last success. */
-	regained?: (awayMs: number) => void;
+	/** The store answered `sinceMs` ago after an outage of `awayMs`; may be told again of the same outage. */
+	regained?: (awayMs: number, sinceMs: number) => void;
+};
+
+/** How daemons share the reading of a table; durations in milliseconds. */
+export type FeedSharing = {
+	/** Time until this daemon should read the table for its peers; 0 while it does. */
+	readerInMs: () => number;
+	/** Time after an answer or a relay for which the table counts as current without asking. */
+	trustMs: () => number;
+	/** Time that a relay may take longer than a hint of the same change. */
+	relayMs: number;
+	/** Upper bound of the backoff after failed calls. */
+	maxBackoffMs: () => number;
+	/** Relays an answer of the store to peers. */
+	relay: (relay: FeedRelay) => void;
 };
 
 /** Options of {@link followChanges}; durations in milliseconds. */
@@ -62,6 +84,8 @@
 	 * updates into one call.
 	 */
 	restMs: number;
+	/** Without it, this daemon reads for itself alone. */
+	sharing?: FeedSharing;
 	log: Log;
 };
 
@@ -76,6 +100,8 @@
 	 * without waiting.
 	 */
 	hint: (newestChange: number) => void;
+	/** A peer relays an answer of the store. */
+	relayed: (relay: FeedRelay) => void;
 	close: () => void;
 };
 
@@ -83,13 +109,35 @@
 const minBackoffMs = 50;
 const maxBackoffMs = 400;
 
+/** A gap between two calls, beyond the rest, below which the feed counts as uninterrupted. */
+const maxGapMs = 100;
+
+const readsAlone: FeedSharing = {
+	readerInMs: () => 0,
+	trustMs: () => 0,
+	relayMs: 0,
+	maxBackoffMs: () => maxBackoffMs,
+	relay() {
+		// No peer relies on this daemon.
+	},
+};
+
 /** Follows a table until closed. */
 export function followChanges<T>(options: ChangeFeedOptions<T>): ChangeFeed {
 	const {source, handler, log, answerMs} = options;
+	const sharing = options.sharing ?? readsAlone;
+	const relayLog = createRelayLog();
 	let version: number | undefined;
 	let newestChange = 0;
 	let answeredAt = Number.NEGATIVE_INFINITY;
 	let failures = 0;
+	/** The latest call was made some time ago, since peers kept the table current. */
+	let hasRested = false;
+	let isReader = false;
+	/** A relay that arrived before the one it follows. */
+	let outrunning: FeedRelay | undefined;
+	/** Relays were missing at the latest look. */
+	let isUnattended = false;
 	const closing = new AbortController();
 	let isHinted = false;
 	/** Hints are ignored until then. */
@@ -100,7 +148,8 @@
 		if (failures > 0) {
 			const awayMs = performance.now() - answeredAt;
 			log.info('Store answers again.', {path: options.name, ms: Math.round(awayMs), count: failures});
-			handler.regained?.(awayMs);
+			handler.regained?.(awayMs, 0);
+			relayLog.regained(awayMs);
 			failures = 0;
 		}
 
@@ -113,6 +162,18 @@
 		}
 	};
 
+	const relay = (isPrompt: boolean): void => {
+		const isElected = sharing.readerInMs() === 0;
+		if (isElected !== isReader) {
+			isReader = isElected;
+			log.info(isReader ? 'Daemon reads a table for its peers.' : 'Daemon leaves a table to its peers.', {path: options.name});
+		}
+
+		if (isReader) {
+			sharing.relay(relayLog.take(isPrompt));
+		}
+	};
+
 	const list = async (): Promise<void> => {
 		const all = await source.list(answerMs * 2);
 		const unseenMs = performance.now() - answeredAt;
@@ -121,23 +182,36 @@
 		if (version === undefined || all.version >= version) {
 			version = all.version;
 			note(all.changes);
+			relayLog.listed(all);
 			handler.replace(all.changes, unseenMs);
+			relay(false);
 		}
 	};
 
-	const apply = (news: Changes<T>, isPrompt: boolean): void => {
-		const unseenMs = isPrompt && failures === 0 ? 0 : performance.now() - answeredAt;
-		answered();
+	/** Takes over rows that are complete up to `news.version`; returns whether they were not outdated. */
+	const accept = (news: Changes<T>, unseenMs: number): boolean => {
 		if (version === undefined || news.version < version) {
-			return;
+			return false;
 		}
 
+		relayLog.changed(news);
 		version = news.version;
 		if (news.changes.length > 0) {
-			hasNews = true;
 			note(news.changes);
 			handler.update(news.changes, unseenMs);
 		}
+
+		return true;
+	};
+
+	const apply = (news: Changes<T>, isPrompt: boolean): void => {
+		const isUninterrupted = isPrompt && failures === 0;
+		const unseenMs = isUninterrupted ? 0 : performance.now() - answeredAt;
+		answered();
+		if (accept(news, unseenMs)) {
+			hasNews ||= news.changes.length > 0;
+			relay(isUninterrupted);
+		}
 	};
 
 	const ask = async (): Promise<void> => {
@@ -146,10 +220,12 @@
 			return;
 		}
 
-		// After a failure the feed may be far behind, so it doesn't wait.
-		const wait = failures > 0 || isHinted ? 0 : options.waitMs();
+		// After a failure or a rest the feed may be behind, and peers may wait for a new reader.
+		const wait = failures > 0 || isHinted || hasRested ? 0 : options.waitMs();
 		isHinted = false;
-		apply(await source.changes(version, wait, wait + answerMs), true);
+		hasRested = false;
+		const isPrompt = performance.now() - answeredAt <= options.restMs + maxGapMs;
+		apply(await source.changes(version, wait, wait + answerMs), isPrompt);
 	};
 
 	const failed = async (error: unknown): Promise<void> => {
@@ -168,12 +244,43 @@
 			log.warn('Store gave no answer.', {path: options.name, ms: roundedAgeMs(answeredAt), err: error});
 		}
 
-		await pause(Math.min(maxBackoffMs, minBackoffMs * (2 ** Math.min(failures - 1, 8))));
+		await pause(Math.min(sharing.maxBackoffMs(), minBackoffMs * (2 ** Math.min(failures - 1, 8))));
+	};
+
+	/** Logs once that relays are missing. */
+	const noteUnattended = (isMissing: boolean): void => {
+		if (isMissing && !isUnattended) {
+			log.info('No peer relays a table; the store is asked.', {path: options.name, ms: roundedAgeMs(answeredAt)});
+		}
+
+		isUnattended = isMissing;
+	};
+
+	/** Waits while peers' relays keep the table current. */
+	const untilDue = async (): Promise<void> => {
+		while (!closing.signal.aborted) {
+			if (version === undefined) {
+				return;
+			}
+
+			const trustedMs = answeredAt + sharing.trustMs() - performance.now();
+			const readerInMs = sharing.readerInMs();
+			if (Math.min(trustedMs, readerInMs) <= 0) {
+				noteUnattended(readerInMs > 0);
+				return;
+			}
+
+			const leftMs = Math.min(trustedMs, readerInMs);
+
+			hasRested = true;
+			await pause(Math.ceil(leftMs));
+		}
 	};
 
 	const run = async (): Promise<void> => {
 		while (!closing.signal.aborted) {
 			hasNews = false;
+			await untilDue();
 			try {
 				await ask();
 			} catch (error) {
@@ -186,33 +293,66 @@
 		}
 	};
 
+	/** Asks the store without waiting after `restMs`, if that is still needed then. */
+	const askSoon = async (restMs: number, isNeeded: () => boolean): Promise<void> => {
+		// After a failure the feed asks again by itself, with backoff.
+		const isBackingOff = failures > 0 || performance.now() < hintsFrom;
+		if (version === undefined || isHinted || isBackingOff || !isNeeded()) {
+			return;
+		}
+
+		isHinted = true;
+		try {
+			await pause(restMs);
+			if (isNeeded()) {
+				apply(await source.changes(version, 0, answerMs), false);
+			}
+		} catch (error) {
+			hintsFrom = performance.now() + maxBackoffMs;
+			log.debug('Store gave no answer to a further question.', {path: options.name, err: error});
+		} finally {
+			isHinted = false;
+		}
+	};
+
+	/** Applies a relay, unless it outruns an earlier one that may still arrive. */
+	const acceptRelay = (relay: FeedRelay): void => {
+		const {since, version: upTo, rows, isPrompt} = relay;
+		if (version! < since) {
+			outrunning = relay;
+			void askSoon(sharing.relayMs, () => version! < since);
+			return;
+		}
+
+		const unseenMs = isPrompt ? 0 : performance.now() - answeredAt;
+		if (accept({version: upTo, changes: rows.map(row => source.decode(row))}, unseenMs)) {
+			answeredAt = performance.now();
+			isUnattended = false;
+		}
+	};
+
 	void run();
 	return {
 		ageMs: () => performance.now() - answeredAt,
 		newestChange: () => newestChange,
 		hint(known) {
-			// After a failure the feed asks again by itself, with backoff.
-			const isBackingOff = failures > 0 || performance.now() < hintsFrom;
-			if (version === undefined || known <= Math.max(version, newestChange) || isHinted || isBackingOff) {
+			void askSoon(options.restMs + sharing.relayMs, () => known > Math.max(version!, newestChange));
+		},
+		relayed(relay) {
+			if (version === undefined) {
 				return;
 			}
 
-			isHinted = true;
-			void (async () => {
-				try {
-					await pause(options.restMs);
-					if (known <= Math.max(version, newestChange)) {
-						return;
-					}
-
-					apply(await source.changes(version, 0, answerMs), false);
-				} catch (error) {
-					hintsFrom = performance.now() + maxBackoffMs;
-					log.debug('Store gave no answer to a further question.', {path: options.name, err: error});
-				} finally {
-					isHinted = false;
-				}
-			})();
+			if (relay.outage !== null) {
+				handler.regained?.(...relay.outage);
+			}
+
+			acceptRelay(relay);
+			if (outrunning !== undefined && version >= outrunning.since) {
+				const later = outrunning;
+				outrunning = undefined;
+				acceptRelay(later);
+			}
 		},
 		close() {
 			closing.abort();
--- a/packages/router/src/lib/fleet/endpoint-tracker.ts
+++ b/packages/router/src/lib/fleet/endpoint-tracker.ts
@@ -68,9 +68,9 @@
 				}
 			}
 		},
-		regained(awayMs) {
+		regained(awayMs, sinceMs) {
 			if (awayMs >= minOutageMs) {
-				graceUntil = performance.now() + outageEchoMs;
+				graceUntil = Math.max(graceUntil, performance.now() - sinceMs + outageEchoMs);
 			}
 		},
 		close() {
--- /dev/null
+++ b/packages/router/src/lib/fleet/feed-relay.ts
@@ -0,0 +1,135 @@
+/** Relays of a table's changes, by which one daemon reads the store for its peers. */
+import {z} from 'zod';
+
+/** A relayed row: key, store version that wrote it, content or null if it was deleted. */
+const relayedRowSchema = z.tuple([z.string(), z.number(), z.string().nullable()]);
+
+/** Schema of a relay. */
+export const feedRelaySchema = z.object({
+	/** Store version after which the rows are complete. */
+	since: z.number(),
+	/** Store version up to which they are complete. */
+	version: z.number(),
+	rows: z.array(relayedRowSchema),
+	/** The reader followed the table without interruption, so the changes are new. */
+	isPrompt: z.boolean(),
+	/** Latest outage that the reader saw: its length, and milliseconds since its end. */
+	outage: z.tuple([z.number(), z.number()]).nullable(),
+});
+
+export type RelayedRow = z.infer<typeof relayedRowSchema>;
+export type FeedRelay = z.infer<typeof feedRelaySchema>;
+
+type Row = {key: string; version: number; text?: string | undefined};
+type Rows = {changes: readonly Row[]; version: number};
+
+/** Collects what a reader's next relay carries. */
+export type RelayLog = {
+	/** All rows of the table; those that are missing were deleted. */
+	listed: (rows: Rows) => void;
+	/** Rows that have changed up to a version. */
+	changed: (rows: Rows) => void;
+	/** The store answers again after an outage. */
+	regained: (awayMs: number) => void;
+	/** Returns and clears the changes since the last call. */
+	take: (isPrompt: boolean) => FeedRelay;
+};
+
+/** Rows kept for the next relay. */
+const maxPendingRows = 256;
+
+/** Upper bound of the length that a relay gives for an outage, in milliseconds. */
+const maxOutageMs = 3_600_000;
+
+/** Content of one relay, in characters, so that it fits into a datagram. Peers ask the store for the rest. */
+const maxRelayChars = 16 * 1024;
+
+/** Time for which an outage is told. */
+const outageTtlMs = 10_000;
+
+/** Creates an empty log. */
+export function createRelayLog(): RelayLog {
+	const keys = new Set<string>();
+	let pending = new Map<string, Row>();
+	let since = 0;
+	let version = 0;
+	let outage: {awayMs: number; endedAt: number} | undefined;
+
+	const dropOldest = (): void => {
+		const [oldest] = pending.values();
+		pending.delete(oldest.key);
+		since = Math.max(since, oldest.version);
+	};
+
+	const add = (row: Row): void => {
+		pending.delete(row.key);
+		pending.set(row.key, row);
+		if (pending.size > maxPendingRows) {
+			dropOldest();
+		}
+
+		if (row.text === undefined) {
+			keys.delete(row.key);
+		} else {
+			keys.add(row.key);
+		}
+	};
+
+	const isFirst = (): boolean => version === 0;
+
+	return {
+		listed(rows) {
+			const listed = new Set(rows.changes.map(({key}) => key));
+			if (isFirst()) {
+				since = rows.version;
+			}
+
+			for (const key of keys) {
+				if (!listed.has(key)) {
+					add({key, version: rows.version});
+				}
+			}
+
+			for (const row of rows.changes) {
+				if (row.version > version && !isFirst()) {
+					add(row);
+				}
+
+				keys.add(row.key);
+			}
+
+			version = rows.version;
+		},
+		changed(rows) {
+			for (const row of rows.changes) {
+				add(row);
+			}
+
+			version = rows.version;
+		},
+		regained(awayMs) {
+			outage = {awayMs: Math.min(awayMs, maxOutageMs), endedAt: performance.now()};
+		},
+		take(isPrompt) {
+			const rows: RelayedRow[] = [];
+			let chars = 0;
+			for (const row of [...pending.values()].toSorted((a, b) => b.version - a.version)) {
+				chars += row.key.length + (row.text?.length ?? 0);
+				if (chars > maxRelayChars) {
+					since = Math.max(since, row.version);
+					break;
+				}
+
+				rows.unshift([row.key, row.version, row.text ?? null]);
+			}
+
+			const outageMs = outage === undefined ? Number.POSITIVE_INFINITY : performance.now() - outage.endedAt;
+			const relay: FeedRelay = {
+				since, version, rows, isPrompt, outage: outageMs <= outageTtlMs ? [Math.round(outage!.awayMs), Math.round(outageMs)] : null,
+			};
+			pending = new Map();
+			since = version;
+			return relay;
+		},
+	};
+}
--- a/packages/router/src/lib/peers/peer-directory.ts
+++ b/packages/router/src/lib/peers/peer-directory.ts
@@ -17,8 +17,8 @@
 	/** IP:PORT at which this daemon receives reports. */
 	address: string;
 	table: TableClient;
-	/** Poll interval. */
-	everyMs: number;
+	/** Poll interval; evaluated after each poll. */
+	everyMs: () => number;
 	onPeer: (name: string, address: string) => void;
 	log: Log;
 };
@@ -55,7 +55,7 @@
 	};
 
 	const round = async (): Promise<void> => {
-		let pauseMs = options.everyMs;
+		let pauseMs = options.everyMs();
 		try {
 			if (!isWritten) {
 				await write();
--- a/packages/router/src/lib/peers/peer-exchange.ts
+++ b/packages/router/src/lib/peers/peer-exchange.ts
@@ -7,6 +7,7 @@
  * follows from it, see `refreshMs`.
  */
 import {type Buffer} from 'node:buffer';
+import {type FeedRelay} from '../fleet/feed-relay.js';
 import {type Log} from '../observability/log.js';
 import {createNewsLog} from './news-log.js';
 import {type DatagramTransport, type OpenDatagramTransport, openUdpTransport} from './datagram-transport.js';
@@ -21,12 +22,16 @@
 };
 
 /** Report contents, without the fields that the exchange adds. */
-export type OwnReport = Omit<PeerReport, 'daemon' | 'incarnation' | 'number' | 'address' | 'isLeaving'>;
+export type OwnReport = Omit<PeerReport, 'daemon' | 'incarnation' | 'number' | 'address' | 'isLeaving' | 'dataCentre' | 'relays'>;
+
+/** What a report carries to one group of peers beside its usual contents. */
+type Extra = Pick<PeerReport, 'isLeaving' | 'relays'>;
 
 /** Options of {@link createPeerExchange}. */
 export type PeerExchangeOptions = {
 	name: string;
 	incarnation: number;
+	dataCentre: string;
 	bind: {host: string; port: number};
 	/** Maximum time between two rounds of reports, in milliseconds. */
 	everyMs: number;
@@ -51,6 +56,10 @@
 	live: () => HeardReport[];
 	/** Latest reports of all peers that are not yet forgotten, including away ones. */
 	known: () => ReadonlyMap<string, HeardReport>;
+	/** Peers that share the reading of the store with this daemon, and are not away: all, or in a large fleet those of its data centre. */
+	group: () => string[];
+	/** Sends a report with a relay to the group, including peers that are away; relays of one turn of the event loop share a report. */
+	relay: (table: string, relay: FeedRelay) => void;
 	/** Daemons with a known address, including this one; complete once the directory was read. */
 	fleetSize: () => number;
 	/** Peers that one round of reports doesn't reach. */
@@ -61,6 +70,10 @@
 	sendNow: () => Promise<void>;
 	/** Sends a report to one round's peers, unless one was sent within the minimum interval. */
 	sendSoon: () => void;
+	/** Rounds of reports that reach all peers. */
+	rounds: () => number;
+	/** Sends a report to these peers, or all, before their turn; calls within the minimum interval share one. */
+	tellSoon: (daemons: readonly string[] | 'all') => void;
 	/** Maximum time between two reports from one live peer, if none is lost. */
 	refreshMs: () => number;
 	/** Silence after which a peer counts as away. */
@@ -74,6 +87,9 @@
 	sentNumber: number;
 };
 
+/** Fleets up to this size form one group, which shares the reading of the store. */
+const maxGroupSize = 32;
+
 /** Lower bound of the silence after which a peer is forgotten. */
 const minForgetMs = 60_000;
 
@@ -104,10 +120,17 @@
 	let timer: NodeJS.Timeout | undefined;
 	let number = 0;
 	let announcement: Promise<void> | undefined;
+	let relays: PeerReport['relays'] = [];
+	/** Peers that are told before their turn. */
+	let urgent = new Set<string>();
+	let urgentTimer: NodeJS.Timeout | undefined;
+	let urgentSentAt = Number.NEGATIVE_INFINITY;
 	let hasLeft = false;
 	let sentAt = Number.NEGATIVE_INFINITY;
 
-	const refreshMs = (): number => Math.max(1, Math.ceil(queue.size / maxPeersPerRound)) * options.everyMs;
+	const rounds = (): number => Math.max(1, Math.ceil(queue.size / maxPeersPerRound));
+
+	const refreshMs = (): number => rounds() * options.everyMs;
 
 	const silenceMs = (): number => Math.max(options.minSilenceMs, refreshMs() * refreshesUntilAway);
 
@@ -155,7 +178,7 @@
 	};
 
 	/** Returns an encoder of one report; peers that lack the same news share a datagram. */
-	const createEncoder = (isLeaving: boolean): (peer: Peer) => Buffer => {
+	const createEncoder = (extra: Extra): (peer: Peer) => Buffer => {
 		const {kept, placed, ...state} = options.compose();
 		keptNews.add(kept, number);
 		placedNews.add(placed, number);
@@ -164,21 +187,21 @@
 			const news = {kept: keptNews.since(sentNumber), placed: placedNews.since(sentNumber)};
 			const key = `${news.kept.length} ${news.placed.length}`;
 			const content = contents.get(key) ?? encodeReport({
-				daemon: name, incarnation, number, address, isLeaving, ...state, ...news,
+				daemon: name, incarnation, number, address, dataCentre: options.dataCentre, ...extra, ...state, ...news,
 			});
 			contents.set(key, content);
 			return content;
 		};
 	};
 
-	const send = async (peers: ReadonlyArray<[string, Peer]>, isLeaving = false): Promise<void> => {
+	const send = async (peers: ReadonlyArray<[string, Peer]>, extra: Partial<Extra> = {}): Promise<void> => {
 		if (transport === undefined) {
 			return;
 		}
 
 		number++;
 		sentAt = performance.now();
-		const encode = createEncoder(isLeaving);
+		const encode = createEncoder({isLeaving: false, relays: [], ...extra});
 		const sends: Array<Promise<void>> = [];
 		for (const [, peer] of peers) {
 			sends.push(transport.send(encode(peer), peer.address));
@@ -213,6 +236,29 @@
 		}
 	};
 
+	/** A daemon doesn't know the data centre of a peer that it hasn't heard. */
+	const isInGroup = (daemon: string): boolean =>
+		queue.size < maxGroupSize || reports.get(daemon)?.report.dataCentre === options.dataCentre;
+
+	const sendRelays = async (): Promise<void> => {
+		await Promise.resolve();
+		const taken = relays;
+		relays = [];
+		if (!hasLeft) {
+			await send([...queue].filter(([daemon]) => isInGroup(daemon)), {relays: taken});
+		}
+	};
+
+	const sendUrgent = (): void => {
+		urgentTimer = undefined;
+		urgentSentAt = performance.now();
+		const told = urgent;
+		urgent = new Set();
+		if (!hasLeft) {
+			void send([...queue].filter(([daemon]) => told.has(daemon)));
+		}
+	};
+
 	const forgetOld = (): void => {
 		const now = performance.now();
 		const forgetMs = Math.max(minForgetMs, silenceMs());
@@ -253,10 +299,17 @@
 		learn,
 		live: () => [...reports.values()].filter(heard => !isAway(heard)),
 		known: () => reports,
+		group: () => [...reports].filter(([daemon, heard]) => isInGroup(daemon) && !isAway(heard)).map(([daemon]) => daemon),
+		relay(table, relay) {
+			if (relays.push([table, relay]) === 1) {
+				void sendRelays();
+			}
+		},
 		fleetSize: () => queue.size + 1,
 		peersBeyondRound: () => Math.max(0, queue.size - maxPeersPerRound),
 		async leave() {
 			clearInterval(timer);
+			clearTimeout(urgentTimer);
 			hasLeft = true;
 			if (transport === undefined) {
 				return;
@@ -264,7 +317,7 @@
 
 			// Closing the transport before the send completes would drop the last report, and peers
 			// would count this daemon's load until it times out.
-			await send([...queue], true);
+			await send([...queue], {isLeaving: true});
 			const closing = transport;
 			transport = undefined;
 			await closing.close();
@@ -278,6 +331,14 @@
 				sendRound();
 			}
 		},
+		rounds,
+		tellSoon(daemons) {
+			for (const daemon of daemons === 'all' ? queue.keys() : daemons) {
+				urgent.add(daemon);
+			}
+
+			urgentTimer ??= setTimeout(sendUrgent, Math.max(0, urgentSentAt + minPauseMs - performance.now()));
+		},
 		refreshMs,
 		silenceMs,
 	};
--- a/packages/router/src/lib/peers/peer-report.ts
+++ b/packages/router/src/lib/peers/peer-report.ts
@@ -1,11 +1,15 @@
 /** Schema of the state reports between daemons. */
 import {z} from 'zod';
+import {feedRelaySchema} from '../fleet/feed-relay.js';
 
 /** Most saved parts and placements in one report, which keep it within one datagram. */
 export const maxReportedParts = 24;
 export const maxReportedPlacements = 16;
 
-/** Report of one daemon. Lists hold tuples to keep datagrams small. */
+/**
+ * Report of one daemon. Lists hold tuples to keep datagrams small. Datagrams carry the fields
+ * in this order, so new ones come last.
+ */
 export const peerReportSchema = z.object({
 	daemon: z.string(),
 	/** Unix milliseconds at process start. */
@@ -16,27 +20,32 @@
 	isLeaving: z.boolean(),
 	/** IP:PORT that receives reports for this daemon. */
 	address: z.string(),
+	/** Data centre of this daemon. */
+	dataCentre: z.string().default(''),
 	/** Newest store version seen, by table. */
 	heard: z.record(z.string(), z.number()),
-	/** Workspace, units admitted since start, units requested per second, units left in the fleet's bucket. */
-	usage: z.array(z.tuple([z.string(), z.number(), z.number(), z.number()])),
+	/**
+	 * Workspace, units admitted since start, units requested per second, units left in the fleet's
+	 * bucket; without workspaces that were not used of late.
+	 */
+	usage: z.array(z.tuple([z.string(), z.number(), z.number(), z.number()])).default([]),
 	/**
 	 * Endpoint, requests in flight, prompt tokens not computed yet, tokens in memory,
 	 * milliseconds until the last request is expected to end.
 	 */
-	loads: z.array(z.tuple([z.string(), z.number(), z.number(), z.number(), z.number().default(0)])),
+	loads: z.array(z.tuple([z.string(), z.number(), z.number(), z.number(), z.number().default(0)])).default([]),
 	/** Model, weights version, milliseconds since it was named; recent namings only. */
-	named: z.array(z.tuple([z.string(), z.number(), z.number()])),
+	named: z.array(z.tuple([z.string(), z.number(), z.number()])).default([]),
 	/**
 	 * Current or former lease holders: latest attempt to write the lease row, milliseconds for
 	 * which the lease may be held.
 	 */
-	duty: z.tuple([z.number(), z.number()]).nullable(),
+	duty: z.tuple([z.number(), z.number()]).nullable().default(null),
 	/**
 	 * Current or former lease holders: engine, weights version, target version or 0, milliseconds since its
 	 * last order or -1, milliseconds until its planned drain or -1.
 	 */
-	engines: z.array(z.tuple([z.string(), z.number(), z.number(), z.number(), z.number().default(-1)])),
+	engines: z.array(z.tuple([z.string(), z.number(), z.number(), z.number(), z.number().default(-1)])).default([]),
 	/** Listed endpoints whose process has ended, with its start time. */
 	ended: z.array(z.tuple([z.string(), z.number()])).default([]),
 	/** Keys of prompt parts sent to the cache store since the previous report to this peer. */
@@ -46,6 +55,8 @@
 	 * parts with their tokens.
 	 */
 	placed: z.array(z.tuple([z.string(), z.string(), z.number(), z.array(z.tuple([z.string(), z.number()]))])).default([]),
+	/** Table, and an answer of the store that this daemon relays to this peer. */
+	relays: z.array(z.tuple([z.string(), feedRelaySchema])).default([]),
 });
 
 /** A decoded report. */
--- a/packages/router/src/lib/routing/rendezvous.ts
+++ b/packages/router/src/lib/routing/rendezvous.ts
@@ -59,3 +59,11 @@
 
 	return place;
 };
+
+/** Names in the order that a key gives them, as `placeOf` counts it; the same on every router. */
+export const orderedBy = (key: string, names: readonly string[]): string[] => {
+	const halves = {low: seedOfName(key), high: 0};
+	const ranked = names.map(name => ({name, rank: rankOf(halves, seedOfName(name))}));
+	ranked.sort((a, b) => a.rank - b.rank || (a.name < b.name ? -1 : 1));
+	return ranked.map(({name}) => name);
+};
--- a/packages/router/src/peers.ts
+++ b/packages/router/src/peers.ts
@@ -1,4 +1,5 @@
 /** Reports between daemons, by datagrams. */
+export * from './lib/peers/feed-readers.js';
 export * from './lib/peers/peer-exchange.js';
 export * from './lib/peers/peer-report.js';
 export * from './lib/peers/peer-directory.js';
--- a/packages/router/src/test/fleet/change-feed.test.ts
+++ b/packages/router/src/test/fleet/change-feed.test.ts
@@ -5,7 +5,11 @@
 } from '../../fleet.js';
 import {createSilentLog} from '../../observability.js';
 
-const change = (key: string, version: number) => ({key, version, item: key});
+const change = (key: string, version: number) => ({
+	key, version, item: key, text: key,
+});
+
+const decode: ChangeSource<string>['decode'] = ([key, version, text]) => ({key, version, item: text ?? undefined});
 
 describe('followChanges', () => {
 	let clock: FakeTimers.Clock;
@@ -30,9 +34,9 @@
 		}
 	};
 
-	const follow = (source: ChangeSource<string>, restMs = 0): ChangeFeed => followChanges({
+	const follow = (source: Omit<ChangeSource<string>, 'decode'>, restMs = 0): ChangeFeed => followChanges({
 		name: 'test',
-		source,
+		source: {...source, decode},
 		handler: {
 			replace(rows, unseenMs) {
 				seen.push(`all ${rows.map(row => row.key).join('')} ${unseenMs}`);
@@ -48,7 +52,7 @@
 	});
 
 	/** Answers each question from the list, the last one forever by silence. */
-	const source = (list: Array<Changes<string>>, answers: Array<Changes<string> | Error>): ChangeSource<string> => ({
+	const source = (list: Array<Changes<string>>, answers: Array<Changes<string> | Error>): Omit<ChangeSource<string>, 'decode'> => ({
 		list: async () => list.shift()!,
 		async changes(_after, _waitMs, limitMs) {
 			const next = answers.shift();
--- a/packages/router/src/test/fleet/endpoint-tracker.test.ts
+++ b/packages/router/src/test/fleet/endpoint-tracker.test.ts
@@ -42,7 +42,7 @@
 		// Its first answer lists nobody; the endpoints live and come back within 2 s.
 		// Callers must be served meanwhile, and the one that does not come back goes.
 		clock.tick(6000);
-		tracker.regained?.(6000);
+		tracker.regained?.(6000, 0);
 		tracker.replace([], 6000);
 		assert.lengthOf(view.endpointsOf('desk'), 2);
 		clock.tick(1000);
--- a/packages/router/src/test/peers/large-fleet.test.ts
+++ b/packages/router/src/test/peers/large-fleet.test.ts
@@ -61,6 +61,7 @@
 		const exchange = createPeerExchange({
 			name,
 			incarnation: 1,
+			dataCentre: 'a',
 			bind: {host: name, port: 1},
 			everyMs,
 			minSilenceMs: 1000,
@@ -169,7 +170,7 @@
 		const deliver = (names: readonly string[], number: number): void => {
 			for (const daemon of names) {
 				receivers.get(addressOf('observer'))!(encodeReport({
-					...emptyReport(), daemon, incarnation: 1, number, isLeaving: false, address: addressOf(daemon),
+					...emptyReport(), daemon, incarnation: 1, number, isLeaving: false, address: addressOf(daemon), dataCentre: 'a', relays: [],
 				}));
 			}
 		};
@@ -238,6 +239,19 @@
 		assert.deepEqual([...sent.values()].map(contents => contents.length), peerNames.map(() => 1));
 	});
 
+	it('tells some peers before their turn, at most every 40 ms', async () => {
+		const {exchange, sent} = await startRecorded(emptyReport);
+		for (let at = 0; at < 100; at += 10) {
+			exchange.tellSoon(['vm-1', 'vm-2', 'nobody']);
+			await clock.tickAsync(10);
+		}
+
+		assert.deepEqual([...sent.values()].map(contents => contents.length).slice(0, 4), [3, 3, 0, 0]);
+		exchange.tellSoon('all');
+		await clock.tickAsync(40);
+		assert.deepEqual([...sent.values()].map(contents => contents.length).slice(0, 4), [4, 4, 1, 1]);
+	});
+
 	it('tells a peer that joins no news from before', async () => {
 		const kept = [':1 early'];
 		const {exchange, sent} = await startRecorded(() => ({...emptyReport(), kept: kept.splice(0)}));
--- a/packages/router/src/test/peers/peer-exchange.test.ts
+++ b/packages/router/src/test/peers/peer-exchange.test.ts
@@ -31,6 +31,7 @@
 		const exchange = createPeerExchange({
 			name,
 			incarnation,
+			dataCentre: 'a',
 			bind: {host, port},
 			everyMs: neverMs,
 			minSilenceMs: neverMs,
--- a/packages/router/src/test/peers/report-codec.test.ts
+++ b/packages/router/src/test/peers/report-codec.test.ts
@@ -19,6 +19,8 @@
 	ended: [],
 	kept: ['sese880:5 5c1e07a2', 'sese880:5 91bd3f06'],
 	placed: [['i-5d4fb03dc1', 'sese880:5', 2950, [['5c1e07a2', 2520], ['91bd3f06', 3780]]]],
+	dataCentre: 'fortaleza',
+	relays: [],
 };
 
 describe('reports as datagrams', () => {
--- a/packages/router/src/test/quotas/fleet-quota.test.ts
+++ b/packages/router/src/test/quotas/fleet-quota.test.ts
@@ -10,7 +10,8 @@
 });
 
 const report = (daemon: string, quota: FleetQuota, number: number): PeerReport => ({
-	daemon, incarnation: 1, number, isLeaving: false, address: '', heard: {}, named: [], duty: null, engines: [], ended: [], kept: [], placed: [], loads: [], usage: quota.report(),
+	daemon, incarnation: 1, number, isLeaving: false, address: '', heard: {}, named: [], duty: null, engines: [],
+	ended: [], kept: [], placed: [], dataCentre: '', relays: [], loads: [], usage: quota.report(),
 });
 
 /** One request of a played load. */
