Reports are lists without names of fields; only long ones are deflated

A report took 35 to 42 us to encode and 17 to 26 us to decode in a tight loop, most of it for setting up the codec of deflate, 80 times a second at 66 peers.

--- a/packages/router/src/lib/peers/report-codec.ts
+++ b/packages/router/src/lib/peers/report-codec.ts
@@ -1,30 +1,51 @@
 /**
- * Codec of report datagrams: JSON, deflated with a preset dictionary, since consecutive
- * reports are nearly the same.
+ * Codec of report datagrams: a JSON list of the fields' values, without those at the end that
+ * are empty. Long reports are deflated with a preset dictionary; for short ones the time of
+ * the codec outweighs the bytes.
  */
 import {Buffer} from 'node:buffer';
 import {deflateRawSync, inflateRawSync} from 'node:zlib';
 import {type PeerReport, peerReportSchema} from './peer-report.js';
 
-/** First byte of a deflated report; plain JSON begins with a brace. */
+/** First byte of a deflated report; plain JSON begins with a bracket. */
 const deflatedMark = 0x01;
 
+/** Length of the text from which a report is deflated, in bytes. */
+const minDeflatedBytes = 400;
+
 /** Upper bound on an inflated report, against decompression bombs. */
 const maxTextBytes = 512 * 1024;
 
 /** Favors speed over ratio. */
 const deflateOptions = {windowBits: 12, memLevel: 5, level: 3} as const;
 
-/** Preset dictionary: field names in order, and common values. */
+/** Preset dictionary: common values. */
 const dictionary = Buffer.from([
-	'"ended":[["i-","kept":[":1 ","placed":[["i-",":2","daemons/","address":"10.","isLeaving":false,"heard":{"operator":,"endpoints":},',
-	'"usage":[[",0,0,"],"loads":[["i-",1,0,0],["i-"]],"named":[[",],"duty":null,"engines":[["i-",1,0,-1],["i-"]],',
-	'"ended":[],"kept":[],"placed":[]}{"daemon":"front-","incarnation":17,"number":',
+	'"],["i-",":1 ",":2","daemons/","sequence":,"state":"ready","models":[{"name":"","version":',
+	',0,0],[""],[["i-",1,0,0,0],["i-",1,0,-1,-1],null,[],[],[],[["i-",":1",[[""]]],"}],["operator",["endpoints",{"since":,"version":,"rows":[["","isPrompt":true,"outage":null}]]',
+	'["front-,false,"10.:7600",{"operator":,"endpoints":},[["',
 ].join(''));
 
+type FieldName = keyof typeof peerReportSchema.shape;
+
+/** Fields in the order of their values. */
+const fieldNames = Object.keys(peerReportSchema.shape) as FieldName[];
+
+const isEmpty = (value: unknown): boolean => value === null || value === '' || (Array.isArray(value) && value.length === 0);
+
+function encodeText(report: PeerReport): string {
+	const values: unknown[] = fieldNames.map(name => report[name]);
+	while (values.length > 0 && isEmpty(values.at(-1))) {
+		values.pop();
+	}
+
+	return JSON.stringify(values);
+}
+
 /** Encodes a report as one datagram. */
 export function encodeReport(report: PeerReport): Buffer {
-	return Buffer.concat([Buffer.from([deflatedMark]), deflateRawSync(JSON.stringify(report), {...deflateOptions, dictionary})]);
+	const text = Buffer.from(encodeText(report), 'utf8');
+	return text.length < minDeflatedBytes ? text : Buffer.concat([Buffer.from([deflatedMark]), deflateRawSync(text, {...deflateOptions, dictionary})]);
 }
 
 /** Decodes a datagram. @throws when it holds no valid report. */
@@ -32,5 +53,6 @@
 	const text = content[0] === deflatedMark
 		? inflateRawSync(content.subarray(1), {dictionary, maxOutputLength: maxTextBytes})
 		: content;
-	return peerReportSchema.parse(JSON.parse(text.toString('utf8')));
+	const values: unknown = JSON.parse(text.toString('utf8'));
+	return peerReportSchema.parse(Array.isArray(values) ? Object.fromEntries(values.map((value, index) => [fieldNames[index], value])) : values);
 }
