Quotas hold in fleets larger than a round of reports

Causes: a daemon that opened a bucket ignored what peers had said of it before; a peer's first report was not subtracted; and what is admitted by the others was heard only when their turn came, after up to 2.6 s.

Now uses are remembered for workspaces that this daemon hasn't served, a first report counts, the first use of a workspace is announced to all, and what is admitted while the bucket is low or pressed to its other users. Workspaces that a daemon hasn't used for 20 s are left out of its reports.

--- a/packages/entry/src/lib/wiring/request-wiring.ts
+++ b/packages/entry/src/lib/wiring/request-wiring.ts
@@ -33,6 +33,10 @@
 		onUnreported() {
 			parts.peers.sendSoon();
 		},
+		isBeyondRound: () => parts.peers.peersBeyondRound() > 0,
+		onShared(users) {
+			parts.peers.tellSoon(users);
+		},
 		startUnits: settings.quota.extraUnits * startExtraRatio,
 		daemons: () => countDaemons(parts),
 		silenceMs,
--- a/packages/router/src/lib/quotas/fleet-quota.ts
+++ b/packages/router/src/lib/quotas/fleet-quota.ts
@@ -9,6 +9,10 @@
  * spend the last tokens. What several admit at the same moment is a debt of the
  * bucket, paid back before more is admitted: the fleet is over its quota by
  * what is asked within one round of reports at most, not each round again.
+ *
+ * In a fleet larger than one round of reports, a daemon's first use of a workspace is
+ * announced to all, and what it admits while the bucket is low to the workspace's other
+ * users, who would else learn of it only when their turn comes.
  */
 import {type Workspace} from '../fleet/fleet-document.js';
 import {type PeerReport} from '../peers/peer-report.js';
@@ -33,6 +37,10 @@
 	startUnits: number;
 	/** Called when much was admitted since the last report. */
 	onUnreported: () => void;
+	/** Whether one round of reports doesn't reach all peers. */
+	isBeyondRound?: () => boolean;
+	/** Called when these daemons, or all, should hear of an admission before their turn. */
+	onShared?: (users: readonly string[] | 'all') => void;
 	/** Daemons that are known, this one included. */
 	daemons: () => number;
 	/** Silence after which a peer is thought to go on admitting unheard. */
@@ -62,6 +70,9 @@
 	assumed: number;
 };
 
+/** What peers have said of a workspace that this daemon has not used. */
+type ForeignUse = {peers: Map<string, PeerUse>; level: number; at: number};
+
 type Bucket = {
 	rate: number;
 	burst: number;
@@ -73,6 +84,8 @@
 	admitted: number;
 	/** Units admitted since the last report. */
 	unreported: number;
+	/** `performance.now()` when units were last asked for here. */
+	usedAt: number;
 	/** Units asked for a second, fading. */
 	demand: number;
 	/** The demand that peers know, so that all work out the same parts. */
@@ -113,17 +126,32 @@
 /** Part of a request that must be there when the bucket is low; the rest is a debt of this daemon. Large requests would else wait for many small ones. */
 const downPayment = 0.5;
 
+/** Time without use after which a workspace is left out of reports. */
+const idleMs = 20_000;
+
 const shortestRetryMs = 50;
 const msPerSecond = 1000;
 
 /** Opens quotas. */
 export function createFleetQuota(options: FleetQuotaOptions): FleetQuota {
 	const buckets = new Map<string, Bucket>();
+	const foreign = new Map<string, ForeignUse>();
+	/** Process of each peer whose reports were heard. */
+	const incarnations = new Map<string, number>();
+
+	/** Units of a bucket that this daemon opens: what its users last said is left, or else what it starts with. */
+	const openingLevel = ({name, rate, burst}: Workspace, now: number): number => {
+		const known = foreign.get(name);
+		return Math.min(burst, known === undefined
+			? (options.startsFull ? burst : options.startUnits)
+			: known.level + (rate * (now - known.at) / msPerSecond));
+	};
 
-	const bucketOf = ({name, rate, burst}: Workspace, now: number): Bucket => {
+	const bucketOf = (workspace: Workspace, now: number): Bucket => {
+		const {name, rate, burst} = workspace;
 		let bucket = buckets.get(name);
 		if (bucket === undefined) {
-			const level = Math.min(burst, options.startsFull ? burst : options.startUnits);
+			const level = openingLevel(workspace, now);
 			bucket = {
 				rate,
 				burst,
@@ -132,11 +160,13 @@
 				at: now,
 				admitted: 0,
 				unreported: 0,
+				usedAt: Number.NEGATIVE_INFINITY,
 				demand: 0,
 				toldDemand: 0,
-				peers: new Map(),
-				isSettled: options.startsFull,
+				peers: foreign.get(name)?.peers ?? new Map<string, PeerUse>(),
+				isSettled: options.startsFull || foreign.has(name),
 			};
+			foreign.delete(name);
 			buckets.set(name, bucket);
 		}
 
@@ -192,6 +222,52 @@
 		}
 	};
 
+	/** Units that a peer admitted since it was last heard of, or as many as it can have admitted within a window. */
+	const unheardUnits = (report: PeerReport, known: PeerUse | undefined, admitted: number, demand: number): number => {
+		if (known?.incarnation === report.incarnation) {
+			return admitted - known.admitted;
+		}
+
+		const isKnownProcess = incarnations.get(report.daemon) === report.incarnation;
+		return isKnownProcess ? admitted : Math.min(admitted, demand * options.goneMs() / msPerSecond);
+	};
+
+	/** A peer leaves out what it has not used of late, and so admits nothing of it. */
+	const heardNothingOf = (bucket: Bucket, daemon: string, now: number): void => {
+		const peer = bucket.peers.get(daemon);
+		if (peer !== undefined) {
+			bucket.level = Math.min(bucket.burst, bucket.level + peer.assumed);
+			Object.assign(peer, {demand: 0, heardAt: now, assumed: 0});
+		}
+	};
+
+	const heardForeign = (report: PeerReport, [name, admitted, demand, level]: PeerReport['usage'][number], now: number): void => {
+		const known = foreign.get(name) ?? {peers: new Map<string, PeerUse>(), level, at: now};
+		known.level = level;
+		known.at = now;
+		known.peers.set(report.daemon, {
+			incarnation: report.incarnation, admitted, demand, heardAt: now, assumed: 0,
+		});
+		foreign.set(name, known);
+	};
+
+	/** Lets peers know of an admission that their own admissions must count with. */
+	const share = (bucket: Bucket, isFirstUse: boolean, demandBefore: number): void => {
+		if (bucket.unreported > bucket.burst * unreportedShare) {
+			options.onUnreported();
+		}
+
+		if (options.isBeyondRound?.() !== true) {
+			return;
+		}
+
+		if (isFirstUse) {
+			options.onShared?.('all');
+		} else if (bucket.level < bucket.burst * lowShare || demandBefore * (bucket.peers.size + 1) > bucket.rate) {
+			options.onShared?.([...bucket.peers.keys()]);
+		}
+	};
+
 	/** More is asked of the fleet than comes in, so that the last units are fought over. */
 	const isPressed = (bucket: Bucket): boolean => {
 		let {demand} = bucket;
@@ -232,6 +308,7 @@
 			const bucket = bucketOf(workspace, now);
 			refill(bucket, now);
 			takeLimits(bucket, workspace);
+			const demandBefore = bucket.demand;
 			bucket.demand += units * msPerSecond / demandMs;
 			if (!mayAdmit(bucket, units)) {
 				return {
@@ -244,12 +321,12 @@
 				bucket.own = Math.max(-bucket.burst, bucket.own - taken);
 				bucket.admitted += taken;
 				bucket.unreported += taken;
-				if (bucket.unreported > bucket.burst * unreportedShare) {
-					options.onUnreported();
-				}
 			};
 
+			const isFirstUse = now - bucket.usedAt > idleMs;
+			bucket.usedAt = now;
 			take(units);
+			share(bucket, isFirstUse, demandBefore);
 			let isRefunded = false;
 			return {
 				granted: true,
@@ -263,36 +340,53 @@
 		},
 		heard(report) {
 			const now = performance.now();
-			for (const [name, admitted, demand, level] of report.usage) {
+			const told = new Set<string>();
+			for (const use of report.usage) {
+				const [name, admitted, demand, level] = use;
+				told.add(name);
 				const bucket = buckets.get(name);
 				if (bucket === undefined) {
+					heardForeign(report, use, now);
 					continue;
 				}
 
 				refill(bucket, now);
 				const known = bucket.peers.get(report.daemon);
-				if (!bucket.isSettled) {
+				if (bucket.isSettled) {
+					const unheard = unheardUnits(report, known, admitted, demand);
+					bucket.level = Math.min(bucket.burst, bucket.level + (known?.assumed ?? 0) - unheard);
+				} else {
 					bucket.isSettled = true;
 					bucket.level = level;
-				} else if (known !== undefined) {
-					const before = known.incarnation === report.incarnation ? known.admitted : 0;
-					bucket.level = Math.min(bucket.burst, bucket.level + known.assumed - (admitted - before));
 				}
 
 				bucket.peers.set(report.daemon, {
 					incarnation: report.incarnation, admitted, demand, heardAt: now, assumed: 0,
 				});
 			}
+
+			for (const [name, bucket] of buckets) {
+				if (!told.has(name)) {
+					heardNothingOf(bucket, report.daemon, now);
+				}
+			}
+
+			incarnations.set(report.daemon, report.incarnation);
 		},
 		left(daemon) {
-			for (const bucket of buckets.values()) {
-				bucket.peers.delete(daemon);
+			incarnations.delete(daemon);
+			for (const {peers} of [...buckets.values(), ...foreign.values()]) {
+				peers.delete(daemon);
 			}
 		},
 		report() {
 			const now = performance.now();
 			const usage: PeerReport['usage'] = [];
 			for (const [name, bucket] of buckets) {
+				if (now - bucket.usedAt > idleMs) {
+					continue;
+				}
+
 				refill(bucket, now);
 				bucket.unreported = 0;
 				bucket.toldDemand = Math.round(bucket.demand);
--- /dev/null
+++ b/packages/router/src/test/quotas/large-fleet-quota.test.ts
@@ -0,0 +1,192 @@
+import FakeTimers from '@sinonjs/fake-timers';
+import {assert} from 'chai';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {type Workspace} from '../../fleet.js';
+import {type PeerReport} from '../../peers.js';
+import {createFleetQuota, type FleetQuota} from '../../quotas.js';
+
+const windowMs = 8000;
+const stepMs = 20;
+const reportEveryMs = 200;
+const peersPerRound = 16;
+const lengthMs = 24_000;
+const extraUnits = 110_000;
+const overShare = 0.1;
+/** Share of what one bucket would admit that several thinly used daemons must admit at four times the rate. */
+const minAdmittedShare = 0.7;
+
+const workspace = (rate: number, burst = rate): Workspace => ({
+	name: 'school', keyDigests: [], rank: undefined, isIsolated: false, rate, burst, countsTokens: true, plainUnits: 1,
+});
+
+type Asked = {at: number; daemon: number; units: number};
+
+type Load = {
+	daemons: number;
+	/** Daemons that the workspace's callers reach. */
+	users: number;
+	/** Units asked for a second, as a multiple of the rate, up to and after `pressedFrom`. */
+	calm: number;
+	pressed: number;
+	pressedFrom: number;
+};
+
+/** Units admitted in the worst window. */
+function mostInWindow(admitted: readonly Asked[]): number {
+	let most = 0;
+	let sum = 0;
+	let first = 0;
+	for (const asked of admitted) {
+		sum += asked.units;
+		while (asked.at - admitted[first].at >= windowMs) {
+			sum -= admitted[first].units;
+			first++;
+		}
+
+		most = Math.max(most, sum);
+	}
+
+	return most;
+}
+
+/** Requests that one bucket for the whole fleet would have admitted. */
+function oracleAdmits(load: readonly Asked[], {rate, burst}: Workspace): number {
+	let level = burst;
+	let at = 0;
+	let admitted = 0;
+	for (const asked of load) {
+		level = Math.min(burst, level + (rate * (asked.at - at) / 1000));
+		at = asked.at;
+		if (level >= asked.units) {
+			level -= asked.units;
+			admitted++;
+		}
+	}
+
+	return admitted;
+}
+
+describe('createFleetQuota in a large fleet', () => {
+	let clock: FakeTimers.Clock;
+
+	beforeEach(() => {
+		clock = FakeTimers.install({toFake: ['performance']});
+	});
+
+	afterEach(() => {
+		clock.uninstall();
+	});
+
+	const makeLoad = (seed: number, {rate}: Workspace, {users, calm, pressed, pressedFrom}: Load): Asked[] => {
+		const random = xoroshiro128plus(seed);
+		const draw = () => (random.next() >>> 0) / (2 ** 32); // eslint-disable-line no-bitwise
+		const weights = Array.from({length: users}, () => 0.2 + draw());
+		const total = weights.reduce((sum, weight) => sum + weight, 0);
+		const load: Asked[] = [];
+		for (let at = 0; at < lengthMs;) {
+			const units = Math.round(1000 + (16_000 * draw()));
+			let left = draw() * total;
+			const daemon = weights.findIndex(weight => {
+				left -= weight;
+				return left < 0;
+			});
+			load.push({at, daemon: Math.max(0, daemon), units});
+			const perMs = rate * (at < pressedFrom ? calm : pressed) / 9000 / 1000;
+			at += -Math.log(1 - draw()) / perMs;
+		}
+
+		return load;
+	};
+
+	/** Plays a load over daemons that report to 16 peers a round, as the exchange does. */
+	const play = (load: readonly Asked[], limits: Workspace, {daemons}: Load): {admitted: Asked[]; refused: Asked[]} => {
+		const rounds = Math.max(1, Math.ceil((daemons - 1) / peersPerRound));
+		const silenceMs = Math.max(1000, rounds * reportEveryMs * 2);
+		const due = new Set<number>();
+		/** Daemons that each daemon tells before their turn. */
+		const urgent = Array.from({length: daemons}, () => new Set<number>());
+		const numberOf = (name: string): number => Number(name.slice(1));
+		const open = (index: number): FleetQuota => createFleetQuota({
+			startsFull: true, onUnreported: () => due.add(index), startUnits: extraUnits / 2, daemons: () => daemons, silenceMs: () => silenceMs, goneMs: () => silenceMs + windowMs - 1000,
+			isBeyondRound: () => daemons - 1 > peersPerRound,
+			onShared(users) {
+				for (const user of users === 'all' ? quotas.keys() : users.map(name => numberOf(name))) {
+					urgent[index].add(user);
+				}
+			},
+		});
+		const quotas = Array.from({length: daemons}, (_item, index) => open(index));
+		const queues = quotas.map((_quota, from) => Array.from({length: daemons - 1}, (_item, index) => (from + index + 1) % daemons));
+		const sentAt = quotas.map((_quota, index) => -((index * 37) % reportEveryMs));
+		const played: {admitted: Asked[]; refused: Asked[]} = {admitted: [], refused: []};
+		let next = 0;
+		for (let at = 0; at < lengthMs; at += stepMs) {
+			clock.tick(stepMs);
+			for (; next < load.length && load[next].at <= at; next++) {
+				const asked = load[next];
+				(quotas[asked.daemon].admit(limits, asked.units).granted ? played.admitted : played.refused).push(asked);
+			}
+
+			for (const [from, quota] of quotas.entries()) {
+				const isRound = at - sentAt[from] >= (due.has(from) ? 40 : reportEveryMs);
+				if (!isRound && urgent[from].size === 0) {
+					continue;
+				}
+
+				const report: PeerReport = {
+					daemon: `d${from}`, incarnation: 1, number: at + 1, isLeaving: false, address: '', dataCentre: '', heard: {}, usage: quota.report(),
+					loads: [], named: [], duty: null, engines: [], ended: [], kept: [], placed: [], relays: [],
+				};
+				const receivers = new Set(urgent[from]);
+				urgent[from].clear();
+				if (isRound) {
+					due.delete(from);
+					sentAt[from] = at;
+					for (const to of queues[from].splice(0, peersPerRound)) {
+						queues[from].push(to);
+						receivers.add(to);
+					}
+				}
+
+				for (const to of receivers) {
+					if (to !== from) {
+						quotas[to].heard(report);
+					}
+				}
+			}
+		}
+
+		return played;
+	};
+
+	const allowed = ({rate, burst}: Workspace): number => (((rate * windowMs / 1000) + burst) * (1 + overShare)) + extraUnits;
+
+	const loads: Record<string, Load> = {
+		'7 daemons': {
+			daemons: 7, users: 7, calm: 0.55, pressed: 4.2, pressedFrom: 6000,
+		},
+		'70 daemons': {
+			daemons: 70, users: 30, calm: 0.55, pressed: 4.2, pressedFrom: 6000,
+		},
+		'200 daemons': {
+			daemons: 200, users: 60, calm: 0.55, pressed: 4.2, pressedFrom: 6000,
+		},
+		'200 daemons, pressed from the start': {
+			daemons: 200, users: 60, calm: 4.2, pressed: 4.2, pressedFrom: 0,
+		},
+	};
+
+	for (const [name, load] of Object.entries(loads)) {
+		for (const rate of [29_000, 150_000]) {
+			for (const seed of [1, 2, 3]) {
+				it(`keeps ${name} within ${rate} units a second, seed ${seed}`, () => {
+					const limits = workspace(rate);
+					const asked = makeLoad(seed, limits, load);
+					const {admitted} = play(asked, limits, load);
+					assert.isAtMost(mostInWindow(admitted), allowed(limits));
+					assert.isAtLeast(admitted.length, minAdmittedShare * oracleAdmits(asked, limits));
+				});
+			}
+		}
+	}
+});
