--- a/packages/traces/src/bench.ts
+++ b/packages/traces/src/bench.ts
@@ -33,10 +33,6 @@
 		const {runOrdersBench} = await import('./lib/bench/orders-bench.js');
 		await runOrdersBench(args);
 	},
-	async slopes(args) {
-		const {runSlopesBench} = await import('./lib/bench/slopes-bench.js');
-		await runSlopesBench(args);
-	},
 	async policy(args) {
 		const {runPolicyBench} = await import('./lib/bench/policy-bench.js');
 		await runPolicyBench(args);
