Rounds of reports are further apart in large fleets

A round of 16 reports is now sent each 200 ms times the square root of the rounds that reach all, at most 2.5 times: 80 reports a second up to 17 VMs, 36 at 67, 32 from 100 on. A peer counts as away after three refresh intervals in place of five; the least is 1 s as before, so fleets of up to 17 VMs are as they were. What must be heard at once doesn't wait for a round: orders, leases, relays of the store, uses of pressed workspaces.

--- a/packages/router/src/lib/peers/peer-exchange.ts
+++ b/packages/router/src/lib/peers/peer-exchange.ts
@@ -2,9 +2,10 @@
  * Exchanges state reports with peers by UDP. Each report replaces the one before, so
  * lost datagrams need no retransmission.
  *
- * A round reaches a limited number of peers, those first that have waited longest. The time
- * in which rounds reach all peers thus grows with the fleet; what readers call stale
- * follows from it, see `refreshMs`.
+ * A round reaches a limited number of peers, those first that have waited longest. Rounds of
+ * a large fleet are further apart, since a report is worth less the later it comes. The time
+ * in which rounds reach all peers thus grows with the fleet; what readers call stale follows
+ * from it, see `refreshMs`.
  */
 import {type Buffer} from 'node:buffer';
 import {type FeedRelay} from '../fleet/feed-relay.js';
@@ -33,7 +34,7 @@
 	incarnation: number;
 	dataCentre: string;
 	bind: {host: string; port: number};
-	/** Maximum time between two rounds of reports, in milliseconds. */
+	/** Maximum time between two rounds of reports while each reaches all peers, in milliseconds. */
 	everyMs: number;
 	/** Lower bound of {@link PeerExchange.silenceMs}. */
 	minSilenceMs: number;
@@ -99,8 +100,11 @@
 /** Fan-out limit, so that the cost of a round doesn't grow with the fleet. */
 const maxPeersPerRound = 16;
 
+/** Upper bound of the factor by which rounds of a large fleet are further apart. */
+const maxStretch = 2.5;
+
 /** Refresh intervals without a report after which a peer counts as away. */
-const refreshesUntilAway = 5;
+const refreshesUntilAway = 3;
 
 /** More peers that go away in one round share one log line. */
 const maxAwayLines = 8;
@@ -130,7 +134,9 @@
 
 	const rounds = (): number => Math.max(1, Math.ceil(queue.size / maxPeersPerRound));
 
-	const refreshMs = (): number => rounds() * options.everyMs;
+	const intervalMs = (): number => options.everyMs * Math.min(maxStretch, Math.sqrt(rounds()));
+
+	const refreshMs = (): number => Math.round(rounds() * intervalMs());
 
 	const silenceMs = (): number => Math.max(options.minSilenceMs, refreshMs() * refreshesUntilAway);
 
@@ -211,6 +217,16 @@
 		await Promise.all(sends);
 	};
 
+	/** A round that is sent early takes the place of the next one. */
+	const scheduleRound = (): void => {
+		clearTimeout(timer);
+		timer = setTimeout(() => {
+			forgetOld();
+			logAway();
+			sendRound();
+		}, intervalMs());
+	};
+
 	const sendRound = (): void => {
 		if (hasLeft) {
 			return;
@@ -223,8 +239,7 @@
 		}
 
 		void send(peers);
-		// A round that is sent early takes the place of the next one.
-		timer?.refresh();
+		scheduleRound();
 	};
 
 	/** Several calls of one turn of the event loop share a report. */
@@ -290,11 +305,7 @@
 	return {
 		async start() {
 			transport = await (options.openTransport ?? openUdpTransport)({bind: options.bind, onDatagram: receive, log});
-			timer = setInterval(() => {
-				forgetOld();
-				logAway();
-				sendRound();
-			}, options.everyMs);
+			scheduleRound();
 		},
 		learn,
 		live: () => [...reports.values()].filter(heard => !isAway(heard)),
@@ -308,7 +319,7 @@
 		fleetSize: () => queue.size + 1,
 		peersBeyondRound: () => Math.max(0, queue.size - maxPeersPerRound),
 		async leave() {
-			clearInterval(timer);
+			clearTimeout(timer);
 			clearTimeout(urgentTimer);
 			hasLeft = true;
 			if (transport === undefined) {
