Small requests pass a pressed workspace while anything is left

A request of up to a hundredth of the burst passes now; its units are a debt of the bucket as any others.

--- a/packages/router/src/lib/quotas/fleet-quota.ts
+++ b/packages/router/src/lib/quotas/fleet-quota.ts
@@ -128,6 +128,9 @@
 /** Part of a request that must be there when the bucket is low; the rest is a debt of this daemon. Large requests would else wait for many small ones. */
 const downPayment = 0.5;
 
+/** Part of the burst up to which a request passes while anything is left: it costs the others next to nothing. */
+const smallShare = 0.01;
+
 /** Time without use after which a workspace is left out of reports. */
 const idleMs = 20_000;
 
@@ -297,7 +300,11 @@
 			return bucket.level - (bucket.burst * calmReserve) >= wanted;
 		}
 
-		return (bucket.level > 0 && bucket.own >= wanted) || (options.newsMs !== undefined && certainLevel(bucket) >= wanted);
+		if (bucket.level > 0 && (bucket.own >= wanted || units <= bucket.burst * smallShare)) {
+			return true;
+		}
+
+		return options.newsMs !== undefined && certainLevel(bucket) >= wanted;
 	};
 
 	const retryAfter = (bucket: Bucket, units: number): number => {
--- a/packages/router/src/test/quotas/fleet-quota.test.ts
+++ b/packages/router/src/test/quotas/fleet-quota.test.ts
@@ -182,6 +182,19 @@
 		});
 	}
 
+	it('lets small requests through a pressed workspace while anything is left', () => {
+		// Orders of 200 units were refused over a quota whose bucket held 6,000.
+		const quota = createFleetQuota({
+			startsFull: true, onUnreported: () => undefined, startUnits: 0, daemons: () => 9, silenceMs: () => 1000, goneMs: () => windowMs, newsMs: () => reportEveryMs,
+		});
+		const limits = workspace(29_000);
+		quota.admit(limits, 5000);
+		quota.heard({...report('vm-2', quota, 1), usage: [['school', 20_000, 90_000, 4000]]});
+		assert.isTrue(quota.admit(limits, 200).granted);
+		assert.isFalse(quota.admit(limits, 9000).granted);
+		assert.isTrue(quota.admit(limits, 200).granted);
+	});
+
 	it('assumes spending of a silent peer between two limits, which follow the size of the fleet', () => {
 		// In a large fleet a live peer is heard less often; what it is assumed to spend
 		// meanwhile would be refused to callers.
