A peer that was away for long doesn't empty the bucket when it is heard again

Found on reading: a peer that had been silent for longer than a window was forgotten, and its next report counted all that it had admitted since its start as new, so the workspace was refused for as long as its rate takes to bring that back. Of a long silence now at most a window of its demand counts.

--- a/packages/router/src/test/quotas/fleet-quota.test.ts
+++ b/packages/router/src/test/quotas/fleet-quota.test.ts
@@ -195,6 +195,24 @@
 		assert.isTrue(quota.admit(limits, 200).granted);
 	});
 
+	it('counts of a peer that was away for long no more than a window can hold', () => {
+		// A peer that was cut off for 20 s came back with all that it had ever admitted.
+		const quota = createFleetQuota({
+			startsFull: true, onUnreported: () => undefined, startUnits: 0, daemons: () => 2, silenceMs: () => 1000, goneMs: () => windowMs,
+		});
+		const limits = workspace(1000, 100_000);
+		const level = (): number => quota.report()[0][3];
+		const usage = (admitted: number): PeerReport => ({...report('vm-2', quota, 1), usage: [['school', admitted, 100, 50_000]]});
+		quota.admit(limits, 1000);
+		quota.heard(usage(1_000_000));
+		clock.tick(18_000);
+		quota.heard(usage(1_001_800));
+		assert.isAtLeast(level(), 100_000 - (100 * windowMs / 1000));
+		clock.tick(1000);
+		quota.heard(usage(1_003_800));
+		assert.isAtLeast(level(), 97_000);
+	});
+
 	it('assumes spending of a silent peer between two limits, which follow the size of the fleet', () => {
 		// In a large fleet a live peer is heard less often; what it is assumed to spend
 		// meanwhile would be refused to callers.
