A relay counts as new only if its reader saw each of its changes at once

Found on reading: a reader that had a change from another reader's relay passed it on with its next own answer as just seen, so a daemon that had missed the first relay could date a naming of weights late by up to the reader's rest. Types of followed tables move to change-source; names in the feed are plainer.

--- a/packages/router/src/lib/fleet/change-feed.ts
+++ b/packages/router/src/lib/fleet/change-feed.ts
@@ -2,55 +2,12 @@
  * Follows a table of the store: one listing, then changes, from the store or from a peer that
  * reads the table and relays its answers.
  */
-import {LayerError} from '../errors/layer-error.js';
 import {type Log} from '../observability/log.js';
 import {pause} from '../time/pause.js';
-import {createRelayLog, type FeedRelay, type RelayedRow} from './feed-relay.js';
-
-/** The store no longer has the requested history; the table must be listed again. */
-export class HistoryGoneError extends LayerError {
-	readonly code = 'history_gone';
-}
-
-/** One row of a followed table. */
-export type Change<T> = {
-	key: string;
-	/** `undefined` when the row was deleted or is invalid. */
-	item: T | undefined;
-	/** Store version that wrote the row. */
-	version: number;
-	/** Content in the store; `undefined` when the row was deleted. */
-	text?: string | undefined;
-};
-
-/** Rows, with the store version that they are current at. */
-export type Changes<T> = {
-	changes: ReadonlyArray<Change<T>>;
-	/** Grows with each transaction of the store. */
-	version: number;
-};
-
-/** A table that can be listed and followed. `list` and `changes` throw the platform's errors. */
-export type ChangeSource<T> = {
-	list: (limitMs: number) => Promise<Changes<T>>;
-	/**
-	 * Changes after a version; waits up to `waitMs` for one.
-	 * @throws {HistoryGoneError} when the store has dropped that part of its history.
-	 */
-	changes: (after: number, waitMs: number, limitMs: number) => Promise<Changes<T>>;
-	/** Decodes a row that a peer relayed. */
-	decode: (row: RelayedRow) => Change<T>;
-};
-
-/** Receives the rows of a followed table. */
-export type ChangeHandler<T> = {
-	/** All rows; rows not among them were deleted. They may have changed up to `unseenMs` ago. */
-	replace: (rows: ReadonlyArray<Change<T>>, unseenMs: number) => void;
-	/** Changed rows, at most `unseenMs` old; 0 while the feed is current. */
-	update: (rows: ReadonlyArray<Change<T>>, unseenMs: number) => void;
-	/** The store answered `sinceMs` ago after an outage of `awayMs`; may be told again of the same outage. */
-	regained?: (awayMs: number, sinceMs: number) => void;
-};
+import {
+	type Change, type ChangeHandler, type Changes, type ChangeSource, HistoryGoneError,
+} from './change-source.js';
+import {createRelayLog, type FeedRelay} from './feed-relay.js';
 
 /** How daemons share the reading of a table; durations in milliseconds. */
 export type FeedSharing = {
@@ -133,11 +90,12 @@
 	let failures = 0;
 	/** The latest call was made some time ago, since peers kept the table current. */
 	let hasRested = false;
+	/** The latest answer was relayed. */
 	let isReader = false;
 	/** A relay that arrived before the one it follows. */
-	let outrunning: FeedRelay | undefined;
-	/** Relays were missing at the latest look. */
-	let isUnattended = false;
+	let earlyRelay: FeedRelay | undefined;
+	/** No relay arrived in time, and none has since. */
+	let areRelaysMissing = false;
 	const closing = new AbortController();
 	let isHinted = false;
 	/** Hints are ignored until then. */
@@ -162,7 +120,7 @@
 		}
 	};
 
-	const relay = (isPrompt: boolean): void => {
+	const relayNews = (): void => {
 		const isElected = sharing.readerInMs() === 0;
 		if (isElected !== isReader) {
 			isReader = isElected;
@@ -170,7 +128,7 @@
 		}
 
 		if (isReader) {
-			sharing.relay(relayLog.take(isPrompt));
+			sharing.relay(relayLog.take());
 		}
 	};
 
@@ -184,17 +142,17 @@
 			note(all.changes);
 			relayLog.listed(all);
 			handler.replace(all.changes, unseenMs);
-			relay(false);
+			relayNews();
 		}
 	};
 
-	/** Takes over rows that are complete up to `news.version`; returns whether they were not outdated. */
+	/** Applies changes up to `news.version`; returns false if they are outdated. */
 	const accept = (news: Changes<T>, unseenMs: number): boolean => {
 		if (version === undefined || news.version < version) {
 			return false;
 		}
 
-		relayLog.changed(news);
+		relayLog.changed(news, unseenMs === 0);
 		version = news.version;
 		if (news.changes.length > 0) {
 			note(news.changes);
@@ -205,12 +163,11 @@
 	};
 
 	const apply = (news: Changes<T>, isPrompt: boolean): void => {
-		const isUninterrupted = isPrompt && failures === 0;
-		const unseenMs = isUninterrupted ? 0 : performance.now() - answeredAt;
+		const unseenMs = isPrompt && failures === 0 ? 0 : performance.now() - answeredAt;
 		answered();
 		if (accept(news, unseenMs)) {
 			hasNews ||= news.changes.length > 0;
-			relay(isUninterrupted);
+			relayNews();
 		}
 	};
 
@@ -247,13 +204,12 @@
 		await pause(Math.min(sharing.maxBackoffMs(), minBackoffMs * (2 ** Math.min(failures - 1, 8))));
 	};
 
-	/** Logs once that relays are missing. */
-	const noteUnattended = (isMissing: boolean): void => {
-		if (isMissing && !isUnattended) {
+	/** Logs the first of several times at which no relay arrived. */
+	const noteMissingRelays = (): void => {
+		if (!areRelaysMissing) {
+			areRelaysMissing = true;
 			log.info('No peer relays a table; the store is asked.', {path: options.name, ms: roundedAgeMs(answeredAt)});
 		}
-
-		isUnattended = isMissing;
 	};
 
 	/** Waits while peers' relays keep the table current. */
@@ -263,15 +219,16 @@
 				return;
 			}
 
-			const trustedMs = answeredAt + sharing.trustMs() - performance.now();
 			const readerInMs = sharing.readerInMs();
-			if (Math.min(trustedMs, readerInMs) <= 0) {
-				noteUnattended(readerInMs > 0);
+			const leftMs = Math.min(readerInMs, answeredAt + sharing.trustMs() - performance.now());
+			if (leftMs <= 0) {
+				if (readerInMs > 0) {
+					noteMissingRelays();
+				}
+
 				return;
 			}
 
-			const leftMs = Math.min(trustedMs, readerInMs);
-
 			hasRested = true;
 			await pause(Math.ceil(leftMs));
 		}
@@ -315,11 +272,11 @@
 		}
 	};
 
-	/** Applies a relay, unless it outruns an earlier one that may still arrive. */
+	/** Applies a relay, or keeps it for a moment if the one before it is missing. */
 	const acceptRelay = (relay: FeedRelay): void => {
 		const {since, version: upTo, rows, isPrompt} = relay;
 		if (version! < since) {
-			outrunning = relay;
+			earlyRelay = relay;
 			void askSoon(sharing.relayMs, () => version! < since);
 			return;
 		}
@@ -327,7 +284,7 @@
 		const unseenMs = isPrompt ? 0 : performance.now() - answeredAt;
 		if (accept({version: upTo, changes: rows.map(row => source.decode(row))}, unseenMs)) {
 			answeredAt = performance.now();
-			isUnattended = false;
+			areRelaysMissing = false;
 		}
 	};
 
@@ -348,10 +305,10 @@
 			}
 
 			acceptRelay(relay);
-			if (outrunning !== undefined && version >= outrunning.since) {
-				const later = outrunning;
-				outrunning = undefined;
-				acceptRelay(later);
+			if (earlyRelay !== undefined && version >= earlyRelay.since) {
+				const next = earlyRelay;
+				earlyRelay = undefined;
+				acceptRelay(next);
 			}
 		},
 		close() {
--- /dev/null
+++ b/packages/router/src/lib/fleet/change-source.ts
@@ -0,0 +1,48 @@
+/** A table of the store that can be followed, and what receives its rows. */
+import {LayerError} from '../errors/layer-error.js';
+import {type RelayedRow} from './feed-relay.js';
+
+/** The store no longer has the requested history; the table must be listed again. */
+export class HistoryGoneError extends LayerError {
+	readonly code = 'history_gone';
+}
+
+/** One row of a followed table. */
+export type Change<T> = {
+	key: string;
+	/** `undefined` when the row was deleted or is invalid. */
+	item: T | undefined;
+	/** Store version that wrote the row. */
+	version: number;
+	/** Content in the store; `undefined` when the row was deleted. */
+	text?: string | undefined;
+};
+
+/** Rows, with the store version that they are current at. */
+export type Changes<T> = {
+	changes: ReadonlyArray<Change<T>>;
+	/** Grows with each transaction of the store. */
+	version: number;
+};
+
+/** A table that can be listed and followed. `list` and `changes` throw the platform's errors. */
+export type ChangeSource<T> = {
+	list: (limitMs: number) => Promise<Changes<T>>;
+	/**
+	 * Changes after a version; waits up to `waitMs` for one.
+	 * @throws {HistoryGoneError} when the store has dropped that part of its history.
+	 */
+	changes: (after: number, waitMs: number, limitMs: number) => Promise<Changes<T>>;
+	/** Decodes a row that a peer relayed. */
+	decode: (row: RelayedRow) => Change<T>;
+};
+
+/** Receives the rows of a followed table. */
+export type ChangeHandler<T> = {
+	/** All rows; rows not among them were deleted. They may have changed up to `unseenMs` ago. */
+	replace: (rows: ReadonlyArray<Change<T>>, unseenMs: number) => void;
+	/** Changed rows, at most `unseenMs` old; 0 while the feed is current. */
+	update: (rows: ReadonlyArray<Change<T>>, unseenMs: number) => void;
+	/** The store answered `sinceMs` ago after an outage of `awayMs`; may be told again of the same outage. */
+	regained?: (awayMs: number, sinceMs: number) => void;
+};
--- a/packages/router/src/lib/fleet/endpoint-tracker.ts
+++ b/packages/router/src/lib/fleet/endpoint-tracker.ts
@@ -2,7 +2,7 @@
  * Applies the endpoint list to the view. Entries that expire around a store outage
  * only show missed heartbeats, so their endpoints stay for a grace period.
  */
-import {type Change, type ChangeHandler} from './change-feed.js';
+import {type Change, type ChangeHandler} from './change-source.js';
 import {type FleetView} from './fleet-view.js';
 import {type LiveEndpoint} from './live-endpoint.js';
 
--- a/packages/router/src/lib/fleet/feed-relay.ts
+++ b/packages/router/src/lib/fleet/feed-relay.ts
@@ -11,7 +11,7 @@
 	/** Store version up to which they are complete. */
 	version: z.number(),
 	rows: z.array(relayedRowSchema),
-	/** The reader followed the table without interruption, so the changes are new. */
+	/** The reader saw each of the changes at once. */
 	isPrompt: z.boolean(),
 	/** Latest outage that the reader saw: its length, and milliseconds since its end. */
 	outage: z.tuple([z.number(), z.number()]).nullable(),
@@ -22,17 +22,18 @@
 
 type Row = {key: string; version: number; text?: string | undefined};
 type Rows = {changes: readonly Row[]; version: number};
+type PendingRow = Row & {isPrompt: boolean};
 
 /** Collects what a reader's next relay carries. */
 export type RelayLog = {
 	/** All rows of the table; those that are missing were deleted. */
 	listed: (rows: Rows) => void;
-	/** Rows that have changed up to a version. */
-	changed: (rows: Rows) => void;
+	/** Rows that have changed up to a version; `isPrompt` if this daemon saw them at once. */
+	changed: (rows: Rows, isPrompt: boolean) => void;
 	/** The store answers again after an outage. */
 	regained: (awayMs: number) => void;
 	/** Returns and clears the changes since the last call. */
-	take: (isPrompt: boolean) => FeedRelay;
+	take: () => FeedRelay;
 };
 
 /** Rows kept for the next relay. */
@@ -50,7 +51,7 @@
 /** Creates an empty log. */
 export function createRelayLog(): RelayLog {
 	const keys = new Set<string>();
-	let pending = new Map<string, Row>();
+	let pending = new Map<string, PendingRow>();
 	let since = 0;
 	let version = 0;
 	let outage: {awayMs: number; endedAt: number} | undefined;
@@ -61,9 +62,9 @@
 		since = Math.max(since, oldest.version);
 	};
 
-	const add = (row: Row): void => {
+	const add = (row: Row, isPrompt: boolean): void => {
 		pending.delete(row.key);
-		pending.set(row.key, row);
+		pending.set(row.key, {...row, isPrompt});
 		if (pending.size > maxPendingRows) {
 			dropOldest();
 		}
@@ -86,13 +87,13 @@
 
 			for (const key of keys) {
 				if (!listed.has(key)) {
-					add({key, version: rows.version});
+					add({key, version: rows.version}, false);
 				}
 			}
 
 			for (const row of rows.changes) {
 				if (row.version > version && !isFirst()) {
-					add(row);
+					add(row, false);
 				}
 
 				keys.add(row.key);
@@ -100,9 +101,9 @@
 
 			version = rows.version;
 		},
-		changed(rows) {
+		changed(rows, isPrompt) {
 			for (const row of rows.changes) {
-				add(row);
+				add(row, isPrompt);
 			}
 
 			version = rows.version;
@@ -110,9 +111,10 @@
 		regained(awayMs) {
 			outage = {awayMs: Math.min(awayMs, maxOutageMs), endedAt: performance.now()};
 		},
-		take(isPrompt) {
+		take() {
 			const rows: RelayedRow[] = [];
 			let chars = 0;
+			let isPrompt = true;
 			for (const row of [...pending.values()].toSorted((a, b) => b.version - a.version)) {
 				chars += row.key.length + (row.text?.length ?? 0);
 				if (chars > maxRelayChars) {
@@ -120,6 +122,7 @@
 					break;
 				}
 
+				isPrompt &&= row.isPrompt;
 				rows.unshift([row.key, row.version, row.text ?? null]);
 			}
 
--- a/packages/router/src/test/fleet/shared-feed.test.ts
+++ b/packages/router/src/test/fleet/shared-feed.test.ts
@@ -109,7 +109,7 @@
 	const startDaemon = (name: string, names: readonly string[]) => {
 		const rows = new Map<string, string>();
 		const seenAt = new Map<string, number>();
-		let latestUnseenMs = 0;
+		const unseenMs = new Map<string, number>();
 		const readers: FeedReaders = createFeedReaders({
 			name, table: 'endpoints', peers: () => names.filter(other => other !== name && !stopped.has(other)), silenceMs: trustMs,
 		});
@@ -152,9 +152,9 @@
 						note(key, item);
 					}
 				},
-				update(changed, unseenMs) {
-					latestUnseenMs = unseenMs;
+				update(changed, atMostMs) {
 					for (const {key, item} of changed) {
+						unseenMs.set(key, Math.max(unseenMs.get(key) ?? 0, atMostMs));
 						note(key, item);
 					}
 				},
@@ -174,7 +174,7 @@
 			log: createSilentLog(),
 		});
 		return {
-			feed, readers, rows, seenAt, unseenMs: () => latestUnseenMs,
+			feed, readers, rows, seenAt, unseenOf: (key: string) => unseenMs.get(key) ?? Number.NaN,
 		};
 	};
 
@@ -250,7 +250,7 @@
 	it('brings a change to all daemons at once, as new', async () => {
 		await startFleet(33);
 		assert.isAtMost(await spreadMs('e1', 'leaving'), maxTransitMs);
-		assert.deepEqual([...new Set([...fleet.values()].map(({unseenMs}) => unseenMs()))], [0]);
+		assert.deepEqual([...new Set([...fleet.values()].map(({unseenOf}) => unseenOf('e1')))], [0]);
 	});
 
 	it('brings a change in time though all readers stop right before it', async () => {
