The operator's document isn't relayed between daemons

Found on reading: relays of the operator's table carried the document with the workspaces' keys in datagrams that aren't encrypted, and daemons kept its text. Costs one call of each daemon for each change of it.

--- a/packages/router/src/lib/fleet/change-source.ts
+++ b/packages/router/src/lib/fleet/change-source.ts
@@ -16,6 +16,8 @@
 	version: number;
 	/** Content in the store; `undefined` when the row was deleted. */
 	text?: string | undefined;
+	/** Holds secrets, so it isn't relayed. */
+	isSecret?: boolean;
 };
 
 /** Rows, with the store version that they are current at. */
--- a/packages/router/src/lib/fleet/feed-relay.ts
+++ b/packages/router/src/lib/fleet/feed-relay.ts
@@ -20,7 +20,7 @@
 export type RelayedRow = z.infer<typeof relayedRowSchema>;
 export type FeedRelay = z.infer<typeof feedRelaySchema>;
 
-type Row = {key: string; version: number; text?: string | undefined};
+type Row = {key: string; version: number; text?: string | undefined; isSecret?: boolean};
 type Rows = {changes: readonly Row[]; version: number};
 type PendingRow = Row & {isPrompt: boolean};
 
@@ -64,7 +64,7 @@
 
 	const add = (row: Row, isPrompt: boolean): void => {
 		pending.delete(row.key);
-		pending.set(row.key, {...row, isPrompt});
+		pending.set(row.key, {...row, text: row.isSecret === true ? '' : row.text, isPrompt});
 		if (pending.size > maxPendingRows) {
 			dropOldest();
 		}
@@ -117,7 +117,7 @@
 			let isPrompt = true;
 			for (const row of [...pending.values()].toSorted((a, b) => b.version - a.version)) {
 				chars += row.key.length + (row.text?.length ?? 0);
-				if (chars > maxRelayChars) {
+				if (row.isSecret === true || chars > maxRelayChars) {
 					since = Math.max(since, row.version);
 					break;
 				}
--- a/packages/router/src/test/fleet/feed-relay.test.ts
+++ b/packages/router/src/test/fleet/feed-relay.test.ts
@@ -58,6 +58,15 @@
 		assert.deepEqual([since, rows.map(([key]) => key)], [2, ['b', 'c']]);
 	});
 
+	it('never relays a row with secrets, and sends peers to the store for it', () => {
+		// The operator's document holds the workspaces' keys, and datagrams aren't encrypted.
+		const log = createRelayLog();
+		log.listed({version: 1, changes: []});
+		log.changed({version: 4, changes: [row('a', 2), {...row('document', 3, 'key'), isSecret: true}, row('c', 4)]}, true);
+		const {since, rows} = log.take();
+		assert.deepEqual([since, rows], [3, [['c', 4, 'c']]]);
+	});
+
 	it('keeps a bounded number of changes while it relays nothing', () => {
 		const log = createRelayLog();
 		log.listed({version: 1, changes: []});
