First uses of workspaces are announced to all at most every three seconds

The test failed before (300 announcements in 30 s, 10 now); the played loads of 7 to 200 daemons keep their bounds.

--- a/packages/router/src/lib/quotas/fleet-quota.ts
+++ b/packages/router/src/lib/quotas/fleet-quota.ts
@@ -66,12 +66,16 @@
 /** Time without use after which a workspace is left out of reports. */
 const idleMs = 20_000;
 
+/** Minimum time between two announcements to all, whose cost grows with the fleet and with its workspaces. */
+const minAnnounceMs = 3000;
+
 /** Creates the quotas of one daemon. */
 export function createFleetQuota(options: FleetQuotaOptions): FleetQuota {
 	const buckets = new Map<string, Bucket>();
 	const foreign = new Map<string, ForeignUse>();
 	/** Process of each peer whose reports were heard. */
 	const incarnations = new Map<string, number>();
+	let announcedAt = Number.NEGATIVE_INFINITY;
 
 	/** Units of a bucket that this daemon opens: what its users last said is left, or else what it starts with. */
 	const openingLevel = ({name, rate, burst}: Workspace, now: number): number => {
@@ -163,7 +167,9 @@
 
 		// If the other users ask for as much, the bucket is pressed though this daemon can't see it yet.
 		const mayBePressed = demandBefore * (bucket.peers.size + 1) > bucket.rate;
-		if (isFirstUse) {
+		const now = performance.now();
+		if (isFirstUse && now - announcedAt >= minAnnounceMs) {
+			announcedAt = now;
 			options.onShared?.('all');
 		} else if (mayBePressed || bucket.level < bucket.burst * lowRatio) {
 			options.onShared?.([...bucket.peers.keys()]);
--- a/packages/router/src/test/quotas/large-fleet-quota.test.ts
+++ b/packages/router/src/test/quotas/large-fleet-quota.test.ts
@@ -158,6 +158,24 @@
 		return played;
 	};
 
+	it('announces first uses of many workspaces to all peers at most every three seconds', () => {
+		// Retries reach daemons that haven't seen their workspace; each would cost a report to every peer.
+		let announcements = 0;
+		const quota = createFleetQuota({
+			startsFull: true, onUnreported: () => undefined, startUnits: 0, daemons: () => 200, silenceMs: () => 5000, goneMs: () => 12_000,
+			isBeyondRound: () => true,
+			onShared(users) {
+				announcements += users === 'all' ? 1 : 0;
+			},
+		});
+		for (let index = 0; index < 300; index++) {
+			quota.admit({...workspace(29_000), name: `school-${index}`}, 200);
+			clock.tick(100);
+		}
+
+		assert.equal(announcements, 10);
+	});
+
 	const allowed = ({rate, burst}: Workspace): number => (((rate * windowMs / 1000) + burst) * (1 + overShare)) + extraUnits;
 
 	const loads: Record<string, Load> = {
