--- a/packages/router/src/lib/routing/rendezvous.ts
+++ b/packages/router/src/lib/routing/rendezvous.ts
@@ -41,15 +41,20 @@
 export const uniformRankOf = (halves: HashHalves, seed: number): number =>
 	((ranks / 2) - rankOf(halves, seed) - 0.5) / ranks;
 
-/** Names in the order of their ranks for a hash, the home first. */
-export const homesByHash = (hash: bigint, names: readonly string[]): string[] => {
-	const halves = halvesOf(hash);
-	return names.toSorted((a, b) => rankOf(halves, seedOfName(a)) - rankOf(halves, seedOfName(b)));
+const orderedByRank = (halves: HashHalves, names: readonly string[]): string[] => {
+	const ranked = names.map(name => ({name, rank: rankOf(halves, seedOfName(name))}));
+	ranked.sort((a, b) => a.rank - b.rank || (a.name < b.name ? -1 : 1));
+	return ranked.map(({name}) => name);
 };
 
+/** Names in the order of their ranks for a hash, the home first. */
+export const homesByHash = (hash: bigint, names: readonly string[]): string[] => orderedByRank(halvesOf(hash), names);
+
+const halvesOfKey = (key: string): HashHalves => ({low: seedOfName(key), high: 0});
+
 /** How many of the other names come before this one in the order that a key gives them; the same on every router. */
 export const placeOf = (key: string, name: string, names: readonly string[]): number => {
-	const halves = {low: seedOfName(key), high: 0};
+	const halves = halvesOfKey(key);
 	const own = rankOf(halves, seedOfName(name));
 	let place = 0;
 	for (const other of names) {
@@ -61,9 +66,4 @@
 };
 
 /** Names in the order that a key gives them, as `placeOf` counts it; the same on every router. */
-export const orderedBy = (key: string, names: readonly string[]): string[] => {
-	const halves = {low: seedOfName(key), high: 0};
-	const ranked = names.map(name => ({name, rank: rankOf(halves, seedOfName(name))}));
-	ranked.sort((a, b) => a.rank - b.rank || (a.name < b.name ? -1 : 1));
-	return ranked.map(({name}) => name);
-};
+export const orderedBy = (key: string, names: readonly string[]): string[] => orderedByRank(halvesOfKey(key), names);
