A feed keeps its election to itself, and does less for each report

The wiring held readers beside feeds, told both of a relay, and repeated the feed's backoff. A hint that needs no call makes no promise any more (two for each report that arrives), and rows that another reader has relayed already aren't decoded again.

--- a/packages/entry/src/lib/entry-parts.ts
+++ b/packages/entry/src/lib/entry-parts.ts
@@ -15,7 +15,7 @@
 import {createDaemonMetrics} from './daemon-metrics.js';
 import {timingsFor} from './timings.js';
 import {wireKeeper, wireLeases, wireNamingRecord} from './wiring/duty-wiring.js';
-import {wireEndpointFeed, wireOperatorFeed, wireReaders} from './wiring/feed-wiring.js';
+import {wireEndpointFeed, wireOperatorFeed} from './wiring/feed-wiring.js';
 import {type EntryParts} from './wiring/parts.js';
 import {wireDirectory, wirePeers} from './wiring/peer-wiring.js';
 import {
@@ -60,8 +60,6 @@
 		choice: asFunction(wireChoice).singleton(),
 		store: asFunction(({timings, metrics}: EntryParts) => createStoreClient({address: settings.storeAddress, callMs: timings.storeAnswerMs * 2, onCall: metrics.storeCalled})).singleton(),
 		ownTable: asFunction(({store}: EntryParts) => store.table('hickorywalk')).singleton(),
-		operatorReaders: asFunction((parts: EntryParts) => wireReaders('operator', parts)).singleton(),
-		endpointReaders: asFunction((parts: EntryParts) => wireReaders('endpoints', parts)).singleton(),
 		operatorFeed: asFunction(wireOperatorFeed).singleton(),
 		endpointFeed: asFunction(wireEndpointFeed).singleton(),
 		peers: asFunction(wirePeers).singleton(),
--- a/packages/entry/src/lib/wiring/feed-wiring.ts
+++ b/packages/entry/src/lib/wiring/feed-wiring.ts
@@ -3,25 +3,20 @@
 import {
 	type ChangeFeed, createEndpointTracker, type FeedSharing, followChanges, type LiveEndpoint,
 } from 'hickorywalk/fleet.js';
-import {createFeedReaders, type FeedReaders} from 'hickorywalk/peers.js';
+import {createFeedReaders} from 'hickorywalk/peers.js';
 import {type EntryParts} from './parts.js';
 
-/** Upper bound of the backoff of the daemons that read a table first, in milliseconds. */
-const maxReaderBackoffMs = 400;
-
-/** Elects the readers of a table. */
-export const wireReaders = (table: string, {settings, timings, peers}: EntryParts): FeedReaders =>
-	createFeedReaders({
+/** Lets the elected readers of a table ask the store, and the others rely on their relays. */
+function sharingOf(table: string, {settings, timings, peers}: EntryParts): FeedSharing {
+	const readers = createFeedReaders({
 		name: settings.name, table, peers: peers.group, silenceMs: timings.feedTrustMs,
 	});
-
-/** Lets the elected readers of a table ask the store, and the others rely on their relays. */
-function sharingOf(table: string, readers: FeedReaders, {timings, peers}: EntryParts): FeedSharing {
 	return {
 		readerInMs: readers.dueInMs,
-		trustMs: () => timings.feedTrustMs,
+		isFirstChoice: readers.isFirstChoice,
+		relayed: readers.relayed,
+		trustMs: timings.feedTrustMs,
 		relayMs: timings.relayMs,
-		maxBackoffMs: () => readers.isFirstChoice() ? maxReaderBackoffMs : timings.feedTrustMs,
 		relay(relay) {
 			peers.relay(table, relay);
 		},
@@ -49,7 +44,7 @@
 		waitMs: () => timings.feedWaitMs,
 		answerMs: timings.storeAnswerMs,
 		restMs: 0,
-		sharing: sharingOf('operator', parts.operatorReaders, parts),
+		sharing: sharingOf('operator', parts),
 		log,
 	});
 }
@@ -94,7 +89,7 @@
 		waitMs: () => timings.feedWaitMs,
 		answerMs: timings.storeAnswerMs,
 		restMs: timings.endpointsRestMs,
-		sharing: sharingOf('endpoints', parts.endpointReaders, parts),
+		sharing: sharingOf('endpoints', parts),
 		log,
 	});
 }
--- a/packages/entry/src/lib/wiring/parts.ts
+++ b/packages/entry/src/lib/wiring/parts.ts
@@ -5,7 +5,7 @@
 import {type LeaseHolder} from 'hickorywalk/leases.js';
 import {type LineBudget, type Log} from 'hickorywalk/observability.js';
 import {type createUndiciTransport} from 'hickorywalk/orders.js';
-import {type createPeerDirectory, type FeedReaders, type PeerExchange} from 'hickorywalk/peers.js';
+import {type createPeerDirectory, type PeerExchange} from 'hickorywalk/peers.js';
 import {
 	type createEndpointChoice, type EndpointBook, type KeptParts, type ResidentParts,
 } from 'hickorywalk/placing.js';
@@ -41,8 +41,6 @@
 	choice: ReturnType<typeof createEndpointChoice>;
 	store: ReturnType<typeof createStoreClient>;
 	ownTable: ReturnType<ReturnType<typeof createStoreClient>['table']>;
-	operatorReaders: FeedReaders;
-	endpointReaders: FeedReaders;
 	operatorFeed: ChangeFeed;
 	endpointFeed: ChangeFeed;
 	peers: PeerExchange;
--- a/packages/entry/src/lib/wiring/peer-wiring.ts
+++ b/packages/entry/src/lib/wiring/peer-wiring.ts
@@ -1,7 +1,7 @@
 /** Wires the exchange of reports between daemons. */
 import {type ChangeFeed} from 'hickorywalk/fleet.js';
 import {
-	createPeerDirectory, createPeerExchange, type FeedReaders, type OpenDatagramTransport, type PeerExchange, type PeerReport,
+	createPeerDirectory, createPeerExchange, type OpenDatagramTransport, type PeerExchange, type PeerReport,
 } from 'hickorywalk/peers.js';
 import {weightsDuty} from './duty-wiring.js';
 import {type EntryParts} from './parts.js';
@@ -10,9 +10,9 @@
 export function wirePeers(parts: EntryParts, openTransport?: OpenDatagramTransport): PeerExchange {
 	const {settings, timings, incarnation, log, quota, book, versions} = parts;
 	/** Followed tables by their names in reports; looked up late, since the feeds need the exchange. */
-	const followers: Record<string, {feed: () => ChangeFeed; readers: () => FeedReaders}> = {
-		operator: {feed: () => parts.operatorFeed, readers: () => parts.operatorReaders},
-		endpoints: {feed: () => parts.endpointFeed, readers: () => parts.endpointReaders},
+	const feeds: Record<string, () => ChangeFeed> = {
+		operator: () => parts.operatorFeed,
+		endpoints: () => parts.endpointFeed,
 	};
 
 	const onReport = (report: PeerReport): void => {
@@ -53,14 +53,12 @@
 		}
 
 		for (const [table, relay] of report.relays) {
-			const followed = Object.hasOwn(followers, table) ? followers[table] : undefined;
-			if (followed !== undefined) {
-				followed.readers().relayed(report.daemon);
-				followed.feed().relayed(relay);
+			if (Object.hasOwn(feeds, table)) {
+				feeds[table]().relayed(report.daemon, relay);
 			}
 		}
 
-		for (const [table, {feed}] of Object.entries(followers)) {
+		for (const [table, feed] of Object.entries(feeds)) {
 			feed().hint(report.heard[table] ?? 0);
 		}
 	};
--- a/packages/router/src/lib/fleet/change-feed.ts
+++ b/packages/router/src/lib/fleet/change-feed.ts
@@ -13,12 +13,14 @@
 export type FeedSharing = {
 	/** Time until this daemon should read the table for its peers; 0 while it does. */
 	readerInMs: () => number;
+	/** Whether this daemon is among the first to read the table; the others back off for longer after failed calls. */
+	isFirstChoice: () => boolean;
+	/** A peer relayed an answer of the store. */
+	relayed: (daemon: string) => void;
 	/** Time after an answer or a relay for which the table counts as current without asking. */
-	trustMs: () => number;
+	trustMs: number;
 	/** Time that a relay may take longer than a hint of the same change. */
 	relayMs: number;
-	/** Upper bound of the backoff after failed calls. */
-	maxBackoffMs: () => number;
 	/** Relays an answer of the store to peers. */
 	relay: (relay: FeedRelay) => void;
 };
@@ -58,7 +60,7 @@
 	 */
 	hint: (newestChange: number) => void;
 	/** A peer relays an answer of the store. */
-	relayed: (relay: FeedRelay) => void;
+	relayed: (daemon: string, relay: FeedRelay) => void;
 	close: () => void;
 };
 
@@ -71,9 +73,12 @@
 
 const readsAlone: FeedSharing = {
 	readerInMs: () => 0,
-	trustMs: () => 0,
+	isFirstChoice: () => true,
+	relayed() {
+		// No peer reads for this daemon.
+	},
+	trustMs: 0,
 	relayMs: 0,
-	maxBackoffMs: () => maxBackoffMs,
 	relay() {
 		// No peer relies on this daemon.
 	},
@@ -201,7 +206,7 @@
 			log.warn('Store gave no answer.', {path: options.name, ms: roundedAgeMs(answeredAt), err: error});
 		}
 
-		await pause(Math.min(sharing.maxBackoffMs(), minBackoffMs * (2 ** Math.min(failures - 1, 8))));
+		await pause(Math.min(sharing.isFirstChoice() ? maxBackoffMs : sharing.trustMs, minBackoffMs * (2 ** Math.min(failures - 1, 8))));
 	};
 
 	/** Logs the first of several times at which no relay arrived. */
@@ -220,7 +225,7 @@
 			}
 
 			const readerInMs = sharing.readerInMs();
-			const leftMs = Math.min(readerInMs, answeredAt + sharing.trustMs() - performance.now());
+			const leftMs = Math.min(readerInMs, answeredAt + sharing.trustMs - performance.now());
 			if (leftMs <= 0) {
 				if (readerInMs > 0) {
 					noteMissingRelays();
@@ -250,19 +255,12 @@
 		}
 	};
 
-	/** Asks the store without waiting after `restMs`, if that is still needed then. */
-	const askSoon = async (restMs: number, isNeeded: () => boolean): Promise<void> => {
-		// After a failure the feed asks again by itself, with backoff.
-		const isBackingOff = failures > 0 || performance.now() < hintsFrom;
-		if (version === undefined || isHinted || isBackingOff || !isNeeded()) {
-			return;
-		}
-
+	const askAfter = async (restMs: number, isNeeded: () => boolean): Promise<void> => {
 		isHinted = true;
 		try {
 			await pause(restMs);
 			if (isNeeded()) {
-				apply(await source.changes(version, 0, answerMs), false);
+				apply(await source.changes(version!, 0, answerMs), false);
 			}
 		} catch (error) {
 			hintsFrom = performance.now() + maxBackoffMs;
@@ -272,17 +270,28 @@
 		}
 	};
 
+	/** Asks the store without waiting after `restMs`, if that is still needed then. */
+	const askSoon = (restMs: number, isNeeded: () => boolean): void => {
+		// After a failure the feed asks again by itself, with backoff.
+		const isBackingOff = failures > 0 || performance.now() < hintsFrom;
+		if (version !== undefined && !isHinted && !isBackingOff && isNeeded()) {
+			void askAfter(restMs, isNeeded);
+		}
+	};
+
 	/** Applies a relay, or keeps it for a moment if the one before it is missing. */
 	const acceptRelay = (relay: FeedRelay): void => {
 		const {since, version: upTo, rows, isPrompt} = relay;
 		if (version! < since) {
 			earlyRelay = relay;
-			void askSoon(sharing.relayMs, () => version! < since);
+			askSoon(sharing.relayMs, () => version! < since);
 			return;
 		}
 
 		const unseenMs = isPrompt ? 0 : performance.now() - answeredAt;
-		if (accept({version: upTo, changes: rows.map(row => source.decode(row))}, unseenMs)) {
+		// Each reader of a table relays the same rows.
+		const news = rows.filter(([, changedIn]) => changedIn > version!);
+		if (accept({version: upTo, changes: news.map(row => source.decode(row))}, unseenMs)) {
 			answeredAt = performance.now();
 			areRelaysMissing = false;
 		}
@@ -293,9 +302,10 @@
 		ageMs: () => performance.now() - answeredAt,
 		newestChange: () => newestChange,
 		hint(known) {
-			void askSoon(options.restMs + sharing.relayMs, () => known > Math.max(version!, newestChange));
+			askSoon(options.restMs + sharing.relayMs, () => known > Math.max(version!, newestChange));
 		},
-		relayed(relay) {
+		relayed(daemon, relay) {
+			sharing.relayed(daemon);
 			if (version === undefined) {
 				return;
 			}
--- a/packages/router/src/test/fleet/shared-feed.test.ts
+++ b/packages/router/src/test/fleet/shared-feed.test.ts
@@ -164,9 +164,10 @@
 			restMs: 0,
 			sharing: {
 				readerInMs: readers.dueInMs,
-				trustMs: () => trustMs,
+				isFirstChoice: readers.isFirstChoice,
+				relayed: readers.relayed,
+				trustMs,
 				relayMs,
-				maxBackoffMs: () => readers.isFirstChoice() ? 400 : trustMs,
 				relay(relay) {
 					send(name, relay);
 				},
@@ -180,9 +181,7 @@
 
 	const deliver = (from: string, to: string, relay: FeedRelay): void => {
 		if (!stopped.has(to)) {
-			const {feed, readers} = fleet.get(to)!;
-			readers.relayed(from);
-			feed.relayed(relay);
+			fleet.get(to)!.feed.relayed(from, relay);
 		}
 	};
 
