Only the holder of the lease is woken for the rollout's checks

Callers saw nothing of it but late answers of small VMs: each daemon ran the weights rollout's check every 100 ms, though only the lease holder may act.

Cause: the check was a timer of the process, not of the duty. The lease holder now tells of each acquisition and renewal, and the timer runs from then until the lease has ended; renewals come three times per lease, so the first check is at most one interval later than before.

--- a/packages/entry/src/lib/entry-daemon.ts
+++ b/packages/entry/src/lib/entry-daemon.ts
@@ -44,7 +44,6 @@
 	parts.directory.start();
 	parts.refusalRows.start();
 	void parts.leases.start();
-	const rolloutTimer = setInterval(parts.weightsRollout.tick, timings.rolloutEveryMs);
 	const droppedLinesTimer = setInterval(() => {
 		const count = logLineBudget.takeDroppedCount();
 		if (count > 0) {
@@ -61,7 +60,7 @@
 		const startedAt = performance.now();
 		state.isStopping = true;
 		log.info('Daemon stops.', {count: parts.forwarder.inFlight()});
-		clearInterval(rolloutTimer);
+		parts.rolloutTimer.close();
 		clearInterval(droppedLinesTimer);
 		parts.refusalRows.close();
 		await parts.leases.release();
--- a/packages/entry/src/lib/entry-parts.ts
+++ b/packages/entry/src/lib/entry-parts.ts
@@ -14,7 +14,9 @@
 import {createEngineVersions} from 'hickorywalk/weights.js';
 import {createDaemonMetrics} from './daemon-metrics.js';
 import {timingsFor} from './timings.js';
-import {wireWeightsRollout, wireLeases, wireNamingRecord} from './wiring/lease-wiring.js';
+import {
+	wireWeightsRollout, wireLeases, wireNamingRecord, wireRolloutTimer,
+} from './wiring/lease-wiring.js';
 import {wireEndpointFeed, wireOperatorFeed} from './wiring/feed-wiring.js';
 import {type EntryParts} from './wiring/parts.js';
 import {wireDirectory, wirePeers} from './wiring/peer-wiring.js';
@@ -72,6 +74,7 @@
 		leases: asFunction(wireLeases).singleton(),
 		control: asFunction(({timings}: EntryParts) => createEndpointControl({timeoutMs: timings.engineTimeoutMs})).singleton(),
 		weightsRollout: asFunction(wireWeightsRollout).singleton(),
+		rolloutTimer: asFunction(wireRolloutTimer).singleton(),
 		namingRecord: asFunction(wireNamingRecord).singleton(),
 		transport: asFunction(() => createUndiciTransport({connectMs: connectTimeoutMs, connectionsPerPool: maxConnectionsPerEndpoint})).singleton(),
 		budgetOf: asFunction(wireBudgets).singleton(),
--- a/packages/entry/src/lib/wiring/lease-wiring.ts
+++ b/packages/entry/src/lib/wiring/lease-wiring.ts
@@ -1,5 +1,7 @@
 /** Wires the lease for ordering weights changes, and the weights rollout that acts while holding it. */
-import {createLeaseHolder, type LeaseHolder} from 'hickorywalk/leases.js';
+import {
+	createDutyTimer, createLeaseHolder, type DutyTimer, type LeaseHolder,
+} from 'hickorywalk/leases.js';
 import {createNamingRecord, createWeightsRollout, type NamingRecord} from 'hickorywalk/weights.js';
 import {type EntryParts} from './parts.js';
 
@@ -13,7 +15,8 @@
 	});
 
 /** Contends for the lease; peers' reports shorten a takeover. */
-export function wireLeases({settings, timings, incarnation, ownTable, peers, namingRecord, log}: EntryParts): LeaseHolder {
+export function wireLeases(parts: EntryParts): LeaseHolder {
+	const {settings, timings, incarnation, ownTable, peers, namingRecord, log} = parts;
 	const holder = createLeaseHolder({
 		name: settings.name,
 		incarnation: BigInt(incarnation),
@@ -33,6 +36,9 @@
 		onNote(_duty, note) {
 			namingRecord.accept(note);
 		},
+		onHeld() {
+			parts.rolloutTimer.start();
+		},
 		leaseMs: timings.leaseMs,
 		marginMs: timings.leaseMarginMs,
 		onError(err) {
@@ -43,6 +49,15 @@
 	return holder;
 }
 
+/** Runs the rollout's checks while this daemon holds the lease; the other daemons are not woken for them. */
+export const wireRolloutTimer = (parts: EntryParts): DutyTimer => createDutyTimer({
+	everyMs: parts.timings.rolloutEveryMs,
+	isHeld: () => parts.leases.held(weightsLease) !== undefined,
+	tick() {
+		parts.weightsRollout.tick();
+	},
+});
+
 /** Creates the weights rollout; it acts only while the lease is held. */
 export function wireWeightsRollout(parts: EntryParts) {
 	const {
--- a/packages/entry/src/lib/wiring/parts.ts
+++ b/packages/entry/src/lib/wiring/parts.ts
@@ -2,7 +2,7 @@
 import {type BootSettings, type createEndpointControl, type createStoreClient} from '@hickorywalk/platform';
 import {type ChangeFeed, type EndpointPresence, type FleetView} from 'hickorywalk/fleet.js';
 import {type createEntryServer, type createForwarder, type ForwardingEvents} from 'hickorywalk/forwarding.js';
-import {type LeaseHolder} from 'hickorywalk/leases.js';
+import {type DutyTimer, type LeaseHolder} from 'hickorywalk/leases.js';
 import {type LineBudget, type Log} from 'hickorywalk/observability.js';
 import {type createUndiciTransport} from 'hickorywalk/orders.js';
 import {type createPeerDirectory, type PeerExchange} from 'hickorywalk/peers.js';
@@ -53,6 +53,7 @@
 	leases: LeaseHolder;
 	control: ReturnType<typeof createEndpointControl>;
 	weightsRollout: ReturnType<typeof createWeightsRollout>;
+	rolloutTimer: DutyTimer;
 	namingRecord: NamingRecord;
 	transport: ReturnType<typeof createUndiciTransport>;
 	budgetOf: (service: string) => AttemptBudget;
--- a/packages/router/src/lib/leases/lease-holder.ts
+++ b/packages/router/src/lib/leases/lease-holder.ts
@@ -47,6 +47,8 @@
 	note?: (duty: string) => string | undefined;
 	/** Called with the note of another process whenever that process's row is read. */
 	onNote?: (duty: string, note: string) => void;
+	/** Called after each acquisition or renewal of a lease. */
+	onHeld?: (duty: string) => void;
 	/** Called on table errors; the operation is retried at the next tick. */
 	onError?: (error: unknown) => void;
 	/** Duration of a lease in milliseconds; 30,000 by default, the same on every daemon. */
@@ -228,6 +230,7 @@
 		};
 		if (await writeRow(duty, row) && !released) {
 			held.set(duty, {fencing, end, clockOffset});
+			options.onHeld?.(duty);
 		}
 	}
 
