Rounds of reports follow the store's clock in step

Rounds now begin at multiples of their interval on the store's clock, which every daemon knows from its first call, so the datagrams of a round arrive together and one wake-up reads several. Intervals are multiples of 100 ms; a fleet of 71 reports each 500 ms in place of 447, one of 23 each 300 in place of 283.

What it costs: a report reaches all of 67 daemons after 2.5 s in place of 2.24.

A daemon that does not know the store's clock sends at its own times, as before.

--- a/packages/entry/src/lib/wiring/peer-wiring.ts
+++ b/packages/entry/src/lib/wiring/peer-wiring.ts
@@ -72,6 +72,7 @@
 		bind: {host: settings.peerPorts.host, port: settings.peerPorts.first},
 		everyMs: timings.reportEveryMs,
 		minSilenceMs: timings.minPeerSilenceMs,
+		sharedClockMs: () => parts.store.clockMs(),
 		compose: () => ({
 			heard: {operator: parts.operatorFeed.newestChange(), endpoints: parts.endpointFeed.newestChange()},
 			usage: quota.report(),
--- a/packages/router/src/lib/peers/peer-exchange.ts
+++ b/packages/router/src/lib/peers/peer-exchange.ts
@@ -39,6 +39,11 @@
 	everyMs: number;
 	/** Lower bound of {@link PeerExchange.silenceMs}. */
 	minSilenceMs: number;
+	/**
+	 * A clock in milliseconds that all daemons share; `undefined` while it is unknown. Rounds follow it in step, so that
+	 * the datagrams of all peers arrive together and few wake-ups of the process read them.
+	 */
+	sharedClockMs?: () => number | undefined;
 	/** Returns the current report contents; `kept` and `placed` hold only what is new since the last call. */
 	compose: () => OwnReport;
 	/** Called for each new report. */
@@ -104,6 +109,12 @@
 /** Upper bound of the factor by which the interval between rounds grows with the fleet. */
 const maxIntervalFactor = 2.5;
 
+/** Intervals between rounds are multiples of this. */
+const intervalStepMs = 100;
+
+/** Fraction of an interval below which a round right after another is left out, since timers may fire slightly early. */
+const minGapRatio = 0.1;
+
 /** Refresh intervals without a report after which a peer counts as silent. */
 const refreshesUntilSilent = 3;
 
@@ -137,7 +148,23 @@
 
 	const roundsPerRefresh = (): number => Math.max(1, Math.ceil(queue.size / maxPeersPerRound));
 
-	const intervalMs = (): number => options.everyMs * Math.min(maxIntervalFactor, Math.sqrt(roundsPerRefresh()));
+	/** A multiple of a common step, so that daemons that know different numbers of peers mostly send at the same times. */
+	const intervalMs = (): number => {
+		const spread = options.everyMs * Math.min(maxIntervalFactor, Math.sqrt(roundsPerRefresh()));
+		return Math.ceil(spread / intervalStepMs) * intervalStepMs;
+	};
+
+	/** Time until the next multiple of the interval on the shared clock; the whole interval without that clock. */
+	const untilNextRoundMs = (): number => {
+		const interval = intervalMs();
+		const clockMs = options.sharedClockMs?.();
+		if (clockMs === undefined) {
+			return interval;
+		}
+
+		const leftMs = Math.ceil(interval - (clockMs % interval));
+		return leftMs < interval * minGapRatio ? leftMs + interval : leftMs;
+	};
 
 	const refreshMs = (): number => Math.round(roundsPerRefresh() * intervalMs());
 
@@ -232,7 +259,7 @@
 			forgetExpired();
 			logSilent();
 			sendRound();
-		}, intervalMs());
+		}, untilNextRoundMs());
 	};
 
 	/** Daemons learn of peers in the same order; without a different order on each, all would report to the same few at a time. */
