Events of a stream after the first are read in batches

A stream of 49 events woke its daemon some 30 times: every few milliseconds one small write of the engine.

After its first event a stream's socket is now left unread for a fifth of the pause that the route allows (60 ms of 300) and then read once, all streams of a daemon in one timer. The first event and the end of short answers go at once. An earlier trial paused undici's parser, which saved nothing: the socket below went on reading into its own buffer, and on resuming one chunk a pause was passed on. Here the socket itself isn't read: it is opened with a high-water mark of one byte and its next read is delayed.

--- a/deploy/undici-client.cjs
+++ b/deploy/undici-client.cjs
@@ -6,6 +6,7 @@
 'use strict';
 
 module.exports = {
+	buildConnector: require('undici/lib/core/connect.js'),
 	Agent: require('undici/lib/dispatcher/agent.js'),
 	Client: require('undici/lib/dispatcher/client.js'),
 	Pool: require('undici/lib/dispatcher/pool.js'),
--- a/packages/router/src/lib/forwarding/attempt.ts
+++ b/packages/router/src/lib/forwarding/attempt.ts
@@ -51,6 +51,8 @@
 	/** The response is a stream of events, which are forwarded as they arrive. */
 	isStream: boolean;
 	progress: AttemptProgress;
+	/** Longest delay in milliseconds by which the events after the first may be forwarded together; 0 forwards each at once. */
+	eventBatchMs: number;
 	/** Time to the response head after which the endpoint counts as silent, in milliseconds. */
 	headTimeoutMs: number;
 	/** The same between two chunks of the response, in milliseconds. */
@@ -229,6 +231,9 @@
 				if (progress.firstAt === undefined) {
 					progress.firstAt = performance.now();
 					options.onResponseStart();
+					if (options.eventBatchMs > 0) {
+						exchange.batchReads(options.eventBatchMs);
+					}
 				}
 
 				restartSilenceTimer(options.eventTimeoutMs);
--- a/packages/router/src/lib/forwarding/send-to-endpoint.ts
+++ b/packages/router/src/lib/forwarding/send-to-endpoint.ts
@@ -34,6 +34,9 @@
 /** Failures this close to the deadline are timeouts of the request and don't count against the endpoint. */
 const deadlineMarginMs = 50;
 
+/** Delay of events that are forwarded together, as a fraction of the target pause. */
+const eventBatchRatio = 0.2;
+
 /** The lowest priority that endpoints accept. */
 const lowestPriority = 9;
 
@@ -147,6 +150,7 @@
 			reply: call.reply,
 			isStream: call.route.kind === 'stream',
 			progress: call.progress,
+			eventBatchMs: (call.route.targetPauseMs ?? 0) * eventBatchRatio,
 			headTimeoutMs: headMs,
 			eventTimeoutMs: eventMs,
 			mayMoveAway: () => options.mayMoveAway(call),
--- a/packages/router/src/lib/orders/endpoint-transport.ts
+++ b/packages/router/src/lib/orders/endpoint-transport.ts
@@ -54,6 +54,11 @@
 	/** Stops `data` until {@link resume}, which applies backpressure to the endpoint. */
 	pause: () => void;
 	resume: () => void;
+	/**
+	 * Takes the rest of the response in batches, at most `everyMs` milliseconds later than it arrives. A stream
+	 * of many small events then costs fewer wake-ups of the process.
+	 */
+	batchReads: (everyMs: number) => void;
 	/**
 	 * Aborts the exchange and destroys its connection. `suspect` means that the
 	 * connection may be dead or carried the response to another request: idle
--- a/packages/router/src/lib/orders/undici-transport.ts
+++ b/packages/router/src/lib/orders/undici-transport.ts
@@ -1,15 +1,19 @@
 /** Sends requests to endpoints over HTTP/1.1. */
 import {Buffer} from 'node:buffer';
 import diagnosticsChannel from 'node:diagnostics_channel';
+import {type Socket} from 'node:net';
 import {type Readable} from 'node:stream';
 import {LRUCache} from 'lru-cache';
-import {Client, Pool, type Dispatcher} from 'undici';
+import {
+	buildConnector, Client, Pool, type Dispatcher,
+} from 'undici';
 import {
 	type EndpointAddress, type EndpointTransport, type Exchange, type ExchangeEvents, type OutgoingRequest,
 } from './endpoint-transport.js';
 import {isBodiless} from './response-checks.js';
 import {type FailureClass} from './failure-classes.js';
 import {EndpointExchangeError} from './orders-errors.js';
+import {batchedHighWaterMark, createReadBatches} from './read-batches.js';
 
 /** Options of {@link createUndiciTransport}. */
 export type UndiciTransportOptions = {
@@ -108,7 +112,7 @@
 	/** The response has a `Content-Length`, so truncation is detected. */
 	hasLength?: boolean;
 	/** The connection that carries the exchange. */
-	socket?: {readonly errored?: Error | null};
+	socket?: Socket;
 	controller?: Dispatcher.DispatchController;
 };
 
@@ -209,7 +213,14 @@
  * const transport = createUndiciTransport({connectMs: 500});
  */
 export function createUndiciTransport(options: UndiciTransportOptions = {}): EndpointTransport {
-	const connect = {timeout: options.connectMs ?? defaultConnectMs};
+	const readBatches = createReadBatches();
+	const socketOptions = {timeout: options.connectMs ?? defaultConnectMs, highWaterMark: batchedHighWaterMark};
+	// Undici returns the socket, contrary to its types.
+	const openConnection = buildConnector(socketOptions) as (...parameters: Parameters<buildConnector.connector>) => Socket;
+	const connect: buildConnector.connector = (connectOptions, callback) => {
+		readBatches.attach(openConnection(connectOptions, callback));
+	};
+
 	const closing = new Set<Promise<void>>();
 	const trackClosing = async (work: Promise<void>) => {
 		closing.add(work);
@@ -244,6 +255,10 @@
 		};
 		const client = pool === undefined ? openClient(origin) : undefined;
 		const finish = () => {
+			if (state.socket !== undefined) {
+				readBatches.stop(state.socket);
+			}
+
 			if (client !== undefined) {
 				closeClient(client);
 			}
@@ -258,6 +273,11 @@
 			resume() {
 				state.controller?.resume();
 			},
+			batchReads(everyMs) {
+				if (state.socket !== undefined && !state.ended) {
+					readBatches.start(state.socket, everyMs);
+				}
+			},
 			abort(reason, suspect) {
 				state.cancelled = true;
 				state.controller?.abort(reason);
--- a/packages/standins/src/lib/service/histories/faulty-transport.ts
+++ b/packages/standins/src/lib/service/histories/faulty-transport.ts
@@ -93,6 +93,9 @@
 	resume() {
 		// Never paused.
 	},
+	batchReads() {
+		// Events arrive one by one.
+	},
 	abort() {
 		// Late events still arrive.
 	},
