No timers for metrics: turns of the event loop are counted by the runtime

strace of a daemon at rest showed wake-ups that no timer of the program explains: four a second sample the event loop's lag for the metrics, two look for callers whose header is late, one for dropped log lines.

The lag's percentiles are no longer served. In their place the runtime's own counts are: turns of the event loop and the time it was busy, which tell the on-call engineer whether a process falls behind. Late headers are looked for each 2 s, dropped lines each 5 s; a caller that sends its header too slowly is closed up to 1.5 s later than before.

The test of the metrics failed first on the missing counters.

--- a/packages/entry/src/lib/daemon-metrics.ts
+++ b/packages/entry/src/lib/daemon-metrics.ts
@@ -13,6 +13,8 @@
 	hickorywalk_store_calls_total: 'Calls to the platform\'s store, by call.',
 	hickorywalk_requests_under_way: 'Requests that are being handled.',
 	hickorywalk_peers_heard: 'Daemons whose reports arrive.',
+	hickorywalk_event_loop_turns_total: 'Turns of the event loop; each wake-up of the process takes at least one.',
+	hickorywalk_event_loop_busy_seconds_total: 'Time that the event loop did not spend waiting.',
 	hickorywalk_log_lines_left_out_total: 'Log lines left out because their kind was over its budget, or the reader too slow.',
 } as const;
 
@@ -38,21 +40,38 @@
 const secondsBuckets = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.2, 2, 4, 8, 16];
 const msPerSecond = 1000;
 
-/** Sampling interval of the event loop lag; each sample wakes the process. */
-const eventLoopSampleMs = 250;
+/** The longest interval that a timer takes: the sampled lag of the event loop is not served, since each sample wakes the process. */
+const eventLoopSampleMs = (2 ** 31) - 1;
+const sampledLagMetrics = ['min', 'max', 'mean', 'stddev', 'p50', 'p90', 'p99'].map(name => `nodejs_eventloop_lag_${name}_seconds`);
 
 /** Creates the metrics of one daemon. */
 export function createDaemonMetrics(): DaemonMetrics {
 	const registry = new Registry();
 	const registers = [registry];
 	collectDefaultMetrics({register: registry, eventLoopMonitoringPrecision: eventLoopSampleMs});
+	for (const name of sampledLagMetrics) {
+		registry.removeSingleMetric(name);
+	}
+
 	const describe = <Name extends keyof typeof metricHelp>(name: Name) => ({name, help: metricHelp[name], registers});
+
+	/** Serves a total that the runtime counts. */
+	const registerTotal = (name: keyof typeof metricHelp, read: () => number) => new Counter({
+		...describe(name),
+		collect() {
+			this.reset();
+			this.inc(read());
+		},
+	});
+
 	const requestCounter = new Counter({...describe('hickorywalk_requests_total'), labelNames: ['service', 'result']});
 	const firstByteSeconds = new Histogram({...describe('hickorywalk_request_first_seconds'), labelNames: ['service'], buckets: secondsBuckets});
 	const totalSeconds = new Histogram({...describe('hickorywalk_request_seconds'), labelNames: ['service'], buckets: secondsBuckets});
 	const failedAttemptCounter = new Counter({...describe('hickorywalk_attempts_failed_total'), labelNames: ['service', 'reason']});
 	const storeCallCounter = new Counter({...describe('hickorywalk_store_calls_total'), labelNames: ['call']});
 	const droppedLineCounter = new Counter(describe('hickorywalk_log_lines_left_out_total'));
+	registerTotal('hickorywalk_event_loop_turns_total', () => performance.nodeTiming.uvMetricsInfo.loopCount);
+	registerTotal('hickorywalk_event_loop_busy_seconds_total', () => performance.eventLoopUtilization().active / msPerSecond);
 
 	return {
 		requestEnded({service = 'none', reason, ms, firstMs}) {
--- a/packages/entry/src/lib/entry-daemon.ts
+++ b/packages/entry/src/lib/entry-daemon.ts
@@ -12,7 +12,7 @@
 };
 
 /** Interval of reporting dropped log lines, in milliseconds. */
-const droppedLinesCheckMs = 1000;
+const droppedLinesCheckMs = 5000;
 
 /** Part of the platform's stop timeout that is reserved for the last steps of a stop, in milliseconds. */
 const stopReserveMs = 700;
--- a/packages/entry/src/test/metrics.test.ts
+++ b/packages/entry/src/test/metrics.test.ts
@@ -3,6 +3,14 @@
 import {createDaemonMetrics, metricHelp} from '../lib/daemon-metrics.js';
 
 describe('createDaemonMetrics', () => {
+	it('wakes the process for no samples, and tells how often it was woken', async () => {
+		const text = await createDaemonMetrics().text();
+		assert.notInclude(text, 'nodejs_eventloop_lag_p99');
+		const [, turns] = /^hickorywalk_event_loop_turns_total (?<turns>\d+)$/mv.exec(text) ?? [];
+		assert.isAbove(Number(turns), 0);
+		assert.match(text, /^hickorywalk_event_loop_busy_seconds_total [\d.]+$/mv);
+	});
+
 	it('serves every metric with its help text, as docs/metrics.md lists it', async () => {
 		const metrics = createDaemonMetrics();
 		metrics.registerGauges({requestsInFlight: () => 3, livePeers: () => 8});
--- a/packages/router/src/lib/forwarding/entry-server.ts
+++ b/packages/router/src/lib/forwarding/entry-server.ts
@@ -31,7 +31,7 @@
 };
 
 /** Interval in milliseconds at which connections are checked for header timeouts. */
-const headerCheckMs = 500;
+const headerCheckMs = 2000;
 
 /** Creates a server that doesn't listen yet. */
 export function createEntryServer({forwarder, isStopping, log}: EntryServerOptions): EntryServer {
