An ordered software version gets no requests while others are listed

The operator may order that a service's requests move to endpoints of another software version, and some versions are faulty.

The order is now decoded in platform/ (`op/rollout/SERVICE`), and endpoints of an ordered version are left out where requests are placed: as candidates, as homes of prompts and in the cost of a prompt. An order for the version that already serves changes nothing; an ordered version serves once no other endpoint is left; after an order back to the version of before, the withdrawn one stays out. Malformed orders are skipped with a warning.

This keeps the rule and misses the duty: no version is ever moved to, and no status is written.

--- a/packages/entry/src/lib/entry-parts.ts
+++ b/packages/entry/src/lib/entry-parts.ts
@@ -10,6 +10,7 @@
 import {createLineBudget, createLog} from 'hickorywalk/observability.js';
 import {createUndiciTransport} from 'hickorywalk/orders.js';
 import {createEndpointLoadTracker, createStoredParts, createResidentParts} from 'hickorywalk/placing.js';
+import {createUnprovenVersions} from 'hickorywalk/releases.js';
 import {createHealthTracker} from 'hickorywalk/routing.js';
 import {createEngineVersions} from 'hickorywalk/weights.js';
 import {createDaemonMetrics} from './daemon-metrics.js';
@@ -47,6 +48,7 @@
 			// Each renewal of the lease is reported to all peers, and a plan can't outlive its lease.
 			planRepeatMs: () => Math.min(parts.peers.silenceMs(), parts.timings.leaseMs),
 		})).singleton(),
+		releases: asFunction(({view, log}: EntryParts) => createUnprovenVersions({view, log})).singleton(),
 		loadTracker: asFunction((parts: EntryParts) => createEndpointLoadTracker({
 			onLarge() {
 				parts.peers.sendRoundEarly();
--- a/packages/entry/src/lib/wiring/feed-wiring.ts
+++ b/packages/entry/src/lib/wiring/feed-wiring.ts
@@ -1,7 +1,7 @@
 /** Wires the store's change feeds: the operator's table and the endpoint list. */
 import {createEndpointSource, createOperatorSource, type OperatorRow} from '@hickorywalk/platform';
 import {
-	type ChangeFeed, createEndpointTracker, type FeedSharing, followChanges, type LiveEndpoint,
+	type Change, type ChangeFeed, createEndpointTracker, type FeedSharing, followChanges, type LiveEndpoint,
 } from 'hickorywalk/fleet.js';
 import {createFeedReaders} from 'hickorywalk/peers.js';
 import {type EntryParts} from './parts.js';
@@ -23,16 +23,33 @@
 	};
 }
 
-/** Follows the fleet document and the named weights. */
+/** Follows the fleet document, the named weights and the ordered releases. */
 export function wireOperatorFeed(parts: EntryParts): ChangeFeed {
 	const {store, view, timings, log} = parts;
-	const update = (rows: ReadonlyArray<{item: OperatorRow | undefined}>, unseenMs: number): void => {
-		for (const {item} of rows) {
-			if (item?.kind === 'document') {
+	const apply = (item: OperatorRow, number: number, unseenMs: number): void => {
+		switch (item.kind) {
+			case 'document': {
 				view.acceptDocument(item.document);
-			} else if (item?.kind === 'weights') {
+				break;
+			}
+
+			case 'weights': {
 				view.acceptWeights(item.model, item.version, unseenMs);
 				parts.namingRecord.apply();
+				break;
+			}
+
+			case 'release': {
+				parts.releases.ordered(item.order, number);
+				break;
+			}
+		}
+	};
+
+	const update = (rows: ReadonlyArray<Change<OperatorRow>>, unseenMs: number): void => {
+		for (const {item, version} of rows) {
+			if (item !== undefined) {
+				apply(item, version, unseenMs);
 			}
 		}
 	};
--- a/packages/entry/src/lib/wiring/parts.ts
+++ b/packages/entry/src/lib/wiring/parts.ts
@@ -11,6 +11,7 @@
 } from 'hickorywalk/placing.js';
 import {type CrashWatch, type Quarantine, type RefusalRows} from 'hickorywalk/quarantine.js';
 import {type FleetQuota} from 'hickorywalk/quotas.js';
+import {type UnprovenVersions} from 'hickorywalk/releases.js';
 import {type AttemptBudget, type createHealthTracker} from 'hickorywalk/routing.js';
 import {type createWeightsRollout, type EngineVersions, type NamingRecord} from 'hickorywalk/weights.js';
 import {type DaemonMetrics} from '../daemon-metrics.js';
@@ -33,6 +34,7 @@
 	log: Log;
 	view: FleetView;
 	versions: EngineVersions;
+	releases: UnprovenVersions;
 	loadTracker: EndpointLoadTracker;
 	presence: EndpointPresence;
 	storedParts: StoredParts;
--- a/packages/entry/src/lib/wiring/request-wiring.ts
+++ b/packages/entry/src/lib/wiring/request-wiring.ts
@@ -58,9 +58,9 @@
 
 /** Creates the endpoint choice. */
 export function wireChoice(parts: EntryParts) {
-	const {view, loadTracker, health, presence, versions, limits, storedParts, residentParts, peers, settings} = parts;
+	const {view, loadTracker, health, presence, versions, limits, releases, storedParts, residentParts, peers, settings} = parts;
 	return createEndpointChoice({
-		view, loadTracker, health, presence, versions, limits, storedParts, residentParts,
+		view, loadTracker, health, presence, versions, limits, releases, storedParts, residentParts,
 		dataCentre: settings.dataCentre, connectionShare: () => connectionsRatio / peers.fleetSize(), weightsMs: settings.weightsMs,
 		// Peers within one report round learn of large prompts at once, so only the others may choose the same endpoint.
 		daemons: () => 1 + peers.peersBeyondRound(), random: Math.random,
--- a/packages/entry/src/test/feed-wiring.test.ts
+++ b/packages/entry/src/test/feed-wiring.test.ts
@@ -18,7 +18,7 @@
 });
 
 const endpoint = (id: string, more: Partial<LiveEndpoint> = {}): LiveEndpoint => ({
-	id, service: 'desk', address: '10.0.0.1:80', dataCentre: 'a', slots: 8, isLeaving: false, startedAt: 100, reportNumber: 1, weights: new Map(), ...more,
+	id, service: 'desk', address: '10.0.0.1:80', dataCentre: 'a', slots: 8, isLeaving: false, startedAt: 100, reportNumber: 1, software: 'v1', weights: new Map(), ...more,
 });
 
 describe('health of listed endpoints', () => {
--- a/packages/entry/src/test/peer-wiring.test.ts
+++ b/packages/entry/src/test/peer-wiring.test.ts
@@ -24,7 +24,7 @@
 }
 
 const endpoint = (id: string, startedAt: number): LiveEndpoint => ({
-	id, service: 'engines', address: '10.0.0.1:80', dataCentre: 'a', slots: 8, isLeaving: false, startedAt, reportNumber: 1, weights: new Map([['m', 1]]),
+	id, service: 'engines', address: '10.0.0.1:80', dataCentre: 'a', slots: 8, isLeaving: false, startedAt, reportNumber: 1, software: 'v1', weights: new Map([['m', 1]]),
 });
 
 describe('a report from a peer', () => {
--- a/packages/router/src/lib/fleet/live-endpoint.ts
+++ b/packages/router/src/lib/fleet/live-endpoint.ts
@@ -16,6 +16,8 @@
 	startedAt: number;
 	/** Sequence number of the report that this state comes from; restarts with the process. */
 	reportNumber: number;
+	/** Version of its software; empty if it states none. */
+	software: string;
 	/** Weights version by model. */
 	weights: ReadonlyMap<string, number>;
 };
--- a/packages/router/src/lib/placing/candidates.ts
+++ b/packages/router/src/lib/placing/candidates.ts
@@ -2,6 +2,7 @@
 import {type EndpointPresence} from '../fleet/endpoint-presence.js';
 import {type FleetView} from '../fleet/fleet-view.js';
 import {type LiveEndpoint} from '../fleet/live-endpoint.js';
+import {type UnprovenVersions} from '../releases/unproven-versions.js';
 import {type HealthTracker} from '../routing/health.js';
 import {type EngineVersions} from '../weights/engine-versions.js';
 import {type ChoiceRequest, type PromptNeed} from './choice-request.js';
@@ -16,6 +17,8 @@
 	presence: EndpointPresence;
 	versions: EngineVersions;
 	limits: EndpointLimits;
+	/** Leaves out the endpoints of software versions that haven't proved themselves. */
+	releases: UnprovenVersions;
 	/** Fraction of an endpoint's connection limit that this daemon may use. */
 	connectionShare: () => number;
 	/** Maximum time since replacement of the weights on which a request may begin. */
@@ -50,7 +53,7 @@
 /** Creates a look-up of candidates. Doubtful endpoints are returned only when there are no others. */
 export function createCandidates(options: CandidatesOptions): (request: ChoiceRequest) => Candidate[] {
 	const {
-		view, loadTracker, health, presence, versions, limits,
+		view, loadTracker, health, presence, versions, limits, releases,
 	} = options;
 
 	/** Expected wait in the engine's queue; at least as long as the oldest own request has waited. */
@@ -110,7 +113,7 @@
 	return request => {
 		const preferred: Candidate[] = [];
 		const doubtful: Candidate[] = [];
-		for (const endpoint of view.endpointsOf(request.service)) {
+		for (const endpoint of releases.endpointsOf(request.service)) {
 			const candidate = candidateOf(endpoint, request);
 			if (candidate !== undefined) {
 				(presence.isDoubtful(endpoint) ? doubtful : preferred).push(candidate);
--- a/packages/router/src/lib/placing/endpoint-choice.ts
+++ b/packages/router/src/lib/placing/endpoint-choice.ts
@@ -112,7 +112,7 @@
 
 	const sampleWithHome = (request: ChoiceRequest, prompt: PromptNeed, candidates: readonly Candidate[]): Candidate[] => {
 		const drawn = sample(candidates, candidate => canBegin(candidate, prompt));
-		const homeId = homeOf(prompt, view.endpointsOf(request.service));
+		const homeId = homeOf(prompt, options.releases.endpointsOf(request.service));
 		const home = candidates.find(({endpoint}) => endpoint.id === homeId);
 		return home === undefined || drawn.includes(home) ? drawn : [...drawn, home];
 	};
--- a/packages/router/src/lib/placing/prompt-cost.ts
+++ b/packages/router/src/lib/placing/prompt-cost.ts
@@ -6,6 +6,7 @@
 import {type FleetView} from '../fleet/fleet-view.js';
 import {type LiveEndpoint} from '../fleet/live-endpoint.js';
 import {type EndpointPresence} from '../fleet/endpoint-presence.js';
+import {type UnprovenVersions} from '../releases/unproven-versions.js';
 import {type HealthTracker} from '../routing/health.js';
 import {type EngineVersions} from '../weights/engine-versions.js';
 import {type Candidate} from './candidates.js';
@@ -28,6 +29,7 @@
 	storedParts: StoredParts;
 	/** Contents of the engines' memory. */
 	residentParts: ResidentParts;
+	releases: UnprovenVersions;
 	dataCentre: string;
 };
 
@@ -115,7 +117,7 @@
 
 	return (request, prompt) => {
 		const traits = view.current()?.document.services.get(request.service)?.engine;
-		const home = homeOf(prompt, view.endpointsOf(request.service));
+		const home = homeOf(prompt, options.releases.endpointsOf(request.service));
 		const sharedTokens = sharedPartsOf(prompt).reduce((sum, part) => sum + part.tokens, 0);
 		const store = nearestStore();
 		const sourcesByWeights = new Map<number | undefined, {store: PartSource; holder: PartSource}>();
--- a/packages/router/src/test/fleet/endpoint-tracker.test.ts
+++ b/packages/router/src/test/fleet/endpoint-tracker.test.ts
@@ -9,7 +9,7 @@
 	key: id,
 	version: 1,
 	item: {
-		id, service: 'desk', address: '10.0.0.1:80', dataCentre: 'a', slots: 6, isLeaving: false, startedAt: 100, reportNumber: 5, weights: new Map(),
+		id, service: 'desk', address: '10.0.0.1:80', dataCentre: 'a', slots: 6, isLeaving: false, startedAt: 100, reportNumber: 5, software: 'v1', weights: new Map(),
 	},
 });
 
--- a/packages/router/src/test/fleet/fleet-view.test.ts
+++ b/packages/router/src/test/fleet/fleet-view.test.ts
@@ -17,7 +17,7 @@
 });
 
 const endpoint = (more: Partial<LiveEndpoint> = {}): LiveEndpoint => ({
-	id: 'e1', service: 'desk', address: '10.0.0.1:80', dataCentre: 'a', slots: 6, isLeaving: false, startedAt: 100, reportNumber: 5, weights: new Map(), ...more,
+	id: 'e1', service: 'desk', address: '10.0.0.1:80', dataCentre: 'a', slots: 6, isLeaving: false, startedAt: 100, reportNumber: 5, software: 'v1', weights: new Map(), ...more,
 });
 
 describe('createFleetView', () => {
--- a/packages/router/src/test/fleet/view-histories.test.ts
+++ b/packages/router/src/test/fleet/view-histories.test.ts
@@ -15,7 +15,7 @@
 });
 
 const endpoint = (startedAt: number, reportNumber: number, isLeaving: boolean): LiveEndpoint => ({
-	id: 'e1', service: 'desk', address: '10.0.0.1:80', dataCentre: 'a', slots: 6, isLeaving, startedAt, reportNumber, weights: new Map(),
+	id: 'e1', service: 'desk', address: '10.0.0.1:80', dataCentre: 'a', slots: 6, isLeaving, startedAt, reportNumber, software: 'v1', weights: new Map(),
 });
 
 describe('createFleetView with generated histories', () => {
--- a/packages/router/src/test/placing/endpoint-choice.test.ts
+++ b/packages/router/src/test/placing/endpoint-choice.test.ts
@@ -10,6 +10,7 @@
 	createEndpointLoadTracker, createEndpointChoice, createStoredParts, createResidentParts,
 	type ChoiceRequest, type EndpointLoadTracker, type EndpointChoice, type EndpointLimits, type StoredParts, type PromptNeed,
 } from '../../placing.js';
+import {createUnprovenVersions, type UnprovenVersions} from '../../releases.js';
 import {createHealthTracker} from '../../routing.js';
 import {createEngineVersions, type EngineVersions} from '../../weights.js';
 import {reportOf} from '../peers/empty-report.js';
@@ -27,11 +28,12 @@
 	let storedParts: StoredParts;
 	let versions: EngineVersions;
 	let limits: EndpointLimits;
+	let releases: UnprovenVersions;
 	let choice: EndpointChoice;
 
 	const list = (id: string, more: Partial<LiveEndpoint> = {}): void => {
 		view.acceptEndpoint({
-			id, service: 'engines', address: '10.0.0.1:80', dataCentre: 'a', slots: 64, isLeaving: false, startedAt: 1, reportNumber: 1, weights: new Map([['m', 1]]), ...more,
+			id, service: 'engines', address: '10.0.0.1:80', dataCentre: 'a', slots: 64, isLeaving: false, startedAt: 1, reportNumber: 1, software: 'v1', weights: new Map([['m', 1]]), ...more,
 		});
 	};
 
@@ -65,9 +67,10 @@
 		storedParts = createStoredParts();
 		versions = createEngineVersions();
 		limits = createLoneLimits();
+		releases = createUnprovenVersions({view, log: createSilentLog()});
 		const random = xoroshiro128plus(1);
 		choice = createEndpointChoice({
-			view, loadTracker, health: createHealthTracker(), presence, versions, limits, storedParts, residentParts: createResidentParts({memoryTokens: view.memoryTokens}),
+			view, loadTracker, health: createHealthTracker(), presence, versions, limits, releases, storedParts, residentParts: createResidentParts({memoryTokens: view.memoryTokens}),
 			dataCentre: 'a', connectionShare: () => 0.1, weightsMs: 8000, daemons: () => 10, random: () => uniformFloat64(random),
 		});
 		for (let index = 0; index < 8; index++) {
@@ -79,6 +82,18 @@
 		clock.uninstall();
 	});
 
+	it('sends nothing to a version that was ordered, and keeps the homes of prompts as they were', () => {
+		// Guards against a faulty release that gets its share of the requests at once.
+		const subjects = Array.from({length: 40}, (_item, index) => `s${index}`);
+		const before = subjects.map(subject => choose(prompt(subject))!.endpoint.id);
+		releases.ordered({service: 'engines', version: 'v2', durationMs: 12_000}, 7);
+		for (let index = 0; index < 8; index++) {
+			list(`new${index}`, {software: 'v2'});
+		}
+
+		assert.deepEqual(subjects.map(subject => choose(prompt(subject))!.endpoint.id), before);
+	});
+
 	it('sends prompts with the same shared parts to the same engine, and spreads the others', () => {
 		const homes = new Set<string>();
 		for (let subject = 0; subject < 100; subject++) {
--- a/packages/router/src/test/placing/endpoint-limits.test.ts
+++ b/packages/router/src/test/placing/endpoint-limits.test.ts
@@ -5,7 +5,7 @@
 import {createEndpointLimits, type EndpointLimits} from '../../placing.js';
 
 const endpointAt = (id: string, startedAt = 1): LiveEndpoint => ({
-	id, service: 'engines', address: '10.0.0.1:80', dataCentre: 'a', slots: 8, isLeaving: false, startedAt, reportNumber: 1, weights: new Map(),
+	id, service: 'engines', address: '10.0.0.1:80', dataCentre: 'a', slots: 8, isLeaving: false, startedAt, reportNumber: 1, software: 'v1', weights: new Map(),
 });
 const endpoint = endpointAt('e1');
 
--- a/packages/router/src/test/placing/endpoint-load-tracker.test.ts
+++ b/packages/router/src/test/placing/endpoint-load-tracker.test.ts
@@ -39,7 +39,7 @@
 		const clock = FakeTimers.install({toFake: ['performance']});
 		try {
 			const endpoint: LiveEndpoint = {
-				id: 'e1', service: 'engines', address: '10.0.0.1:80', dataCentre: 'a', slots: 8, isLeaving: false, startedAt: 1, reportNumber: 1, weights: new Map(),
+				id: 'e1', service: 'engines', address: '10.0.0.1:80', dataCentre: 'a', slots: 8, isLeaving: false, startedAt: 1, reportNumber: 1, software: 'v1', weights: new Map(),
 			};
 			const book = createEndpointLoadTracker();
 			// Answers of 200 tokens take 1 s from their first event.
@@ -71,7 +71,7 @@
 		const clock = FakeTimers.install({toFake: ['performance']});
 		try {
 			const endpoint: LiveEndpoint = {
-				id: 'e1', service: 'engines', address: '10.0.0.1:80', dataCentre: 'a', slots: 8, isLeaving: false, startedAt: 1, reportNumber: 1, weights: new Map(),
+				id: 'e1', service: 'engines', address: '10.0.0.1:80', dataCentre: 'a', slots: 8, isLeaving: false, startedAt: 1, reportNumber: 1, software: 'v1', weights: new Map(),
 			};
 			const book = createEndpointLoadTracker();
 			const hear = (daemon: string, running: number) => {
--- a/packages/router/src/test/placing/limited-fleet.test.ts
+++ b/packages/router/src/test/placing/limited-fleet.test.ts
@@ -25,7 +25,7 @@
 const allowedExtra = 5;
 
 const endpoints: readonly LiveEndpoint[] = ['e1', 'e2', 'e3', 'e4'].map(id => ({
-	id, service: 'engines', address: '10.0.0.1:80', dataCentre: 'a', slots: 8, isLeaving: false, startedAt: 1, reportNumber: 1, weights: new Map(),
+	id, service: 'engines', address: '10.0.0.1:80', dataCentre: 'a', slots: 8, isLeaving: false, startedAt: 1, reportNumber: 1, software: 'v1', weights: new Map(),
 }));
 const firstLimits = [1, 2.5, 12, undefined];
 
--- a/packages/router/src/test/placing/rolling-update.test.ts
+++ b/packages/router/src/test/placing/rolling-update.test.ts
@@ -9,6 +9,7 @@
 import {
 	type Choice, createEndpointLoadTracker, createEndpointChoice, createStoredParts, createResidentParts, type PromptNeed,
 } from '../../placing.js';
+import {createUnprovenVersions} from '../../releases.js';
 import {createHealthTracker} from '../../routing.js';
 import {createEngineVersions} from '../../weights.js';
 import {reportOf} from '../peers/empty-report.js';
@@ -153,7 +154,8 @@
 	const storedParts = createStoredParts();
 	const residentParts = createResidentParts({memoryTokens: view.memoryTokens});
 	const choice = createEndpointChoice({
-		view, loadTracker, health: createHealthTracker(), presence: createEndpointPresence(createSilentLog()), versions, limits: createLoneLimits(), storedParts, residentParts,
+		view, loadTracker, health: createHealthTracker(), presence: createEndpointPresence(createSilentLog()), versions, limits: createLoneLimits(),
+		releases: createUnprovenVersions({view, log: createSilentLog()}), storedParts, residentParts,
 		dataCentre: 'a', connectionShare: () => 1 / daemonCount, weightsMs: 10_000, daemons: () => daemonCount, random,
 	});
 	return {
@@ -183,7 +185,7 @@
 		for (const {view} of daemons) {
 			for (const [address, id] of idOf) {
 				view.acceptEndpoint({
-					id, service: 'engines', address, dataCentre: 'a', slots, isLeaving: false, startedAt: 1, reportNumber: 1, weights: new Map([['m', 1]]),
+					id, service: 'engines', address, dataCentre: 'a', slots, isLeaving: false, startedAt: 1, reportNumber: 1, software: 'v1', weights: new Map([['m', 1]]),
 				});
 			}
 		}
--- a/packages/router/src/test/quarantine/crash-watch.test.ts
+++ b/packages/router/src/test/quarantine/crash-watch.test.ts
@@ -6,7 +6,7 @@
 } from '../../quarantine.js';
 
 const endpoint: LiveEndpoint = {
-	id: 'e1', service: 'engines', address: '10.0.0.1:80', dataCentre: 'a', slots: 8, isLeaving: false, startedAt: 7, reportNumber: 1, weights: new Map(),
+	id: 'e1', service: 'engines', address: '10.0.0.1:80', dataCentre: 'a', slots: 8, isLeaving: false, startedAt: 7, reportNumber: 1, software: 'v1', weights: new Map(),
 };
 
 describe('createCrashWatch', () => {
--- a/packages/router/src/test/weights/change-under-load.test.ts
+++ b/packages/router/src/test/weights/change-under-load.test.ts
@@ -7,6 +7,7 @@
 import {
 	createEndpointLoadTracker, createEndpointChoice, createStoredParts, createResidentParts,
 } from '../../placing.js';
+import {createUnprovenVersions} from '../../releases.js';
 import {createHealthTracker} from '../../routing.js';
 import {createEngineVersions, createWeightsRollout, type WeightsControl} from '../../weights.js';
 import {createLoneLimits} from '../placing/lone-limits.js';
@@ -51,7 +52,7 @@
 		});
 		for (const id of ids) {
 			view.acceptEndpoint({
-				id, service: 'engines', address: '10.0.0.1:80', dataCentre: 'a', slots: 64, isLeaving: false, startedAt: 1, reportNumber: 1, weights: new Map([['m', 1]]),
+				id, service: 'engines', address: '10.0.0.1:80', dataCentre: 'a', slots: 64, isLeaving: false, startedAt: 1, reportNumber: 1, software: 'v1', weights: new Map([['m', 1]]),
 			});
 		}
 
@@ -71,7 +72,7 @@
 		const presence = createEndpointPresence(createSilentLog());
 		const versions = createEngineVersions();
 		const choice = createEndpointChoice({
-			view, loadTracker, health: createHealthTracker(), presence, versions, limits: createLoneLimits(),
+			view, loadTracker, health: createHealthTracker(), presence, versions, limits: createLoneLimits(), releases: createUnprovenVersions({view, log: createSilentLog()}),
 			storedParts: createStoredParts(), residentParts: createResidentParts({memoryTokens: view.memoryTokens}),
 			dataCentre: 'a', connectionShare: () => 1, weightsMs: 12_000, daemons: () => 1, random: () => uniformFloat64(random),
 		});
--- a/packages/router/src/test/weights/rollout-cost.test.ts
+++ b/packages/router/src/test/weights/rollout-cost.test.ts
@@ -28,7 +28,7 @@
 			const id = `e${index}`;
 			running.set(id, 1);
 			view.acceptEndpoint({
-				id, service: 'engines', address: '10.0.0.1:80', dataCentre: 'a', slots: 8, isLeaving: false, startedAt: 1, reportNumber: 1, weights: new Map([['m', 1]]),
+				id, service: 'engines', address: '10.0.0.1:80', dataCentre: 'a', slots: 8, isLeaving: false, startedAt: 1, reportNumber: 1, software: 'v1', weights: new Map([['m', 1]]),
 			});
 		}
 
--- a/packages/router/src/test/weights/rollout-histories.test.ts
+++ b/packages/router/src/test/weights/rollout-histories.test.ts
@@ -72,7 +72,7 @@
 		view.acceptDocument(engineDocument);
 		for (const id of ids) {
 			view.acceptEndpoint({
-				id, service: 'engines', address: '10.0.0.1:80', dataCentre: 'a', slots: 8, isLeaving: false, startedAt: 1, reportNumber: 1, weights: new Map([['m', 1]]),
+				id, service: 'engines', address: '10.0.0.1:80', dataCentre: 'a', slots: 8, isLeaving: false, startedAt: 1, reportNumber: 1, software: 'v1', weights: new Map([['m', 1]]),
 			});
 		}
 
--- a/packages/router/src/test/weights/rollout-planner.test.ts
+++ b/packages/router/src/test/weights/rollout-planner.test.ts
@@ -4,7 +4,7 @@
 
 const pendingTask = (id: string, more: Partial<PendingTask> = {}): PendingTask => {
 	const endpoint: LiveEndpoint = {
-		id, service: 'engines', address: '10.0.0.1:80', dataCentre: 'a', slots: 8, isLeaving: false, startedAt: 1, reportNumber: 1, weights: new Map([['m', 1]]),
+		id, service: 'engines', address: '10.0.0.1:80', dataCentre: 'a', slots: 8, isLeaving: false, startedAt: 1, reportNumber: 1, software: 'v1', weights: new Map([['m', 1]]),
 	};
 	return {
 		task: {endpoint, model: 'm', version: 2}, isChanging: false, isDoubtful: false, isUnusable: false, dueInMs: Number.POSITIVE_INFINITY, remainingMs: 0, ...more,
--- a/packages/router/src/test/weights/weights-rollout.test.ts
+++ b/packages/router/src/test/weights/weights-rollout.test.ts
@@ -97,7 +97,7 @@
 		clock = FakeTimers.install({toFake: ['performance', 'setTimeout', 'clearTimeout', 'setInterval', 'clearInterval']});
 		view = createFleetView(createSilentLog());
 		const endpoint = (id: string): LiveEndpoint => ({
-			id, service: 'engines', address: '10.0.0.1:80', dataCentre: 'a', slots: 8, isLeaving: false, startedAt: 1, reportNumber: 1, weights: new Map([['m', 1]]),
+			id, service: 'engines', address: '10.0.0.1:80', dataCentre: 'a', slots: 8, isLeaving: false, startedAt: 1, reportNumber: 1, software: 'v1', weights: new Map([['m', 1]]),
 		});
 		for (const id of ids) {
 			view.acceptEndpoint(endpoint(id));
