A choice looks up only the engines that it draws

Callers of small VMs waited for the choice of an engine: it looked up the state of all 42 engines of the service (own and peers' load, health, limits, weights) and then compared two drawn at random and the prompt's home. It now draws first and looks up what it draws, goes on until one can begin at once, and falls back to engines that leave soon, then to doubtful ones, as before. The home is computed once a request, and peers' loads are summed in place.

Sampling is as before: a random order of the eligible engines.

--- a/packages/router/src/lib/placing/candidate-sample.ts
+++ b/packages/router/src/lib/placing/candidate-sample.ts
@@ -12,26 +12,31 @@
 	random: () => number;
 };
 
-/** Draws candidates at random, and continues until one of them `canBegin` at once. */
-export type Sample = (candidates: readonly Candidate[], canBegin: (candidate: Candidate) => boolean) => Candidate[];
+/**
+ * Draws at random, and continues until one of the drawn candidates `canBegin` at once. Only what is
+ * drawn is looked up, so that the cost of a choice doesn't grow with the number of endpoints.
+ */
+export type Sample = <T>(items: readonly T[], candidateOf: (item: T) => Candidate | undefined, canBegin: (candidate: Candidate) => boolean) => Candidate[];
 
 /** Two random choices balance load even when load reports are delayed. */
 const minSampleSize = 2;
 
 /** Creates a sampler. The sample size makes about one daemon at a time draw each candidate. */
 export function createSampler({daemons, random}: SamplerOptions): Sample {
-	return (candidates, canBegin) => {
-		const rest = [...candidates];
+	return (items, candidateOf, canBegin) => {
+		const rest = [...items];
 		const sample: Candidate[] = [];
-		const size = Math.max(minSampleSize, Math.ceil(candidates.length / daemons()));
+		const size = Math.max(minSampleSize, Math.ceil(items.length / daemons()));
 		let hasFree = false;
 		while (rest.length > 0 && (sample.length < size || !hasFree)) {
 			const index = Math.floor(random() * rest.length);
-			const drawn = rest[index];
+			const drawn = candidateOf(rest[index]);
 			rest[index] = rest.at(-1)!;
 			rest.pop();
-			sample.push(drawn);
-			hasFree ||= canBegin(drawn);
+			if (drawn !== undefined) {
+				sample.push(drawn);
+				hasFree ||= canBegin(drawn);
+			}
 		}
 
 		return sample;
--- a/packages/router/src/lib/placing/candidates.ts
+++ b/packages/router/src/lib/placing/candidates.ts
@@ -33,6 +33,16 @@
 	weights: number | undefined;
 	/** Milliseconds by which the answer would overrun the engine's planned drain; 0 if it fits. */
 	drainOverrunMs: number;
+	/** It may have ended, so it gets requests only when there is no other. */
+	isDoubtful: boolean;
+};
+
+/** Looks up candidates. */
+export type Candidates = {
+	/** The state of one endpoint; `undefined` unless it is eligible. */
+	of: (endpoint: LiveEndpoint, request: ChoiceRequest) => Candidate | undefined;
+	/** All that the request may go to. Doubtful endpoints are returned only when there are no others. */
+	all: (request: ChoiceRequest) => Candidate[];
 };
 
 /**
@@ -50,8 +60,18 @@
 /** Lower bound on connections per endpoint, regardless of the number of daemons. */
 const minConnections = 4;
 
-/** Creates a look-up of candidates. Doubtful endpoints are returned only when there are no others. */
-export function createCandidates(options: CandidatesOptions): (request: ChoiceRequest) => Candidate[] {
+/** Whether a request may go to the candidate although others are left. */
+export const isPreferred = ({drainOverrunMs, isDoubtful}: Candidate): boolean => !isDoubtful && drainOverrunMs <= maxOverrunMs;
+
+/** The candidates to use when none is preferred: those whose planned drain the answer overruns least, or else the doubtful ones. */
+export function leastUnsuitable(candidates: readonly Candidate[]): readonly Candidate[] {
+	const certain = candidates.filter(({isDoubtful}) => !isDoubtful);
+	const leastMs = Math.min(...certain.map(({drainOverrunMs}) => drainOverrunMs));
+	return certain.length > 0 ? certain.filter(({drainOverrunMs}) => drainOverrunMs <= leastMs + maxOverrunMs) : candidates;
+}
+
+/** Creates a look-up of candidates. */
+export function createCandidates(options: CandidatesOptions): Candidates {
 	const {
 		view, loadTracker, health, presence, versions, limits, releases,
 	} = options;
@@ -69,12 +89,6 @@
 		return outdatedMs === 0 || outdatedMs + waitMs < options.weightsMs * maxWeightsAgeRatio;
 	};
 
-	/** Engines whose planned drain the answer would not overrun, and those within `maxOverrunMs` of the least overrun. */
-	const withLeastOverrun = (candidates: readonly Candidate[]): Candidate[] => {
-		const leastMs = Math.min(...candidates.map(({drainOverrunMs}) => drainOverrunMs));
-		return candidates.filter(({drainOverrunMs}) => drainOverrunMs === 0 || drainOverrunMs <= leastMs + maxOverrunMs);
-	};
-
 	/**
 	 * Connections that this daemon may open. Endpoints reset connections above their limit, and
 	 * requests on those may have run, so the daemons divide the limit between them.
@@ -96,7 +110,7 @@
 
 		if (request.prompt === undefined) {
 			return {
-				endpoint, load, weights: undefined, drainOverrunMs: 0,
+				endpoint, load, weights: undefined, drainOverrunMs: 0, isDoubtful: presence.isDoubtful(endpoint),
 			};
 		}
 
@@ -106,20 +120,27 @@
 		}
 
 		return {
-			endpoint, load, weights: version, drainOverrunMs: Math.max(0, loadTracker.runMs(request.prompt.outputTokens) - maxOverrunMs - dueInMs),
+			endpoint,
+			load,
+			weights: version,
+			drainOverrunMs: Math.max(0, loadTracker.runMs(request.prompt.outputTokens) - maxOverrunMs - dueInMs),
+			isDoubtful: presence.isDoubtful(endpoint),
 		};
 	};
 
-	return request => {
-		const preferred: Candidate[] = [];
-		const doubtful: Candidate[] = [];
-		for (const endpoint of releases.endpointsOf(request.service)) {
-			const candidate = candidateOf(endpoint, request);
-			if (candidate !== undefined) {
-				(presence.isDoubtful(endpoint) ? doubtful : preferred).push(candidate);
+	return {
+		of: candidateOf,
+		all(request) {
+			const candidates: Candidate[] = [];
+			for (const endpoint of releases.endpointsOf(request.service)) {
+				const candidate = candidateOf(endpoint, request);
+				if (candidate !== undefined) {
+					candidates.push(candidate);
+				}
 			}
-		}
 
-		return preferred.length > 0 ? withLeastOverrun(preferred) : doubtful;
+			const preferred = candidates.filter(candidate => isPreferred(candidate));
+			return preferred.length > 0 ? preferred : [...leastUnsuitable(candidates)];
+		},
 	};
 }
--- a/packages/router/src/lib/placing/endpoint-choice.ts
+++ b/packages/router/src/lib/placing/endpoint-choice.ts
@@ -5,7 +5,9 @@
  */
 import {type LiveEndpoint} from '../fleet/live-endpoint.js';
 import {createSampler, type SamplerOptions} from './candidate-sample.js';
-import {type Candidate, type CandidatesOptions, createCandidates} from './candidates.js';
+import {
+	type Candidate, type CandidatesOptions, createCandidates, isPreferred, leastUnsuitable,
+} from './candidates.js';
 import {
 	type ChoiceRequest, partKeys, type PromptNeed, scopeOf,
 } from './choice-request.js';
@@ -71,7 +73,7 @@
 /** Creates an endpoint choice without placements. */
 export function createEndpointChoice(options: EndpointChoiceOptions): EndpointChoice {
 	const {view, loadTracker, storedParts, residentParts} = options;
-	const candidatesOf = createCandidates(options);
+	const candidates = createCandidates(options);
 	const costEstimatorFor = createPromptCostEstimator(options);
 	const homeOf = createHomeFinder();
 	const sample = createSampler(options);
@@ -110,17 +112,35 @@
 			+ distanceMs(endpoint) + hangMs(load) + stalenessMs(prompt, candidate.weights ?? 0);
 	};
 
-	const sampleWithHome = (request: ChoiceRequest, prompt: PromptNeed, candidates: readonly Candidate[]): Candidate[] => {
-		const drawn = sample(candidates, candidate => canBegin(candidate, prompt));
-		const homeId = homeOf(prompt, options.releases.endpointsOf(request.service));
-		const home = candidates.find(({endpoint}) => endpoint.id === homeId);
-		return home === undefined || drawn.includes(home) ? drawn : [...drawn, home];
+	const sampleEngines = (request: ChoiceRequest, prompt: PromptNeed, engines: readonly LiveEndpoint[]): Candidate[] => {
+		const unsuitable: Candidate[] = [];
+		const preferredOf = (engine: LiveEndpoint): Candidate | undefined => {
+			const candidate = candidates.of(engine, request);
+			if (candidate === undefined || isPreferred(candidate)) {
+				return candidate;
+			}
+
+			unsuitable.push(candidate);
+			return undefined;
+		};
+
+		const canBeginNow = (candidate: Candidate): boolean => canBegin(candidate, prompt);
+		const drawn = sample(engines, preferredOf, canBeginNow);
+		return drawn.length > 0 ? drawn : sample(leastUnsuitable(unsuitable), candidate => candidate, canBeginNow);
+	};
+
+	const sampleWithHome = (request: ChoiceRequest, prompt: PromptNeed, homeId: string | undefined): Candidate[] => {
+		const drawn = sampleEngines(request, prompt, options.releases.endpointsOf(request.service));
+		const homeEngine = homeId === undefined || drawn.some(({endpoint}) => endpoint.id === homeId) ? undefined : view.endpoint(homeId);
+		const home = homeEngine && candidates.of(homeEngine, request);
+		return home !== undefined && isPreferred(home) ? [...drawn, home] : drawn;
 	};
 
-	const chooseEngine = (request: ChoiceRequest, prompt: PromptNeed, candidates: readonly Candidate[]): Choice | undefined => {
-		const costOf = costEstimatorFor(request, prompt);
+	const chooseEngine = (request: ChoiceRequest, prompt: PromptNeed): Choice | undefined => {
+		const homeId = homeOf(prompt, options.releases.endpointsOf(request.service));
+		const costOf = costEstimatorFor(request, prompt, homeId);
 		let best: Choice | undefined;
-		for (const candidate of sampleWithHome(request, prompt, candidates)) {
+		for (const candidate of sampleWithHome(request, prompt, homeId)) {
 			const {endpoint, weights, load} = candidate;
 			const cost = costOf(candidate);
 			const expectedMs = engineMs(candidate, prompt, cost);
@@ -142,9 +162,9 @@
 		return best;
 	};
 
-	const choosePlain = (candidates: readonly Candidate[]): Choice | undefined => {
+	const choosePlain = (request: ChoiceRequest): Choice | undefined => {
 		let best: Choice | undefined;
-		for (const candidate of candidates) {
+		for (const candidate of candidates.all(request)) {
 			const expectedMs = plainMs(candidate);
 			if (best === undefined || expectedMs < best.expectedMs) {
 				best = {
@@ -158,8 +178,7 @@
 
 	return {
 		choose(request) {
-			const candidates = candidatesOf(request);
-			return request.prompt === undefined ? choosePlain(candidates) : chooseEngine(request, request.prompt, candidates);
+			return request.prompt === undefined ? choosePlain(request) : chooseEngine(request, request.prompt);
 		},
 		placed({endpoint, weights, saveTo}, prompt) {
 			if (saveTo !== undefined) {
--- a/packages/router/src/lib/placing/endpoint-load-tracker.ts
+++ b/packages/router/src/lib/placing/endpoint-load-tracker.ts
@@ -161,13 +161,16 @@
 
 			peerSumsValidUntil = Math.min(peerSumsValidUntil, at + peerTtlMs);
 			for (const [id, running, pendingTokens, memoryTokens, lastsMs] of loads) {
-				const sum = peerSums.get(id) ?? noPeerLoad;
-				peerSums.set(id, {
-					running: sum.running + running,
-					pendingTokens: sum.pendingTokens + pendingTokens,
-					memoryTokens: sum.memoryTokens + memoryTokens,
-					endsAt: Math.max(sum.endsAt, at + lastsMs),
-				});
+				let sum = peerSums.get(id);
+				if (sum === undefined) {
+					sum = {...noPeerLoad};
+					peerSums.set(id, sum);
+				}
+
+				sum.running += running;
+				sum.pendingTokens += pendingTokens;
+				sum.memoryTokens += memoryTokens;
+				sum.endsAt = Math.max(sum.endsAt, at + lastsMs);
 			}
 		}
 	};
--- a/packages/router/src/lib/placing/prompt-cost.ts
+++ b/packages/router/src/lib/placing/prompt-cost.ts
@@ -6,7 +6,6 @@
 import {type FleetView} from '../fleet/fleet-view.js';
 import {type LiveEndpoint} from '../fleet/live-endpoint.js';
 import {type EndpointPresence} from '../fleet/endpoint-presence.js';
-import {type UnprovenVersions} from '../releases/unproven-versions.js';
 import {type HealthTracker} from '../routing/health.js';
 import {type EngineVersions} from '../weights/engine-versions.js';
 import {type Candidate} from './candidates.js';
@@ -15,7 +14,6 @@
 } from './choice-request.js';
 import {type EndpointLoadTracker} from './endpoint-load-tracker.js';
 import {type StoredParts} from './stored-parts.js';
-import {createHomeFinder} from './prompt-home.js';
 import {type ResidentParts} from './resident-parts.js';
 
 /** Options of {@link createPromptCostEstimator}. */
@@ -29,7 +27,6 @@
 	storedParts: StoredParts;
 	/** Contents of the engines' memory. */
 	residentParts: ResidentParts;
-	releases: UnprovenVersions;
 	dataCentre: string;
 };
 
@@ -67,10 +64,8 @@
 };
 
 /** Creates an estimator. It is called once per request, and its result once per candidate. */
-export function createPromptCostEstimator(options: PromptCostOptions): (request: ChoiceRequest, prompt: PromptNeed) => (candidate: Candidate) => PromptCost {
+export function createPromptCostEstimator(options: PromptCostOptions): (request: ChoiceRequest, prompt: PromptNeed, homeId: string | undefined) => (candidate: Candidate) => PromptCost {
 	const {view, loadTracker, health, presence, versions, storedParts, residentParts} = options;
-	const homeOf = createHomeFinder();
-
 	const nearestStore = (): CacheStore | undefined => {
 		const stores = view.current()?.document.cacheStores ?? [];
 		return stores.find(store => store.dataCentre === options.dataCentre) ?? stores.at(0);
@@ -115,9 +110,8 @@
 		return Math.min(loadTracker.msPerToken(endpoint.id), tokenBytes * distance / Math.min(linkBytesPerMs, source.linkBytesPerMs));
 	};
 
-	return (request, prompt) => {
+	return (request, prompt, homeId) => {
 		const traits = view.current()?.document.services.get(request.service)?.engine;
-		const home = homeOf(prompt, options.releases.endpointsOf(request.service));
 		const sharedTokens = sharedPartsOf(prompt).reduce((sum, part) => sum + part.tokens, 0);
 		const store = nearestStore();
 		const sourcesByWeights = new Map<number | undefined, {store: PartSource; holder: PartSource}>();
@@ -146,7 +140,7 @@
 			const ownTokens = residentParts.tokens({id: endpoint.id, weights}, prompt);
 			const source = sources.holder.tokens > ownTokens && sources.holder.tokens >= sources.store.tokens ? sources.holder : sources.store;
 			const fetchedTokens = Math.max(0, source.tokens - ownTokens);
-			const evictedTokens = endpoint.id === home ? 0 : sharedTokens - ownTokens;
+			const evictedTokens = endpoint.id === homeId ? 0 : sharedTokens - ownTokens;
 			return {
 				missingTokens: Math.max(0, prompt.promptTokens - ownTokens - fetchedTokens),
 				fetchMs: fetchedTokens * fetchMsPerToken(endpoint, source, traits),
--- a/packages/router/src/test/placing/endpoint-choice.test.ts
+++ b/packages/router/src/test/placing/endpoint-choice.test.ts
@@ -339,6 +339,27 @@
 		assert.lengthOf(used, 8);
 	});
 
+	it('looks up few of many engines, so that a choice costs a small VM no more the larger the fleet is', () => {
+		const engines = 2000;
+		for (let index = 0; index < engines; index++) {
+			list(`many${index}`);
+		}
+
+		let lookUps = 0;
+		const {load} = loadTracker;
+		loadTracker.load = endpoint => {
+			lookUps++;
+			return load(endpoint);
+		};
+
+		for (let index = 0; index < 20; index++) {
+			assert.isDefined(choose(prompt(`s${index}`)));
+		}
+
+		// A tenth of them, for each of ten daemons, and the home of the prompt.
+		assert.isAtMost(lookUps, 20 * ((engines / 10) + 3));
+	});
+
 	it('finds the only engine with a free slot, free memory and no overdue request', () => {
 		// If neither of two sampled engines could begin at once, the prompt would wait.
 		for (let index = 0; index < 7; index++) {
