--- a/packages/router/src/lib/placing/prompt-cost.ts
+++ b/packages/router/src/lib/placing/prompt-cost.ts
@@ -66,6 +66,7 @@
 /** Creates an estimator. It is called once per request, and its result once per candidate. */
 export function createPromptCostEstimator(options: PromptCostOptions): (request: ChoiceRequest, prompt: PromptNeed, homeId: string | undefined) => (candidate: Candidate) => PromptCost {
 	const {view, loadTracker, health, presence, versions, storedParts, residentParts} = options;
+
 	const nearestStore = (): CacheStore | undefined => {
 		const stores = view.current()?.document.cacheStores ?? [];
 		return stores.find(store => store.dataCentre === options.dataCentre) ?? stores.at(0);
