The schedule of report rounds is a module of its own

When rounds are sent and how long they take to reach all peers moves to round-schedule.ts, without a change of behaviour; the tests of the exchange cover it as before.

--- a/packages/router/src/lib/peers/peer-exchange.ts
+++ b/packages/router/src/lib/peers/peer-exchange.ts
@@ -2,10 +2,9 @@
  * Exchanges state reports with peers over UDP. Each report replaces the previous one, so
  * lost datagrams need no retransmission.
  *
- * A round reaches a limited number of peers, those first that have waited longest. In a large
- * fleet the interval between rounds is longer, because a late report is worth less. The time
- * in which rounds reach all peers therefore grows with the fleet, and staleness thresholds are
- * derived from it, see `refreshMs`.
+ * A round reaches a limited number of peers, those first that have waited longest (see
+ * `round-schedule`). The time in which rounds reach all peers grows with the fleet, and staleness
+ * thresholds are derived from it, see `refreshMs`.
  */
 import {type Buffer} from 'node:buffer';
 import {type FeedRelay} from '../fleet/feed-relay.js';
@@ -15,6 +14,7 @@
 import {type DatagramTransport, type OpenDatagramTransport, openUdpTransport} from './datagram-transport.js';
 import {maxReportedParts, maxReportedPlacements, type PeerReport} from './peer-report.js';
 import {decodeReport, encodeReport} from './report-codec.js';
+import {createRoundSchedule, maxPeersPerRound} from './round-schedule.js';
 
 /** A peer's latest report. */
 export type HeardReport = {
@@ -39,10 +39,7 @@
 	everyMs: number;
 	/** Lower bound of {@link PeerExchange.silenceMs}. */
 	minSilenceMs: number;
-	/**
-	 * A clock in milliseconds that all daemons share; `undefined` while it is unknown. Rounds follow it in step, so that
-	 * the datagrams of all peers arrive together and few wake-ups of the process read them.
-	 */
+	/** A clock in milliseconds that all daemons share, which rounds follow in step; `undefined` while it is unknown. */
 	sharedClockMs?: () => number | undefined;
 	/** Returns the current report contents; `kept` and `placed` hold only what is new since the last call. */
 	compose: () => OwnReport;
@@ -103,18 +100,6 @@
 /** Minimum interval between unscheduled reports. */
 const minSendIntervalMs = 40;
 
-/** Fan-out limit, so that the cost of a round doesn't grow with the fleet. */
-const maxPeersPerRound = 16;
-
-/** Upper bound of the factor by which the interval between rounds grows with the fleet. */
-const maxIntervalFactor = 2.5;
-
-/** Intervals between rounds are multiples of this. */
-const intervalStepMs = 100;
-
-/** Fraction of an interval below which a round right after another is left out, since timers may fire slightly early. */
-const minGapRatio = 0.1;
-
 /** Refresh intervals without a report after which a peer counts as silent. */
 const refreshesUntilSilent = 3;
 
@@ -146,27 +131,9 @@
 	let hasLeft = false;
 	let sentAt = Number.NEGATIVE_INFINITY;
 
-	const roundsPerRefresh = (): number => Math.max(1, Math.ceil(queue.size / maxPeersPerRound));
-
-	/** A multiple of a common step, so that daemons that know different numbers of peers mostly send at the same times. */
-	const intervalMs = (): number => {
-		const spread = options.everyMs * Math.min(maxIntervalFactor, Math.sqrt(roundsPerRefresh()));
-		return Math.ceil(spread / intervalStepMs) * intervalStepMs;
-	};
-
-	/** Time until the next multiple of the interval on the shared clock; the whole interval without that clock. */
-	const untilNextRoundMs = (): number => {
-		const interval = intervalMs();
-		const clockMs = options.sharedClockMs?.();
-		if (clockMs === undefined) {
-			return interval;
-		}
-
-		const leftMs = Math.ceil(interval - (clockMs % interval));
-		return leftMs < interval * minGapRatio ? leftMs + interval : leftMs;
-	};
-
-	const refreshMs = (): number => Math.round(roundsPerRefresh() * intervalMs());
+	const {roundsPerRefresh, refreshMs, untilNextMs} = createRoundSchedule({
+		everyMs: options.everyMs, peerCount: () => queue.size, sharedClockMs: options.sharedClockMs,
+	});
 
 	const silenceMs = (): number => Math.max(options.minSilenceMs, refreshMs() * refreshesUntilSilent);
 
@@ -259,7 +226,7 @@
 			forgetExpired();
 			logSilent();
 			sendRound();
-		}, untilNextRoundMs());
+		}, untilNextMs());
 	};
 
 	/** Daemons learn of peers in the same order; without a different order on each, all would report to the same few at a time. */
