A choice lists the engines of its service once

chooseEngine and its sample each asked for the engines that may serve, which filters them all while a release is ordered. They are listed once and passed on, and a list that nobody changes is no longer copied.

--- a/packages/router/src/lib/placing/candidates.ts
+++ b/packages/router/src/lib/placing/candidates.ts
@@ -42,7 +42,7 @@
 	/** The state of one endpoint; `undefined` unless it is eligible. */
 	of: (endpoint: LiveEndpoint, request: ChoiceRequest) => Candidate | undefined;
 	/** All that the request may go to. Doubtful endpoints are returned only when there are no others. */
-	all: (request: ChoiceRequest) => Candidate[];
+	all: (request: ChoiceRequest) => readonly Candidate[];
 };
 
 /**
@@ -140,7 +140,7 @@
 			}
 
 			const preferred = candidates.filter(candidate => isPreferred(candidate));
-			return preferred.length > 0 ? preferred : [...leastUnsuitable(candidates)];
+			return preferred.length > 0 ? preferred : leastUnsuitable(candidates);
 		},
 	};
 }
--- a/packages/router/src/lib/placing/endpoint-choice.ts
+++ b/packages/router/src/lib/placing/endpoint-choice.ts
@@ -54,6 +54,9 @@
 	placed: (choice: Choice, prompt: PromptNeed) => void;
 };
 
+/** Engines that may get a request, and the home of its prompt. */
+type Engines = {engines: readonly LiveEndpoint[]; homeId: string | undefined};
+
 /** Penalty for an endpoint in another data centre. */
 const crossDataCentreMs = 4;
 /** Estimated delay caused by each request in flight. */
@@ -129,18 +132,19 @@
 		return drawn.length > 0 ? drawn : sample(leastUnsuitable(unsuitable), candidate => candidate, canBeginNow);
 	};
 
-	const sampleWithHome = (request: ChoiceRequest, prompt: PromptNeed, homeId: string | undefined): Candidate[] => {
-		const drawn = sampleEngines(request, prompt, options.releases.endpointsOf(request.service));
+	const sampleWithHome = (request: ChoiceRequest, prompt: PromptNeed, {engines, homeId}: Engines): Candidate[] => {
+		const drawn = sampleEngines(request, prompt, engines);
 		const homeEngine = homeId === undefined || drawn.some(({endpoint}) => endpoint.id === homeId) ? undefined : view.endpoint(homeId);
 		const home = homeEngine && candidates.of(homeEngine, request);
 		return home !== undefined && isPreferred(home) ? [...drawn, home] : drawn;
 	};
 
 	const chooseEngine = (request: ChoiceRequest, prompt: PromptNeed): Choice | undefined => {
-		const homeId = homeOf(prompt, options.releases.endpointsOf(request.service));
+		const engines = options.releases.endpointsOf(request.service);
+		const homeId = homeOf(prompt, engines);
 		const costOf = costEstimatorFor(request, prompt, homeId);
 		let best: Choice | undefined;
-		for (const candidate of sampleWithHome(request, prompt, homeId)) {
+		for (const candidate of sampleWithHome(request, prompt, {engines, homeId})) {
 			const {endpoint, weights, load} = candidate;
 			const cost = costOf(candidate);
 			const expectedMs = engineMs(candidate, prompt, cost);
