Logs show what endpoints say of themselves in their answers

No line held whether an answer said that its endpoint leaves, or the time for which an endpoint that turns a request away wants none, so the hypotheses could not be told apart. 'Request ended.' now has isLeaving, 'Endpoint failed a request.' has backoffMs. No decision uses them yet.

--- a/packages/entry/src/lib/wiring/request-wiring.ts
+++ b/packages/entry/src/lib/wiring/request-wiring.ts
@@ -111,11 +111,11 @@
 				requestId, digest, workspace, service, endpoint, status, result: reason, attempt: end.attempts, path: end.route,
 				ms: Math.round(end.ms), firstMs: rounded(end.firstMs), expectedMs: rounded(end.expectedMs),
 				weights: end.weights, weightsAgeMs: ageForLog(end.weightsAgeMs),
-				units: end.quota?.units, level: rounded(end.quota?.level), own: rounded(end.quota?.own),
+				isLeaving: end.isLeaving || undefined, units: end.quota?.units, level: rounded(end.quota?.level), own: rounded(end.quota?.own),
 			});
 		},
 		attemptFailed({
-			requestId, digest, endpoint, service, reason, ms, firstMs, next,
+			requestId, digest, endpoint, service, reason, ms, firstMs, backoffMs, next,
 		}) {
 			metrics.attemptFailed(service, reason);
 			if (!logLineBudget.take(`attempt ${reason}`)) {
@@ -123,7 +123,7 @@
 			}
 
 			log.warn('Endpoint failed a request.', {
-				requestId, digest, endpoint, service, reason, ms: Math.round(ms), firstMs: rounded(firstMs), result: next,
+				requestId, digest, endpoint, service, reason, ms: Math.round(ms), firstMs: rounded(firstMs), backoffMs: backoffMs > 0 ? Math.round(backoffMs) : undefined, result: next,
 			});
 		},
 	};
--- a/packages/entry/src/test/metrics.test.ts
+++ b/packages/entry/src/test/metrics.test.ts
@@ -16,7 +16,7 @@
 		metrics.registerGauges({requestsInFlight: () => 3, livePeers: () => 8});
 		metrics.requestEnded({
 			requestId: 'r', digest: 'd', route: 'a', workspace: 'school', service: 'desk', endpoint: 'e', status: 200, attempts: 1, ms: 40, firstMs: 30, expectedMs: 20,
-			weights: undefined, weightsAgeMs: undefined, reason: 'answered',
+			weights: undefined, weightsAgeMs: undefined, isLeaving: false, reason: 'answered',
 		});
 		const text = await metrics.text();
 		const page = readFileSync(new URL('../../../../docs/metrics.md', import.meta.url), 'utf8');
--- a/packages/router/src/lib/fleet/call-headers.ts
+++ b/packages/router/src/lib/fleet/call-headers.ts
@@ -64,6 +64,10 @@
 	load: EndpointLoadReport | undefined;
 	/** Requests per second that the endpoint accepts from all daemons together. */
 	limit: NamedLimit;
+	/** The endpoint process is shutting down and wants no new requests. */
+	isLeaving: boolean;
+	/** Time in milliseconds for which the endpoint wants no requests from this daemon; 0 if it states none. */
+	backoffMs: number;
 	/** The response has neither a length nor chunks and ends with its connection. */
 	isUnframed: boolean;
 	/** The body has a content encoding, so it is not what the endpoint generated. */
--- a/packages/router/src/lib/forwarding/forwarder.ts
+++ b/packages/router/src/lib/forwarding/forwarder.ts
@@ -95,7 +95,7 @@
 			if (end.kind !== 'answered' && end.kind !== 'callerLeft') {
 				options.events.attemptFailed({
 					requestId: call.facts.requestId, digest: call.digest, endpoint: chosen.endpoint.id, service: call.service, reason: reasonOf(end), ms: performance.now() - sentAt,
-					firstMs: call.progress.firstAt === undefined ? undefined : call.progress.firstAt - sentAt, next: decision.kind,
+					firstMs: call.progress.firstAt === undefined ? undefined : call.progress.firstAt - sentAt, backoffMs: call.progress.facts?.backoffMs ?? 0, next: decision.kind,
 				});
 			}
 
@@ -257,6 +257,7 @@
 		weights: call?.choice?.weights,
 		weightsAgeMs: call?.weightsAgeMs,
 		reason,
+		isLeaving: call?.progress.facts?.isLeaving ?? false,
 		quota,
 	};
 }
--- a/packages/router/src/lib/forwarding/forwarding-events.ts
+++ b/packages/router/src/lib/forwarding/forwarding-events.ts
@@ -24,6 +24,8 @@
 	/** Milliseconds since that version was replaced, at dispatch; 0 if it is the newest, infinite if unknown. */
 	weightsAgeMs: number | undefined;
 	reason: string;
+	/** The endpoint's response says that it is leaving. */
+	isLeaving: boolean;
 	/** For a request over its workspace's quota: units requested, and units left for the fleet and for this daemon. */
 	quota?: {units: number; level: number; own: number};
 };
@@ -39,6 +41,8 @@
 	ms: number;
 	/** Milliseconds from the dispatch to the first byte of the response; `undefined` if none arrived. */
 	firstMs: number | undefined;
+	/** Time in milliseconds for which the endpoint wants no requests from this daemon; 0 if it states none. */
+	backoffMs: number;
 	next: string;
 };
 
--- a/packages/router/src/lib/observability/log.ts
+++ b/packages/router/src/lib/observability/log.ts
@@ -44,6 +44,10 @@
 	/** Weights version that a decision assumed, and milliseconds since that version was replaced. */
 	'weights',
 	'weightsAgeMs',
+	/** An endpoint's response says that the endpoint is leaving. */
+	'isLeaving',
+	/** Milliseconds for which an endpoint wants no requests. */
+	'backoffMs',
 	'path',
 	'attempt',
 	'reason',
