An endpoint that says in an answer that it leaves gets no more requests

Cause: what an endpoint says of itself was read from the store alone.

The view now records leaving processes, by id and start time, from the list, from answers of any status (also of state requests and orders) and from peers, whose reports name those that the list doesn't. A process never takes it back, so neither older rows nor a row that went and came back clears it; a restart under the same id is unaffected. Because it is the view's own isLeaving, all ways are closed at once: choices, retries, resumed streams, homes, transfers of cached parts, orders of weights.

No extra datagrams; at most 32 endpoints in a report, only while the list lags behind.

--- a/packages/entry/src/lib/entry-parts.ts
+++ b/packages/entry/src/lib/entry-parts.ts
@@ -74,7 +74,12 @@
 		peers: asFunction(wirePeers).singleton(),
 		directory: asFunction(wireDirectory).singleton(),
 		leases: asFunction(wireLeases).singleton(),
-		control: asFunction(({timings}: EntryParts) => createEndpointControl({timeoutMs: timings.engineTimeoutMs})).singleton(),
+		control: asFunction(({timings, view}: EntryParts) => createEndpointControl({
+			timeoutMs: timings.engineTimeoutMs,
+			onLeaving(endpoint) {
+				view.markLeaving(endpoint, 'answer');
+			},
+		})).singleton(),
 		weightsRollout: asFunction(wireWeightsRollout).singleton(),
 		rolloutTimer: asFunction(wireRolloutTimer).singleton(),
 		namingRecord: asFunction(wireNamingRecord).singleton(),
--- a/packages/entry/src/lib/wiring/peer-wiring.ts
+++ b/packages/entry/src/lib/wiring/peer-wiring.ts
@@ -1,7 +1,7 @@
 /** Wires the exchange of reports between daemons. */
 import {type ChangeFeed} from 'hickorywalk/fleet.js';
 import {
-	createPeerDirectory, createPeerExchange, type OpenDatagramTransport, type PeerExchange, type PeerReport,
+	createPeerDirectory, createPeerExchange, maxReportedLeaving, type OpenDatagramTransport, type PeerExchange, type PeerReport,
 } from 'hickorywalk/peers.js';
 import {weightsLease} from './lease-wiring.js';
 import {type EntryParts} from './parts.js';
@@ -35,6 +35,10 @@
 			}
 		}
 
+		for (const [id, startedAt] of report.leaving) {
+			parts.view.markLeaving({id, startedAt}, 'peer');
+		}
+
 		for (const [model, version, ageMs] of report.named) {
 			parts.view.acceptNamingAge(model, version, ageMs);
 		}
@@ -85,6 +89,7 @@
 			placed: parts.residentParts.takeUnreported(),
 			...parts.quarantine.report(),
 			limits: parts.limits.report(),
+			leaving: parts.view.unlistedLeaving().slice(-maxReportedLeaving).map(({id, startedAt}) => [id, startedAt]),
 		}),
 		onReport,
 		openTransport,
--- a/packages/router/src/lib/fleet/fleet-view.ts
+++ b/packages/router/src/lib/fleet/fleet-view.ts
@@ -4,6 +4,7 @@
  */
 import {type Log} from '../observability/log.js';
 import {type FleetDocument, type Workspace} from './fleet-document.js';
+import {createLeavingRecord, type EndpointProcess} from './leaving-record.js';
 import {isNewer, type LiveEndpoint} from './live-endpoint.js';
 import {createRouteTable, type RouteTable} from './route-table.js';
 
@@ -29,6 +30,9 @@
 /** Gets an endpoint's new and previous state; `undefined` while it is not listed. */
 export type EndpointListener = (id: string, endpoint: LiveEndpoint | undefined, before: LiveEndpoint | undefined) => void;
 
+/** Where the knowledge that an endpoint is leaving comes from. */
+export type LeavingSource = 'list' | 'answer' | 'peer';
+
 /** The view, for the router's parts to read and the feeds to write. */
 export type FleetView = {
 	current: () => AcceptedDocument | undefined;
@@ -41,6 +45,10 @@
 	memoryTokens: (id: string) => number | undefined;
 	/** Ignores state that is not newer than what is known. */
 	acceptEndpoint: (endpoint: LiveEndpoint) => void;
+	/** An endpoint process is leaving, whether or not the list says so. */
+	markLeaving: (process: EndpointProcess, source: LeavingSource) => void;
+	/** Listed endpoints that are leaving although the list does not say so, latest last. */
+	unlistedLeaving: () => EndpointProcess[];
 	/** The endpoint is no longer listed. */
 	dropEndpoint: (id: string) => void;
 	endpointIds: () => Iterable<string>;
@@ -83,6 +91,9 @@
 	const endpoints = new Map<string, LiveEndpoint>();
 	/** Cached lists; a change removes the service's list. */
 	const byService = new Map<string, readonly LiveEndpoint[]>();
+	const leaving = createLeavingRecord();
+	/** Endpoints that are leaving although the list does not say so. */
+	const unlistedLeaving = new Set<string>();
 	const named = new Map<string, Naming[]>();
 	const endpointListeners: EndpointListener[] = [];
 	const documentListeners: Array<(accepted: AcceptedDocument) => void> = [];
@@ -109,6 +120,22 @@
 		}
 	};
 
+	const put = (endpoint: LiveEndpoint, known: LiveEndpoint | undefined, source: LeavingSource): void => {
+		endpoints.set(endpoint.id, endpoint);
+		byService.delete(endpoint.service);
+		if (known !== undefined) {
+			byService.delete(known.service);
+		}
+
+		if (known?.isLeaving !== endpoint.isLeaving || known.startedAt !== endpoint.startedAt) {
+			log.info(endpoint.isLeaving ? 'Endpoint is leaving.' : 'Endpoint is live.', {
+				endpoint: endpoint.id, service: endpoint.service, ...(endpoint.isLeaving && {reason: source}),
+			});
+		}
+
+		notify(endpoint.id, endpoint, known);
+	};
+
 	return {
 		current: () => accepted,
 		acceptDocument(document) {
@@ -132,18 +159,23 @@
 				return;
 			}
 
-			endpoints.set(endpoint.id, endpoint);
-			byService.delete(endpoint.service);
-			if (known !== undefined) {
-				byService.delete(known.service);
+			unlistedLeaving.delete(endpoint.id);
+			if (endpoint.isLeaving) {
+				leaving.add(endpoint);
+			} else if (leaving.has(endpoint)) {
+				unlistedLeaving.add(endpoint.id);
 			}
 
-			if (known?.isLeaving !== endpoint.isLeaving || known.startedAt !== endpoint.startedAt) {
-				log.info(endpoint.isLeaving ? 'Endpoint is leaving.' : 'Endpoint is live.', {endpoint: endpoint.id, service: endpoint.service});
+			put({...endpoint, isLeaving: leaving.has(endpoint)}, known, 'list');
+		},
+		markLeaving(process, source) {
+			const known = endpoints.get(process.id);
+			if (leaving.add(process) && known?.startedAt === process.startedAt) {
+				unlistedLeaving.add(process.id);
+				put({...known, isLeaving: true}, known, source);
 			}
-
-			notify(endpoint.id, endpoint, known);
 		},
+		unlistedLeaving: () => Array.from(unlistedLeaving, id => endpoints.get(id)!),
 		dropEndpoint(id) {
 			const known = endpoints.get(id);
 			if (known === undefined) {
@@ -151,6 +183,7 @@
 			}
 
 			endpoints.delete(id);
+			unlistedLeaving.delete(id);
 			byService.delete(known.service);
 			log.info('Endpoint is no longer listed.', {endpoint: id, service: known.service});
 			notify(id, undefined, known);
--- a/packages/router/src/lib/forwarding/forwarder.ts
+++ b/packages/router/src/lib/forwarding/forwarder.ts
@@ -2,7 +2,6 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type CallFacts} from '../fleet/call-headers.js';
 import {type Route, type Workspace} from '../fleet/fleet-document.js';
-import {type FleetView} from '../fleet/fleet-view.js';
 import {chooseService} from '../fleet/route-table.js';
 import {type Choice} from '../placing/endpoint-choice.js';
 import {type Quarantine} from '../quarantine/quarantine.js';
@@ -24,7 +23,6 @@
 
 /** Options of {@link createForwarder}. */
 export type ForwarderOptions = Omit<EndpointSenderOptions, 'mayMoveAway'> & {
-	view: FleetView;
 	quota: FleetQuota;
 	quarantine: Quarantine;
 	/** The process is about to exit and rejects new requests. */
--- a/packages/router/src/lib/forwarding/send-to-endpoint.ts
+++ b/packages/router/src/lib/forwarding/send-to-endpoint.ts
@@ -2,6 +2,7 @@
 import {type ResponseFacts, type CallHeaders, type Dispatch} from '../fleet/call-headers.js';
 import {type EndpointPresence} from '../fleet/endpoint-presence.js';
 import {type EndpointTransport} from '../orders/endpoint-transport.js';
+import {type FleetView} from '../fleet/fleet-view.js';
 import {connectionLossFailures, failureClasses} from '../orders/failure-classes.js';
 import {type EndpointLoadTracker} from '../placing/endpoint-load-tracker.js';
 import {type Choice, type EndpointChoice} from '../placing/endpoint-choice.js';
@@ -15,6 +16,7 @@
 
 /** Options of {@link createEndpointSender}. */
 export type EndpointSenderOptions = {
+	view: FleetView;
 	headers: CallHeaders;
 	choice: EndpointChoice;
 	loadTracker: EndpointLoadTracker;
@@ -49,7 +51,7 @@
 /** Creates a sender. */
 export function createEndpointSender(options: EndpointSenderOptions): SendToEndpoint {
 	const {
-		headers, choice, loadTracker: book, health, presence, versions, transport, crashWatch, limits,
+		view, headers, choice, loadTracker: book, health, presence, versions, transport, crashWatch, limits,
 	} = options;
 
 	const dispatchFor = (call: Call, {endpoint, weights, cacheScope, fetchFrom, saveTo}: Choice): Dispatch => ({
@@ -65,13 +67,22 @@
 	});
 
 	/** The absence of a limit counts only in a signed response. */
-	const recordLimit = ({endpoint}: Choice, {limit, endpointId, isSigned}: ResponseFacts): void => {
-		if (limit === 'unreadable' || (endpointId ?? endpoint.id) !== endpoint.id) {
+	const recordLimit = ({endpoint}: Choice, {limit, isSigned}: ResponseFacts): void => {
+		if (limit !== 'unreadable' && (limit !== 'none' || isSigned)) {
+			limits.recordLimit(endpoint, limit === 'none' ? undefined : limit);
+		}
+	};
+
+	/** Records what the endpoint says of itself; a response of another process at its address says nothing of it. */
+	const recordNotices = (chosen: Choice, facts: ResponseFacts): void => {
+		const {endpoint} = chosen;
+		if ((facts.endpointId ?? endpoint.id) !== endpoint.id) {
 			return;
 		}
 
-		if (limit !== 'none' || isSigned) {
-			limits.recordLimit(endpoint, limit === 'none' ? undefined : limit);
+		recordLimit(chosen, facts);
+		if (facts.isLeaving) {
+			view.markLeaving(endpoint, 'answer');
 		}
 	};
 
@@ -156,7 +167,7 @@
 			mayMoveAway: () => options.mayMoveAway(call),
 			deadlineAt: call.deadlineAt,
 			onHead(facts) {
-				recordLimit(chosen, facts);
+				recordNotices(chosen, facts);
 			},
 			onResponseStart: work.begun,
 			onCancellable(cancel) {
--- a/packages/router/src/lib/peers/peer-report.ts
+++ b/packages/router/src/lib/peers/peer-report.ts
@@ -7,6 +7,9 @@
 export const maxReportedParts = 24;
 export const maxReportedPlacements = 16;
 
+/** Maximum number of leaving endpoints in one report. Daemons learn of the others by themselves. */
+export const maxReportedLeaving = 32;
+
 /**
  * Report of one daemon. Lists hold tuples to keep datagrams small. Datagrams carry the values
  * by position, so new fields must be appended.
@@ -61,6 +64,8 @@
 	...quarantineReportSchema.shape,
 	/** Endpoint, start time of its process, requests per second that it accepts from all daemons together or null, milliseconds since it stated this limit. */
 	limits: z.array(z.tuple([z.string(), z.number(), z.number().nullable(), z.number()])).default([]),
+	/** Endpoints that are leaving although the store's list doesn't say so, with the start time of their process. */
+	leaving: z.array(z.tuple([z.string(), z.number()])).default([]),
 });
 
 /** A decoded report. */
--- a/packages/router/src/test/peers/report-codec.test.ts
+++ b/packages/router/src/test/peers/report-codec.test.ts
@@ -25,6 +25,7 @@
 	completed: ['Ux3jGqGhbOQh'],
 	refused: [['Ye1jGqGhbOQh', 1, 300_000, false]],
 	limits: [['i-5d4fb03dc1', 1_783_535_000_000, 1.5, 300]],
+	leaving: [['i-72c4dccf3c', 1_783_535_000_000]],
 };
 
 describe('report codec', () => {
