An endpoint that asks for a pause gets none of this daemon's requests in it

Cause: Retry-After of an endpoint's 503 was not read. The gaps between the requests follow the short times of the doubt, which explains the rhythm only.

Now the endpoint is no candidate until the latest time that it asked for, extended by up to a tenth at random, and gets few requests in flight in the second after. The pause belongs to the process, outlives its row in the list, is no bad mark and grants no retry. When each endpoint of a service has asked for one or names a limit, callers are refused at once with the time at which the first takes requests again, spread by a quarter.

--- a/packages/entry/src/lib/entry-parts.ts
+++ b/packages/entry/src/lib/entry-parts.ts
@@ -23,7 +23,7 @@
 import {wireDirectory, wirePeers} from './wiring/peer-wiring.js';
 import {wireCrashWatch, wireQuarantine, wireRefusalRows} from './wiring/quarantine-wiring.js';
 import {
-	wireBudgets, wireChoice, wireEvents, wireLimits, wireQuota,
+	wireBackoff, wireBudgets, wireCapacityWait, wireChoice, wireEvents, wireLimits, wireQuota,
 } from './wiring/request-wiring.js';
 
 const connectTimeoutMs = 300;
@@ -66,6 +66,8 @@
 		refusalRows: asFunction(wireRefusalRows).singleton(),
 		crashWatch: asFunction(wireCrashWatch).singleton(),
 		limits: asFunction(wireLimits).singleton(),
+		backoff: asFunction(wireBackoff).singleton(),
+		capacityWait: asFunction(wireCapacityWait).singleton(),
 		choice: asFunction(wireChoice).singleton(),
 		store: asFunction(({timings, metrics}: EntryParts) => createStoreClient({address: settings.storeAddress, timeoutMs: timings.storeTimeoutMs * 2, onCall: metrics.storeCalled})).singleton(),
 		ownTable: asFunction(({store}: EntryParts) => store.table('hickorywalk')).singleton(),
@@ -95,6 +97,8 @@
 			quarantine: parts.quarantine,
 			crashWatch: parts.crashWatch,
 			limits: parts.limits,
+			backoff: parts.backoff,
+			capacityWait: parts.capacityWait,
 			choice: parts.choice,
 			loadTracker: parts.loadTracker,
 			health: parts.health,
--- a/packages/entry/src/lib/wiring/parts.ts
+++ b/packages/entry/src/lib/wiring/parts.ts
@@ -7,7 +7,7 @@
 import {type createUndiciTransport} from 'hickorywalk/orders.js';
 import {type createPeerDirectory, type PeerExchange} from 'hickorywalk/peers.js';
 import {
-	type createEndpointChoice, type EndpointLoadTracker, type EndpointLimits, type StoredParts, type ResidentParts,
+	type createEndpointChoice, type EndpointLoadTracker, type CapacityWait, type EndpointBackoff, type EndpointLimits, type StoredParts, type ResidentParts,
 } from 'hickorywalk/placing.js';
 import {type CrashWatch, type Quarantine, type RefusalRows} from 'hickorywalk/quarantine.js';
 import {type FleetQuota} from 'hickorywalk/quotas.js';
@@ -45,6 +45,8 @@
 	refusalRows: RefusalRows;
 	crashWatch: CrashWatch;
 	limits: EndpointLimits;
+	backoff: EndpointBackoff;
+	capacityWait: CapacityWait;
 	choice: ReturnType<typeof createEndpointChoice>;
 	store: ReturnType<typeof createStoreClient>;
 	ownTable: ReturnType<ReturnType<typeof createStoreClient>['table']>;
--- a/packages/entry/src/lib/wiring/request-wiring.ts
+++ b/packages/entry/src/lib/wiring/request-wiring.ts
@@ -1,6 +1,8 @@
 /** Wires the request path: quotas, endpoint choice, retry budgets, logs and metrics. */
 import {type ForwardingEvents} from 'hickorywalk/forwarding.js';
-import {createEndpointChoice, createEndpointLimits, type EndpointLimits} from 'hickorywalk/placing.js';
+import {
+	type CapacityWait, createCapacityWait, createEndpointBackoff, createEndpointChoice, createEndpointLimits, type EndpointBackoff, type EndpointLimits,
+} from 'hickorywalk/placing.js';
 import {createFleetQuota, type FleetQuota} from 'hickorywalk/quotas.js';
 import {type AttemptBudget, createRetryBudget} from 'hickorywalk/routing.js';
 import {type EntryParts} from './parts.js';
@@ -56,11 +58,21 @@
 	log,
 });
 
+/** Creates the record of the pauses that endpoints ask for. */
+export const wireBackoff = ({log}: EntryParts): EndpointBackoff => createEndpointBackoff({random: Math.random, log});
+
+/** Creates the estimate of when a service accepts requests again. */
+export const wireCapacityWait = ({
+	view, presence, backoff, limits,
+}: EntryParts): CapacityWait => createCapacityWait({
+	view, presence, backoff, limits, random: Math.random,
+});
+
 /** Creates the endpoint choice. */
 export function wireChoice(parts: EntryParts) {
-	const {view, loadTracker, health, presence, versions, limits, releases, storedParts, residentParts, peers, settings} = parts;
+	const {view, loadTracker, health, presence, versions, limits, backoff, releases, storedParts, residentParts, peers, settings} = parts;
 	return createEndpointChoice({
-		view, loadTracker, health, presence, versions, limits, releases, storedParts, residentParts,
+		view, loadTracker, health, presence, versions, limits, backoff, releases, storedParts, residentParts,
 		dataCentre: settings.dataCentre, connectionShare: () => connectionsRatio / peers.fleetSize(), weightsMs: settings.weightsMs,
 		// Peers within one report round learn of large prompts at once, so only the others may choose the same endpoint.
 		daemons: () => 1 + peers.peersBeyondRound(), random: Math.random,
--- a/packages/router/src/lib/forwarding/forwarder.ts
+++ b/packages/router/src/lib/forwarding/forwarder.ts
@@ -3,6 +3,7 @@
 import {type CallFacts} from '../fleet/call-headers.js';
 import {type Route, type Workspace} from '../fleet/fleet-document.js';
 import {chooseService} from '../fleet/route-table.js';
+import {type CapacityWait} from '../placing/capacity-wait.js';
 import {type Choice} from '../placing/endpoint-choice.js';
 import {type Quarantine} from '../quarantine/quarantine.js';
 import {digestRequest} from '../quarantine/request-digest.js';
@@ -25,6 +26,7 @@
 export type ForwarderOptions = Omit<EndpointSenderOptions, 'mayMoveAway'> & {
 	quota: FleetQuota;
 	quarantine: Quarantine;
+	capacityWait: CapacityWait;
 	/** The process is about to exit and rejects new requests. */
 	isClosed: () => boolean;
 	/** The retry budget of a service. */
@@ -75,7 +77,7 @@
 		for (;;) {
 			const chosen = chooseFor(call);
 			if (chosen === undefined) {
-				return decideWithoutEndpoint(call, options.limits.waitMs(view.endpointsOf(call.service)));
+				return decideWithoutEndpoint(call, options.capacityWait);
 			}
 
 			call.choice = chosen;
@@ -89,7 +91,7 @@
 				quarantine.markCompleted(call.digest);
 			}
 
-			const decision = decideNext(call, end, {mayTryElsewhere, standingOf: quarantine.standingOf});
+			const decision = decideNext(call, end, {mayTryElsewhere, standingOf: quarantine.standingOf, capacityWait: options.capacityWait});
 			if (end.kind !== 'answered' && end.kind !== 'callerLeft') {
 				options.events.attemptFailed({
 					requestId: call.facts.requestId, digest: call.digest, endpoint: chosen.endpoint.id, service: call.service, reason: reasonOf(end), ms: performance.now() - sentAt,
--- a/packages/router/src/lib/forwarding/retry-decision.ts
+++ b/packages/router/src/lib/forwarding/retry-decision.ts
@@ -1,5 +1,6 @@
 /** Decides what follows an attempt: a retry, or a response to the caller. */
 import {connectionLossFailures, failureClasses, type FailureClass} from '../orders/failure-classes.js';
+import {type CapacityWait} from '../placing/capacity-wait.js';
 import {type Standing} from '../quarantine/quarantine.js';
 import {type AttemptEnd, type BufferedResponse} from './attempt.js';
 import {type Call, mayRunAgain} from './call.js';
@@ -22,16 +23,19 @@
 	/** Whether another endpoint may get the request; withdraws from the retry budget. */
 	mayTryElsewhere: (call: Call) => boolean;
 	standingOf: (digest: string) => Standing;
+	capacityWait: CapacityWait;
 };
 
-/** Decision when no eligible endpoint is left; `waitMs` is the time until one accepts a request, if known. */
-export function decideWithoutEndpoint(call: Call, waitMs = 0): Decision {
-	return call.mayHaveRun
-		? {kind: 'refuse', name: 'endpoint_failed'}
-		: {kind: 'refuse', name: 'no_endpoint', retryAfterMs: Math.max(defaultRetryAfterMs, waitMs)};
+function refuseNotRun({service}: Call, name: RefusalName, capacityWait: CapacityWait): Decision {
+	return {kind: 'refuse', name, retryAfterMs: Math.max(defaultRetryAfterMs, capacityWait(service) ?? 0)};
 }
 
-function afterNotRun(call: Call, {mayTryElsewhere, standingOf}: DecisionOptions): Decision {
+/** Decision when no eligible endpoint is left. */
+export function decideWithoutEndpoint(call: Call, capacityWait: CapacityWait): Decision {
+	return call.mayHaveRun ? {kind: 'refuse', name: 'endpoint_failed'} : refuseNotRun(call, 'no_endpoint', capacityWait);
+}
+
+function afterNotRun(call: Call, {mayTryElsewhere, standingOf, capacityWait}: DecisionOptions): Decision {
 	if (standingOf(call.digest) === 'refused') {
 		return {kind: 'refuse', name: call.mayHaveRun ? 'crashed_endpoints' : 'crashes_endpoints'};
 	}
@@ -40,22 +44,23 @@
 		return {kind: 'next', reason: 'not_run'};
 	}
 
-	return call.mayHaveRun ? {kind: 'refuse', name: 'endpoint_failed'} : {kind: 'refuse', name: 'endpoint_refused', retryAfterMs: defaultRetryAfterMs};
+	return call.mayHaveRun ? {kind: 'refuse', name: 'endpoint_failed'} : refuseNotRun(call, 'endpoint_refused', capacityWait);
 }
 
-function afterConnectFailure(call: Call, failure: FailureClass): Decision {
+function afterConnectFailure(call: Call, failure: FailureClass, {capacityWait}: DecisionOptions): Decision {
 	// The endpoint never got the request, so the attempt doesn't count.
 	call.attempts--;
 	return performance.now() < call.deadlineAt && call.excluded.size < maxConnectFailures
 		? {kind: 'next', reason: failure}
-		: decideWithoutEndpoint(call);
+		: decideWithoutEndpoint(call, capacityWait);
 }
 
-function afterFailure(call: Call, failure: FailureClass, {mayTryElsewhere, standingOf}: DecisionOptions): Decision {
+function afterFailure(call: Call, failure: FailureClass, options: DecisionOptions): Decision {
 	if (failureClasses[failure].reach === 'nothing') {
-		return afterConnectFailure(call, failure);
+		return afterConnectFailure(call, failure, options);
 	}
 
+	const {mayTryElsewhere, standingOf} = options;
 	call.mayHaveRun = true;
 	call.brokenConnections += connectionLossFailures.has(failure) ? 1 : 0;
 	const standing = standingOf(call.digest);
--- a/packages/router/src/lib/forwarding/send-to-endpoint.ts
+++ b/packages/router/src/lib/forwarding/send-to-endpoint.ts
@@ -1,11 +1,13 @@
 /** Runs one attempt of a request and records what its outcome shows about the endpoint. */
 import {type ResponseFacts, type CallHeaders, type Dispatch} from '../fleet/call-headers.js';
 import {type EndpointPresence} from '../fleet/endpoint-presence.js';
+import {type LiveEndpoint} from '../fleet/live-endpoint.js';
 import {type EndpointTransport} from '../orders/endpoint-transport.js';
 import {type FleetView} from '../fleet/fleet-view.js';
 import {connectionLossFailures, failureClasses} from '../orders/failure-classes.js';
 import {type EndpointLoadTracker} from '../placing/endpoint-load-tracker.js';
 import {type Choice, type EndpointChoice} from '../placing/endpoint-choice.js';
+import {type EndpointBackoff} from '../placing/endpoint-backoff.js';
 import {type EndpointLimits} from '../placing/endpoint-limits.js';
 import {type CrashWatch} from '../quarantine/crash-watch.js';
 import {type HealthTracker} from '../routing/health.js';
@@ -26,6 +28,7 @@
 	transport: EndpointTransport;
 	crashWatch: CrashWatch;
 	limits: EndpointLimits;
+	backoff: EndpointBackoff;
 	/** Whether a request may be moved from a silent endpoint to another one. */
 	mayMoveAway: (call: Call) => boolean;
 };
@@ -51,7 +54,7 @@
 /** Creates a sender. */
 export function createEndpointSender(options: EndpointSenderOptions): SendToEndpoint {
 	const {
-		view, headers, choice, loadTracker: book, health, presence, versions, transport, crashWatch, limits,
+		view, headers, choice, loadTracker: book, health, presence, versions, transport, crashWatch, limits, backoff,
 	} = options;
 
 	const dispatchFor = (call: Call, {endpoint, weights, cacheScope, fetchFrom, saveTo}: Choice): Dispatch => ({
@@ -81,19 +84,30 @@
 		}
 
 		recordLimit(chosen, facts);
+		if (facts.backoffMs > 0) {
+			backoff.requested(endpoint, facts.backoffMs);
+		}
+
 		if (facts.isLeaving) {
 			view.markLeaving(endpoint, 'answer');
 		}
 	};
 
+	const recordNotRun = (endpoint: LiveEndpoint, facts: ResponseFacts | undefined): void => {
+		if ((facts?.endpointId ?? endpoint.id) !== endpoint.id) {
+			presence.replaced(endpoint);
+		} else if (facts === undefined || facts.backoffMs === 0) {
+			presence.declined(endpoint);
+		}
+	};
+
 	const recordPresence = (call: Call, {endpoint}: Choice, end: AttemptEnd): void => {
 		if (end.kind === 'answered') {
 			presence.accepted(endpoint);
 		} else if (end.kind === 'failed' && end.failure === 'connect_failed') {
 			presence.unreached(endpoint);
 		} else if (end.kind === 'notRun') {
-			const answeredBy = call.progress.facts?.endpointId ?? endpoint.id;
-			(answeredBy === endpoint.id ? presence.declined : presence.replaced)(endpoint);
+			recordNotRun(endpoint, call.progress.facts);
 		}
 	};
 
--- a/packages/router/src/lib/placing/candidates.ts
+++ b/packages/router/src/lib/placing/candidates.ts
@@ -6,6 +6,7 @@
 import {type HealthTracker} from '../routing/health.js';
 import {type EngineVersions} from '../weights/engine-versions.js';
 import {type ChoiceRequest, type PromptNeed} from './choice-request.js';
+import {type EndpointBackoff} from './endpoint-backoff.js';
 import {type EndpointLoadTracker, type EndpointLoad} from './endpoint-load-tracker.js';
 import {type EndpointLimits} from './endpoint-limits.js';
 
@@ -17,6 +18,7 @@
 	presence: EndpointPresence;
 	versions: EngineVersions;
 	limits: EndpointLimits;
+	backoff: EndpointBackoff;
 	/** Leaves out the endpoints of software versions that haven't proved themselves. */
 	releases: UnprovenVersions;
 	/** Fraction of an endpoint's connection limit that this daemon may use. */
@@ -73,7 +75,7 @@
 /** Creates a look-up of candidates. */
 export function createCandidates(options: CandidatesOptions): Candidates {
 	const {
-		view, loadTracker, health, presence, versions, limits, releases,
+		view, loadTracker, health, presence, versions, limits, backoff, releases,
 	} = options;
 
 	/** Expected wait in the engine's queue; at least as long as the oldest own request has waited. */
@@ -104,7 +106,7 @@
 		}
 
 		const load = loadTracker.load(endpoint);
-		if (load.running >= health.roomOf(endpoint.id) || loadTracker.ownRunning(endpoint.id) >= maxOwnConnections(endpoint)) {
+		if (load.running >= Math.min(health.roomOf(endpoint.id), backoff.roomOf(endpoint)) || loadTracker.ownRunning(endpoint.id) >= maxOwnConnections(endpoint)) {
 			return undefined;
 		}
 
--- a/packages/router/src/test/placing/endpoint-choice.test.ts
+++ b/packages/router/src/test/placing/endpoint-choice.test.ts
@@ -7,8 +7,8 @@
 } from '../../fleet.js';
 import {createSilentLog} from '../../observability.js';
 import {
-	createEndpointLoadTracker, createEndpointChoice, createStoredParts, createResidentParts,
-	type ChoiceRequest, type EndpointLoadTracker, type EndpointChoice, type EndpointLimits, type StoredParts, type PromptNeed,
+	createEndpointBackoff, createEndpointLoadTracker, createEndpointChoice, createStoredParts, createResidentParts,
+	type ChoiceRequest, type EndpointBackoff, type EndpointLoadTracker, type EndpointChoice, type EndpointLimits, type StoredParts, type PromptNeed,
 } from '../../placing.js';
 import {createUnprovenVersions, type UnprovenVersions} from '../../releases.js';
 import {createHealthTracker} from '../../routing.js';
@@ -28,6 +28,7 @@
 	let storedParts: StoredParts;
 	let versions: EngineVersions;
 	let limits: EndpointLimits;
+	let backoff: EndpointBackoff;
 	let releases: UnprovenVersions;
 	let choice: EndpointChoice;
 
@@ -67,10 +68,11 @@
 		storedParts = createStoredParts();
 		versions = createEngineVersions();
 		limits = createLoneLimits();
+		backoff = createEndpointBackoff({random: () => 0.5, log: createSilentLog()});
 		releases = createUnprovenVersions({view, log: createSilentLog()});
 		const random = xoroshiro128plus(1);
 		choice = createEndpointChoice({
-			view, loadTracker, health: createHealthTracker(), presence, versions, limits, releases, storedParts, residentParts: createResidentParts({memoryTokens: view.memoryTokens}),
+			view, loadTracker, health: createHealthTracker(), presence, versions, limits, backoff, releases, storedParts, residentParts: createResidentParts({memoryTokens: view.memoryTokens}),
 			dataCentre: 'a', connectionShare: () => 0.1, weightsMs: 8000, daemons: () => 10, random: () => uniformFloat64(random),
 		});
 		for (let index = 0; index < 8; index++) {
@@ -121,6 +123,25 @@
 		assert.sameMembers([...homes], ['e0', 'e6', 'e7']);
 	});
 
+	it('never falls back to an engine that is leaving or has asked for a pause, however few others are left', () => {
+		// Guards against the fallback to unsuitable engines, which must not include these.
+		for (let index = 0; index < 8; index++) {
+			const engine = view.endpoint(`e${index}`)!;
+			presence.declined(engine);
+			if (index % 2 === 0) {
+				view.markLeaving(engine, 'answer');
+			} else {
+				backoff.requested(engine, 3000);
+			}
+		}
+
+		assert.isUndefined(choose(prompt('s')));
+		clock.tick(2999);
+		assert.isUndefined(choose(prompt('s')));
+		clock.tick(300);
+		assert.include(['e1', 'e3', 'e5', 'e7'], choose(prompt('s'))!.endpoint.id);
+	});
+
 	it('avoids an engine briefly after it declined a request, unless all have declined', () => {
 		// An engine that loads weights refuses all requests. If that isn't remembered,
 		// the callers of the prompts that it has cached are refused one after another.
--- a/packages/router/src/test/placing/rolling-update.test.ts
+++ b/packages/router/src/test/placing/rolling-update.test.ts
@@ -7,7 +7,7 @@
 import {createSilentLog} from '../../observability.js';
 import {type PeerReport} from '../../peers.js';
 import {
-	type Choice, createEndpointLoadTracker, createEndpointChoice, createStoredParts, createResidentParts, type PromptNeed,
+	type Choice, createEndpointLoadTracker, createEndpointBackoff, createEndpointChoice, createStoredParts, createResidentParts, type PromptNeed,
 } from '../../placing.js';
 import {createUnprovenVersions} from '../../releases.js';
 import {createHealthTracker} from '../../routing.js';
@@ -155,6 +155,7 @@
 	const residentParts = createResidentParts({memoryTokens: view.memoryTokens});
 	const choice = createEndpointChoice({
 		view, loadTracker, health: createHealthTracker(), presence: createEndpointPresence(createSilentLog()), versions, limits: createLoneLimits(),
+		backoff: createEndpointBackoff({random: () => 0.5, log: createSilentLog()}),
 		releases: createUnprovenVersions({view, log: createSilentLog()}), storedParts, residentParts,
 		dataCentre: 'a', connectionShare: () => 1 / daemonCount, weightsMs: 10_000, daemons: () => daemonCount, random,
 	});
--- a/packages/router/src/test/weights/change-under-load.test.ts
+++ b/packages/router/src/test/weights/change-under-load.test.ts
@@ -5,7 +5,7 @@
 import {createEndpointPresence, createFleetView} from '../../fleet.js';
 import {createSilentLog} from '../../observability.js';
 import {
-	createEndpointLoadTracker, createEndpointChoice, createStoredParts, createResidentParts,
+	createEndpointLoadTracker, createEndpointBackoff, createEndpointChoice, createStoredParts, createResidentParts,
 } from '../../placing.js';
 import {createUnprovenVersions} from '../../releases.js';
 import {createHealthTracker} from '../../routing.js';
@@ -72,7 +72,8 @@
 		const presence = createEndpointPresence(createSilentLog());
 		const versions = createEngineVersions();
 		const choice = createEndpointChoice({
-			view, loadTracker, health: createHealthTracker(), presence, versions, limits: createLoneLimits(), releases: createUnprovenVersions({view, log: createSilentLog()}),
+			view, loadTracker, health: createHealthTracker(), presence, versions, limits: createLoneLimits(),
+			backoff: createEndpointBackoff({random: () => 0.5, log: createSilentLog()}), releases: createUnprovenVersions({view, log: createSilentLog()}),
 			storedParts: createStoredParts(), residentParts: createResidentParts({memoryTokens: view.memoryTokens}),
 			dataCentre: 'a', connectionShare: () => 1, weightsMs: 12_000, daemons: () => 1, random: () => uniformFloat64(random),
 		});
