--- a/packages/entry/src/lib/entry-parts.ts
+++ b/packages/entry/src/lib/entry-parts.ts
@@ -69,7 +69,9 @@
 		backoff: asFunction(wireBackoff).singleton(),
 		capacityWait: asFunction(wireCapacityWait).singleton(),
 		choice: asFunction(wireChoice).singleton(),
-		store: asFunction(({timings, metrics}: EntryParts) => createStoreClient({address: settings.storeAddress, timeoutMs: timings.storeTimeoutMs * 2, onCall: metrics.storeCalled})).singleton(),
+		store: asFunction(({timings, metrics, log}: EntryParts) => createStoreClient({
+			address: settings.storeAddress, timeoutMs: timings.storeTimeoutMs * 2, onCall: metrics.storeCalled, log,
+		})).singleton(),
 		ownTable: asFunction(({store}: EntryParts) => store.table('hickorywalk')).singleton(),
 		operatorFeed: asFunction(wireOperatorFeed).singleton(),
 		endpointFeed: asFunction(wireEndpointFeed).singleton(),
--- a/packages/router/src/lib/fleet/change-feed.ts
+++ b/packages/router/src/lib/fleet/change-feed.ts
@@ -93,6 +93,8 @@
 	let newestChange = 0;
 	let respondedAt = Number.NEGATIVE_INFINITY;
 	let failures = 0;
+	/** The latest listing was older than the known state. */
+	let isListingIgnored = false;
 	/** Polls were skipped since the latest call, because relays kept the table current. */
 	let hasSkippedPolls = false;
 	/** The latest response was relayed to peers. */
@@ -141,7 +143,14 @@
 		const unseenMs = performance.now() - respondedAt;
 		recordResponse();
 		// A stale listing must not revert newer state.
-		if (version === undefined || all.version >= version) {
+		if (version !== undefined && all.version < version) {
+			if (!isListingIgnored) {
+				log.warn('Listing of the store is older than the known state and is ignored.', {path: options.name, version: all.version, level: version});
+			}
+
+			isListingIgnored = true;
+		} else {
+			isListingIgnored = false;
 			version = all.version;
 			trackNewest(all.changes);
 			relayLog.listed(all);
