A feed backs off from a store whose listing is older than what it knows

Cause: after 410 the feed listed the table, dropped the listing as older and polled again at once: the listing counted as a success. It is a failure now, with the backoff and the one log line of other failures, wherever the poll came from. That the listing is ignored at all is the next fault.

--- a/packages/router/src/lib/fleet/change-feed.ts
+++ b/packages/router/src/lib/fleet/change-feed.ts
@@ -5,7 +5,7 @@
 import {type Log} from '../observability/log.js';
 import {pause} from '../time/pause.js';
 import {
-	type Change, type ChangeHandler, type Changes, type ChangeSource, HistoryGoneError,
+	type Change, type ChangeHandler, type Changes, type ChangeSource, HistoryGoneError, OutdatedListingError,
 } from './change-source.js';
 import {createRelayLog, type FeedRelay} from './feed-relay.js';
 
@@ -93,8 +93,6 @@
 	let newestChange = 0;
 	let respondedAt = Number.NEGATIVE_INFINITY;
 	let failures = 0;
-	/** The latest listing was older than the known state. */
-	let isListingIgnored = false;
 	/** Polls were skipped since the latest call, because relays kept the table current. */
 	let hasSkippedPolls = false;
 	/** The latest response was relayed to peers. */
@@ -140,23 +138,18 @@
 
 	const list = async (): Promise<void> => {
 		const all = await source.list(answerMs * 2);
-		const unseenMs = performance.now() - respondedAt;
-		recordResponse();
-		// A stale listing must not revert newer state.
+		// An outdated listing must not revert newer state.
 		if (version !== undefined && all.version < version) {
-			if (!isListingIgnored) {
-				log.warn('Listing of the store is older than the known state and is ignored.', {path: options.name, version: all.version, level: version});
-			}
-
-			isListingIgnored = true;
-		} else {
-			isListingIgnored = false;
-			version = all.version;
-			trackNewest(all.changes);
-			relayLog.listed(all);
-			handler.replace(all.changes, unseenMs);
-			relayChanges();
+			throw new OutdatedListingError(`The store listed the table as of version ${all.version}, after version ${version}.`);
 		}
+
+		const unseenMs = performance.now() - respondedAt;
+		recordResponse();
+		version = all.version;
+		trackNewest(all.changes);
+		relayLog.listed(all);
+		handler.replace(all.changes, unseenMs);
+		relayChanges();
 	};
 
 	/** Applies changes up to `update.version`; returns false if they are outdated. */
@@ -184,6 +177,24 @@
 		}
 	};
 
+	/** Asks for changes, or for the whole table if the store no longer has them. */
+	const update = async (waitMs: number, isPrompt: boolean): Promise<void> => {
+		let changes: Changes<T>;
+		try {
+			changes = await source.changes(version!, waitMs, waitMs + answerMs);
+		} catch (error) {
+			if (!(error instanceof HistoryGoneError)) {
+				throw error;
+			}
+
+			log.warn('Store has dropped the requested history; the table is listed again.', {path: options.name});
+			await list();
+			return;
+		}
+
+		apply(changes, isPrompt);
+	};
+
 	const poll = async (): Promise<void> => {
 		if (version === undefined) {
 			await list();
@@ -195,23 +206,13 @@
 		isHinted = false;
 		hasSkippedPolls = false;
 		const isPrompt = performance.now() - respondedAt <= options.coalesceMs + maxGapMs;
-		apply(await source.changes(version, wait, wait + answerMs), isPrompt);
+		await update(wait, isPrompt);
 	};
 
 	const failed = async (error: unknown): Promise<void> => {
-		if (error instanceof HistoryGoneError) {
-			log.warn('Store has dropped the requested history; the table is listed again.', {path: options.name});
-			try {
-				await list();
-				return;
-			} catch (listError) {
-				log.warn('Store did not list the table.', {path: options.name, err: listError});
-			}
-		}
-
 		failures++;
 		if (failures === 1) {
-			log.warn('Store did not respond.', {path: options.name, ms: roundedAgeMs(respondedAt), err: error});
+			log.warn('Store did not respond with current rows.', {path: options.name, ms: roundedAgeMs(respondedAt), err: error});
 		}
 
 		await pause(Math.min(sharing.isFirstChoice() ? maxBackoffMs : sharing.freshMs, minBackoffMs * (2 ** Math.min(failures - 1, 8))));
@@ -268,7 +269,7 @@
 		try {
 			await pause(delayMs);
 			if (isNeeded()) {
-				apply(await source.changes(version!, 0, answerMs), false);
+				await update(0, false);
 			}
 		} catch (error) {
 			ignoreHintsUntil = performance.now() + maxBackoffMs;
--- a/packages/router/src/lib/fleet/change-source.ts
+++ b/packages/router/src/lib/fleet/change-source.ts
@@ -7,6 +7,11 @@
 	readonly code = 'history_gone';
 }
 
+/** The store listed a table as of an earlier version than one that was seen before. */
+export class OutdatedListingError extends LayerError {
+	readonly code = 'outdated_listing';
+}
+
 /** One row of a followed table. */
 export type Change<T> = {
 	key: string;
--- a/packages/router/src/test/fleet/change-feed.test.ts
+++ b/packages/router/src/test/fleet/change-feed.test.ts
@@ -86,6 +86,24 @@
 		assert.deepEqual(seen, ['all a Infinity']);
 	});
 
+	it('limits its calls to a store that has neither the history nor current rows', async () => {
+		// Guards against a store that is asked again at once, as fast as it responds, by each daemon.
+		let calls = 0;
+		feed = follow({
+			async list() {
+				calls++;
+				return {version: calls === 1 ? 5 : 4, changes: []};
+			},
+			async changes() {
+				calls++;
+				throw new HistoryGoneError('gone');
+			},
+		});
+		await clock.tickAsync(10_000);
+		assert.isBelow(calls, 70);
+		assert.lengthOf(seen, 1);
+	});
+
 	it('polls again after a timeout, and reports the maximum age of the changes', async () => {
 		// The connection is dead. The poll times out after `waitMs` plus `answerMs`, and the
 		// next one returns the missed change.
