Rows of a restored store bring back no endpoint that had left

It would break DRAIN for those that leave without a word, whose removal is all that tells, and cost callers requests to processes about to exit.

Endpoints that the copy lacks keep the grace period of an outage, which a short restore did not give them before. Relays tell peers of the restore.

--- a/packages/entry/src/lib/timings.ts
+++ b/packages/entry/src/lib/timings.ts
@@ -33,6 +33,8 @@
 	expiredGraceMs: number;
 	/** Time after an outage during which expired entries get that grace period. */
 	graceWindowMs: number;
+	/** Time after which the platform has removed the row of an endpoint that no longer runs. */
+	rowExpiryMs: number;
 	/** Timeout of state and order calls to engines. */
 	engineTimeoutMs: number;
 	rolloutEveryMs: number;
@@ -63,6 +65,7 @@
 		handoverMs: settings.leaseMs + 200,
 		expiredGraceMs: settings.drainMs * 0.85,
 		graceWindowMs: settings.heartbeatMs * 3,
+		rowExpiryMs: settings.heartbeatMs * 4,
 		engineTimeoutMs: 250,
 		rolloutEveryMs: 100,
 		balancerDelayMs: 2500,
--- a/packages/entry/src/lib/wiring/feed-wiring.ts
+++ b/packages/entry/src/lib/wiring/feed-wiring.ts
@@ -71,7 +71,9 @@
 	const {
 		store, view, timings, health, loadTracker, presence, versions, limits, residentParts, log,
 	} = parts;
-	const tracker = createEndpointTracker({view, graceMs: timings.expiredGraceMs, graceWindowMs: timings.graceWindowMs});
+	const tracker = createEndpointTracker({
+		view, graceMs: timings.expiredGraceMs, graceWindowMs: timings.graceWindowMs, expiryMs: timings.rowExpiryMs,
+	});
 	const updateHealth = (service: string | undefined): void => {
 		if (service !== undefined && view.current()?.document.services.has(service)) {
 			health.setEndpoints(service, view.endpointsOf(service).map(item => item.id));
--- a/packages/router/src/lib/fleet/change-feed.ts
+++ b/packages/router/src/lib/fleet/change-feed.ts
@@ -177,12 +177,6 @@
 		}
 	};
 
-	/** A copy lacks rows that were written after it was made, as if their writers had been cut off until now. */
-	const recordRestore = (): void => {
-		handler.recovered?.(Number.POSITIVE_INFINITY, 0);
-		relayLog.recovered(Number.POSITIVE_INFINITY);
-	};
-
 	/** Asks for changes, or for the whole table if the store no longer has them. */
 	const update = async (waitMs: number, isPrompt: boolean): Promise<void> => {
 		let changes: Changes<T>;
@@ -196,7 +190,8 @@
 			const isRestored = error instanceof StoreRestoredError;
 			log.warn('Store no longer has the requested history; the table is listed again.', {path: options.name, reason: isRestored ? 'restored' : 'dropped'});
 			if (isRestored) {
-				recordRestore();
+				handler.restored?.(0);
+				relayLog.restored();
 			}
 
 			await list();
@@ -334,6 +329,10 @@
 				handler.recovered?.(...relay.outage);
 			}
 
+			if (relay.restoredMs !== null) {
+				handler.restored?.(relay.restoredMs);
+			}
+
 			acceptRelay(relay);
 			if (earlyRelay !== undefined && version >= earlyRelay.since) {
 				const next = earlyRelay;
--- a/packages/router/src/lib/fleet/change-source.ts
+++ b/packages/router/src/lib/fleet/change-source.ts
@@ -58,4 +58,9 @@
 	update: (rows: ReadonlyArray<Change<T>>, unseenMs: number) => void;
 	/** The store responded `sinceMs` ago after an outage of `outageMs`; may be called again for the same outage. */
 	recovered?: (outageMs: number, sinceMs: number) => void;
+	/**
+	 * The store came back from an older copy at least `sinceMs` ago: rows may be missing, and rows that were
+	 * deleted may be back. Called before the rows of the copy are passed on; may be called again for the same copy.
+	 */
+	restored?: (sinceMs: number) => void;
 };
--- a/packages/router/src/lib/fleet/endpoint-tracker.ts
+++ b/packages/router/src/lib/fleet/endpoint-tracker.ts
@@ -3,6 +3,7 @@
  * only show missed heartbeats, so their endpoints stay for a grace period.
  */
 import {type Change, type ChangeHandler} from './change-source.js';
+import {createCopiedRows} from './copied-rows.js';
 import {type FleetView} from './fleet-view.js';
 import {type LiveEndpoint} from './live-endpoint.js';
 
@@ -13,6 +14,8 @@
 	graceMs: number;
 	/** Time after an outage during which expired entries get the grace period. */
 	graceWindowMs: number;
+	/** Time after which the store has removed the row of an endpoint that no longer runs. */
+	expiryMs: number;
 };
 
 /** Handler of endpoint list changes. */
@@ -22,10 +25,26 @@
 const minOutageMs = 1000;
 
 /** Creates a tracker that writes into a view. */
-export function createEndpointTracker({view, graceMs, graceWindowMs}: EndpointTrackerOptions): EndpointTracker {
+export function createEndpointTracker({
+	view, graceMs, graceWindowMs, expiryMs,
+}: EndpointTrackerOptions): EndpointTracker {
 	const missing = new Map<string, NodeJS.Timeout>();
 	let graceUntil = Number.NEGATIVE_INFINITY;
 
+	const copiedRows = createCopiedRows({expiryMs, onConfirmed: view.acceptEndpoint});
+
+	const extendGrace = (sinceMs: number): void => {
+		graceUntil = Math.max(graceUntil, performance.now() - sinceMs + graceWindowMs);
+	};
+
+	const dropNow = (id: string): void => {
+		const endpoint = view.endpoint(id);
+		if (endpoint !== undefined) {
+			copiedRows.left(endpoint);
+			view.dropEndpoint(id);
+		}
+	};
+
 	const cancelDrop = (id: string): void => {
 		clearTimeout(missing.get(id));
 		missing.delete(id);
@@ -34,14 +53,14 @@
 	const drop = (id: string): void => {
 		if (performance.now() >= graceUntil) {
 			cancelDrop(id);
-			view.dropEndpoint(id);
+			dropNow(id);
 			return;
 		}
 
 		if (!missing.has(id)) {
 			missing.set(id, setTimeout(() => {
 				missing.delete(id);
-				view.dropEndpoint(id);
+				dropNow(id);
 			}, graceMs));
 		}
 	};
@@ -49,8 +68,9 @@
 	const update = (rows: ReadonlyArray<Change<LiveEndpoint>>): void => {
 		for (const {key, item} of rows) {
 			if (item === undefined) {
+				copiedRows.cancel(key);
 				drop(key);
-			} else {
+			} else if (!copiedRows.holds(item)) {
 				cancelDrop(key);
 				view.acceptEndpoint(item);
 			}
@@ -62,6 +82,7 @@
 		replace(rows) {
 			update(rows);
 			const listed = new Set(rows.map(row => row.key));
+			copiedRows.cancelAllBut(listed);
 			for (const id of view.endpointIds()) {
 				if (!listed.has(id)) {
 					drop(id);
@@ -70,10 +91,15 @@
 		},
 		recovered(outageMs, sinceMs) {
 			if (outageMs >= minOutageMs) {
-				graceUntil = Math.max(graceUntil, performance.now() - sinceMs + graceWindowMs);
+				extendGrace(sinceMs);
 			}
 		},
+		restored(sinceMs) {
+			extendGrace(sinceMs);
+			copiedRows.restored(sinceMs);
+		},
 		close() {
+			copiedRows.close();
 			for (const timer of missing.values()) {
 				clearTimeout(timer);
 			}
--- a/packages/router/src/lib/fleet/feed-relay.ts
+++ b/packages/router/src/lib/fleet/feed-relay.ts
@@ -15,6 +15,8 @@
 	isPrompt: z.boolean(),
 	/** Latest outage that the reader saw: its length, and milliseconds since its end. */
 	outage: z.tuple([z.number(), z.number()]).nullable(),
+	/** Milliseconds since the reader saw that the store came back from an older copy; null if that is long ago. */
+	restoredMs: z.number().nullable().default(null),
 });
 
 export type RelayedRow = z.infer<typeof relayedRowSchema>;
@@ -32,6 +34,8 @@
 	changed: (rows: Rows, isPrompt: boolean) => void;
 	/** The store responds again after an outage. */
 	recovered: (outageMs: number) => void;
+	/** The store came back from an older copy. */
+	restored: () => void;
 	/** Returns and clears the changes since the last call. */
 	take: () => FeedRelay;
 };
@@ -45,7 +49,7 @@
 /** Maximum content of one relay, in characters, so that it fits into a datagram. Peers poll the store for the rest. */
 const maxRelayChars = 16 * 1024;
 
-/** Time in milliseconds for which relays report an outage. */
+/** Time in milliseconds for which relays report an outage, or the return from a copy. */
 const outageTtlMs = 10_000;
 
 /** Creates an empty log. */
@@ -55,6 +59,7 @@
 	let since = 0;
 	let version = 0;
 	let outage: {durationMs: number; endedAt: number} | undefined;
+	let restoredAt = Number.NEGATIVE_INFINITY;
 
 	const dropOldest = (): void => {
 		const [oldest] = pending.values();
@@ -111,6 +116,9 @@
 		recovered(outageMs) {
 			outage = {durationMs: Math.min(outageMs, maxOutageMs), endedAt: performance.now()};
 		},
+		restored() {
+			restoredAt = performance.now();
+		},
 		take() {
 			const rows: RelayedRow[] = [];
 			let chars = 0;
@@ -127,8 +135,14 @@
 			}
 
 			const outageMs = outage === undefined ? Number.POSITIVE_INFINITY : performance.now() - outage.endedAt;
+			const sinceRestoreMs = performance.now() - restoredAt;
 			const relay: FeedRelay = {
-				since, version, rows, isPrompt, outage: outageMs <= outageTtlMs ? [Math.round(outage!.durationMs), Math.round(outageMs)] : null,
+				since,
+				version,
+				rows,
+				isPrompt,
+				outage: outageMs <= outageTtlMs ? [Math.round(outage!.durationMs), Math.round(outageMs)] : null,
+				restoredMs: sinceRestoreMs <= outageTtlMs ? Math.round(sinceRestoreMs) : null,
 			};
 			pending = new Map();
 			since = version;
--- a/packages/router/src/test/fleet/endpoint-tracker.test.ts
+++ b/packages/router/src/test/fleet/endpoint-tracker.test.ts
@@ -5,11 +5,11 @@
 } from '../../fleet.js';
 import {createSilentLog} from '../../observability.js';
 
-const row = (id: string): {key: string; version: number; item: LiveEndpoint} => ({
+const row = (id: string, more: Partial<LiveEndpoint> = {}): {key: string; version: number; item: LiveEndpoint} => ({
 	key: id,
 	version: 1,
 	item: {
-		id, service: 'desk', address: '10.0.0.1:80', dataCentre: 'a', slots: 6, isLeaving: false, startedAt: 100, reportNumber: 5, software: 'v1', weights: new Map(),
+		id, service: 'desk', address: '10.0.0.1:80', dataCentre: 'a', slots: 6, isLeaving: false, startedAt: 100, reportNumber: 5, software: 'v1', weights: new Map(), ...more,
 	},
 });
 
@@ -23,7 +23,9 @@
 	beforeEach(() => {
 		clock = FakeTimers.install({toFake: ['performance', 'setTimeout', 'clearTimeout']});
 		view = createFleetView(createSilentLog());
-		tracker = createEndpointTracker({view, graceMs: 1700, graceWindowMs: 3600});
+		tracker = createEndpointTracker({
+			view, graceMs: 1700, graceWindowMs: 3600, expiryMs: 4800,
+		});
 		tracker.replace([row('e1'), row('e2')], 0);
 	});
 
@@ -37,6 +39,58 @@
 		assert.isUndefined(view.endpoint('e1'));
 	});
 
+	it('keeps endpoints whose rows a restored store lacks until they have had the time to write them again', () => {
+		// Guards against a fleet without endpoints after a restore that no outage of note preceded.
+		tracker.restored?.(0);
+		tracker.replace([row('e1')], 0);
+		clock.tick(1600);
+		assert.isDefined(view.endpoint('e2'));
+		clock.tick(200);
+		assert.isUndefined(view.endpoint('e2'));
+	});
+
+	describe('with an endpoint that has left, and a store restored from a copy in which it is ready', () => {
+		beforeEach(() => {
+			tracker.update([deleted('e1')], 0);
+			clock.tick(2000);
+			tracker.restored?.(0);
+			tracker.replace([row('e1', {reportNumber: 4}), row('e2')], 0);
+		});
+
+		it('does not list the endpoint again, also when the list is repeated', () => {
+			// Guards against requests to an endpoint that the store itself had declared gone.
+			clock.tick(1000);
+			tracker.replace([row('e1', {reportNumber: 5}), row('e2')], 0);
+			assert.isUndefined(view.endpoint('e1'));
+			tracker.update([deleted('e1')], 0);
+			clock.tick(10_000);
+			assert.isUndefined(view.endpoint('e1'));
+		});
+
+		it('lists it at once when it has written a later row, or has started again', () => {
+			tracker.update([row('e1', {reportNumber: 6})], 0);
+			assert.equal(view.endpoint('e1')?.reportNumber, 6);
+			tracker.update([deleted('e1')], 0);
+			tracker.restored?.(0);
+			tracker.update([row('e1', {startedAt: 300, reportNumber: 1})], 0);
+			assert.equal(view.endpoint('e1')?.startedAt, 300);
+		});
+
+		it('lists it when its row outlasts the time in which the store removes rows of ended endpoints', () => {
+			// Guards against an endpoint that runs and gets no requests for good.
+			clock.tick(4700);
+			assert.isUndefined(view.endpoint('e1'));
+			clock.tick(200);
+			assert.isDefined(view.endpoint('e1'));
+		});
+
+		it('drops the row with a listing that no longer has it', () => {
+			tracker.replace([row('e2')], 0);
+			clock.tick(10_000);
+			assert.isUndefined(view.endpoint('e1'));
+		});
+	});
+
 	it('keeps endpoints whose entries expired during a store outage for the grace period', () => {
 		// During a 6 s outage the store accepts no heartbeats, so all entries expire and its
 		// first listing is empty. The endpoints still run and are listed again within 2 s;
