A lease is acquired after a restore only once all earlier ones have ended

The table now states its generation, which rises with a restore. From the first response of a new generation, or of a process's first one, nobody acquires a lease for a whole lease and its margin; a holder whose lease is still valid writes its row again, with the token that it has. Tokens begin above those of all earlier generations. A write that the restore overtook grants nothing, whether confirmed or read back.

Tests: directed ones for a lost row and for tokens; in generated sequences of restores, restarts, freezes and lost responses at most one holder and growing tokens. Without the wait, or with tokens that count on from the row, they fail. That an overtaken write grants nothing no sequence showed to be needed; it follows from the order of events alone.

--- a/packages/router/src/lib/leases/lease-holder.ts
+++ b/packages/router/src/lib/leases/lease-holder.ts
@@ -8,6 +8,11 @@
  * paused or cut off from the table thus notices before it acts that its lease has
  * ended. Should it act late all the same, the fencing token in each order
  * invalidates the order.
+ *
+ * When the table comes back from an older copy, its rows no longer tell who holds a
+ * lease. No lease is acquired then until all earlier ones have ended; a holder whose
+ * lease is still valid writes its row again. Fencing tokens start above all that were
+ * given out before.
  */
 import {type TableClient, type TableRow} from '../platform/platform.js';
 import {positionOf} from '../routing/rendezvous.js';
@@ -103,6 +108,8 @@
 const defaultLeaseMs = 30_000;
 const defaultMarginMs = 5000;
 const roundsPerLease = 3;
+/** Fencing tokens of one generation of the table. */
+const fencingPerGeneration = 2 ** 32;
 /** Milliseconds that a contender waits after the reported end of a lease; datagrams arrive much faster than this. */
 const reportMarginMs = 250;
 /**
@@ -139,6 +146,9 @@
 	let attempt = 0;
 	const attempts = new Map<string, {attempt: number; end: number}>();
 	let readAt = Number.NEGATIVE_INFINITY;
+	let generation = 0;
+	/** `performance.now()` at which all leases of earlier generations have ended. */
+	let settledAt = Number.NEGATIVE_INFINITY;
 	let busy = false;
 	let released = false;
 	let timer: NodeJS.Timeout | undefined;
@@ -153,14 +163,30 @@
 
 	const isOurs = (row: LeaseRow) => row.holder === name && row.incarnation === incarnation;
 
+	/** Detects that the table came back from a copy, or that this process doesn't know whether it did before its start. */
+	function checkGeneration(): void {
+		const current = table.generation?.() ?? 0;
+		if (current > generation) {
+			generation = current;
+			settledAt = performance.now() + leaseMs + marginMs;
+			observed.clear();
+		}
+	}
+
+	const isSettled = () => performance.now() >= settledAt;
+
 	function observe(duty: string, found: TableRow): LeaseRow {
+		checkGeneration();
 		const row = parseLeaseRow(found);
 		if (observed.get(duty)?.version !== found.version) {
 			observed.set(duty, {row, version: found.version, unchangedSince: performance.now()});
 		}
 
 		if (!isOurs(row)) {
-			held.delete(duty);
+			if (isSettled()) {
+				held.delete(duty);
+			}
+
 			if (row.note !== undefined) {
 				options.onNote?.(duty, row.note);
 			}
@@ -170,6 +196,10 @@
 	}
 
 	function isVacant(duty: string): boolean {
+		if (!isSettled()) {
+			return false;
+		}
+
 		const known = observed.get(duty);
 		if (!known || known.row.holder === '') {
 			return true;
@@ -204,11 +234,13 @@
 	/** Writes the row and resolves to whether it is in the table. If the response is lost, the row is read back. */
 	async function writeRow(duty: string, row: LeaseRow): Promise<boolean> {
 		const key = leaseKey(duty);
+		const before = generation;
 		try {
 			const result = await table.transact([{key, value: JSON.stringify(row), ifVersion: observed.get(duty)?.version ?? 0}]);
 			if (result.committed) {
 				observed.set(duty, {row, version: result.versions[key], unchangedSince: performance.now()});
-				return true;
+				checkGeneration();
+				return generation === before;
 			}
 		} catch {
 			// The write may have taken effect nevertheless.
@@ -216,7 +248,7 @@
 
 		const found = await table.get(key);
 		const now = found && observe(duty, found);
-		return now !== undefined && isOurs(now) && now.attempt === row.attempt;
+		return generation === before && now !== undefined && isOurs(now) && now.attempt === row.attempt;
 	}
 
 	async function acquireOrRenew(duty: string, fencing: number): Promise<void> {
@@ -236,9 +268,12 @@
 
 	async function runRound(): Promise<void> {
 		// A holder renews from the version that it wrote last, without reading; a conflict shows that the row has changed.
-		if (![...duties].every(duty => msLeftOf(held.get(duty)) > 0)) {
+		checkGeneration();
+		if (![...duties].every(duty => msLeftOf(held.get(duty)) > 0 && observed.has(duty))) {
 			readAt = performance.now();
-			for (const row of await table.list({prefix: leasePrefix})) {
+			const rows = await table.list({prefix: leasePrefix});
+			checkGeneration();
+			for (const row of rows) {
 				observe(dutyOf(row.key), row);
 			}
 		}
@@ -254,7 +289,7 @@
 			if (!isVacant(duty)) {
 				vacantRounds.delete(duty);
 			} else if (isOurTurn(duty)) {
-				await acquireOrRenew(duty, (observed.get(duty)?.row.fencing ?? 0) + 1);
+				await acquireOrRenew(duty, Math.max(observed.get(duty)?.row.fencing ?? 0, generation * fencingPerGeneration) + 1);
 			}
 		}
 	}
--- a/packages/router/src/lib/platform/platform.ts
+++ b/packages/router/src/lib/platform/platform.ts
@@ -45,6 +45,11 @@
 	list: (range: TableRange) => Promise<TableRow[]>;
 	/** Conditional writes, at most 25 in one transaction. */
 	transact: (writes: TableWrite[]) => Promise<TransactionResult>;
+	/**
+	 * Rises when the table comes back from an older copy, so that writes which it had confirmed
+	 * may be lost; 0 until a response has stated it. Absent for a table that loses nothing.
+	 */
+	generation?: () => number;
 };
 
 /** The object store. Every method may reject with `PlatformUnavailableError`. */
