Rows that a restored store lost are written again by those who own them

Each daemon looks for its own entry at each poll of the directory, and polls within 3 s of a restore, spread over the daemons. The two that rank first write the refusals in force again; the writes are conditional. Times of named weights are stored with the generation whose clock they are given by, and those of another one are not applied: the clock may have gone back, and a replaced version would count as fresh.

--- a/packages/entry/src/lib/entry-daemon.ts
+++ b/packages/entry/src/lib/entry-daemon.ts
@@ -4,6 +4,7 @@
 import {createMetricsServer, createReadinessServer, serveMetrics} from 'hickorywalk/forwarding.js';
 import {type Log} from 'hickorywalk/observability.js';
 import {createEntryParts} from './entry-parts.js';
+import {wireRestore} from './wiring/restore-wiring.js';
 
 /** A running daemon. */
 export type EntryDaemon = {
@@ -43,6 +44,7 @@
 	await parts.peers.start();
 	parts.directory.start();
 	parts.refusalRows.start();
+	wireRestore(parts);
 	void parts.leases.start();
 	const droppedLinesTimer = setInterval(() => {
 		const count = logLineBudget.takeDroppedCount();
--- a/packages/entry/src/lib/wiring/lease-wiring.ts
+++ b/packages/entry/src/lib/wiring/lease-wiring.ts
@@ -11,7 +11,7 @@
 /** Creates the record of named weights, which is stored with the lease. */
 export const wireNamingRecord = ({view, store, operatorFeed, log}: EntryParts): NamingRecord =>
 	createNamingRecord({
-		view, storeMs: store.clockMs, feedAgeMs: operatorFeed.ageMs, log,
+		view, storeMs: store.clockMs, generation: store.generation, feedAgeMs: operatorFeed.ageMs, log,
 	});
 
 /** Contends for the lease; peers' reports shorten a takeover. */
--- a/packages/entry/src/lib/wiring/peer-wiring.ts
+++ b/packages/entry/src/lib/wiring/peer-wiring.ts
@@ -160,6 +160,7 @@
 		table: ownTable,
 		everyMs: () => timings.directoryEveryMs * peers.roundsPerRefresh(),
 		onPeer: peers.learn,
+		random: Math.random,
 		log,
 	});
 }
--- a/packages/router/src/lib/peers/peer-directory.ts
+++ b/packages/router/src/lib/peers/peer-directory.ts
@@ -20,73 +20,101 @@
 	/** Poll interval; evaluated after each poll. */
 	everyMs: () => number;
 	onPeer: (name: string, address: string) => void;
+	/** Returns a number in [0, 1). */
+	random: () => number;
 	log: Log;
 };
 
 /** The directory. */
 export type PeerDirectory = {
 	start: () => void;
+	/** The store may have lost entries: polls within a few seconds, spread over the daemons. */
+	entriesLost: () => void;
 	/** Removes this daemon's entry on a planned stop. */
 	leave: () => Promise<void>;
 };
 
 const retryMs = 500;
 
+/** Time within which the daemons poll after entries may have been lost. */
+const lostEntriesPollMs = 3000;
+
 /** Creates the directory; it makes no calls until started. */
 export function createPeerDirectory(options: PeerDirectoryOptions): PeerDirectory {
 	const {table, name, log} = options;
 	const key = prefix + name;
-	let isWritten = false;
+	const value = JSON.stringify({address: options.address, incarnation: options.incarnation});
+	let isListed = false;
 	let timer: NodeJS.Timeout | undefined;
 	let isClosed = false;
 
 	const write = async (): Promise<void> => {
-		await table.transact([{key, value: JSON.stringify({address: options.address, incarnation: options.incarnation})}]);
-		isWritten = true;
+		await table.transact([{key, value}]);
 	};
 
-	const parse = (value: string): z.infer<typeof entrySchema> | undefined => {
+	const parse = (text: string): z.infer<typeof entrySchema> | undefined => {
 		try {
-			return entrySchema.parse(JSON.parse(value));
+			return entrySchema.parse(JSON.parse(text));
 		} catch (error) {
 			log.warn('Peer directory holds an invalid entry.', {err: error});
 			return undefined;
 		}
 	};
 
-	const read = async (): Promise<void> => {
+	/** Passes on the entries of peers; resolves to whether this daemon's own entry is listed. */
+	const read = async (): Promise<boolean> => {
+		let isOwnListed = false;
 		for (const row of await table.list({prefix})) {
-			const entry = row.key === key ? undefined : parse(row.value);
+			if (row.key === key) {
+				isOwnListed = row.value === value;
+				continue;
+			}
+
+			const entry = parse(row.value);
 			if (entry !== undefined) {
 				options.onPeer(row.key.slice(prefix.length), entry.address);
 			}
 		}
+
+		return isOwnListed;
+	};
+
+	const schedule = (delayMs: number): void => {
+		clearTimeout(timer);
+		if (!isClosed) {
+			timer = setTimeout(() => {
+				void poll();
+			}, delayMs);
+		}
 	};
 
 	const poll = async (): Promise<void> => {
 		let pauseMs = options.everyMs();
 		try {
-			if (!isWritten) {
+			// Before the read, so that of two daemons that start together one finds the other.
+			if (!isListed) {
 				await write();
 			}
 
-			await read();
+			isListed = await read();
+			if (!isListed) {
+				await write();
+			}
 		} catch (error) {
 			log.debug('Peer directory could not be read or written.', {err: error});
 			pauseMs = retryMs;
 		}
 
-		if (!isClosed) {
-			timer = setTimeout(() => {
-				void poll();
-			}, pauseMs);
-		}
+		schedule(pauseMs);
 	};
 
 	return {
 		start() {
 			void poll();
 		},
+		entriesLost() {
+			schedule(options.random() * lostEntriesPollMs);
+		},
 		async leave() {
 			isClosed = true;
 			clearTimeout(timer);
--- a/packages/router/src/lib/quarantine/quarantine.ts
+++ b/packages/router/src/lib/quarantine/quarantine.ts
@@ -60,6 +60,8 @@
 	markCompleted: (digest: string) => void;
 	/** Processes a peer's report. */
 	applyPeerReport: (peer: string, report: QuarantineReport) => void;
+	/** Refusals in force. */
+	current: () => Refusal[];
 	/** Merges refusals from the store. */
 	restore: (refusals: readonly Refusal[]) => void;
 	/** This daemon's report. */
@@ -285,6 +287,12 @@
 				});
 			}
 		},
+		current() {
+			const now = performance.now();
+			return Array.from(entries.entries(), ([digest, {term, dueAt, isLifted}]) => ({
+				digest, term, msLeft: dueAt - now, isLifted,
+			})).filter(({msLeft, isLifted}) => msLeft > 0 && !isLifted).map(({digest, term, msLeft}) => ({digest, term, msLeft}));
+		},
 		restore(refusals) {
 			for (const {digest, term, msLeft} of refusals) {
 				if (mergeRefusal(digest, {term, msLeft, isLifted: false})) {
--- a/packages/router/src/lib/weights/naming-record.ts
+++ b/packages/router/src/lib/weights/naming-record.ts
@@ -7,6 +7,8 @@
 import {type Log} from '../observability/log.js';
 
 const recordSchema = z.object({
+	/** Generation of the store by whose clock times are given; another one may have another clock. */
+	generation: z.number().default(0),
 	/** Store time up to which all namings are listed, in milliseconds. */
 	asOf: z.number(),
 	/** Model, version, store time of the naming or null, whether that time is exact or the earliest possible one. */
@@ -20,6 +22,8 @@
 	view: FleetView;
 	/** The store's steady clock in milliseconds; `undefined` before its first answer. */
 	storeMs: () => number | undefined;
+	/** Generation of the store that the clock belongs to. */
+	generation: () => number;
 	/** Milliseconds since this daemon was last up to date with the namings; infinite if never. */
 	feedAgeMs: () => number;
 	log: Log;
@@ -36,13 +40,15 @@
 };
 
 /** Creates an empty record. */
-export function createNamingRecord({view, storeMs, feedAgeMs, log}: NamingRecordOptions): NamingRecord {
+export function createNamingRecord({
+	view, storeMs, generation, feedAgeMs, log,
+}: NamingRecordOptions): NamingRecord {
 	let stored: StoredRecord | undefined;
 	let storedText: string | undefined;
 
 	const apply = (): void => {
 		const now = storeMs();
-		if (stored === undefined || now === undefined) {
+		if (stored === undefined || now === undefined || stored.generation !== generation()) {
 			return;
 		}
 
@@ -70,6 +76,7 @@
 			}
 
 			const record: StoredRecord = {
+				generation: generation(),
 				asOf: Math.floor(now - feedAge),
 				named: namings.map(({model, version, ageMs, isDated}) => [model, version, Number.isFinite(ageMs) ? Math.floor(now - ageMs) : null, isDated]),
 			};
--- a/packages/router/src/routing.ts
+++ b/packages/router/src/routing.ts
@@ -6,4 +6,4 @@
 export {PlacementSnapshotError} from './lib/routing/placement-snapshot.js';
 export * from './lib/routing/placer.js';
 export * from './lib/routing/prompt-pieces.js';
-export {homesByHash} from './lib/routing/rendezvous.js';
+export {homesByHash, positionOf} from './lib/routing/rendezvous.js';
--- a/packages/router/src/test/peers/peer-directory.test.ts
+++ b/packages/router/src/test/peers/peer-directory.test.ts
@@ -29,6 +29,7 @@
 			onPeer(name) {
 				found.push(name);
 			},
+			random: () => 0.5,
 			log: createSilentLog(),
 		});
 		directory.start();
@@ -36,4 +37,34 @@
 		assert.deepEqual(found, ['d']);
 		await directory.leave();
 	});
+
+	it('writes its entry again when the store has lost it or holds that of an earlier process', async () => {
+		// Guards against daemons that no one finds after the store came back from an older copy.
+		const rows = new Map<string, string>();
+		const directory = createPeerDirectory({
+			name: 'a', incarnation: 2, address: 'a:1', everyMs: () => 15_000,
+			table: {
+				get: async () => undefined,
+				list: async () => Array.from(rows, ([key, value]) => ({key, value, version: 1})),
+				async transact([{key, value}]) {
+					rows.set(key, value!);
+					return {committed: true, versions: {}};
+				},
+			},
+			onPeer: () => undefined,
+			random: () => 0.5,
+			log: createSilentLog(),
+		});
+		directory.start();
+		await clock.tickAsync(10);
+		const own = rows.get('daemons/a')!;
+		rows.clear();
+		directory.entriesLost();
+		await clock.tickAsync(1510);
+		assert.equal(rows.get('daemons/a'), own);
+		rows.set('daemons/a', JSON.stringify({address: 'a:9', incarnation: 1}));
+		await clock.tickAsync(15_000);
+		assert.equal(rows.get('daemons/a'), own);
+		await directory.leave();
+	});
 });
--- a/packages/router/src/test/quarantine/quarantine.test.ts
+++ b/packages/router/src/test/quarantine/quarantine.test.ts
@@ -73,6 +73,17 @@
 		to.applyPeerReport('peer', from.report());
 	};
 
+	it('lists the refusals in force, so that a store that lost them can be given them again', () => {
+		const daemon = open('a');
+		crashThrice(daemon, 'bad');
+		assert.deepEqual(daemon.current(), [{digest: 'bad', term: 1, msLeft: firstTermMs}]);
+		clock.tick(firstTermMs);
+		assert.isEmpty(daemon.current());
+		crashThrice(daemon, 'worse');
+		daemon.markCompleted('worse');
+		assert.isEmpty(daemon.current());
+	});
+
 	it('refuses a request on all daemons when three of them each observed a crash', () => {
 		const daemons = ['a', 'b', 'c', 'd'].map(name => open(name));
 		for (const daemon of daemons.slice(0, 3)) {
--- a/packages/router/src/test/weights/naming-record.test.ts
+++ b/packages/router/src/test/weights/naming-record.test.ts
@@ -15,11 +15,13 @@
 	let clock: FakeTimers.Clock;
 	let table: ReturnType<typeof createFakeTable>;
 	let feedAge: number;
+	let generation: number;
 
 	beforeEach(() => {
 		clock = FakeTimers.install();
 		table = createFakeTable(() => 'none');
 		feedAge = 0;
+		generation = 1;
 	});
 
 	afterEach(() => {
@@ -29,7 +31,7 @@
 	const start = (name: string): Daemon => {
 		const view = createFleetView(createSilentLog());
 		const record = createNamingRecord({
-			view, storeMs: () => 1_000_000 + performance.now(), feedAgeMs: () => feedAge, log: createSilentLog(),
+			view, storeMs: () => 1_000_000 + performance.now(), generation: () => generation, feedAgeMs: () => feedAge, log: createSilentLog(),
 		});
 		const leases = createLeaseHolder({
 			name,
@@ -66,6 +68,16 @@
 		}
 	};
 
+	it('applies no times of an earlier generation of the store, whose clock may have been another one', async () => {
+		// Guards against replaced weights that count as fresh because the store's clock went back.
+		await serve();
+		generation = 2;
+		const successor = start('vm-2');
+		learn(successor, 4);
+		await successor.tick();
+		assert.deepEqual(ages(successor).slice(0, 2), [Number.POSITIVE_INFINITY, Number.POSITIVE_INFINITY]);
+	});
+
 	it('preserves the ages of replaced weights when all daemons restart at once', async () => {
 		await serve();
 		await clock.tickAsync(1000);
