A document under a version that was used before is accepted if it differs

Versions go back and are given out again when the store comes back from an older copy. An equal version with another content can only be the later one, since a copy holds what was written under it before. Test: fails without the change.

--- a/packages/router/src/lib/fleet/fleet-view.ts
+++ b/packages/router/src/lib/fleet/fleet-view.ts
@@ -2,6 +2,7 @@
  * State of the fleet as this process knows it: document, endpoints, named weights.
  * State is monotonic: stale updates are ignored.
  */
+import {isDeepStrictEqual} from 'node:util';
 import {type Log} from '../observability/log.js';
 import {type FleetDocument, type Workspace} from './fleet-document.js';
 import {createLeavingRecord, type EndpointProcess} from './leaving-record.js';
@@ -36,7 +37,7 @@
 /** The view, for the router's parts to read and the feeds to write. */
 export type FleetView = {
 	current: () => AcceptedDocument | undefined;
-	/** Ignores documents that are not newer than the current one. */
+	/** Ignores documents with an earlier version. One with the current version is accepted if it differs: a restored store gives versions out again. */
 	acceptDocument: (document: FleetDocument) => void;
 	/** Live endpoints of a service, including leaving ones. */
 	endpointsOf: (service: string) => readonly LiveEndpoint[];
@@ -139,8 +140,8 @@
 	return {
 		current: () => accepted,
 		acceptDocument(document) {
-			const before = accepted?.document.version;
-			if (before !== undefined && document.version <= before) {
+			const before = accepted?.document;
+			if (before !== undefined && (document.version < before.version || isDeepStrictEqual(document, before))) {
 				return;
 			}
 
--- a/packages/router/src/test/fleet/fleet-view.test.ts
+++ b/packages/router/src/test/fleet/fleet-view.test.ts
@@ -40,6 +40,21 @@
 		assert.isFalse(view.current()?.workspaceOfKey.has('k2'));
 	});
 
+	it('accepts another document under the current version, which a restored store may give out again', () => {
+		// Guards against a confirmed change that is never in force because its version was used before.
+		const view = createFleetView(createSilentLog());
+		let accepted = 0;
+		view.onDocument(() => {
+			accepted++;
+		});
+		view.acceptDocument(document(7, ['k1']));
+		view.acceptDocument(document(7, ['k1']));
+		assert.equal(accepted, 1);
+		view.acceptDocument(document(7, ['k2']));
+		assert.isTrue(view.current()?.workspaceOfKey.has('k2'));
+		assert.isFalse(view.current()?.workspaceOfKey.has('k1'));
+	});
+
 	it('ignores outdated reports of an endpoint', () => {
 		// An endpoint has reported that it is leaving. An earlier report of it, or one of the
 		// previous process, arrives late and must not get it new requests.
