A daemon that starts waits for the document that its peers serve by

Suspected, and shown by a test: a daemon that starts after a restore, before the operator has written the newest document again, serves by that of the copy. Callers would get 404 for a confirmed route, which they don't repeat, and a revoked key would be accepted.

Reports carry the version of the document in force; the document itself holds keys and is never relayed. A process that has not caught up with its peers since its start is unready and refuses as not run, for 10 s at most. Once it has, it serves by what it has, as before when it is cut off.

Test: of three daemons the restarted one was ready without the change; now it is unready and answers 503 until the document is written again, then 200.

--- a/packages/entry/src/lib/entry-daemon.ts
+++ b/packages/entry/src/lib/entry-daemon.ts
@@ -32,7 +32,7 @@
 	} = parts;
 	log.info('Daemon starts.', {incarnation: parts.incarnation});
 
-	const isReady = (): boolean => !state.isStopping && operatorFeed.newestChange() > 0 && endpointFeed.newestChange() > 0 && view.current() !== undefined;
+	const isReady = (): boolean => !state.isStopping && operatorFeed.newestChange() > 0 && endpointFeed.newestChange() > 0 && parts.documentGuard.current() !== undefined;
 	const readiness = createReadinessServer(isReady, [readinessPath]);
 	serveMetrics(readiness, metrics.text);
 	metrics.registerGauges({requestsInFlight: parts.forwarder.inFlight, livePeers: () => parts.peers.live().length});
--- a/packages/entry/src/lib/entry-parts.ts
+++ b/packages/entry/src/lib/entry-parts.ts
@@ -5,7 +5,7 @@
 import {
 	asFunction, asValue, type AwilixContainer, createContainer, InjectionMode,
 } from 'awilix';
-import {createEndpointPresence, createFleetView} from 'hickorywalk/fleet.js';
+import {createDocumentGuard, createEndpointPresence, createFleetView} from 'hickorywalk/fleet.js';
 import {createEntryServer, createForwarder} from 'hickorywalk/forwarding.js';
 import {createLineBudget, createLog} from 'hickorywalk/observability.js';
 import {createUndiciTransport} from 'hickorywalk/orders.js';
@@ -44,6 +44,7 @@
 		incarnation: asValue(Date.now()),
 		log: asValue(createLog('entry', {vm: settings.name, dataCentre: settings.dataCentre})),
 		view: asFunction(({log}: EntryParts) => createFleetView(log)).singleton(),
+		documentGuard: asFunction(({view, timings}: EntryParts) => createDocumentGuard({view, maxWaitMs: timings.catchUpMs})).singleton(),
 		versions: asFunction((parts: EntryParts) => createEngineVersions({
 			// Each renewal of the lease is reported to all peers, and a plan can't outlive its lease.
 			planRepeatMs: () => Math.min(parts.peers.silenceMs(), parts.timings.leaseMs),
@@ -94,6 +95,7 @@
 		logLineBudget: asFunction(() => createLineBudget({perSecond: logLinesPerSecond})).singleton(),
 		forwarder: asFunction((parts: EntryParts) => createForwarder({
 			view: parts.view,
+			document: parts.documentGuard.current,
 			headers: createCallHeaders(),
 			quota: parts.quota,
 			quarantine: parts.quarantine,
--- a/packages/entry/src/lib/timings.ts
+++ b/packages/entry/src/lib/timings.ts
@@ -38,6 +38,8 @@
 	/** Timeout of state and order calls to engines. */
 	engineTimeoutMs: number;
 	rolloutEveryMs: number;
+	/** Time for which a process that has just started waits for the document that its peers serve by. */
+	catchUpMs: number;
 	/** Time for which the load balancer may still open connections after this process became unready. */
 	balancerDelayMs: number;
 };
@@ -68,6 +70,7 @@
 		rowExpiryMs: settings.heartbeatMs * 4,
 		engineTimeoutMs: 250,
 		rolloutEveryMs: 100,
+		catchUpMs: 10_000,
 		balancerDelayMs: 2500,
 	};
 }
--- a/packages/entry/src/lib/wiring/parts.ts
+++ b/packages/entry/src/lib/wiring/parts.ts
@@ -1,6 +1,8 @@
 /** Types of the entry daemon's parts, by their name in the container. */
 import {type BootSettings, type createEndpointControl, type createStoreClient} from '@hickorywalk/platform';
-import {type ChangeFeed, type EndpointPresence, type FleetView} from 'hickorywalk/fleet.js';
+import {
+	type ChangeFeed, type EndpointPresence, type DocumentGuard, type FleetView,
+} from 'hickorywalk/fleet.js';
 import {type createEntryServer, type createForwarder, type ForwardingEvents} from 'hickorywalk/forwarding.js';
 import {type DutyTimer, type LeaseHolder} from 'hickorywalk/leases.js';
 import {type LineBudget, type Log} from 'hickorywalk/observability.js';
@@ -33,6 +35,7 @@
 	incarnation: number;
 	log: Log;
 	view: FleetView;
+	documentGuard: DocumentGuard;
 	versions: EngineVersions;
 	releases: UnprovenVersions;
 	loadTracker: EndpointLoadTracker;
--- a/packages/entry/src/lib/wiring/peer-wiring.ts
+++ b/packages/entry/src/lib/wiring/peer-wiring.ts
@@ -22,6 +22,7 @@
 			return;
 		}
 
+		parts.documentGuard.inForceElsewhere(report.heard.document ?? 0);
 		quota.applyPeerReport(report);
 		loadTracker.applyPeerReport(report);
 		parts.storedParts.applyPeerReport(report.kept);
@@ -78,7 +79,9 @@
 		minSilenceMs: timings.minPeerSilenceMs,
 		sharedClockMs: () => parts.store.clockMs(),
 		compose: () => ({
-			heard: {operator: parts.operatorFeed.newestChange(), endpoints: parts.endpointFeed.newestChange()},
+			heard: {
+				operator: parts.operatorFeed.newestChange(), endpoints: parts.endpointFeed.newestChange(), document: parts.documentGuard.current()?.document.version ?? 0,
+			},
 			usage: quota.report(),
 			loads: loadTracker.report(),
 			named: parts.view.recentWeights(settings.weightsMs * 2),
--- a/packages/router/src/fleet.ts
+++ b/packages/router/src/fleet.ts
@@ -3,6 +3,7 @@
 export type * from './lib/fleet/call-headers.js';
 export * from './lib/fleet/change-feed.js';
 export * from './lib/fleet/change-source.js';
+export * from './lib/fleet/document-guard.js';
 export * from './lib/fleet/endpoint-presence.js';
 export * from './lib/fleet/endpoint-tracker.js';
 export * from './lib/fleet/feed-relay.js';
--- a/packages/router/src/lib/forwarding/forwarder.ts
+++ b/packages/router/src/lib/forwarding/forwarder.ts
@@ -2,6 +2,7 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type CallFacts} from '../fleet/call-headers.js';
 import {type Route, type Workspace} from '../fleet/fleet-document.js';
+import {type AcceptedDocument} from '../fleet/fleet-view.js';
 import {chooseService} from '../fleet/route-table.js';
 import {type CapacityWait} from '../placing/capacity-wait.js';
 import {type Choice} from '../placing/endpoint-choice.js';
@@ -24,6 +25,8 @@
 
 /** Options of {@link createForwarder}. */
 export type ForwarderOptions = Omit<EndpointSenderOptions, 'mayMoveAway'> & {
+	/** The document to serve by. */
+	document: () => AcceptedDocument | undefined;
 	quota: FleetQuota;
 	quarantine: Quarantine;
 	capacityWait: CapacityWait;
@@ -124,7 +127,7 @@
 
 	/** Runs the checks that need no endpoint: route, key, quarantine and quota. */
 	const admit = (req: IncomingMessage, body: RequestBody | undefined, facts: CallFacts): Admitted | Refused => {
-		const found = options.isClosed() ? 'stopping' : findRoute(view.current(), {req, facts, bodyBytes: body?.content.length ?? 0});
+		const found = options.isClosed() ? 'stopping' : findRoute(options.document(), {req, facts, bodyBytes: body?.content.length ?? 0});
 		if (typeof found === 'string') {
 			return {refusal: {name: found, retryAfterMs: found === 'no_document' ? noDocumentRetryMs : 0}, details: {}};
 		}
--- a/packages/router/src/lib/peers/peer-report.ts
+++ b/packages/router/src/lib/peers/peer-report.ts
@@ -26,7 +26,7 @@
 	address: z.string(),
 	/** Data centre of this daemon. */
 	dataCentre: z.string().default(''),
-	/** Newest store version seen, by table. */
+	/** Newest store version seen, by table; as `document`, the version of the document in force. */
 	heard: z.record(z.string(), z.number()),
 	/**
 	 * Workspace, units admitted since start, units requested per second, units left in the fleet's
