An endpoint's own row says that it leaves, whatever a later process said

A later process under an id proves that the earlier one has ended, so both count as leaving. The generated test now asks for exactly that in every state; the former expectation, that the earlier one stays live, was wrong in this. A heartbeat no longer copies the endpoint.

--- a/packages/entry/src/lib/wiring/parts.ts
+++ b/packages/entry/src/lib/wiring/parts.ts
@@ -1,7 +1,7 @@
 /** Types of the entry daemon's parts, by their name in the container. */
 import {type BootSettings, type createEndpointControl, type createStoreClient} from '@hickorywalk/platform';
 import {
-	type ChangeFeed, type EndpointPresence, type DocumentGuard, type FleetView,
+	type ChangeFeed, type DocumentGuard, type EndpointPresence, type FleetView,
 } from 'hickorywalk/fleet.js';
 import {type createEntryServer, type createForwarder, type ForwardingEvents} from 'hickorywalk/forwarding.js';
 import {type DutyTimer, type LeaseHolder} from 'hickorywalk/leases.js';
@@ -9,7 +9,7 @@
 import {type createUndiciTransport} from 'hickorywalk/orders.js';
 import {type createPeerDirectory, type PeerExchange} from 'hickorywalk/peers.js';
 import {
-	type createEndpointChoice, type EndpointLoadTracker, type CapacityWait, type EndpointBackoff, type EndpointLimits, type StoredParts, type ResidentParts,
+	type CapacityWait, type createEndpointChoice, type EndpointBackoff, type EndpointLimits, type EndpointLoadTracker, type ResidentParts, type StoredParts,
 } from 'hickorywalk/placing.js';
 import {type CrashWatch, type Quarantine, type RefusalRows} from 'hickorywalk/quarantine.js';
 import {type FleetQuota} from 'hickorywalk/quotas.js';
--- a/packages/router/src/lib/fleet/fleet-view.ts
+++ b/packages/router/src/lib/fleet/fleet-view.ts
@@ -167,11 +167,11 @@
 				unlistedLeaving.add(endpoint.id);
 			}
 
-			put({...endpoint, isLeaving: leaving.has(endpoint)}, known, 'list');
+			put(unlistedLeaving.has(endpoint.id) ? {...endpoint, isLeaving: true} : endpoint, known, 'list');
 		},
 		markLeaving(process, source) {
 			const known = endpoints.get(process.id);
-			if (leaving.add(process) && known?.startedAt === process.startedAt) {
+			if (leaving.add(process) && known !== undefined && !known.isLeaving && leaving.has(known)) {
 				unlistedLeaving.add(process.id);
 				put({...known, isLeaving: true}, known, source);
 			}
--- a/packages/router/src/lib/fleet/leaving-record.ts
+++ b/packages/router/src/lib/fleet/leaving-record.ts
@@ -1,7 +1,7 @@
 /**
  * Endpoint processes that are known to be leaving. A process never takes this back, so neither
  * an outdated row nor a removal and renewed listing of its row clears the record; only a later
- * process under the same id is unaffected.
+ * process under the same id is unaffected. An earlier one has ended.
  */
 import {LRUCache} from 'lru-cache';
 import {type LiveEndpoint} from './live-endpoint.js';
@@ -13,6 +13,7 @@
 export type LeavingRecord = {
 	/** Records that a process is leaving; returns false if that was known, or if a later process is. */
 	add: (process: EndpointProcess) => boolean;
+	/** Whether the process is leaving, or a later one under its id is. */
 	has: (process: EndpointProcess) => boolean;
 };
 
@@ -23,15 +24,17 @@
 export function createLeavingRecord(): LeavingRecord {
 	const startOf = new LRUCache<string, number>({max: maxProcesses});
 
+	const has = ({id, startedAt}: EndpointProcess): boolean => startedAt <= (startOf.peek(id) ?? Number.NEGATIVE_INFINITY);
+
 	return {
-		add({id, startedAt}) {
-			if (startedAt <= (startOf.peek(id) ?? Number.NEGATIVE_INFINITY)) {
+		add(process) {
+			if (has(process)) {
 				return false;
 			}
 
-			startOf.set(id, startedAt);
+			startOf.set(process.id, process.startedAt);
 			return true;
 		},
-		has: ({id, startedAt}) => startOf.peek(id) === startedAt,
+		has,
 	};
 }
--- a/packages/router/src/test/fleet/leaving-endpoints.test.ts
+++ b/packages/router/src/test/fleet/leaving-endpoints.test.ts
@@ -36,9 +36,9 @@
 		assert.isFalse(view.endpoint(id)?.isLeaving);
 	});
 
-	it('applies the notice of a process that is listed only later', () => {
+	it('applies the notice of a process that is listed only later, and ends the one before it', () => {
 		view.markLeaving({id, startedAt: 200}, 'peer');
-		assert.isFalse(view.endpoint(id)?.isLeaving);
+		assert.isTrue(view.endpoint(id)?.isLeaving);
 		view.acceptEndpoint(endpoint({startedAt: 200, reportNumber: 1}));
 		assert.isTrue(view.endpoint(id)?.isLeaving);
 	});
@@ -82,9 +82,8 @@
 				}
 
 				const listed = subject.endpoint(id);
-				// Notices of processes before the latest known leaving one are not kept.
-				if (listed?.startedAt === Math.max(...leaving)) {
-					assert.isTrue(listed.isLeaving);
+				if (listed !== undefined) {
+					assert.equal(listed.isLeaving, listed.startedAt <= Math.max(...leaving));
 				}
 			}
 		}), {seed: 1});
