The grace of endpoints that a copy lacks counts from the restore

The 1.7 s now count from the moment at which the daemon, or the reader that relays, learned of the restore. Test: kept for the rest of the time only; it was kept for 1.7 s from the listing before.

--- a/packages/router/src/lib/fleet/change-feed.ts
+++ b/packages/router/src/lib/fleet/change-feed.ts
@@ -187,11 +187,10 @@
 				throw error;
 			}
 
-			const isRestored = error instanceof StoreRestoredError;
-			log.warn('Store no longer has the requested history; the table is listed again.', {path: options.name, reason: isRestored ? 'restored' : 'dropped'});
-			if (isRestored) {
-				handler.restored?.(0);
-				relayLog.restored();
+			log.warn('Store no longer has the requested history; the table is listed again.', {path: options.name, reason: error instanceof StoreRestoredError ? 'restored' : 'dropped'});
+			if (error instanceof StoreRestoredError) {
+				handler.restored?.(error.knownForMs);
+				relayLog.restored(error.knownForMs);
 			}
 
 			await list();
--- a/packages/router/src/lib/fleet/change-source.ts
+++ b/packages/router/src/lib/fleet/change-source.ts
@@ -10,6 +10,11 @@
 /** The store has come back from an older copy, so all that was read before may have changed. */
 export class StoreRestoredError extends HistoryGoneError {
 	override readonly code = 'store_restored';
+
+	/** @param knownForMs Milliseconds since this daemon learned that the store has come back. */
+	constructor(message: string, readonly knownForMs: number) {
+		super(message);
+	}
 }
 
 /** The store listed a table as of an earlier version than one that was seen before. */
--- a/packages/router/src/lib/fleet/endpoint-tracker.ts
+++ b/packages/router/src/lib/fleet/endpoint-tracker.ts
@@ -30,13 +30,11 @@
 }: EndpointTrackerOptions): EndpointTracker {
 	const missing = new Map<string, NodeJS.Timeout>();
 	let graceUntil = Number.NEGATIVE_INFINITY;
+	/** Until then, endpoints that a copy lacks may write their rows again. */
+	let rewriteUntil = Number.NEGATIVE_INFINITY;
 
 	const copiedRows = createCopiedRows({expiryMs, onConfirmed: view.acceptEndpoint});
 
-	const extendGrace = (sinceMs: number): void => {
-		graceUntil = Math.max(graceUntil, performance.now() - sinceMs + graceWindowMs);
-	};
-
 	const dropNow = (id: string): void => {
 		const endpoint = view.endpoint(id);
 		if (endpoint !== undefined) {
@@ -51,7 +49,9 @@
 	};
 
 	const drop = (id: string): void => {
-		if (performance.now() >= graceUntil) {
+		const now = performance.now();
+		const delayMs = now < graceUntil ? graceMs : rewriteUntil - now;
+		if (delayMs <= 0) {
 			cancelDrop(id);
 			dropNow(id);
 			return;
@@ -61,7 +61,7 @@
 			missing.set(id, setTimeout(() => {
 				missing.delete(id);
 				dropNow(id);
-			}, graceMs));
+			}, delayMs));
 		}
 	};
 
@@ -91,11 +91,12 @@
 		},
 		recovered(outageMs, sinceMs) {
 			if (outageMs >= minOutageMs) {
-				extendGrace(sinceMs);
+				graceUntil = Math.max(graceUntil, performance.now() - sinceMs + graceWindowMs);
 			}
 		},
 		restored(sinceMs) {
-			extendGrace(sinceMs);
+			// Counted from the restore, since a late listing must not delay the end of a row beyond the bound.
+			rewriteUntil = Math.max(rewriteUntil, performance.now() - sinceMs + graceMs);
 			copiedRows.restored(sinceMs);
 		},
 		close() {
--- a/packages/router/src/lib/fleet/feed-relay.ts
+++ b/packages/router/src/lib/fleet/feed-relay.ts
@@ -15,7 +15,7 @@
 	isPrompt: z.boolean(),
 	/** Latest outage that the reader saw: its length, and milliseconds since its end. */
 	outage: z.tuple([z.number(), z.number()]).nullable(),
-	/** Milliseconds since the reader saw that the store came back from an older copy; null if that is long ago. */
+	/** Milliseconds since the reader learned that the store came back from an older copy; null if that is long ago. */
 	restoredMs: z.number().nullable().default(null),
 });
 
@@ -34,8 +34,8 @@
 	changed: (rows: Rows, isPrompt: boolean) => void;
 	/** The store responds again after an outage. */
 	recovered: (outageMs: number) => void;
-	/** The store came back from an older copy. */
-	restored: () => void;
+	/** The store came back from an older copy at least `sinceMs` ago. */
+	restored: (sinceMs: number) => void;
 	/** Returns and clears the changes since the last call. */
 	take: () => FeedRelay;
 };
@@ -116,8 +116,8 @@
 		recovered(outageMs) {
 			outage = {durationMs: Math.min(outageMs, maxOutageMs), endedAt: performance.now()};
 		},
-		restored() {
-			restoredAt = performance.now();
+		restored(sinceMs) {
+			restoredAt = performance.now() - sinceMs;
 		},
 		take() {
 			const rows: RelayedRow[] = [];
--- a/packages/router/src/test/fleet/endpoint-tracker.test.ts
+++ b/packages/router/src/test/fleet/endpoint-tracker.test.ts
@@ -49,6 +49,17 @@
 		assert.isUndefined(view.endpoint('e2'));
 	});
 
+	it('keeps endpoints that a restored store lacks no longer when the listing comes late', () => {
+		// Guards against requests to an endpoint beyond the bound, when the daemon that reads the list was lost as well.
+		clock.tick(1100);
+		tracker.restored?.(1100);
+		tracker.replace([row('e1')], 1100);
+		clock.tick(590);
+		assert.isDefined(view.endpoint('e2'));
+		clock.tick(20);
+		assert.isUndefined(view.endpoint('e2'));
+	});
+
 	describe('with an endpoint that has left, and a store restored from a copy in which it is ready', () => {
 		beforeEach(() => {
 			tracker.update([deleted('e1')], 0);
--- a/packages/router/src/test/fleet/shared-feed.test.ts
+++ b/packages/router/src/test/fleet/shared-feed.test.ts
@@ -71,7 +71,7 @@
 		async feed(after: number, wait: number) {
 			const check = (): void => {
 				if (after < era * versionsPerEra) {
-					throw new StoreRestoredError('restored');
+					throw new StoreRestoredError('restored', 0);
 				}
 
 				if (after < historyFrom) {
