--- a/packages/router/src/lib/fleet/copied-rows.ts
+++ b/packages/router/src/lib/fleet/copied-rows.ts
@@ -4,7 +4,7 @@
  * have removed the row of an endpoint that no longer runs.
  */
 import {LRUCache} from 'lru-cache';
-import {isLater, type LiveEndpoint} from './live-endpoint.js';
+import {isNewer, type LiveEndpoint} from './live-endpoint.js';
 
 /** Options of {@link createCopiedRows}. */
 export type CopiedRowsOptions = {
@@ -45,7 +45,15 @@
 
 	const mayBeCopied = (endpoint: LiveEndpoint): boolean => {
 		const known = latest.peek(endpoint.id);
-		return known !== undefined && known.leftAt <= restoredAt && !isLater(endpoint, known.endpoint);
+		return known !== undefined && known.leftAt <= restoredAt && isNewer(known.endpoint, endpoint);
+	};
+
+	const cancelAllBut = (listed: ReadonlySet<string>): void => {
+		for (const id of held.keys()) {
+			if (!listed.has(id)) {
+				cancel(id);
+			}
+		}
 	};
 
 	return {
@@ -72,17 +80,9 @@
 			return true;
 		},
 		cancel,
-		cancelAllBut(listed) {
-			for (const id of held.keys()) {
-				if (!listed.has(id)) {
-					cancel(id);
-				}
-			}
-		},
+		cancelAllBut,
 		close() {
-			for (const id of held.keys()) {
-				cancel(id);
-			}
+			cancelAllBut(new Set());
 		},
 	};
 }
--- a/packages/router/src/lib/fleet/fleet-view.ts
+++ b/packages/router/src/lib/fleet/fleet-view.ts
@@ -160,14 +160,18 @@
 				return;
 			}
 
-			unlistedLeaving.delete(endpoint.id);
 			if (endpoint.isLeaving) {
 				leaving.add(endpoint);
-			} else if (leaving.has(endpoint)) {
+			}
+
+			const isUnlisted = !endpoint.isLeaving && leaving.has(endpoint);
+			if (isUnlisted) {
 				unlistedLeaving.add(endpoint.id);
+			} else {
+				unlistedLeaving.delete(endpoint.id);
 			}
 
-			put(unlistedLeaving.has(endpoint.id) ? {...endpoint, isLeaving: true} : endpoint, known, 'list');
+			put(isUnlisted ? {...endpoint, isLeaving: true} : endpoint, known, 'list');
 		},
 		markLeaving(process, source) {
 			const known = endpoints.get(process.id);
--- a/packages/router/src/lib/fleet/live-endpoint.ts
+++ b/packages/router/src/lib/fleet/live-endpoint.ts
@@ -22,11 +22,6 @@
 	weights: ReadonlyMap<string, number>;
 };
 
-/** Whether `update` is a later report than `known`, from the same process or a later one. */
-export function isLater(update: LiveEndpoint, known: LiveEndpoint): boolean {
-	return update.startedAt === known.startedAt ? update.reportNumber > known.reportNumber : update.startedAt > known.startedAt;
-}
-
 /** Whether `update` is at least as recent a report as `known`, from the same process or a later one. */
 export function isNewer(update: LiveEndpoint, known: LiveEndpoint): boolean {
 	return update.startedAt === known.startedAt
--- a/packages/router/src/lib/forwarding/forwarder.ts
+++ b/packages/router/src/lib/forwarding/forwarder.ts
@@ -20,7 +20,7 @@
 import {createEndpointSender, type EndpointSenderOptions} from './send-to-endpoint.js';
 import {respondsSoon} from './silence-timeouts.js';
 import {
-	decideNext, reasonOf, type Decision, decideWithoutEndpoint,
+	decideNext, reasonOf, type Decision, type DecisionOptions, decideWithoutEndpoint,
 } from './retry-decision.js';
 
 /** Options of {@link createForwarder}. */
@@ -76,6 +76,8 @@
 
 	const send = createEndpointSender({...options, mayMoveAway});
 
+	const decisionOptions: DecisionOptions = {mayTryElsewhere, standingOf: quarantine.standingOf, capacityWait: options.capacityWait};
+
 	const run = async (call: Call): Promise<Decision> => {
 		for (;;) {
 			const chosen = chooseFor(call);
@@ -94,7 +96,7 @@
 				quarantine.markCompleted(call.digest);
 			}
 
-			const decision = decideNext(call, end, {mayTryElsewhere, standingOf: quarantine.standingOf, capacityWait: options.capacityWait});
+			const decision = decideNext(call, end, decisionOptions);
 			if (end.kind !== 'answered' && end.kind !== 'callerLeft') {
 				options.events.attemptFailed({
 					requestId: call.facts.requestId, digest: call.digest, endpoint: chosen.endpoint.id, service: call.service, reason: reasonOf(end), ms: performance.now() - sentAt,
--- a/packages/router/src/lib/forwarding/send-to-endpoint.ts
+++ b/packages/router/src/lib/forwarding/send-to-endpoint.ts
@@ -1,9 +1,9 @@
 /** Runs one attempt of a request and records what its outcome shows about the endpoint. */
 import {type ResponseFacts, type CallHeaders, type Dispatch} from '../fleet/call-headers.js';
 import {type EndpointPresence} from '../fleet/endpoint-presence.js';
+import {type FleetView} from '../fleet/fleet-view.js';
 import {type LiveEndpoint} from '../fleet/live-endpoint.js';
 import {type EndpointTransport} from '../orders/endpoint-transport.js';
-import {type FleetView} from '../fleet/fleet-view.js';
 import {connectionLossFailures, failureClasses} from '../orders/failure-classes.js';
 import {type EndpointLoadTracker} from '../placing/endpoint-load-tracker.js';
 import {type Choice, type EndpointChoice} from '../placing/endpoint-choice.js';
@@ -51,6 +51,9 @@
 /** Id of the last event that the caller has; empty if none. */
 const streamPosition = ({progress, facts}: Call): string => (progress.lastEventId ?? facts.resumeAfter ?? '').slice(0, maxPositionChars);
 
+/** Whether the response is the endpoint's own; another process may respond at its address. */
+const isOwnResponse = ({id}: LiveEndpoint, facts: ResponseFacts | undefined): boolean => (facts?.endpointId ?? id) === id;
+
 /** Creates a sender. */
 export function createEndpointSender(options: EndpointSenderOptions): SendToEndpoint {
 	const {
@@ -76,10 +79,10 @@
 		}
 	};
 
-	/** Records what the endpoint says of itself; a response of another process at its address says nothing of it. */
+	/** Records what the endpoint says of itself. */
 	const recordNotices = (chosen: Choice, facts: ResponseFacts): void => {
 		const {endpoint} = chosen;
-		if ((facts.endpointId ?? endpoint.id) !== endpoint.id) {
+		if (!isOwnResponse(endpoint, facts)) {
 			return;
 		}
 
@@ -94,7 +97,7 @@
 	};
 
 	const recordNotRun = (endpoint: LiveEndpoint, facts: ResponseFacts | undefined): void => {
-		if ((facts?.endpointId ?? endpoint.id) !== endpoint.id) {
+		if (!isOwnResponse(endpoint, facts)) {
 			presence.replaced(endpoint);
 		} else if (facts === undefined || facts.backoffMs === 0) {
 			presence.declined(endpoint);
--- a/packages/router/src/lib/placing/capacity-wait.ts
+++ b/packages/router/src/lib/placing/capacity-wait.ts
@@ -27,13 +27,14 @@
 export function createCapacityWait({view, presence, backoff, limits, random}: CapacityWaitOptions): CapacityWait {
 	return service => {
 		const usable = view.endpointsOf(service).filter(endpoint => !endpoint.isLeaving && !presence.hasEnded(endpoint));
-		const open = usable.filter(endpoint => backoff.leftMs(endpoint) === 0);
+		const pausesMs = usable.map(endpoint => backoff.leftMs(endpoint));
+		const open = usable.filter((_endpoint, index) => pausesMs[index] === 0);
 		const limitedMs = open.length === 0 ? Number.POSITIVE_INFINITY : limits.waitMs(open);
 		if (usable.length === 0 || limitedMs === undefined) {
 			return undefined;
 		}
 
-		const pauses = usable.map(endpoint => backoff.leftMs(endpoint)).filter(ms => ms > 0);
-		return Math.min(limitedMs, Math.min(...pauses) * (1 + (extensionRatio * random())));
+		const firstEndMs = Math.min(...pausesMs.filter(ms => ms > 0));
+		return Math.min(limitedMs, firstEndMs * (1 + (extensionRatio * random())));
 	};
 }
--- a/packages/router/src/lib/placing/endpoint-backoff.ts
+++ b/packages/router/src/lib/placing/endpoint-backoff.ts
@@ -6,6 +6,7 @@
 import {type EndpointProcess} from '../fleet/leaving-record.js';
 import {type LiveEndpoint} from '../fleet/live-endpoint.js';
 import {type Log} from '../observability/log.js';
+import {returnRoom} from '../routing/return-room.js';
 
 /** Options of {@link createEndpointBackoff}. */
 export type EndpointBackoffOptions = {
@@ -34,7 +35,6 @@
 
 /** Time after a pause in which the number of requests in flight is limited. */
 const returnMs = 1000;
-const requestsWhileReturning = 8;
 
 /** Creates a record without pauses. */
 export function createEndpointBackoff({random, log}: EndpointBackoffOptions): EndpointBackoff {
@@ -42,7 +42,7 @@
 	const pauses = new LRUCache<string, Pause>({max: maxPauses});
 
 	const pauseOf = ({id, startedAt}: EndpointProcess): Pause | undefined => {
-		const pause = pauses.get(id);
+		const pause = pauses.peek(id);
 		return pause?.startedAt === startedAt ? pause : undefined;
 	};
 
@@ -67,11 +67,7 @@
 			}
 
 			const sinceMs = performance.now() - pause.until;
-			if (sinceMs < 0) {
-				return 0;
-			}
-
-			return sinceMs >= returnMs ? Number.POSITIVE_INFINITY : 1 + Math.floor(requestsWhileReturning * sinceMs / returnMs);
+			return sinceMs < 0 ? 0 : returnRoom(sinceMs, returnMs);
 		},
 	};
 }
--- a/packages/router/src/lib/quarantine/quarantine.ts
+++ b/packages/router/src/lib/quarantine/quarantine.ts
@@ -288,10 +288,15 @@
 			}
 		},
 		current() {
-			const now = performance.now();
-			return Array.from(entries.entries(), ([digest, {term, dueAt, isLifted}]) => ({
-				digest, term, msLeft: dueAt - now, isLifted,
-			})).filter(({msLeft, isLifted}) => msLeft > 0 && !isLifted).map(({digest, term, msLeft}) => ({digest, term, msLeft}));
+			const refusals: Refusal[] = [];
+			for (const [digest, {term, dueAt, isLifted}] of entries.entries()) {
+				const msLeft = dueAt - performance.now();
+				if (msLeft > 0 && !isLifted) {
+					refusals.push({digest, term, msLeft});
+				}
+			}
+
+			return refusals;
 		},
 		restore(refusals) {
 			for (const {digest, term, msLeft} of refusals) {
--- a/packages/router/src/lib/routing/health.ts
+++ b/packages/router/src/lib/routing/health.ts
@@ -5,6 +5,7 @@
  * service: when everything fails, the cause is not a single endpoint, and
  * ejecting endpoints would overload the rest until none is left.
  */
+import {returnRoom} from './return-room.js';
 
 /** When endpoints are ejected and how they return. */
 export type HealthOptions = {
@@ -63,7 +64,6 @@
 });
 
 const maxDoublings = 10;
-const requestsWhileReturning = 8;
 
 /**
  * Creates a health tracker.
@@ -185,8 +185,7 @@
 				return 0;
 			}
 
-			const since = now - entry.returnedAt;
-			return since >= returnMs ? Number.POSITIVE_INFINITY : 1 + Math.floor(requestsWhileReturning * since / returnMs);
+			return returnRoom(now - entry.returnedAt, returnMs);
 		},
 		ejectedOf: service => ejectedOf(service, performance.now()),
 	};
