--- a/packages/entry/src/lib/daemon-metrics.ts
+++ b/packages/entry/src/lib/daemon-metrics.ts
@@ -48,11 +48,6 @@
 export function createDaemonMetrics(): DaemonMetrics {
 	const registry = new Registry();
 	const registers = [registry];
-	collectDefaultMetrics({register: registry, eventLoopMonitoringPrecision: eventLoopSampleMs});
-	for (const name of sampledLagMetrics) {
-		registry.removeSingleMetric(name);
-	}
-
 	const describe = <Name extends keyof typeof metricHelp>(name: Name) => ({name, help: metricHelp[name], registers});
 
 	/** Serves a total that the runtime counts. */
@@ -65,14 +60,20 @@
 	});
 
 	const requestCounter = new Counter({...describe('hickorywalk_requests_total'), labelNames: ['service', 'result']});
-	const firstByteSeconds = new Histogram({...describe('hickorywalk_request_first_seconds'), labelNames: ['service'], buckets: secondsBuckets});
-	const totalSeconds = new Histogram({...describe('hickorywalk_request_seconds'), labelNames: ['service'], buckets: secondsBuckets});
 	const failedAttemptCounter = new Counter({...describe('hickorywalk_attempts_failed_total'), labelNames: ['service', 'reason']});
 	const storeCallCounter = new Counter({...describe('hickorywalk_store_calls_total'), labelNames: ['call']});
 	const droppedLineCounter = new Counter(describe('hickorywalk_log_lines_left_out_total'));
+	const firstByteSeconds = new Histogram({...describe('hickorywalk_request_first_seconds'), labelNames: ['service'], buckets: secondsBuckets});
+	const totalSeconds = new Histogram({...describe('hickorywalk_request_seconds'), labelNames: ['service'], buckets: secondsBuckets});
 	registerTotal('hickorywalk_event_loop_turns_total', () => performance.nodeTiming.uvMetricsInfo.loopCount);
 	registerTotal('hickorywalk_event_loop_busy_seconds_total', () => performance.eventLoopUtilization().active / msPerSecond);
 
+	// Last, since some collectors read only the first kilobytes, and the runtime's metrics take as many.
+	collectDefaultMetrics({register: registry, eventLoopMonitoringPrecision: eventLoopSampleMs});
+	for (const name of sampledLagMetrics) {
+		registry.removeSingleMetric(name);
+	}
+
 	return {
 		requestEnded({service = 'none', reason, ms, firstMs}) {
 			requestCounter.inc({service, result: reason});
--- a/packages/entry/src/test/metrics.test.ts
+++ b/packages/entry/src/test/metrics.test.ts
@@ -11,6 +11,14 @@
 		assert.match(text, /^hickorywalk_event_loop_busy_seconds_total [\d.]+$/mv);
 	});
 
+	it('serves the daemon\'s own counters before the runtime\'s metrics', async () => {
+		// Guards against collectors that read only the first kilobytes and miss all that tells requests apart.
+		const text = await createDaemonMetrics().text();
+		const positions = ['hickorywalk_requests_total', 'hickorywalk_attempts_failed_total', 'process_cpu_seconds_total'].map(name => text.indexOf(`# TYPE ${name}`));
+		assert.isAtLeast(positions[0], 0);
+		assert.deepEqual(positions, positions.toSorted((a, b) => a - b));
+	});
+
 	it('serves every metric with its help text, as docs/metrics.md lists it', async () => {
 		const metrics = createDaemonMetrics();
 		metrics.registerGauges({requestsInFlight: () => 3, livePeers: () => 8});
