--- a/packages/entry/src/lib/daemon-metrics.ts
+++ b/packages/entry/src/lib/daemon-metrics.ts
@@ -10,6 +10,9 @@
 	hickorywalk_request_first_seconds: 'Time from a whole request to the first byte of its answer.',
 	hickorywalk_request_seconds: 'Time from a whole request to the end of its answer.',
 	hickorywalk_attempts_failed_total: 'Attempts at endpoints that failed, by service and reason.',
+	hickorywalk_requests_relayed_total: 'Requests that ended after a peer passed them on, by service and result.',
+	hickorywalk_relays_declined_total: 'Requests of peers that were not passed on, by reason.',
+	hickorywalk_paths_lost: 'Endpoints that this daemon can\'t reach over its own network.',
 	hickorywalk_store_calls_total: 'Calls to the platform\'s store, by call.',
 	hickorywalk_requests_under_way: 'Requests that are being handled.',
 	hickorywalk_peers_heard: 'Daemons whose reports arrive.',
@@ -22,12 +25,14 @@
 export type GaugeSources = {
 	requestsInFlight: () => number;
 	livePeers: () => number;
+	lostPaths: () => number;
 };
 
 /** Records and serves the metrics. */
 export type DaemonMetrics = {
 	requestEnded: (end: RequestEnd) => void;
 	attemptFailed: (service: string, reason: string) => void;
+	relayDeclined: (reason: string) => void;
 	storeCalled: (call: string) => void;
 	logLinesDropped: (count: number) => void;
 	/** Registers the gauges; called once their sources exist. */
@@ -61,6 +66,8 @@
 
 	const requestCounter = new Counter({...describe('hickorywalk_requests_total'), labelNames: ['service', 'result']});
 	const failedAttemptCounter = new Counter({...describe('hickorywalk_attempts_failed_total'), labelNames: ['service', 'reason']});
+	const relayedCounter = new Counter({...describe('hickorywalk_requests_relayed_total'), labelNames: ['service', 'result']});
+	const declinedCounter = new Counter({...describe('hickorywalk_relays_declined_total'), labelNames: ['reason']});
 	const storeCallCounter = new Counter({...describe('hickorywalk_store_calls_total'), labelNames: ['call']});
 	const droppedLineCounter = new Counter(describe('hickorywalk_log_lines_left_out_total'));
 	const firstByteSeconds = new Histogram({...describe('hickorywalk_request_first_seconds'), labelNames: ['service'], buckets: secondsBuckets});
@@ -75,8 +82,12 @@
 	}
 
 	return {
-		requestEnded({service = 'none', reason, ms, firstMs}) {
+		requestEnded({service = 'none', reason, peer, ms, firstMs}) {
 			requestCounter.inc({service, result: reason});
+			if (peer !== undefined) {
+				relayedCounter.inc({service, result: reason});
+			}
+
 			totalSeconds.observe({service}, ms / msPerSecond);
 			if (firstMs !== undefined) {
 				firstByteSeconds.observe({service}, firstMs / msPerSecond);
@@ -85,14 +96,17 @@
 		attemptFailed(service, reason) {
 			failedAttemptCounter.inc({service, reason});
 		},
+		relayDeclined(reason) {
+			declinedCounter.inc({reason});
+		},
 		storeCalled(call) {
 			storeCallCounter.inc({call});
 		},
 		logLinesDropped(count) {
 			droppedLineCounter.inc(count);
 		},
-		registerGauges({requestsInFlight, livePeers}) {
-			const registerGauge = (name: 'hickorywalk_requests_under_way' | 'hickorywalk_peers_heard', read: () => number) => new Gauge({
+		registerGauges({requestsInFlight, livePeers, lostPaths}) {
+			const registerGauge = (name: keyof typeof metricHelp, read: () => number) => new Gauge({
 				...describe(name),
 				collect() {
 					this.set(read());
@@ -100,6 +114,7 @@
 			});
 			registerGauge('hickorywalk_requests_under_way', requestsInFlight);
 			registerGauge('hickorywalk_peers_heard', livePeers);
+			registerGauge('hickorywalk_paths_lost', lostPaths);
 		},
 		text: async () => registry.metrics(),
 	};
--- a/packages/entry/src/lib/entry-daemon.ts
+++ b/packages/entry/src/lib/entry-daemon.ts
@@ -35,13 +35,15 @@
 	const isReady = (): boolean => !state.isStopping && operatorFeed.newestChange() > 0 && endpointFeed.newestChange() > 0 && parts.documentGuard.current() !== undefined;
 	const readiness = createReadinessServer(isReady, [readinessPath]);
 	serveMetrics(readiness, metrics.text);
-	metrics.registerGauges({requestsInFlight: parts.forwarder.inFlight, livePeers: () => parts.peers.live().length});
+	metrics.registerGauges({requestsInFlight: parts.forwarder.inFlight, livePeers: () => parts.peers.live().length, lostPaths: parts.paths.lostCount});
 	view.onDocument(({document}) => {
 		server.setLimits(document.limits);
 	});
 	await readiness.listen(settings.readiness);
 	await server.listen(settings.callers);
 	await parts.peers.start();
+	await parts.relayServer.listen({host: settings.peerPorts.host, port: settings.peerPorts.first});
+	parts.fleetKey.refresh();
 	parts.directory.start();
 	parts.refusalRows.start();
 	wireRestore(parts);
@@ -61,15 +63,16 @@
 	const stop = async (): Promise<void> => {
 		const startedAt = performance.now();
 		state.isStopping = true;
-		log.info('Daemon stops.', {count: parts.forwarder.inFlight()});
+		log.info('Daemon stops.', {count: parts.forwarder.inFlight() + parts.relayServer.inFlight()});
 		parts.rolloutTimer.close();
 		clearInterval(droppedLinesTimer);
 		parts.refusalRows.close();
+		parts.fleetKey.close();
 		await parts.leases.release();
 		parts.leases.close();
 		await pause(timings.balancerDelayMs);
 		state.isClosed = true;
-		await Promise.race([server.close(), pause(settings.stopMs - timings.balancerDelayMs - stopReserveMs)]);
+		await Promise.race([Promise.all([server.close(), parts.relayServer.close()]), pause(settings.stopMs - timings.balancerDelayMs - stopReserveMs)]);
 		await Promise.race([Promise.all([parts.peers.leave(), parts.directory.leave()]), pause(stopReserveMs / 2)]);
 		log.info('Daemon has stopped.', {ms: Math.round(performance.now() - startedAt), count: parts.forwarder.inFlight()});
 	};
--- a/packages/entry/src/lib/entry-parts.ts
+++ b/packages/entry/src/lib/entry-parts.ts
@@ -21,6 +21,9 @@
 import {wireEndpointFeed, wireOperatorFeed} from './wiring/feed-wiring.js';
 import {type EntryParts} from './wiring/parts.js';
 import {wireDirectory, wirePeers} from './wiring/peer-wiring.js';
+import {
+	wireConnectionCheck, wireFleetKey, wirePaths, wireRelay, wireRelayServer,
+} from './wiring/path-wiring.js';
 import {wireCrashWatch, wireQuarantine, wireRefusalRows} from './wiring/quarantine-wiring.js';
 import {
 	wireBackoff, wireBudgets, wireCapacityWait, wireChoice, wireEvents, wireLimits, wireQuota,
@@ -66,6 +69,11 @@
 		quarantine: asFunction(wireQuarantine).singleton(),
 		refusalRows: asFunction(wireRefusalRows).singleton(),
 		crashWatch: asFunction(wireCrashWatch).singleton(),
+		checkConnection: asFunction(wireConnectionCheck).singleton(),
+		paths: asFunction(wirePaths).singleton(),
+		fleetKey: asFunction(wireFleetKey).singleton(),
+		relay: asFunction(wireRelay).singleton(),
+		relayServer: asFunction(wireRelayServer).singleton(),
 		limits: asFunction(wireLimits).singleton(),
 		backoff: asFunction(wireBackoff).singleton(),
 		capacityWait: asFunction(wireCapacityWait).singleton(),
@@ -102,6 +110,8 @@
 			crashWatch: parts.crashWatch,
 			limits: parts.limits,
 			backoff: parts.backoff,
+			paths: parts.paths,
+			relay: parts.relay,
 			capacityWait: parts.capacityWait,
 			choice: parts.choice,
 			loadTracker: parts.loadTracker,
--- a/packages/entry/src/lib/wiring/feed-wiring.ts
+++ b/packages/entry/src/lib/wiring/feed-wiring.ts
@@ -69,7 +69,7 @@
 /** Follows the endpoint list and drops local state of removed endpoints. */
 export function wireEndpointFeed(parts: EntryParts): ChangeFeed {
 	const {
-		store, view, timings, health, loadTracker, presence, versions, limits, residentParts, log,
+		store, view, timings, health, loadTracker, presence, versions, limits, paths, residentParts, log,
 	} = parts;
 	const tracker = createEndpointTracker({
 		view, graceMs: timings.expiredGraceMs, graceWindowMs: timings.graceWindowMs, expiryMs: timings.rowExpiryMs,
@@ -91,6 +91,7 @@
 			presence.forget(id);
 			versions.forget(id);
 			limits.forget(id);
+			paths.forget(id);
 		}
 
 		// A process that restarted under the same id has an empty cache.
--- a/packages/entry/src/lib/wiring/parts.ts
+++ b/packages/entry/src/lib/wiring/parts.ts
@@ -7,7 +7,10 @@
 import {type DutyTimer, type LeaseHolder} from 'hickorywalk/leases.js';
 import {type LineBudget, type Log} from 'hickorywalk/observability.js';
 import {type createUndiciTransport} from 'hickorywalk/orders.js';
-import {type createPeerDirectory, type PeerExchange} from 'hickorywalk/peers.js';
+import {
+	type ConnectionState, type EndpointPaths, type Relay, type RelayServer,
+} from 'hickorywalk/paths.js';
+import {type createPeerDirectory, type FleetKey, type PeerExchange} from 'hickorywalk/peers.js';
 import {
 	type CapacityWait, type createEndpointChoice, type EndpointBackoff, type EndpointLimits, type EndpointLoadTracker, type ResidentParts, type StoredParts,
 } from 'hickorywalk/placing.js';
@@ -47,6 +50,11 @@
 	quarantine: Quarantine;
 	refusalRows: RefusalRows;
 	crashWatch: CrashWatch;
+	checkConnection: (address: string) => Promise<ConnectionState>;
+	paths: EndpointPaths;
+	fleetKey: FleetKey;
+	relay: Relay;
+	relayServer: RelayServer;
 	limits: EndpointLimits;
 	backoff: EndpointBackoff;
 	capacityWait: CapacityWait;
--- /dev/null
+++ b/packages/entry/src/lib/wiring/path-wiring.ts
@@ -0,0 +1,60 @@
+/** Wires the paths to endpoints, and the way through peers where a path is lost. */
+import {randomBytes} from 'node:crypto';
+import {createCallHeaders} from '@hickorywalk/platform';
+import {createNoticeRecorder} from 'hickorywalk/forwarding.js';
+import {
+	checkConnection, type ConnectionState, createEndpointPaths, createRelay, createRelayPeers, createRelayServer, type EndpointPaths, type Relay, type RelayServer,
+} from 'hickorywalk/paths.js';
+import {createFleetKey, type FleetKey} from 'hickorywalk/peers.js';
+import {type EntryParts} from './parts.js';
+
+/** Timeout in milliseconds of connections that only show whether an endpoint can be reached. */
+const connectionCheckTimeoutMs = 150;
+
+const fleetKeyBytes = 24;
+
+/** Creates the check whether an endpoint accepts connections. */
+export const wireConnectionCheck = () => async (address: string): Promise<ConnectionState> => checkConnection(address, connectionCheckTimeoutMs);
+
+/** Creates the record of this daemon's paths. */
+export const wirePaths = ({checkConnection: check, transport, log}: EntryParts): EndpointPaths => createEndpointPaths({
+	checkConnection: check,
+	onLost({id, address}) {
+		transport.forgetConnections({name: id, address: `http://${address}`});
+	},
+	random: Math.random,
+	log,
+});
+
+/** Creates the secret by which daemons know each other. */
+export const wireFleetKey = ({ownTable, log}: EntryParts): FleetKey => createFleetKey({
+	table: ownTable, generate: () => randomBytes(fleetKeyBytes).toString('base64url'), log,
+});
+
+/** Creates the way through peers. */
+export const wireRelay = ({transport, peers, settings, fleetKey}: EntryParts): Relay => createRelay({
+	transport,
+	peers: createRelayPeers({
+		name: settings.name,
+		dataCentre: settings.dataCentre,
+		peers: () => peers.live().map(({report: {daemon, address, dataCentre}}) => ({name: daemon, address, dataCentre})),
+	}),
+	fleetKey: fleetKey.current,
+	onKeyRefused: fleetKey.refresh,
+});
+
+/** Creates the server for requests that peers can't send themselves. */
+export const wireRelayServer = ({
+	view, presence, paths, transport, limits, backoff, fleetKey, state, metrics, log,
+}: EntryParts): RelayServer => createRelayServer({
+	view,
+	paths,
+	transport,
+	headers: createCallHeaders(),
+	mayGetRequests: endpoint => !endpoint.isLeaving && !presence.hasEnded(endpoint) && backoff.roomOf(endpoint) > 0,
+	onNotices: createNoticeRecorder({view, limits, backoff}),
+	fleetKey: fleetKey.current,
+	isStopping: () => state.isStopping,
+	onDeclined: metrics.relayDeclined,
+	log,
+});
--- a/packages/entry/src/lib/wiring/quarantine-wiring.ts
+++ b/packages/entry/src/lib/wiring/quarantine-wiring.ts
@@ -1,12 +1,9 @@
 /** Wires the quarantine of requests that crash endpoints. */
 import {
-	type CrashWatch, createCrashWatch, createQuarantine, createRefusalStore, type Quarantine, refusesConnections, type RefusalRows,
+	type CrashWatch, createCrashWatch, createQuarantine, createRefusalStore, type Quarantine, type RefusalRows,
 } from 'hickorywalk/quarantine.js';
 import {type EntryParts} from './parts.js';
 
-/** Timeout of the connection attempt that tells whether an endpoint has crashed. */
-const connectionCheckTimeoutMs = 300;
-
 /** Creates the quarantine. */
 export const wireQuarantine = (parts: EntryParts): Quarantine => createQuarantine({
 	name: parts.settings.name,
@@ -37,8 +34,10 @@
 });
 
 /** Creates the crash watch. */
-export const wireCrashWatch = ({quarantine, presence, view}: EntryParts): CrashWatch => createCrashWatch({
-	refusesConnections: async address => refusesConnections(address, connectionCheckTimeoutMs),
+export const wireCrashWatch = ({
+	quarantine, presence, view, checkConnection,
+}: EntryParts): CrashWatch => createCrashWatch({
+	hasCrashed: async ({address}) => await checkConnection(address) === 'refused',
 	stateOf(endpoint) {
 		const listed = view.endpoint(endpoint.id);
 		if (listed?.startedAt !== endpoint.startedAt || presence.hasEnded(endpoint)) {
--- a/packages/entry/src/lib/wiring/request-wiring.ts
+++ b/packages/entry/src/lib/wiring/request-wiring.ts
@@ -70,9 +70,9 @@
 
 /** Creates the endpoint choice. */
 export function wireChoice(parts: EntryParts) {
-	const {view, loadTracker, health, presence, versions, limits, backoff, releases, storedParts, residentParts, peers, settings} = parts;
+	const {view, loadTracker, health, presence, versions, limits, backoff, paths, releases, storedParts, residentParts, peers, settings} = parts;
 	return createEndpointChoice({
-		view, loadTracker, health, presence, versions, limits, backoff, releases, storedParts, residentParts,
+		view, loadTracker, health, presence, versions, limits, backoff, paths, releases, storedParts, residentParts,
 		dataCentre: settings.dataCentre, connectionShare: () => connectionsRatio / peers.fleetSize(), weightsMs: settings.weightsMs,
 		// Peers within one report round learn of large prompts at once, so only the others may choose the same endpoint.
 		daemons: () => 1 + peers.peersBeyondRound(), random: Math.random,
@@ -117,17 +117,17 @@
 			}
 
 			const {
-				requestId, digest, workspace, service, endpoint, status, reason,
+				requestId, digest, workspace, service, endpoint, peer, status, reason,
 			} = end;
 			log.info('Request ended.', {
-				requestId, digest, workspace, service, endpoint, status, result: reason, attempt: end.attempts, path: end.route,
+				requestId, digest, workspace, service, endpoint, peer, status, result: reason, attempt: end.attempts, path: end.route,
 				ms: Math.round(end.ms), firstMs: rounded(end.firstMs), expectedMs: rounded(end.expectedMs),
 				weights: end.weights, weightsAgeMs: ageForLog(end.weightsAgeMs),
 				isLeaving: end.isLeaving || undefined, units: end.quota?.units, level: rounded(end.quota?.level), own: rounded(end.quota?.own),
 			});
 		},
 		attemptFailed({
-			requestId, digest, endpoint, service, reason, ms, firstMs, backoffMs, next,
+			requestId, digest, endpoint, peer, service, reason, ms, firstMs, backoffMs, next,
 		}) {
 			metrics.attemptFailed(service, reason);
 			if (!logLineBudget.take(`attempt ${reason}`)) {
@@ -135,7 +135,7 @@
 			}
 
 			log.warn('Endpoint failed a request.', {
-				requestId, digest, endpoint, service, reason, ms: Math.round(ms), firstMs: rounded(firstMs), backoffMs: backoffMs > 0 ? Math.round(backoffMs) : undefined, result: next,
+				requestId, digest, endpoint, peer, service, reason, ms: Math.round(ms), firstMs: rounded(firstMs), backoffMs: backoffMs > 0 ? Math.round(backoffMs) : undefined, result: next,
 			});
 		},
 	};
--- a/packages/entry/src/lib/wiring/restore-wiring.ts
+++ b/packages/entry/src/lib/wiring/restore-wiring.ts
@@ -7,10 +7,11 @@
 
 /** Writes lost rows again: each daemon its own entry in the directory, a few of them the refusals in force. */
 export function wireRestore({
-	settings, store, peers, directory, quarantine, refusalRows,
+	settings, store, peers, directory, fleetKey, quarantine, refusalRows,
 }: EntryParts): void {
 	store.onRestored(() => {
 		directory.entriesLost();
+		fleetKey.refresh();
 		const names = [settings.name, ...peers.live().map(({report}) => report.daemon)];
 		if (positionOf('refusals', settings.name, names) < refusalWriters) {
 			for (const refusal of quarantine.current()) {
--- a/packages/entry/src/test/metrics.test.ts
+++ b/packages/entry/src/test/metrics.test.ts
@@ -21,9 +21,9 @@
 
 	it('serves every metric with its help text, as docs/metrics.md lists it', async () => {
 		const metrics = createDaemonMetrics();
-		metrics.registerGauges({requestsInFlight: () => 3, livePeers: () => 8});
+		metrics.registerGauges({requestsInFlight: () => 3, livePeers: () => 8, lostPaths: () => 2});
 		metrics.requestEnded({
-			requestId: 'r', digest: 'd', route: 'a', workspace: 'school', service: 'desk', endpoint: 'e', status: 200, attempts: 1, ms: 40, firstMs: 30, expectedMs: 20,
+			requestId: 'r', digest: 'd', route: 'a', workspace: 'school', service: 'desk', endpoint: 'e', peer: undefined, status: 200, attempts: 1, ms: 40, firstMs: 30, expectedMs: 20,
 			weights: undefined, weightsAgeMs: undefined, isLeaving: false, reason: 'answered',
 		});
 		const text = await metrics.text();
@@ -35,5 +35,6 @@
 
 		assert.include(text, 'hickorywalk_requests_total{service="desk",result="answered"} 1');
 		assert.include(text, 'hickorywalk_peers_heard 8');
+		assert.include(text, 'hickorywalk_paths_lost 2');
 	});
 });
--- a/packages/entry/src/test/restore-wiring.test.ts
+++ b/packages/entry/src/test/restore-wiring.test.ts
@@ -11,6 +11,7 @@
 		// Guards against a restarted fleet that finds no peers, or lets requests crash endpoints that it had refused.
 		const listeners: Array<(era: number) => void> = [];
 		const polled: string[] = [];
+		const keysRead: string[] = [];
 		const saved: Refusal[] = [];
 		for (const name of names) {
 			wireRestore({
@@ -26,6 +27,11 @@
 						polled.push(name);
 					},
 				},
+				fleetKey: {
+					refresh() {
+						keysRead.push(name);
+					},
+				},
 				quarantine: {current: () => [refusal]},
 				refusalRows: {
 					save(item: Refusal) {
@@ -40,6 +46,7 @@
 		}
 
 		assert.deepEqual(polled, names);
+		assert.deepEqual(keysRead, names);
 		assert.deepEqual(saved, [refusal, refusal]);
 	});
 });
--- a/packages/router/src/lib/forwarding/attempt.ts
+++ b/packages/router/src/lib/forwarding/attempt.ts
@@ -5,7 +5,7 @@
  */
 import {Buffer} from 'node:buffer';
 import {type ResponseFacts, type CallHeaders} from '../fleet/call-headers.js';
-import {type EndpointTransport, type OutgoingRequest} from '../orders/endpoint-transport.js';
+import {type Exchange, type ExchangeEvents} from '../orders/endpoint-transport.js';
 import {EndpointExchangeError} from '../orders/orders-errors.js';
 import {failureClasses, type FailureClass} from '../orders/failure-classes.js';
 import {type CallerReply} from './caller-reply.js';
@@ -43,9 +43,9 @@
 
 /** Options of {@link runAttempt}. */
 export type AttemptOptions = {
-	transport: EndpointTransport;
+	/** Sends the request, over the own path or through a peer. */
+	send: (events: ExchangeEvents) => Exchange;
 	headers: CallHeaders;
-	request: OutgoingRequest;
 	requestId: string | undefined;
 	reply: CallerReply;
 	/** The response is a stream of events, which are forwarded as they arrive. */
@@ -59,12 +59,18 @@
 	eventTimeoutMs: number;
 	/** Evaluated after such a timeout: whether to abort the attempt; if not, the timeout starts again. */
 	mayMoveAway: () => boolean;
+	/** Evaluated when the path to the endpoint is lost: whether to abort the attempt. */
+	mayLeavePath: () => boolean;
 	/** `performance.now()` at which the request times out. */
 	deadlineAt: number;
 	/** Called with the facts of a response head that belongs to this request. */
 	onHead: (facts: ResponseFacts) => void;
 	/** Called when the response begins. */
 	onResponseStart: () => void;
+	/** Called when bytes of the response arrive. */
+	onBytes: (() => void) | undefined;
+	/** Receives a function that is to be called when the path to the endpoint is lost. */
+	onPathWatched: (leavePath: () => void) => void;
 	/** Receives a function that cancels the attempt unless its response has begun. */
 	onCancellable: (cancel: () => void) => void;
 };
@@ -190,7 +196,7 @@
 		}
 	};
 
-	const exchange = options.transport.send(options.request, {
+	const exchange = options.send({
 		beforeSend() {
 			if (reply.isDisconnected() || isSettled) {
 				return false;
@@ -213,6 +219,7 @@
 			}
 
 			head = received;
+			options.onBytes?.();
 			progress.facts = facts;
 			options.onHead(facts);
 			progress.firstAt ??= isPassedThrough() ? undefined : performance.now();
@@ -227,6 +234,7 @@
 				return;
 			}
 
+			options.onBytes?.();
 			if (isPassedThrough()) {
 				if (progress.firstAt === undefined) {
 					progress.firstAt = performance.now();
@@ -269,6 +277,11 @@
 			failAttempt('cancelled', false);
 		}
 	});
+	options.onPathWatched(() => {
+		if (!isSettled && options.mayLeavePath()) {
+			failAttempt('path_lost', true);
+		}
+	});
 	reply.onDisconnect(() => {
 		if (!isSettled) {
 			finish({kind: 'callerLeft'});
--- a/packages/router/src/lib/forwarding/call.ts
+++ b/packages/router/src/lib/forwarding/call.ts
@@ -40,6 +40,15 @@
 	mayHaveRun: boolean;
 	/** Attempts whose connection the endpoint broke off. */
 	brokenConnections: number;
+	/** Connections to endpoints over this daemon's own paths that could not be established. */
+	ownConnectFailures: number;
+	/** Attempts for which no connection came about, neither here nor at peers. */
+	connectFailures: number;
+	/** The latest attempt goes through a peer, and that peer. */
+	isRelayed: boolean;
+	peer: string | undefined;
+	/** Ends the current attempt, if the request may be sent elsewhere, because its path is lost. */
+	leavePath: (() => void) | undefined;
 	/** Cancels the current attempt unless its response has begun. */
 	cancel: (() => void) | undefined;
 	/** The retry budget has granted the next attempt. */
@@ -67,6 +76,11 @@
 		attempts: 0,
 		mayHaveRun: false,
 		brokenConnections: 0,
+		ownConnectFailures: 0,
+		connectFailures: 0,
+		isRelayed: false,
+		peer: undefined,
+		leavePath: undefined,
 		cancel: undefined,
 		isRetryGranted: false,
 		progress: {firstAt: undefined, lastEventId: undefined, facts: undefined},
--- a/packages/router/src/lib/forwarding/forwarder.ts
+++ b/packages/router/src/lib/forwarding/forwarder.ts
@@ -24,7 +24,7 @@
 } from './retry-decision.js';
 
 /** Options of {@link createForwarder}. */
-export type ForwarderOptions = Omit<EndpointSenderOptions, 'mayMoveAway'> & {
+export type ForwarderOptions = Omit<EndpointSenderOptions, 'mayMoveAway' | 'mayTryElsewhere'> & {
 	/** The document to serve by. */
 	document: () => AcceptedDocument | undefined;
 	quota: FleetQuota;
@@ -74,7 +74,7 @@
 
 	const mayMoveAway = (call: Call): boolean => respondsSoon(call, chooseFor(call)) && mayTryElsewhere(call);
 
-	const send = createEndpointSender({...options, mayMoveAway});
+	const send = createEndpointSender({...options, mayMoveAway, mayTryElsewhere});
 
 	const decisionOptions: DecisionOptions = {mayTryElsewhere, standingOf: quarantine.standingOf, capacityWait: options.capacityWait};
 
@@ -99,7 +99,7 @@
 			const decision = decideNext(call, end, decisionOptions);
 			if (end.kind !== 'answered' && end.kind !== 'callerLeft') {
 				options.events.attemptFailed({
-					requestId: call.facts.requestId, digest: call.digest, endpoint: chosen.endpoint.id, service: call.service, reason: reasonOf(end), ms: performance.now() - sentAt,
+					requestId: call.facts.requestId, digest: call.digest, endpoint: chosen.endpoint.id, peer: call.peer, service: call.service, reason: reasonOf(end), ms: performance.now() - sentAt,
 					firstMs: call.progress.firstAt === undefined ? undefined : call.progress.firstAt - sentAt, backoffMs: call.progress.facts?.backoffMs ?? 0, next: decision.kind,
 				});
 			}
@@ -254,6 +254,7 @@
 		digest,
 		service: call?.service,
 		endpoint: call?.choice?.endpoint.id,
+		peer: call?.peer,
 		status: reply.status(),
 		attempts: call?.attempts ?? 0,
 		ms: performance.now() - end.startedAt,
--- a/packages/router/src/lib/forwarding/forwarding-events.ts
+++ b/packages/router/src/lib/forwarding/forwarding-events.ts
@@ -9,6 +9,8 @@
 	digest: string | undefined;
 	service: string | undefined;
 	endpoint: string | undefined;
+	/** Peer that passed on the latest attempt; `undefined` if it went over this daemon's own path. */
+	peer: string | undefined;
 	/** Status of the response; `undefined` if the connection ended without one. */
 	status: number | undefined;
 	/** Number of endpoints that the request was sent to. */
@@ -35,6 +37,7 @@
 	requestId: string | undefined;
 	digest: string;
 	endpoint: string;
+	peer: string | undefined;
 	service: string;
 	reason: string;
 	/** Milliseconds from the dispatch to the failure. */
--- a/packages/router/src/lib/forwarding/retry-decision.ts
+++ b/packages/router/src/lib/forwarding/retry-decision.ts
@@ -15,7 +15,7 @@
 /** Retry-After in milliseconds for conditions that pass quickly, such as full queues. */
 export const defaultRetryAfterMs = 250;
 
-/** Endpoints that a request may fail to connect to before it is rejected. */
+/** Failures to connect after which a request is rejected. */
 const maxConnectFailures = 4;
 
 /** Options of {@link decideNext}. */
@@ -50,7 +50,8 @@
 function afterConnectFailure(call: Call, failure: FailureClass, {capacityWait}: DecisionOptions): Decision {
 	// The endpoint never got the request, so the attempt doesn't count.
 	call.attempts--;
-	return performance.now() < call.deadlineAt && call.excluded.size < maxConnectFailures
+	call.connectFailures++;
+	return performance.now() < call.deadlineAt && call.connectFailures < maxConnectFailures
 		? {kind: 'next', reason: failure}
 		: decideWithoutEndpoint(call, capacityWait);
 }
--- a/packages/router/src/lib/forwarding/send-to-endpoint.ts
+++ b/packages/router/src/lib/forwarding/send-to-endpoint.ts
@@ -3,17 +3,20 @@
 import {type EndpointPresence} from '../fleet/endpoint-presence.js';
 import {type FleetView} from '../fleet/fleet-view.js';
 import {type LiveEndpoint} from '../fleet/live-endpoint.js';
-import {type EndpointTransport} from '../orders/endpoint-transport.js';
-import {connectionLossFailures, failureClasses} from '../orders/failure-classes.js';
+import {type EndpointTransport, type Exchange, type ExchangeEvents} from '../orders/endpoint-transport.js';
+import {connectionLossFailures, failureClasses, type FailureClass} from '../orders/failure-classes.js';
 import {type EndpointLoadTracker} from '../placing/endpoint-load-tracker.js';
 import {type Choice, type EndpointChoice} from '../placing/endpoint-choice.js';
 import {type EndpointBackoff} from '../placing/endpoint-backoff.js';
 import {type EndpointLimits} from '../placing/endpoint-limits.js';
 import {type CrashWatch} from '../quarantine/crash-watch.js';
+import {type EndpointPaths} from '../paths/endpoint-paths.js';
+import {type Relay} from '../paths/relay.js';
 import {type HealthTracker} from '../routing/health.js';
 import {type EngineVersions} from '../weights/engine-versions.js';
 import {type AttemptEnd, runAttempt} from './attempt.js';
-import {type Call} from './call.js';
+import {type Call, mayRunAgain} from './call.js';
+import {createNoticeRecorder, isOwnResponse} from './endpoint-notices.js';
 import {silenceTimeouts} from './silence-timeouts.js';
 
 /** Options of {@link createEndpointSender}. */
@@ -29,6 +32,10 @@
 	crashWatch: CrashWatch;
 	limits: EndpointLimits;
 	backoff: EndpointBackoff;
+	paths: EndpointPaths;
+	relay: Relay;
+	/** Whether another endpoint may get the request; withdraws from the retry budget. */
+	mayTryElsewhere: (call: Call) => boolean;
 	/** Whether a request may be moved from a silent endpoint to another one. */
 	mayMoveAway: (call: Call) => boolean;
 };
@@ -42,6 +49,9 @@
 /** Delay of events that are forwarded together, as a fraction of the target pause. */
 const eventBatchRatio = 0.2;
 
+/** Failed connections of one request after which it goes through a peer. */
+const ownConnectFailuresUntilRelay = 2;
+
 /** The lowest priority that endpoints accept. */
 const lowestPriority = 9;
 
@@ -51,14 +61,12 @@
 /** Id of the last event that the caller has; empty if none. */
 const streamPosition = ({progress, facts}: Call): string => (progress.lastEventId ?? facts.resumeAfter ?? '').slice(0, maxPositionChars);
 
-/** Whether the response is the endpoint's own; another process may respond at its address. */
-const isOwnResponse = ({id}: LiveEndpoint, facts: ResponseFacts | undefined): boolean => (facts?.endpointId ?? id) === id;
-
 /** Creates a sender. */
 export function createEndpointSender(options: EndpointSenderOptions): SendToEndpoint {
 	const {
-		view, headers, choice, loadTracker: book, health, presence, versions, transport, crashWatch, limits, backoff,
+		view, headers, choice, loadTracker: book, health, presence, versions, transport, crashWatch, limits, backoff, paths, relay,
 	} = options;
+	const recordNotices = createNoticeRecorder({view, limits, backoff});
 
 	const dispatchFor = (call: Call, {endpoint, weights, cacheScope, fetchFrom, saveTo}: Choice): Dispatch => ({
 		endpointId: endpoint.id,
@@ -72,30 +80,6 @@
 		saveTo,
 	});
 
-	/** The absence of a limit counts only in a signed response. */
-	const recordLimit = ({endpoint}: Choice, {limit, isSigned}: ResponseFacts): void => {
-		if (limit !== 'unreadable' && (limit !== 'none' || isSigned)) {
-			limits.recordLimit(endpoint, limit === 'none' ? undefined : limit);
-		}
-	};
-
-	/** Records what the endpoint says of itself. */
-	const recordNotices = (chosen: Choice, facts: ResponseFacts): void => {
-		const {endpoint} = chosen;
-		if (!isOwnResponse(endpoint, facts)) {
-			return;
-		}
-
-		recordLimit(chosen, facts);
-		if (facts.backoffMs > 0) {
-			backoff.requested(endpoint, facts.backoffMs);
-		}
-
-		if (facts.isLeaving) {
-			view.markLeaving(endpoint, 'answer');
-		}
-	};
-
 	const recordNotRun = (endpoint: LiveEndpoint, facts: ResponseFacts | undefined): void => {
 		if (!isOwnResponse(endpoint, facts)) {
 			presence.replaced(endpoint);
@@ -107,21 +91,54 @@
 	const recordPresence = (call: Call, {endpoint}: Choice, end: AttemptEnd): void => {
 		if (end.kind === 'answered') {
 			presence.accepted(endpoint);
-		} else if (end.kind === 'failed' && end.failure === 'connect_failed') {
-			presence.unreached(endpoint);
 		} else if (end.kind === 'notRun') {
 			recordNotRun(endpoint, call.progress.facts);
 		}
 	};
 
+	/** A failure behind a peer may be the peer's, and one to connect may be the network's. */
+	const provesEndpointFault = (call: Call, failure: FailureClass): boolean =>
+		!call.isRelayed && failure !== 'connect_failed' && failureClasses[failure].blamesEndpoint && performance.now() < call.deadlineAt - deadlineMarginMs;
+
 	const recordHealth = (call: Call, {endpoint}: Choice, end: AttemptEnd): void => {
 		if (end.kind === 'answered') {
 			health.succeeded(endpoint.id);
-		} else if (end.kind === 'failed' && failureClasses[end.failure].blamesEndpoint && performance.now() < call.deadlineAt - deadlineMarginMs) {
+		} else if (end.kind === 'failed' && provesEndpointFault(call, end.failure)) {
 			health.failed(endpoint.id);
 		}
 	};
 
+	/** Records whether a connection came about: over the own path, or from a peer. */
+	const recordPath = (call: Call, {endpoint}: Choice, end: AttemptEnd): void => {
+		const isUnconnected = end.kind === 'failed' && end.failure === 'connect_failed';
+		if (!isUnconnected) {
+			if (call.isRelayed && call.progress.facts !== undefined) {
+				paths.passedOn(endpoint);
+			}
+
+			return;
+		}
+
+		if (call.isRelayed) {
+			paths.passingOnFailed(endpoint);
+			presence.unreached(endpoint);
+			return;
+		}
+
+		call.ownConnectFailures++;
+		paths.connectFailed(endpoint);
+		if (relay.isAvailable(endpoint.id)) {
+			// It may be chosen again, to be reached through a peer.
+			call.excluded.delete(endpoint.id);
+		} else {
+			presence.unreached(endpoint);
+		}
+	};
+
+	/** Once two connections have failed, the cause is presumed to be this daemon's network. */
+	const usesRelay = (call: Call, endpoint: LiveEndpoint): boolean =>
+		(paths.isLost(endpoint) || call.ownConnectFailures >= ownConnectFailuresUntilRelay) && relay.isAvailable(endpoint.id);
+
 	const recordOutcome = (call: Call, chosen: Choice, end: AttemptEnd, sentAt: number): void => {
 		const {id} = chosen.endpoint;
 		const {facts, firstAt} = call.progress;
@@ -141,6 +158,7 @@
 			crashWatch.reportBrokenConnection(chosen.endpoint, {digest: call.digest, position: streamPosition(call)});
 		}
 
+		recordPath(call, chosen, end);
 		recordPresence(call, chosen, end);
 		recordHealth(call, chosen, end);
 	};
@@ -162,18 +180,39 @@
 		}
 
 		limits.recordSent(endpoint);
+		call.isRelayed = usesRelay(call, endpoint);
+		call.peer = undefined;
+		const isOnce = !mayRunAgain(call);
+		const request = {
+			method: call.req.method ?? 'GET',
+			path: call.req.url ?? '/',
+			headers: headers.forEndpoint(call.req.rawHeaders, dispatchFor(call, chosen)),
+			...(call.body !== undefined && call.body.length > 0 && {body: {kind: 'whole' as const, content: call.body}}),
+		};
 		transport.allowConnectionReuse(target);
+		const watch = call.isRelayed
+			? undefined
+			: paths.watch(endpoint, () => {
+				call.leavePath?.();
+			});
+		const send = (events: ExchangeEvents): Exchange => {
+			if (!call.isRelayed) {
+				return transport.send({...request, endpoint: target, dedicatedConnection: paths.isUnproven(endpoint)}, events);
+			}
+
+			return relay.send({
+				...request,
+				endpoint,
+				isOnce,
+				onPeer(peer) {
+					call.peer = peer;
+				},
+			}, events);
+		};
+
 		const end = await runAttempt({
-			transport,
+			send,
 			headers,
-			request: {
-				endpoint: target,
-				method: call.req.method ?? 'GET',
-				path: call.req.url ?? '/',
-				headers: headers.forEndpoint(call.req.rawHeaders, dispatchFor(call, chosen)),
-				...(call.body !== undefined && call.body.length > 0 && {body: {kind: 'whole', content: call.body}}),
-				dedicatedConnection: false,
-			},
 			requestId: call.facts.requestId,
 			reply: call.reply,
 			isStream: call.route.kind === 'stream',
@@ -182,15 +221,21 @@
 			headTimeoutMs: headMs,
 			eventTimeoutMs: eventMs,
 			mayMoveAway: () => options.mayMoveAway(call),
+			mayLeavePath: () => !isOnce && options.mayTryElsewhere(call),
 			deadlineAt: call.deadlineAt,
 			onHead(facts) {
-				recordNotices(chosen, facts);
+				recordNotices(endpoint, facts);
 			},
 			onResponseStart: work.begun,
+			onBytes: watch?.heard,
 			onCancellable(cancel) {
 				call.cancel = cancel;
 			},
+			onPathWatched(leavePath) {
+				call.leavePath = leavePath;
+			},
 		});
+		watch?.ended();
 		work.ended(end.kind === 'answered');
 		recordOutcome(call, chosen, end, sentAt);
 		return end;
--- a/packages/router/src/lib/orders/endpoint-transport.ts
+++ b/packages/router/src/lib/orders/endpoint-transport.ts
@@ -73,6 +73,8 @@
 	send: (request: OutgoingRequest, events: ExchangeEvents) => Exchange;
 	/** Declares that the endpoint's responses carry request ids, so that its connections may be reused. */
 	allowConnectionReuse: (endpoint: EndpointAddress) => void;
+	/** Sends nothing more over the open connections to an endpoint; exchanges in progress go on. */
+	forgetConnections: (endpoint: EndpointAddress) => void;
 	/** Closes idle connections after exchanges in progress have ended. */
 	close: () => Promise<void>;
 };
--- a/packages/router/src/lib/orders/failure-classes.ts
+++ b/packages/router/src/lib/orders/failure-classes.ts
@@ -32,6 +32,10 @@
 	truncated: {reach: 'perhaps', blamesEndpoint: true},
 	/** The response did not begin before the call's deadline. */
 	late: {reach: 'perhaps', blamesEndpoint: true},
+	/** The endpoint is silent and accepts no new connection, so the network between is presumed broken. */
+	path_lost: {reach: 'perhaps', blamesEndpoint: false},
+	/** The peer that passed the request on was lost before a response began. */
+	relay_lost: {reach: 'perhaps', blamesEndpoint: false},
 	/** The caller disconnected, or does not read. */
 	cancelled: {reach: 'perhaps', blamesEndpoint: false},
 } as const satisfies Record<string, {reach: Reach; blamesEndpoint: boolean}>;
--- a/packages/router/src/lib/orders/undici-transport.ts
+++ b/packages/router/src/lib/orders/undici-transport.ts
@@ -12,6 +12,7 @@
 } from './endpoint-transport.js';
 import {isBodiless} from './response-checks.js';
 import {type FailureClass} from './failure-classes.js';
+import {createConnectTimeout} from './connect-timeout.js';
 import {EndpointExchangeError} from './orders-errors.js';
 import {batchedHighWaterMark, createReadBatches} from './read-batches.js';
 
@@ -214,11 +215,19 @@
  */
 export function createUndiciTransport(options: UndiciTransportOptions = {}): EndpointTransport {
 	const readBatches = createReadBatches();
-	const socketOptions = {timeout: options.connectMs ?? defaultConnectMs, highWaterMark: batchedHighWaterMark};
+	const connectMs = options.connectMs ?? defaultConnectMs;
+	const connectTimeout = createConnectTimeout(connectMs);
+	const socketOptions = {timeout: connectMs, highWaterMark: batchedHighWaterMark};
 	// Undici returns the socket, contrary to its types.
 	const openConnection = buildConnector(socketOptions) as (...parameters: Parameters<buildConnector.connector>) => Socket;
 	const connect: buildConnector.connector = (connectOptions, callback) => {
-		readBatches.attach(openConnection(connectOptions, callback));
+		const attempt = connectTimeout.start();
+		const socket = openConnection(connectOptions, (...result) => {
+			attempt.ended(result[0] === null);
+			callback(...result);
+		});
+		attempt.destroyIfLate(socket);
+		readBatches.attach(socket);
 	};
 
 	const closing = new Set<Promise<void>>();
@@ -299,6 +308,9 @@
 				}));
 			}
 		},
+		forgetConnections(endpoint: EndpointAddress) {
+			pools.delete(new URL(endpoint.address).origin);
+		},
 		async close() {
 			pools.clear();
 			await Promise.all(closing);
--- /dev/null
+++ b/packages/router/src/lib/paths/relay-protocol.ts
@@ -0,0 +1,45 @@
+/**
+ * Headers by which a daemon passes a request on to a peer that has a path to its endpoint. The
+ * request itself is the one that the endpoint gets; the peer removes these headers.
+ */
+import {connectionHeaders, headerPairs} from '../orders/credential-headers.js';
+
+/** Id of the endpoint, and the start time of its process. */
+export const endpointHeader = 'hickorywalk-endpoint';
+export const startedAtHeader = 'hickorywalk-started-at';
+/** Proves that the sender is a daemon of the fleet. */
+export const keyHeader = 'hickorywalk-key';
+
+/** In responses: what became of the request. */
+export const outcomeHeader = 'hickorywalk-outcome';
+/** In responses: the failure class of a request that may have run, or why it was declined. */
+export const reasonHeader = 'hickorywalk-reason';
+
+/** Reason with which a peer declines if the endpoint is out of its reach. */
+export const noPathReason = 'no_path';
+/** Reason with which a peer declines a wrong key. */
+export const wrongKeyReason = 'wrong_key';
+
+/** All headers; none of them reaches an endpoint or a caller. */
+export const relayHeaders: ReadonlySet<string> = new Set([endpointHeader, startedAtHeader, keyHeader, outcomeHeader, reasonHeader]);
+
+/**
+ * What became of a request: the response is the endpoint's (`passed`), the endpoint got nothing
+ * (`declined`), or it may have run (`failed`).
+ */
+export type RelayOutcome = 'passed' | 'declined' | 'failed';
+
+/** Headers of the request to the peer that don't belong to the endpoint's request. */
+const droppedHeaders: ReadonlySet<string> = new Set([...relayHeaders, ...connectionHeaders, 'content-length', 'expect']);
+
+/** Headers for the endpoint, from those of the request that a peer received. */
+export function withoutRelayHeaders(rawHeaders: readonly string[]): string[] {
+	const headers: string[] = [];
+	for (const {name, sentName, value} of headerPairs(rawHeaders)) {
+		if (!droppedHeaders.has(name)) {
+			headers.push(sentName, value);
+		}
+	}
+
+	return headers;
+}
--- /dev/null
+++ b/packages/router/src/lib/paths/relay.ts
@@ -0,0 +1,175 @@
+/** Passes requests on through peers that have a path to the endpoint. */
+import {type LiveEndpoint} from '../fleet/live-endpoint.js';
+import {
+	type EndpointTransport, type Exchange, type ExchangeEvents, type OutgoingRequest, type ResponseHead,
+} from '../orders/endpoint-transport.js';
+import {failureClasses, type FailureClass} from '../orders/failure-classes.js';
+import {headerValue} from '../orders/response-checks.js';
+import {type RelayPeer, type RelayPeers} from './relay-peers.js';
+import {
+	endpointHeader, keyHeader, noPathReason, outcomeHeader, reasonHeader, type RelayOutcome, startedAtHeader, wrongKeyReason,
+} from './relay-protocol.js';
+
+/** Options of {@link createRelay}. */
+export type RelayOptions = {
+	transport: EndpointTransport;
+	peers: RelayPeers;
+	/** Proves to peers that this is a daemon of the fleet; `undefined` while it is unknown. */
+	fleetKey: () => string | undefined;
+	/** A peer did not accept the key. */
+	onKeyRefused: () => void;
+};
+
+/** A request to one endpoint. */
+export type RelayedRequest = Omit<OutgoingRequest, 'endpoint' | 'dedicatedConnection'> & {
+	endpoint: LiveEndpoint;
+	/** It must not run twice, so it isn't sent over a connection that may hang. */
+	isOnce: boolean;
+	/** Called with the name of each peer that the request is sent to. */
+	onPeer: (peer: string) => void;
+};
+
+/** Passes requests on. */
+export type Relay = {
+	/** Whether there is a peer that may pass on a request to the endpoint. */
+	isAvailable: (endpointId: string) => boolean;
+	/**
+	 * Sends a request through one peer after the other until one passes it on. Ends with
+	 * `connect_failed` if none has a path, and with `relay_lost` if the peer was lost after it got
+	 * the request.
+	 */
+	send: (request: RelayedRequest, events: ExchangeEvents) => Exchange;
+};
+
+/** Peers that one request is sent to at most. */
+const maxPeers = 6;
+
+const ownHeaders: ReadonlySet<string> = new Set([outcomeHeader, reasonHeader]);
+
+function withoutOwnHeaders({status, headers}: ResponseHead): ResponseHead {
+	const kept: string[] = [];
+	for (let index = 0; index + 1 < headers.length; index += 2) {
+		if (!ownHeaders.has(headers[index].toLowerCase())) {
+			kept.push(headers[index], headers[index + 1]);
+		}
+	}
+
+	return {status, headers: kept};
+}
+
+const isFailureClass = (text: string | undefined): text is FailureClass => text !== undefined && Object.hasOwn(failureClasses, text);
+
+/** Creates a relay. */
+export function createRelay({transport, peers, fleetKey, onKeyRefused}: RelayOptions): Relay {
+	const headersFor = ({id, startedAt}: LiveEndpoint): string[] => [
+		endpointHeader, id, startedAtHeader, String(startedAt), keyHeader, fleetKey() ?? '',
+	];
+
+	const addressOf = (peer: RelayPeer) => ({name: peer.name, address: `http://${peer.address}`});
+
+	const recordDecline = (peer: RelayPeer, endpoint: LiveEndpoint, reason: string | undefined): void => {
+		if (reason === noPathReason) {
+			peers.hasNoPath(peer.name, endpoint.id);
+			return;
+		}
+
+		peers.failed(peer.name);
+		if (reason === wrongKeyReason) {
+			onKeyRefused();
+		}
+	};
+
+	const send = (request: RelayedRequest, events: ExchangeEvents): Exchange => {
+		const {endpoint} = request;
+		const tried = new Set<string>();
+		let current: Exchange | undefined;
+		let isAborted = false;
+
+		const sendThrough = (peer: RelayPeer): void => {
+			const ended = peers.started(peer.name);
+			let outcome: RelayOutcome | undefined;
+			let reason: string | undefined;
+			transport.allowConnectionReuse(addressOf(peer));
+			current = transport.send({
+				...request,
+				endpoint: addressOf(peer),
+				headers: [...request.headers, ...headersFor(endpoint)],
+				// The handshake shows that the path to the peer works.
+				dedicatedConnection: request.isOnce,
+			}, {
+				...events,
+				head(head) {
+					outcome = headerValue(head.headers, outcomeHeader) as RelayOutcome | undefined;
+					reason = headerValue(head.headers, reasonHeader);
+					if (outcome === 'passed') {
+						events.head(withoutOwnHeaders(head));
+					}
+				},
+				data(chunk) {
+					if (outcome === 'passed') {
+						events.data(chunk);
+					}
+				},
+				end(trailers) {
+					ended();
+					if (outcome === 'passed') {
+						events.end(trailers);
+					} else if (outcome === 'declined') {
+						recordDecline(peer, endpoint, reason);
+						sendToNext();
+					} else {
+						events.failed(isFailureClass(reason) ? reason : 'relay_lost');
+					}
+				},
+				failed(failure, cause) {
+					ended();
+					if (outcome === 'passed' || failure === 'withdrawn' || failure === 'unsendable') {
+						events.failed(failure, cause);
+						return;
+					}
+
+					peers.failed(peer.name);
+					if (failureClasses[failure].reach === 'nothing') {
+						sendToNext();
+					} else {
+						events.failed('relay_lost', cause);
+					}
+				},
+			});
+		};
+
+		const sendToNext = (): void => {
+			const peer = tried.size < maxPeers && !isAborted ? peers.choose(endpoint.id, tried) : undefined;
+			if (peer === undefined) {
+				events.failed(isAborted ? 'withdrawn' : 'connect_failed');
+				return;
+			}
+
+			tried.add(peer.name);
+			request.onPeer(peer.name);
+			sendThrough(peer);
+		};
+
+		sendToNext();
+		return {
+			pause() {
+				current?.pause();
+			},
+			resume() {
+				current?.resume();
+			},
+			batchReads(everyMs) {
+				current?.batchReads(everyMs);
+			},
+			abort(reason, suspect) {
+				isAborted = true;
+				current?.abort(reason, suspect);
+			},
+		};
+	};
+
+	return {
+		isAvailable: endpointId => fleetKey() !== undefined && peers.choose(endpointId, new Set()) !== undefined,
+		send,
+	};
+}
--- a/packages/router/src/lib/placing/candidates.ts
+++ b/packages/router/src/lib/placing/candidates.ts
@@ -2,6 +2,7 @@
 import {type EndpointPresence} from '../fleet/endpoint-presence.js';
 import {type FleetView} from '../fleet/fleet-view.js';
 import {type LiveEndpoint} from '../fleet/live-endpoint.js';
+import {type EndpointPaths} from '../paths/endpoint-paths.js';
 import {type UnprovenVersions} from '../releases/unproven-versions.js';
 import {type HealthTracker} from '../routing/health.js';
 import {type EngineVersions} from '../weights/engine-versions.js';
@@ -19,6 +20,7 @@
 	versions: EngineVersions;
 	limits: EndpointLimits;
 	backoff: EndpointBackoff;
+	paths: EndpointPaths;
 	/** Leaves out the endpoints of software versions that haven't proved themselves. */
 	releases: UnprovenVersions;
 	/** Fraction of an endpoint's connection limit that this daemon may use. */
@@ -75,7 +77,7 @@
 /** Creates a look-up of candidates. */
 export function createCandidates(options: CandidatesOptions): Candidates {
 	const {
-		view, loadTracker, health, presence, versions, limits, backoff, releases,
+		view, loadTracker, health, presence, versions, limits, backoff, paths, releases,
 	} = options;
 
 	/** Expected wait in the engine's queue; at least as long as the oldest own request has waited. */
@@ -101,7 +103,7 @@
 	};
 
 	const candidateOf = (endpoint: LiveEndpoint, request: ChoiceRequest): Candidate | undefined => {
-		if (endpoint.isLeaving || request.excluded.has(endpoint.id) || presence.hasEnded(endpoint) || !limits.canSend(endpoint)) {
+		if (endpoint.isLeaving || request.excluded.has(endpoint.id) || presence.hasEnded(endpoint) || paths.isUnreachable(endpoint) || !limits.canSend(endpoint)) {
 			return undefined;
 		}
 
--- a/packages/router/src/lib/placing/endpoint-choice.ts
+++ b/packages/router/src/lib/placing/endpoint-choice.ts
@@ -75,13 +75,14 @@
 
 /** Creates an endpoint choice without placements. */
 export function createEndpointChoice(options: EndpointChoiceOptions): EndpointChoice {
-	const {view, loadTracker, storedParts, residentParts} = options;
+	const {view, loadTracker, storedParts, residentParts, paths} = options;
 	const candidates = createCandidates(options);
 	const costEstimatorFor = createPromptCostEstimator(options);
 	const homeOf = createHomeFinder();
 	const sample = createSampler(options);
 
-	const distanceMs = (endpoint: LiveEndpoint): number => endpoint.dataCentre === options.dataCentre ? 0 : crossDataCentreMs;
+	const distanceMs = (endpoint: LiveEndpoint): number =>
+		(endpoint.dataCentre === options.dataCentre ? 0 : crossDataCentreMs) + paths.detourMs(endpoint);
 
 	const hangMs = ({oldestWaitMs}: EndpointLoad): number => Math.max(0, oldestWaitMs - hangAfterMs);
 
--- a/packages/router/src/lib/quarantine/crash-watch.ts
+++ b/packages/router/src/lib/quarantine/crash-watch.ts
@@ -11,8 +11,8 @@
 
 /** Options of {@link createCrashWatch}. */
 export type CrashWatchOptions = {
-	/** Whether the address refuses connections; also false if that can't be determined. */
-	refusesConnections: (address: string) => Promise<boolean>;
+	/** Whether the endpoint refuses connections because its process has ended; also false if that can't be determined. */
+	hasCrashed: (endpoint: LiveEndpoint) => Promise<boolean>;
 	stateOf: (endpoint: LiveEndpoint) => ProcessState;
 	onCrash: (crash: ObservedCrash) => void;
 };
@@ -37,7 +37,7 @@
 const keyOf = ({id, startedAt}: LiveEndpoint): string => `${id} ${startedAt}`;
 
 /** Creates a crash watch. */
-export function createCrashWatch({refusesConnections, stateOf, onCrash}: CrashWatchOptions): CrashWatch {
+export function createCrashWatch({hasCrashed, stateOf, onCrash}: CrashWatchOptions): CrashWatch {
 	const pending = new Map<string, BrokenConnections>();
 	const crashed = new LRUCache<string, true>({max: maxCrashes});
 
@@ -66,7 +66,7 @@
 	const checkProcess = async (broken: BrokenConnections): Promise<void> => {
 		const {endpoint} = broken;
 		pending.delete(keyOf(endpoint));
-		if (crashed.has(keyOf(endpoint)) || stateOf(endpoint) === 'ended' || await refusesConnections(endpoint.address)) {
+		if (crashed.has(keyOf(endpoint)) || stateOf(endpoint) === 'ended' || await hasCrashed(endpoint)) {
 			report(broken);
 		} else {
 			scheduleRecheck(broken, 0);
--- /dev/null
+++ b/packages/router/src/lib/relaying/relay-server.ts
@@ -0,0 +1,219 @@
+/**
+ * Accepts requests of other daemons for endpoints that they can't reach. A request is sent to the
+ * endpoint over this daemon's own path or declined, and never passed on to a third daemon.
+ */
+import {Buffer} from 'node:buffer';
+import {createHash, timingSafeEqual} from 'node:crypto';
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import fastify from 'fastify';
+import {type CallHeaders, type ResponseFacts} from '../fleet/call-headers.js';
+import {type FleetView} from '../fleet/fleet-view.js';
+import {type LiveEndpoint} from '../fleet/live-endpoint.js';
+import {type CallerReply, createCallerReply} from '../forwarding/caller-reply.js';
+import {type BindAddress, closeServer, listenServer} from '../http/http-server.js';
+import {type Log} from '../observability/log.js';
+import {type EndpointTransport} from '../orders/endpoint-transport.js';
+import {failureClasses} from '../orders/failure-classes.js';
+import {EndpointExchangeError} from '../orders/orders-errors.js';
+import {type EndpointPaths} from '../paths/endpoint-paths.js';
+import {
+	endpointHeader, keyHeader, noPathReason, outcomeHeader, reasonHeader, type RelayOutcome, startedAtHeader, withoutRelayHeaders, wrongKeyReason,
+} from '../paths/relay-protocol.js';
+
+/** Options of {@link createRelayServer}. */
+export type RelayServerOptions = {
+	view: FleetView;
+	paths: EndpointPaths;
+	transport: EndpointTransport;
+	headers: CallHeaders;
+	/** Whether an endpoint may get a request of this daemon now. */
+	mayGetRequests: (endpoint: LiveEndpoint) => boolean;
+	/** Records what an endpoint says of itself in a response. */
+	onNotices: (endpoint: LiveEndpoint, facts: ResponseFacts) => void;
+	fleetKey: () => string | undefined;
+	/** The process is stopping and accepts no further requests. */
+	isStopping: () => boolean;
+	/** Called with the reason why a request was declined. */
+	onDeclined: (reason: string) => void;
+	log: Log;
+};
+
+/** The server for other daemons. */
+export type RelayServer = {
+	listen: (address: BindAddress) => Promise<string>;
+	/** Refuses new connections and waits for responses in flight. */
+	close: () => Promise<void>;
+	/** Number of requests in flight. */
+	inFlight: () => number;
+};
+
+/** Upper bound on requests in flight, which protects the callers of this daemon. */
+const maxInFlight = 256;
+
+/** The same bound as for the bodies of callers; operators' limits are below it. */
+const maxBodyBytes = 16 * 1024 * 1024;
+
+/** Larger than the headers of any request that a daemon accepts from a caller. */
+const maxHeaderBytes = 128 * 1024;
+
+const statusUnavailable = 503;
+
+/** Creates a server that doesn't listen yet. */
+export function createRelayServer(options: RelayServerOptions): RelayServer {
+	const {view, paths, transport, headers, log} = options;
+	let inFlight = 0;
+
+	const respond = (res: ServerResponse, status: number, outcome: RelayOutcome, reason: string): void => {
+		res.writeHead(status, {[outcomeHeader]: outcome, [reasonHeader]: reason, 'content-length': 0});
+		res.end();
+	};
+
+	const decline = (res: ServerResponse, reason: string): void => {
+		options.onDeclined(reason);
+		respond(res, statusUnavailable, 'declined', reason);
+	};
+
+	const digest = (key: string): Buffer => createHash('sha256').update(key).digest();
+
+	const isFromFleet = (req: IncomingMessage): boolean => {
+		const key = options.fleetKey();
+		const sent = req.headers[keyHeader];
+		return key !== undefined && typeof sent === 'string' && timingSafeEqual(digest(sent), digest(key));
+	};
+
+	const endpointOf = (req: IncomingMessage): LiveEndpoint | undefined => {
+		const endpoint = view.endpoint(String(req.headers[endpointHeader]));
+		return endpoint?.startedAt === Number(req.headers[startedAtHeader]) ? endpoint : undefined;
+	};
+
+	/** Sends the request over the own path and resolves when the response has ended. */
+	const passOn = async (req: IncomingMessage, body: unknown, reply: CallerReply, endpoint: LiveEndpoint): Promise<'passed' | {outcome: RelayOutcome; reason: string}> => new Promise(resolve => {
+		const watch = paths.watch(endpoint);
+		const target = {name: endpoint.id, address: `http://${endpoint.address}`};
+		transport.allowConnectionReuse(target);
+		const exchange = transport.send({
+			endpoint: target,
+			method: req.method ?? 'GET',
+			path: req.url ?? '/',
+			headers: withoutRelayHeaders(req.rawHeaders),
+			...(Buffer.isBuffer(body) && body.length > 0 && {body: {kind: 'whole', content: body}}),
+			dedicatedConnection: paths.isUnproven(endpoint),
+		}, {
+			beforeSend: () => !reply.isDisconnected(),
+			progress: () => undefined,
+			head(head) {
+				watch.heard();
+				const facts = headers.readResponse(head.headers, head.status);
+				options.onNotices(endpoint, facts);
+				reply.head(head.status, [...headers.forCaller(head.headers), outcomeHeader, 'passed'], facts.isUnframed);
+			},
+			data(chunk) {
+				watch.heard();
+				if (!reply.write(chunk)) {
+					exchange.pause();
+					reply.onDrain(exchange.resume);
+				}
+			},
+			end() {
+				watch.ended();
+				reply.end();
+				resolve('passed');
+			},
+			failed(failure) {
+				watch.ended();
+				if (failure === 'connect_failed') {
+					paths.connectFailed(endpoint);
+				}
+
+				resolve(failureClasses[failure].reach === 'nothing' ? {outcome: 'declined', reason: noPathReason} : {outcome: 'failed', reason: failure});
+			},
+		});
+		reply.onDisconnect(() => {
+			watch.ended();
+			exchange.abort(new EndpointExchangeError('The peer disconnected.'), false);
+			resolve('passed');
+		});
+	});
+
+	const handleSend = async (req: IncomingMessage, body: unknown, res: ServerResponse, endpoint: LiveEndpoint): Promise<void> => {
+		if (paths.isLost(endpoint)) {
+			decline(res, noPathReason);
+			return;
+		}
+
+		if (inFlight >= maxInFlight || !options.mayGetRequests(endpoint)) {
+			decline(res, 'busy');
+			return;
+		}
+
+		inFlight++;
+		try {
+			const reply = createCallerReply(res);
+			const result = await passOn(req, body, reply, endpoint);
+			if (result === 'passed' || reply.isDisconnected()) {
+				return;
+			}
+
+			if (reply.isStarted()) {
+				// A partial response must not look complete.
+				reply.abort();
+			} else if (result.outcome === 'declined') {
+				decline(res, result.reason);
+			} else {
+				respond(res, statusUnavailable, result.outcome, result.reason);
+			}
+		} finally {
+			inFlight--;
+		}
+	};
+
+	const handle = async (req: IncomingMessage, body: unknown, res: ServerResponse): Promise<void> => {
+		const endpoint = endpointOf(req);
+		if (endpoint === undefined) {
+			decline(res, 'unknown_endpoint');
+		} else if (options.isStopping()) {
+			decline(res, 'stopping');
+		} else {
+			await handleSend(req, body, res, endpoint);
+		}
+	};
+
+	const app = fastify({
+		bodyLimit: maxBodyBytes, exposeHeadRoutes: false, forceCloseConnections: 'idle', return503OnClosing: false, http: {maxHeaderSize: maxHeaderBytes, requestTimeout: 0, noDelay: true},
+	});
+	app.removeAllContentTypeParsers();
+	app.addContentTypeParser('*', {parseAs: 'buffer'}, (_req, body, done) => {
+		done(null, body);
+	});
+	// Before the body is read.
+	app.addHook('onRequest', (req, reply, done) => {
+		if (isFromFleet(req.raw)) {
+			done();
+			return;
+		}
+
+		void reply.hijack();
+		decline(reply.raw, wrongKeyReason);
+	});
+	app.all('*', async (req, reply) => {
+		void reply.hijack();
+		if (options.isStopping()) {
+			reply.raw.setHeader('connection', 'close');
+		}
+
+		try {
+			await handle(req.raw, req.body, reply.raw);
+		} catch (error) {
+			log.error('Handler of a peer\'s request threw an error.', {err: error});
+			reply.raw.destroy();
+		}
+
+		return reply;
+	});
+
+	return {
+		listen: async address => listenServer(app, address),
+		close: async () => closeServer(app),
+		inFlight: () => inFlight,
+	};
+}
--- a/packages/router/src/quarantine.ts
+++ b/packages/router/src/quarantine.ts
@@ -1,5 +1,4 @@
 /** Refuses requests that crash endpoints. */
-export * from './lib/quarantine/connection-check.js';
 export * from './lib/quarantine/crash-evidence.js';
 export * from './lib/quarantine/crash-watch.js';
 export * from './lib/quarantine/quarantine.js';
--- /dev/null
+++ b/packages/router/src/test/paths/endpoint-paths.test.ts
@@ -0,0 +1,151 @@
+import FakeTimers from '@sinonjs/fake-timers';
+import {assert} from 'chai';
+import {createSilentLog} from '../../observability.js';
+import {type ConnectionState, createEndpointPaths, type EndpointPaths} from '../../paths.js';
+import {endpointNamed} from './endpoint-named.js';
+
+const e1 = endpointNamed('e1');
+const e2 = endpointNamed('e2');
+
+describe('createEndpointPaths', () => {
+	let clock: FakeTimers.Clock;
+	let states: Map<string, ConnectionState>;
+	let checks: string[];
+	let lost: string[];
+	let paths: EndpointPaths;
+
+	beforeEach(() => {
+		clock = FakeTimers.install();
+		states = new Map();
+		checks = [];
+		lost = [];
+		paths = createEndpointPaths({
+			async checkConnection(address) {
+				checks.push(address);
+				return states.get(address) ?? 'accepted';
+			},
+			onLost({id}) {
+				lost.push(id);
+			},
+			random: () => 0.5,
+			log: createSilentLog(),
+		});
+	});
+
+	afterEach(() => {
+		clock.uninstall();
+	});
+
+	/** Asks for the path every 10 ms, as requests do. */
+	const useFor = async (durationMs: number): Promise<void> => {
+		for (let ms = 0; ms < durationMs; ms += 10) {
+			paths.isLost(e1);
+			await clock.tickAsync(10);
+		}
+	};
+
+	it('checks a lost path ever less often, and uses it again once a check succeeds', async () => {
+		// Guards against callers who pay for finding out whether a path works again, and against paths that stay lost.
+		states.set(e1.address, 'refused');
+		paths.connectFailed(e1);
+		assert.isTrue(paths.isLost(e1));
+		await useFor(12_000);
+		assert.isAtMost(checks.length, 7);
+		assert.isAtLeast(checks.length, 5);
+		states.delete(e1.address);
+		await useFor(5100);
+		assert.isFalse(paths.isLost(e1));
+		assert.deepEqual(lost, ['e1']);
+	});
+
+	it('checks the other lost paths as soon as one works again', async () => {
+		// Guards against requests that go on through peers for seconds after a partition has ended.
+		states.set(e1.address, 'refused');
+		states.set(e2.address, 'refused');
+		paths.connectFailed(e1);
+		paths.connectFailed(e2);
+		for (let ms = 0; ms < 7000; ms += 10) {
+			paths.isLost(e1);
+			paths.isLost(e2);
+			await clock.tickAsync(10);
+		}
+
+		states.clear();
+		while (paths.isLost(e1)) {
+			await clock.tickAsync(10);
+		}
+
+		await clock.tickAsync(250);
+		paths.isLost(e2);
+		await clock.tickAsync(1);
+		assert.isFalse(paths.isLost(e2));
+	});
+
+	it('starts no check while nobody uses a lost path, and holds no timer at rest', async () => {
+		// Guards against wake-ups of an idle process.
+		states.set(e1.address, 'refused');
+		paths.connectFailed(e1);
+		await clock.tickAsync(60_000);
+		assert.lengthOf(checks, 0);
+		assert.equal(clock.countTimers(), 0);
+	});
+
+	it('loses the path of an endpoint that owes a response and accepts no connection, and tells the waiting request', async () => {
+		// Guards against requests that wait until their deadline for an answer that can't arrive.
+		states.set(e1.address, 'silent');
+		let told = 0;
+		const open = paths.watch(e1, () => {
+			told++;
+		});
+		await clock.tickAsync(500);
+		assert.isTrue(paths.isLost(e1));
+		assert.equal(told, 1);
+		assert.isTrue(paths.isUnproven(e2));
+		open.ended();
+		await clock.tickAsync(500);
+		assert.equal(clock.countTimers(), 0);
+	});
+
+	it('keeps the path of an endpoint that is slow or silent for a second but accepts connections', async () => {
+		// Guards against moving requests away from an endpoint that only takes long.
+		const open = paths.watch(e1, () => {
+			assert.fail('The path is not lost.');
+		});
+		await clock.tickAsync(1500);
+		open.heard();
+		open.ended();
+		assert.isFalse(paths.isLost(e1));
+		assert.isFalse(paths.isUnproven(e2));
+	});
+
+	it('checks at most one silent endpoint a second while all paths work', async () => {
+		// Guards against a storm of connections when all endpoints are overloaded.
+		const open = Array.from({length: 40}, (_item, index) => paths.watch(endpointNamed(`busy-${index}`)));
+		await clock.tickAsync(5000);
+		assert.isAtMost(checks.length, 5);
+		for (const request of open) {
+			request.ended();
+		}
+	});
+
+	it('leaves out an endpoint that no peer reaches either, ever longer, until a peer reaches it', () => {
+		// Guards against requests that are sent in circles to an endpoint that has crashed.
+		paths.connectFailed(e1);
+		paths.passingOnFailed(e1);
+		assert.isTrue(paths.isUnreachable(e1));
+		clock.tick(500);
+		assert.isFalse(paths.isUnreachable(e1));
+		paths.passingOnFailed(e1);
+		clock.tick(999);
+		assert.isTrue(paths.isUnreachable(e1));
+		paths.passedOn(e1);
+		assert.isFalse(paths.isUnreachable(e1));
+		assert.isAbove(paths.detourMs(e1), 0);
+		assert.equal(paths.detourMs(e2), 0);
+	});
+
+	it('knows nothing of a later process under the same id', () => {
+		paths.connectFailed(e1);
+		assert.isFalse(paths.isLost({...e1, startedAt: e1.startedAt + 1}));
+	});
+});
--- a/packages/router/src/test/placing/endpoint-choice.test.ts
+++ b/packages/router/src/test/placing/endpoint-choice.test.ts
@@ -15,6 +15,7 @@
 import {createEngineVersions, type EngineVersions} from '../../weights.js';
 import {reportOf} from '../peers/empty-report.js';
 import {createLoneLimits} from './lone-limits.js';
+import {createWorkingPaths} from './working-paths.js';
 
 const prompt = (subject: string, more: Partial<PromptNeed> = {}): PromptNeed => ({
 	model: 'm', parts: [{id: 'top', tokens: 2500}, {id: subject, tokens: 3800}, {id: 'own', tokens: 2900}], promptTokens: 9200, outputTokens: 13, isolationKey: '', ...more,
@@ -72,7 +73,8 @@
 		releases = createUnprovenVersions({view, log: createSilentLog()});
 		const random = xoroshiro128plus(1);
 		choice = createEndpointChoice({
-			view, loadTracker, health: createHealthTracker(), presence, versions, limits, backoff, releases, storedParts, residentParts: createResidentParts({memoryTokens: view.memoryTokens}),
+			view, loadTracker, health: createHealthTracker(), presence, versions, limits, backoff, paths: createWorkingPaths(), releases, storedParts,
+			residentParts: createResidentParts({memoryTokens: view.memoryTokens}),
 			dataCentre: 'a', connectionShare: () => 0.1, weightsMs: 8000, daemons: () => 10, random: () => uniformFloat64(random),
 		});
 		for (let index = 0; index < 8; index++) {
--- a/packages/router/src/test/quarantine/crash-watch.test.ts
+++ b/packages/router/src/test/quarantine/crash-watch.test.ts
@@ -24,7 +24,7 @@
 		isRefusing = false;
 		state = 'listed';
 		watch = createCrashWatch({
-			async refusesConnections() {
+			async hasCrashed() {
 				checks++;
 				return isRefusing;
 			},
--- a/packages/standins/src/lib/service/histories/faulty-transport.ts
+++ b/packages/standins/src/lib/service/histories/faulty-transport.ts
@@ -174,6 +174,9 @@
 		allowConnectionReuse() {
 			// No effect: every exchange has its own connection.
 		},
+		forgetConnections() {
+			// No effect either.
+		},
 		async close() {
 			// Holds no resources.
 		},
