A crash is confirmed by endpoints and daemons that can tell it from a lost path

A daemon that loses its path to an endpoint saw its connections break and new ones be refused, and recorded a crash under each request that was running there. Three such records refuse a request in the whole fleet.

Now a refused connection counts only where two other endpoints of the service accept one, and a daemon asks up to three peers in different data centres, who check the same way. One that reaches the endpoint refutes the crash. Where nobody can tell, the endpoint's row decides within seconds, as before.

--- a/packages/entry/src/lib/entry-parts.ts
+++ b/packages/entry/src/lib/entry-parts.ts
@@ -22,7 +22,7 @@
 import {type EntryParts} from './wiring/parts.js';
 import {wireDirectory, wirePeers} from './wiring/peer-wiring.js';
 import {
-	wireConnectionCheck, wireFleetKey, wirePaths, wireRelay, wireRelayServer,
+	wireConnectionCheck, wireFleetKey, wireOpinionOn, wirePaths, wireRelay, wireRelayServer,
 } from './wiring/path-wiring.js';
 import {wireCrashWatch, wireQuarantine, wireRefusalRows} from './wiring/quarantine-wiring.js';
 import {
@@ -70,6 +70,7 @@
 		refusalRows: asFunction(wireRefusalRows).singleton(),
 		crashWatch: asFunction(wireCrashWatch).singleton(),
 		checkConnection: asFunction(wireConnectionCheck).singleton(),
+		opinionOn: asFunction(wireOpinionOn).singleton(),
 		paths: asFunction(wirePaths).singleton(),
 		fleetKey: asFunction(wireFleetKey).singleton(),
 		relay: asFunction(wireRelay).singleton(),
--- a/packages/entry/src/lib/wiring/parts.ts
+++ b/packages/entry/src/lib/wiring/parts.ts
@@ -8,7 +8,7 @@
 import {type LineBudget, type Log} from 'hickorywalk/observability.js';
 import {type createUndiciTransport} from 'hickorywalk/orders.js';
 import {
-	type ConnectionState, type EndpointPaths, type Relay, type RelayServer,
+	type ConnectionState, type EndpointPaths, type OpinionOn, type Relay, type RelayServer,
 } from 'hickorywalk/paths.js';
 import {type createPeerDirectory, type FleetKey, type PeerExchange} from 'hickorywalk/peers.js';
 import {
@@ -51,6 +51,7 @@
 	refusalRows: RefusalRows;
 	crashWatch: CrashWatch;
 	checkConnection: (address: string) => Promise<ConnectionState>;
+	opinionOn: OpinionOn;
 	paths: EndpointPaths;
 	fleetKey: FleetKey;
 	relay: Relay;
--- a/packages/entry/src/lib/wiring/path-wiring.ts
+++ b/packages/entry/src/lib/wiring/path-wiring.ts
@@ -3,7 +3,7 @@
 import {createCallHeaders} from '@hickorywalk/platform';
 import {createNoticeRecorder} from 'hickorywalk/forwarding.js';
 import {
-	checkConnection, type ConnectionState, createEndpointPaths, createRelay, createRelayPeers, createRelayServer, type EndpointPaths, type Relay, type RelayServer,
+	checkConnection, type ConnectionState, createEndpointPaths, createOpinionOn, createRelay, createRelayPeers, createRelayServer, type EndpointPaths, type OpinionOn, type Relay, type RelayServer,
 } from 'hickorywalk/paths.js';
 import {createFleetKey, type FleetKey} from 'hickorywalk/peers.js';
 import {type EntryParts} from './parts.js';
@@ -16,6 +16,11 @@
 /** Creates the check whether an endpoint accepts connections. */
 export const wireConnectionCheck = () => async (address: string): Promise<ConnectionState> => checkConnection(address, connectionCheckTimeoutMs);
 
+/** Creates the check whether an endpoint has ended or only can't be reached. */
+export const wireOpinionOn = ({checkConnection: check, view}: EntryParts): OpinionOn => createOpinionOn({
+	checkConnection: check, endpointsOf: view.endpointsOf, random: Math.random,
+});
+
 /** Creates the record of this daemon's paths. */
 export const wirePaths = ({checkConnection: check, transport, log}: EntryParts): EndpointPaths => createEndpointPaths({
 	checkConnection: check,
@@ -45,7 +50,7 @@
 
 /** Creates the server for requests that peers can't send themselves. */
 export const wireRelayServer = ({
-	view, presence, paths, transport, limits, backoff, fleetKey, state, metrics, log,
+	view, presence, paths, transport, limits, backoff, opinionOn, fleetKey, state, metrics, log,
 }: EntryParts): RelayServer => createRelayServer({
 	view,
 	paths,
@@ -53,6 +58,7 @@
 	headers: createCallHeaders(),
 	mayGetRequests: endpoint => !endpoint.isLeaving && !presence.hasEnded(endpoint) && backoff.roomOf(endpoint) > 0,
 	onNotices: createNoticeRecorder({view, limits, backoff}),
+	opinionOn,
 	fleetKey: fleetKey.current,
 	isStopping: () => state.isStopping,
 	onDeclined: metrics.relayDeclined,
--- a/packages/entry/src/lib/wiring/quarantine-wiring.ts
+++ b/packages/entry/src/lib/wiring/quarantine-wiring.ts
@@ -2,6 +2,7 @@
 import {
 	type CrashWatch, createCrashWatch, createQuarantine, createRefusalStore, type Quarantine, type RefusalRows,
 } from 'hickorywalk/quarantine.js';
+import {provesEnd} from 'hickorywalk/paths.js';
 import {type EntryParts} from './parts.js';
 
 /** Creates the quarantine. */
@@ -33,11 +34,22 @@
 	log: parts.log,
 });
 
-/** Creates the crash watch. */
+/**
+ * Creates the crash watch. A refused connection may also be the fault of the network between this
+ * daemon and the endpoint, so peers are asked as well.
+ */
 export const wireCrashWatch = ({
-	quarantine, presence, view, checkConnection,
+	quarantine, presence, view, paths, relay, opinionOn,
 }: EntryParts): CrashWatch => createCrashWatch({
-	hasCrashed: async ({address}) => await checkConnection(address) === 'refused',
+	async hasCrashed(endpoint) {
+		const own = await opinionOn(endpoint);
+		if (own === 'reached') {
+			return false;
+		}
+
+		paths.connectFailed(endpoint);
+		return provesEnd([own, ...await relay.opinionsOn(endpoint)]);
+	},
 	stateOf(endpoint) {
 		const listed = view.endpoint(endpoint.id);
 		if (listed?.startedAt !== endpoint.startedAt || presence.hasEnded(endpoint)) {
--- a/packages/router/src/lib/paths/endpoint-paths.ts
+++ b/packages/router/src/lib/paths/endpoint-paths.ts
@@ -121,7 +121,8 @@
 		}
 
 		const path: Path = {
-			startedAt, lostAt: undefined, checkAt: never, checkPauseMs: firstCheckPauseMs, isChecking: false, heardAt: never, passedOnAt: never, unreachableUntil: never, unreachableMs: firstUnreachableMs,
+			startedAt, lostAt: undefined, checkAt: never, checkPauseMs: firstCheckPauseMs, isChecking: false,
+			heardAt: never, passedOnAt: never, unreachableUntil: never, unreachableMs: firstUnreachableMs,
 		};
 		paths.set(id, path);
 		return path;
--- a/packages/router/src/lib/paths/relay-peers.ts
+++ b/packages/router/src/lib/paths/relay-peers.ts
@@ -25,6 +25,8 @@
 export type RelayPeers = {
 	/** The best peer for an endpoint that isn't among the `tried` ones; `undefined` if there is none. */
 	choose: (endpointId: string, tried: ReadonlySet<string>) => RelayPeer | undefined;
+	/** Peers to ask whether an endpoint accepts connections, each in another data centre where possible. */
+	witnesses: (endpointId: string, count: number) => RelayPeer[];
 	/** Counts a request that the peer passes on; the returned function ends it. */
 	started: (peer: string) => () => void;
 	/** The peer could not be reached, or passes on nothing now. */
@@ -114,6 +116,12 @@
 			const [least] = best.toSorted((a, b) => (inFlight.get(a.name) ?? 0) - (inFlight.get(b.name) ?? 0));
 			return least;
 		},
+		witnesses(endpointId, count) {
+			const all = sorted(`witness ${endpointId}`);
+			const seen = new Set([dataCentre]);
+			const distinct = all.filter(peer => !seen.has(peer.dataCentre) && seen.add(peer.dataCentre));
+			return [...distinct, ...all.filter(peer => !distinct.includes(peer))].slice(0, count);
+		},
 		started(peer) {
 			inFlight.set(peer, (inFlight.get(peer) ?? 0) + 1);
 			return () => {
--- a/packages/router/src/lib/paths/relay-protocol.ts
+++ b/packages/router/src/lib/paths/relay-protocol.ts
@@ -4,6 +4,8 @@
  */
 import {connectionHeaders, headerPairs} from '../orders/credential-headers.js';
 
+/** What the peer is asked for: to pass the request on, or to tell whether the endpoint accepts connections. */
+export const purposeHeader = 'hickorywalk-relay';
 /** Id of the endpoint, and the start time of its process. */
 export const endpointHeader = 'hickorywalk-endpoint';
 export const startedAtHeader = 'hickorywalk-started-at';
@@ -21,7 +23,10 @@
 export const wrongKeyReason = 'wrong_key';
 
 /** All headers; none of them reaches an endpoint or a caller. */
-export const relayHeaders: ReadonlySet<string> = new Set([endpointHeader, startedAtHeader, keyHeader, outcomeHeader, reasonHeader]);
+export const relayHeaders: ReadonlySet<string> = new Set([purposeHeader, endpointHeader, startedAtHeader, keyHeader, outcomeHeader, reasonHeader]);
+
+/** What the sender wants. */
+export type RelayPurpose = 'send' | 'check';
 
 /**
  * What became of a request: the response is the endpoint's (`passed`), the endpoint got nothing
--- a/packages/router/src/lib/paths/relay.ts
+++ b/packages/router/src/lib/paths/relay.ts
@@ -4,10 +4,12 @@
 	type EndpointTransport, type Exchange, type ExchangeEvents, type OutgoingRequest, type ResponseHead,
 } from '../orders/endpoint-transport.js';
 import {failureClasses, type FailureClass} from '../orders/failure-classes.js';
+import {EndpointExchangeError} from '../orders/orders-errors.js';
 import {headerValue} from '../orders/response-checks.js';
+import {type EndpointOpinion} from './endpoint-opinion.js';
 import {type RelayPeer, type RelayPeers} from './relay-peers.js';
 import {
-	endpointHeader, keyHeader, noPathReason, outcomeHeader, reasonHeader, type RelayOutcome, startedAtHeader, wrongKeyReason,
+	endpointHeader, keyHeader, noPathReason, outcomeHeader, purposeHeader, reasonHeader, type RelayOutcome, type RelayPurpose, startedAtHeader, wrongKeyReason,
 } from './relay-protocol.js';
 
 /** Options of {@link createRelay}. */
@@ -39,11 +41,19 @@
 	 * the request.
 	 */
 	send: (request: RelayedRequest, events: ExchangeEvents) => Exchange;
+	/** Asks some peers for their opinions on an endpoint. */
+	opinionsOn: (endpoint: LiveEndpoint) => Promise<EndpointOpinion[]>;
 };
 
 /** Peers that one request is sent to at most. */
 const maxPeers = 6;
 
+/** Peers that are asked whether an endpoint accepts connections. */
+const witnessCount = 3;
+
+/** Timeout of this question, in milliseconds. */
+const witnessTimeoutMs = 600;
+
 const ownHeaders: ReadonlySet<string> = new Set([outcomeHeader, reasonHeader]);
 
 function withoutOwnHeaders({status, headers}: ResponseHead): ResponseHead {
@@ -61,8 +71,8 @@
 
 /** Creates a relay. */
 export function createRelay({transport, peers, fleetKey, onKeyRefused}: RelayOptions): Relay {
-	const headersFor = ({id, startedAt}: LiveEndpoint): string[] => [
-		endpointHeader, id, startedAtHeader, String(startedAt), keyHeader, fleetKey() ?? '',
+	const headersFor = (purpose: RelayPurpose, {id, startedAt}: LiveEndpoint): string[] => [
+		purposeHeader, purpose, endpointHeader, id, startedAtHeader, String(startedAt), keyHeader, fleetKey() ?? '',
 	];
 
 	const addressOf = (peer: RelayPeer) => ({name: peer.name, address: `http://${peer.address}`});
@@ -93,7 +103,7 @@
 			current = transport.send({
 				...request,
 				endpoint: addressOf(peer),
-				headers: [...request.headers, ...headersFor(endpoint)],
+				headers: [...request.headers, ...headersFor('send', endpoint)],
 				// The handshake shows that the path to the peer works.
 				dedicatedConnection: request.isOnce,
 			}, {
@@ -168,8 +178,36 @@
 		};
 	};
 
+	const ask = async (peer: RelayPeer, endpoint: LiveEndpoint): Promise<EndpointOpinion> => new Promise(resolve => {
+		let opinion: EndpointOpinion = 'unknown';
+		const timer = setTimeout(() => {
+			exchange.abort(new EndpointExchangeError('The peer did not respond in time.'), true);
+			resolve('unknown');
+		}, witnessTimeoutMs);
+		const finish = (): void => {
+			clearTimeout(timer);
+			resolve(opinion);
+		};
+
+		transport.allowConnectionReuse(addressOf(peer));
+		const exchange = transport.send({
+			endpoint: addressOf(peer), method: 'GET', path: '/', headers: headersFor('check', endpoint), dedicatedConnection: false,
+		}, {
+			beforeSend: () => true,
+			progress: () => undefined,
+			head({headers}) {
+				const stated = headerValue(headers, reasonHeader);
+				opinion = stated === 'reached' || stated === 'refused' ? stated : 'unknown';
+			},
+			data: () => undefined,
+			end: finish,
+			failed: finish,
+		});
+	});
+
 	return {
 		isAvailable: endpointId => fleetKey() !== undefined && peers.choose(endpointId, new Set()) !== undefined,
 		send,
+		opinionsOn: async endpoint => Promise.all(peers.witnesses(endpoint.id, witnessCount).map(async peer => ask(peer, endpoint))),
 	};
 }
--- a/packages/router/src/lib/relaying/relay-server.ts
+++ b/packages/router/src/lib/relaying/relay-server.ts
@@ -15,9 +15,10 @@
 import {type EndpointTransport} from '../orders/endpoint-transport.js';
 import {failureClasses} from '../orders/failure-classes.js';
 import {EndpointExchangeError} from '../orders/orders-errors.js';
+import {type OpinionOn} from '../paths/endpoint-opinion.js';
 import {type EndpointPaths} from '../paths/endpoint-paths.js';
 import {
-	endpointHeader, keyHeader, noPathReason, outcomeHeader, reasonHeader, type RelayOutcome, startedAtHeader, withoutRelayHeaders, wrongKeyReason,
+	endpointHeader, keyHeader, noPathReason, outcomeHeader, purposeHeader, reasonHeader, type RelayOutcome, startedAtHeader, withoutRelayHeaders, wrongKeyReason,
 } from '../paths/relay-protocol.js';
 
 /** Options of {@link createRelayServer}. */
@@ -30,6 +31,8 @@
 	mayGetRequests: (endpoint: LiveEndpoint) => boolean;
 	/** Records what an endpoint says of itself in a response. */
 	onNotices: (endpoint: LiveEndpoint, facts: ResponseFacts) => void;
+	/** Tells whether an endpoint accepts connections. */
+	opinionOn: OpinionOn;
 	fleetKey: () => string | undefined;
 	/** The process is stopping and accepts no further requests. */
 	isStopping: () => boolean;
@@ -56,6 +59,7 @@
 /** Larger than the headers of any request that a daemon accepts from a caller. */
 const maxHeaderBytes = 128 * 1024;
 
+const statusOk = 200;
 const statusUnavailable = 503;
 
 /** Creates a server that doesn't listen yet. */
@@ -171,6 +175,8 @@
 		const endpoint = endpointOf(req);
 		if (endpoint === undefined) {
 			decline(res, 'unknown_endpoint');
+		} else if (req.headers[purposeHeader] === 'check') {
+			respond(res, statusOk, 'passed', await options.opinionOn(endpoint));
 		} else if (options.isStopping()) {
 			decline(res, 'stopping');
 		} else {
--- a/packages/router/src/test/paths/relay-peers.test.ts
+++ b/packages/router/src/test/paths/relay-peers.test.ts
@@ -74,4 +74,12 @@
 		assert.equal(peers.choose('e1', none)!.name, 'vm-1');
 		assert.isUndefined(peers.choose('e1', new Set(['vm-1'])));
 	});
+
+	it('asks witnesses in different data centres', () => {
+		// Guards against a crash that is confirmed only by daemons of one partitioned data centre.
+		const fleet = fleetOf(4, 3);
+		const witnesses = peersOf(fleet, fleet[0]).witnesses('e1', 3);
+		assert.equal(new Set(witnesses.map(({dataCentre}) => dataCentre)).size, 3);
+		assert.notInclude(witnesses.map(({dataCentre}) => dataCentre), 'dc-0');
+	});
 });
