A daemon that can't reach the engines hands the duty of changing weights over

The holder of the lease kept it as long as it reached the store.

Now it changes the engines that it reaches; once all that are left are reached by peers only, it gives the lease back and doesn't contend for three lease durations. Orders aren't passed on by peers, since they would count as orders of another holder. Both new tests failed before (no other daemon took the lease).

--- a/packages/entry/src/lib/wiring/lease-wiring.ts
+++ b/packages/entry/src/lib/wiring/lease-wiring.ts
@@ -8,6 +8,9 @@
 /** Name of the lease for ordering weights changes. */
 export const weightsLease = 'weights';
 
+/** Leases for which a daemon that handed the duty over leaves it to others. */
+const leasesUntilNextTurn = 3;
+
 /** Creates the record of named weights, which is stored with the lease. */
 export const wireNamingRecord = ({view, store, operatorFeed, log}: EntryParts): NamingRecord =>
 	createNamingRecord({
@@ -61,7 +64,7 @@
 /** Creates the weights rollout; it acts only while the lease is held. */
 export function wireWeightsRollout(parts: EntryParts) {
 	const {
-		settings, timings, view, versions, control, leases, loadTracker, presence, limits, log,
+		settings, timings, view, versions, control, leases, loadTracker, presence, limits, paths, log,
 	} = parts;
 	return createWeightsRollout({
 		name: settings.name,
@@ -70,6 +73,11 @@
 		control,
 		held: () => leases.held(weightsLease),
 		handoverMs: timings.handoverMs,
+		isOutOfReach: paths.isReachedByPeers,
+		onUnreached: paths.suspect,
+		handOver() {
+			void leases.handOver(weightsLease, timings.leaseMs * leasesUntilNextTurn);
+		},
 		presence,
 		announce: parts.peers.sendNow,
 		daemons: parts.peers.fleetSize,
--- a/packages/router/src/lib/leases/lease-holder.ts
+++ b/packages/router/src/lib/leases/lease-holder.ts
@@ -96,6 +96,8 @@
 	tick: () => Promise<void>;
 	/** Calls `tick` now and then three times per lease duration. */
 	start: () => Promise<void>;
+	/** Releases one duty to another daemon, and doesn't contend for it for `pauseMs`. */
+	handOver: (duty: string, pauseMs: number) => Promise<void>;
 	/** Releases all duties, for a graceful stop. */
 	release: () => Promise<void>;
 	/** Stops the timer; leases expire by themselves. */
@@ -142,6 +144,8 @@
 	const observed = new Map<string, ObservedRow>();
 	const held = new Map<string, Held>();
 	const vacantRounds = new Map<string, number>();
+	/** `performance.now()` until which this daemon doesn't acquire a duty that it handed over. */
+	const pausedUntil = new Map<string, number>();
 	// A number is never used twice, so that a row identifies the attempt that wrote it.
 	let attempt = 0;
 	const attempts = new Map<string, {attempt: number; end: number}>();
@@ -288,7 +292,7 @@
 			held.delete(duty);
 			if (!isVacant(duty)) {
 				vacantRounds.delete(duty);
-			} else if (isOurTurn(duty)) {
+			} else if (performance.now() >= (pausedUntil.get(duty) ?? 0) && isOurTurn(duty)) {
 				await acquireOrRenew(duty, Math.max(observed.get(duty)?.row.fencing ?? 0, generation * fencingPerGeneration) + 1);
 			}
 		}
@@ -313,6 +317,25 @@
 		}
 	}
 
+	/** Stops acting at once, then writes that the duty is free. */
+	async function giveBack(duty: string): Promise<void> {
+		const lease = held.get(duty);
+		if (lease === undefined) {
+			return;
+		}
+
+		held.delete(duty);
+		attempt += 1;
+		try {
+			attempts.set(duty, {attempt, end: performance.now()});
+			await writeRow(duty, {
+				holder: '', incarnation, fencing: lease.fencing, attempt, note: options.note?.(duty),
+			});
+		} catch (error) {
+			options.onError?.(new LeaseTableError(`The lease of duty "${duty}" could not be released. The duty becomes free when the lease expires.`, {cause: error}));
+		}
+	}
+
 	return {
 		report(duty) {
 			const latest = attempts.get(duty);
@@ -333,20 +356,14 @@
 				void tick();
 			}, leaseMs / roundsPerLease);
 		},
+		async handOver(duty, pauseMs) {
+			pausedUntil.set(duty, performance.now() + pauseMs);
+			await giveBack(duty);
+		},
 		async release() {
 			released = true;
-			const mine = [...held];
-			held.clear();
-			for (const [duty, {fencing}] of mine) {
-				attempt += 1;
-				try {
-					attempts.set(duty, {attempt, end: performance.now()});
-					await writeRow(duty, {
-						holder: '', incarnation, fencing, attempt, note: options.note?.(duty),
-					});
-				} catch (error) {
-					options.onError?.(new LeaseTableError(`The lease of duty "${duty}" could not be released. The duty becomes free when the lease expires.`, {cause: error}));
-				}
+			for (const duty of held.keys()) {
+				await giveBack(duty);
 			}
 		},
 		close() {
--- a/packages/router/src/lib/paths/endpoint-paths.ts
+++ b/packages/router/src/lib/paths/endpoint-paths.ts
@@ -32,10 +32,14 @@
 	isLost: (endpoint: LiveEndpoint) => boolean;
 	/** Whether neither this daemon nor the peers that it asked reached the endpoint a moment ago. */
 	isUnreachable: (endpoint: LiveEndpoint) => boolean;
+	/** Whether the path is lost, but peers have passed on requests to the endpoint since. */
+	isReachedByPeers: (endpoint: LiveEndpoint) => boolean;
 	/** Expected extra milliseconds to the endpoint; 0 unless the path is lost. */
 	detourMs: (endpoint: LiveEndpoint) => number;
 	/** Whether another endpoint went silent since this one last responded, so that an open connection to it may hang. */
 	isUnproven: (endpoint: LiveEndpoint) => boolean;
+	/** Checks the path of an endpoint that didn't respond. */
+	suspect: (endpoint: LiveEndpoint) => void;
 	/** No connection to the endpoint could be established. */
 	connectFailed: (endpoint: LiveEndpoint) => void;
 	/** A peer passed on a request to the endpoint. */
@@ -215,6 +219,11 @@
 
 	const isInDoubt = (): boolean => performance.now() - lastSilenceAt < doubtMs;
 
+	const isReachedByPeers = (endpoint: LiveEndpoint): boolean => {
+		const path = lostPath(endpoint);
+		return path !== undefined && path.passedOnAt >= path.lostAt;
+	};
+
 	const sweep = (): void => {
 		const now = performance.now();
 		const silent = new Map<string, LiveEndpoint>();
@@ -255,15 +264,20 @@
 			const path = lostPath(endpoint);
 			return path !== undefined && performance.now() < path.unreachableUntil;
 		},
+		isReachedByPeers,
 		detourMs(endpoint) {
-			const path = lostPath(endpoint);
-			if (path === undefined) {
+			if (lostPath(endpoint) === undefined) {
 				return 0;
 			}
 
-			return path.passedOnAt >= path.lostAt ? relayMs : unknownRelayMs;
+			return isReachedByPeers(endpoint) ? relayMs : unknownRelayMs;
 		},
 		isUnproven: endpoint => isInDoubt() && pathOf(endpoint).heardAt < lastSilenceAt,
+		suspect(endpoint) {
+			if (lostPath(endpoint) === undefined && !pathOf(endpoint).isChecking) {
+				void checkSilent(endpoint);
+			}
+		},
 		connectFailed(endpoint) {
 			lose(endpoint, 'connect_failed');
 		},
--- a/packages/router/src/lib/weights/weights-rollout.ts
+++ b/packages/router/src/lib/weights/weights-rollout.ts
@@ -25,6 +25,12 @@
 	held: () => HeldLease | undefined;
 	/** Minimum time between orders of two holders to one engine, for engines that ignore fencing tokens. */
 	handoverMs: number;
+	/** Whether this daemon can't reach an endpoint that other daemons reach. */
+	isOutOfReach?: (endpoint: LiveEndpoint) => boolean;
+	/** Called when an engine didn't answer a call. */
+	onUnreached?: (endpoint: LiveEndpoint) => void;
+	/** Called when another daemon should hold the lease, since this one can't reach the engines that are due. */
+	handOver?: () => void;
 	/** Called before an order is sent, so that peers know of it if this daemon dies. */
 	announce: () => Promise<void> | void;
 	/** Number of daemons that an announcement goes to. */
@@ -218,6 +224,7 @@
 				await advance(task);
 			} catch (error) {
 				presence.unreached(task.endpoint);
+				options.onUnreached?.(task.endpoint);
 				log.warn('Engine did not answer a call about its weights.', {endpoint: task.endpoint.id, version: task.version, err: error});
 			}
 
@@ -273,6 +280,21 @@
 	const isCarryingOut = (endpoint: LiveEndpoint, models: readonly string[]): boolean =>
 		models.some(model => versions.of(endpoint, model).isChanging);
 
+	/**
+	 * Hands the duty over once all engines that are left are out of reach. An order that a peer passed
+	 * on would count as that peer's.
+	 */
+	const handOverIfOutOfReach = (service: string, models: readonly string[]): boolean => {
+		const tasks = tasksOf(service, models);
+		if (tasks.length === 0 || !tasks.every(({endpoint}) => options.isOutOfReach?.(endpoint) ?? false)) {
+			return false;
+		}
+
+		log.info('Duty is handed over, since the engines that are due are out of reach.', {service, count: tasks.length});
+		options.handOver?.();
+		return true;
+	};
+
 	const startTasks = (service: string, models: readonly string[]): void => {
 		const serving = view.endpointsOf(service).filter(endpoint => !presence.hasEnded(endpoint) && !presence.isDoubtful(endpoint));
 		const pending = tasksOf(service, models).filter(task => !inProgress.has(task.endpoint.id));
@@ -309,9 +331,15 @@
 			}
 
 			for (const service of document.services.values()) {
-				if (service.engine !== undefined) {
-					startTasks(service.name, service.engine.models);
+				if (service.engine === undefined) {
+					continue;
 				}
+
+				if (handOverIfOutOfReach(service.name, service.engine.models)) {
+					return;
+				}
+
+				startTasks(service.name, service.engine.models);
 			}
 		},
 	};
--- a/packages/router/src/test/leases/lease-report.test.ts
+++ b/packages/router/src/test/leases/lease-report.test.ts
@@ -103,4 +103,23 @@
 		clock.setSystemTime(Date.now() + 4000);
 		assert.isUndefined(a.held(duty));
 	});
+
+	it('goes to another daemon at once when its holder hands it over, and comes back only after the pause', async () => {
+		// Guards against a duty that is taken again by the daemon that can't perform it.
+		const [a, b] = [contender('a'), contender('b')];
+		await a.tick();
+		await a.handOver(duty, 5000);
+		assert.isUndefined(a.held(duty));
+		await a.tick();
+		assert.isUndefined(a.held(duty));
+		await b.tick();
+		assert.equal(b.held(duty)?.fencing, 2);
+		await b.handOver(duty, 60_000);
+		await clock.tickAsync(4900);
+		await a.tick();
+		assert.isUndefined(a.held(duty));
+		await clock.tickAsync(200);
+		await a.tick();
+		assert.equal(a.held(duty)?.fencing, 3);
+	});
 });
--- a/packages/router/src/test/weights/weights-rollout.test.ts
+++ b/packages/router/src/test/weights/weights-rollout.test.ts
@@ -77,6 +77,9 @@
 	let remainingMs: Map<string, number>;
 	/** Minimum milliseconds between two requests to an engine with a rate limit, by engine. */
 	let minRequestIntervalMs: Map<string, number>;
+	/** Engines that only other daemons reach. */
+	let outOfReach: Set<string>;
+	let handOvers: number;
 
 	const createRollout = (): WeightsRollout => createWeightsRollout({
 		name: 'vm-1',
@@ -89,6 +92,11 @@
 		weightsMs: 8000,
 		remainingMs: id => remainingMs.get(id) ?? 0,
 		minRequestIntervalMs: ({id}) => minRequestIntervalMs.get(id),
+		isOutOfReach: ({id}) => outOfReach.has(id),
+		handOver() {
+			handOvers++;
+			fencing = undefined;
+		},
 		presence: createEndpointPresence(createSilentLog()),
 		log: createSilentLog(),
 	});
@@ -109,6 +117,8 @@
 		fencing = 1;
 		remainingMs = new Map();
 		minRequestIntervalMs = new Map();
+		outOfReach = new Set();
+		handOvers = 0;
 		rollout = createRollout();
 		timer = setInterval(() => {
 			rollout.tick();
@@ -120,6 +130,27 @@
 		clock.uninstall();
 	});
 
+	it('changes the engines within its reach, then hands the duty over', async () => {
+		// Guards against weights that stay old because the daemon that gives the orders has no path to the engines.
+		for (const id of ids.slice(4)) {
+			outOfReach.add(id);
+			engines.silent.add(id);
+		}
+
+		view.acceptWeights('m', 2, 0);
+		await clock.tickAsync(5000);
+		assert.deepEqual([...engines.versions.values()], ids.map((_id, index) => index < 4 ? 2 : 1));
+		assert.equal(handOvers, 1);
+		for (const id of outOfReach) {
+			engines.silent.delete(id);
+		}
+
+		outOfReach.clear();
+		fencing = 2;
+		await clock.tickAsync(10_000);
+		assert.deepEqual([...engines.versions.values()], ids.map(() => 2));
+	});
+
 	it('updates all engines to the named weights, at most a third of them at a time', async () => {
 		view.acceptWeights('m', 2, 0);
 		await clock.tickAsync(5000);
