--- a/packages/router/src/lib/paths/endpoint-paths.ts
+++ b/packages/router/src/lib/paths/endpoint-paths.ts
@@ -55,7 +55,7 @@
 };
 
 type Path = {
-	startedAt: number;
+	endpoint: LiveEndpoint;
 	/** `undefined` while the path works. */
 	lostAt: number | undefined;
 	/** When the next check is due. */
@@ -94,6 +94,9 @@
 /** Interval in milliseconds between such checks while all paths work; bounds what an overload costs. */
 const calmCheckIntervalMs = 1000;
 
+/** Other endpoints that are checked when one went silent, the latest heard first. */
+const otherChecks = 4;
+
 /** Time in milliseconds after an endpoint went silent for which other paths are in doubt. */
 const doubtMs = 5000;
 
@@ -118,23 +121,23 @@
 	let silenceCheckedAt = never;
 	let lastSilenceAt = never;
 
-	const pathOf = ({id, startedAt}: LiveEndpoint): Path => {
-		const known = paths.get(id);
-		if (known?.startedAt === startedAt) {
+	const pathOf = (endpoint: LiveEndpoint): Path => {
+		const known = paths.get(endpoint.id);
+		if (known?.endpoint.startedAt === endpoint.startedAt) {
 			return known;
 		}
 
 		const path: Path = {
-			startedAt, lostAt: undefined, checkAt: never, checkPauseMs: firstCheckPauseMs, isChecking: false,
+			endpoint, lostAt: undefined, checkAt: never, checkPauseMs: firstCheckPauseMs, isChecking: false,
 			heardAt: never, passedOnAt: never, unreachableUntil: never, unreachableMs: firstUnreachableMs,
 		};
-		paths.set(id, path);
+		paths.set(endpoint.id, path);
 		return path;
 	};
 
 	const lostPath = ({id, startedAt}: LiveEndpoint): Path & {lostAt: number} | undefined => {
 		const path = paths.get(id);
-		return path?.startedAt === startedAt && path.lostAt !== undefined ? path as Path & {lostAt: number} : undefined;
+		return path?.endpoint.startedAt === startedAt && path.lostAt !== undefined ? path as Path & {lostAt: number} : undefined;
 	};
 
 	const postponeCheck = (path: Path): void => {
@@ -170,6 +173,9 @@
 		});
 		onLost(endpoint);
 		notifyOpenRequests(endpoint);
+		if (reason === 'silent') {
+			checkOthers();
+		}
 	};
 
 	/** Other paths that were lost may work again too. */
@@ -217,6 +223,14 @@
 		}
 	};
 
+	/** One more silent endpoint has further ones checked, so a partition is found at once and a lone failure costs little. */
+	const checkOthers = (): void => {
+		const inDoubt = [...paths.values()].filter(({lostAt, isChecking, heardAt}) => lostAt === undefined && !isChecking && heardAt < lastSilenceAt);
+		for (const {endpoint} of inDoubt.toSorted((a, b) => b.heardAt - a.heardAt).slice(0, otherChecks)) {
+			void checkSilent(endpoint);
+		}
+	};
+
 	const isInDoubt = (): boolean => performance.now() - lastSilenceAt < doubtMs;
 
 	const isReachedByPeers = (endpoint: LiveEndpoint): boolean => {
--- a/packages/router/src/test/paths/endpoint-paths.test.ts
+++ b/packages/router/src/test/paths/endpoint-paths.test.ts
@@ -106,6 +106,35 @@
 		assert.equal(clock.countTimers(), 0);
 	});
 
+	it('finds the paths that a partition took although only one endpoint owes a response', async () => {
+		// Guards against a request that is lost on each open connection before the whole partition is known.
+		const others = Array.from({length: 12}, (_item, index) => endpointNamed(`other-${index}`));
+		for (const endpoint of [e1, ...others]) {
+			states.set(endpoint.address, 'silent');
+			paths.watch(endpoint).heard();
+		}
+
+		states.set(e2.address, 'accepted');
+		paths.watch(e2).heard();
+		paths.watch(e1);
+		await clock.tickAsync(600);
+		assert.sameMembers(lost, [e1, ...others].map(({id}) => id));
+	});
+
+	it('checks few other endpoints when one goes silent alone', async () => {
+		const others = Array.from({length: 40}, (_item, index) => endpointNamed(`other-${index}`));
+		for (const endpoint of others) {
+			const request = paths.watch(endpoint);
+			request.heard();
+			request.ended();
+		}
+
+		states.set(e1.address, 'silent');
+		paths.watch(e1).heard();
+		await clock.tickAsync(2000);
+		assert.isAtMost(checks.filter(address => address !== e1.address).length, 4);
+	});
+
 	it('keeps the path of an endpoint that is slow or silent for a second but accepts connections', async () => {
 		// Guards against moving requests away from an endpoint that only takes long.
 		const open = paths.watch(e1, () => {
--- a/packages/router/src/test/weights/change-under-load.test.ts
+++ b/packages/router/src/test/weights/change-under-load.test.ts
@@ -74,7 +74,8 @@
 		const versions = createEngineVersions();
 		const choice = createEndpointChoice({
 			view, loadTracker, health: createHealthTracker(), presence, versions, limits: createLoneLimits(),
-			backoff: createEndpointBackoff({random: () => 0.5, log: createSilentLog()}), brittle: createLoneBrittle(), paths: createWorkingPaths(), releases: createUnprovenVersions({view, log: createSilentLog()}),
+			backoff: createEndpointBackoff({random: () => 0.5, log: createSilentLog()}),
+			brittle: createLoneBrittle(), paths: createWorkingPaths(), releases: createUnprovenVersions({view, log: createSilentLog()}),
 			storedParts: createStoredParts(), residentParts: createResidentParts({memoryTokens: view.memoryTokens}),
 			dataCentre: 'a', connectionShare: () => 1, weightsMs: 12_000, daemons: () => 1, random: () => uniformFloat64(random),
 		});
