--- a/packages/router/src/lib/forwarding/call.ts
+++ b/packages/router/src/lib/forwarding/call.ts
@@ -7,6 +7,7 @@
 import {type PromptNeed} from '../placing/choice-request.js';
 import {type Choice} from '../placing/endpoint-choice.js';
 import {type AttemptProgress, type BufferedResponse} from './attempt.js';
+import {type PathKind} from './attempt-path.js';
 import {type CallerReply} from './caller-reply.js';
 import {type RefusalName} from './refusals.js';
 
@@ -44,8 +45,8 @@
 	ownConnectFailures: number;
 	/** Attempts for which no connection came about, neither here nor at peers. */
 	connectFailures: number;
-	/** The latest attempt goes through a peer, and that peer. */
-	isRelayed: boolean;
+	/** Path of the latest attempt, and the peer that it goes through. */
+	pathKind: PathKind;
 	peer: string | undefined;
 	/** Ends the current attempt, if the request may be sent elsewhere, because its path is lost. */
 	leavePath: (() => void) | undefined;
@@ -78,7 +79,7 @@
 		brokenConnections: 0,
 		ownConnectFailures: 0,
 		connectFailures: 0,
-		isRelayed: false,
+		pathKind: 'own',
 		peer: undefined,
 		leavePath: undefined,
 		cancel: undefined,
--- a/packages/router/src/lib/forwarding/send-to-endpoint.ts
+++ b/packages/router/src/lib/forwarding/send-to-endpoint.ts
@@ -16,6 +16,7 @@
 import {type HealthTracker} from '../routing/health.js';
 import {type EngineVersions} from '../weights/engine-versions.js';
 import {type AttemptEnd, runAttempt} from './attempt.js';
+import {createAttemptPaths} from './attempt-path.js';
 import {type Call, mayRunAgain} from './call.js';
 import {createNoticeRecorder, isOwnResponse} from './endpoint-notices.js';
 import {silenceTimeouts} from './silence-timeouts.js';
@@ -51,9 +52,6 @@
 /** Delay of events that are forwarded together, as a fraction of the target pause. */
 const eventBatchRatio = 0.2;
 
-/** Failed connections of one request after which it goes through a peer. */
-const ownConnectFailuresUntilRelay = 2;
-
 /** The lowest priority that endpoints accept. */
 const lowestPriority = 9;
 
@@ -68,6 +66,9 @@
 	const {
 		view, headers, choice, loadTracker: book, health, presence, versions, transport, crashWatch, limits, backoff, brittle, paths, relay,
 	} = options;
+	const attemptPaths = createAttemptPaths({
+		paths, relay, brittle, presence,
+	});
 	const recordNotices = createNoticeRecorder({
 		view, limits, backoff, brittle,
 	});
@@ -103,7 +104,7 @@
 
 	/** A failure behind a peer may be the peer's, and one to connect may be the network's. */
 	const provesEndpointFault = (call: Call, failure: FailureClass): boolean =>
-		!call.isRelayed && failure !== 'connect_failed' && failureClasses[failure].blamesEndpoint && performance.now() < call.deadlineAt - deadlineMarginMs;
+		call.pathKind === 'own' && failure !== 'connect_failed' && failureClasses[failure].blamesEndpoint && performance.now() < call.deadlineAt - deadlineMarginMs;
 
 	const recordHealth = (call: Call, {endpoint}: Choice, end: AttemptEnd): void => {
 		if (end.kind === 'answered') {
@@ -113,45 +114,6 @@
 		}
 	};
 
-	/** Records whether a connection came about: over the own path, or from a peer. */
-	const recordPath = (call: Call, {endpoint}: Choice, end: AttemptEnd): void => {
-		if (end.kind === 'failed' && end.failure === 'no_room') {
-			brittle.declined(endpoint);
-			return;
-		}
-
-		const isUnconnected = end.kind === 'failed' && end.failure === 'connect_failed';
-		if (!isUnconnected) {
-			if (call.isRelayed && call.progress.facts !== undefined) {
-				paths.passedOn(endpoint);
-			}
-
-			return;
-		}
-
-		if (call.isRelayed) {
-			paths.passingOnFailed(endpoint);
-			presence.unreached(endpoint);
-			return;
-		}
-
-		call.ownConnectFailures++;
-		paths.connectFailed(endpoint);
-		if (relay.isAvailable(endpoint.id)) {
-			// It may be chosen again, to be reached through a peer.
-			call.excluded.delete(endpoint.id);
-		} else {
-			presence.unreached(endpoint);
-		}
-	};
-
-	const isGuarded = ({id, service}: LiveEndpoint): boolean => brittle.isBrittle(service) && relay.hasGatekeeper(id);
-
-	/** Once two connections have failed, the cause is presumed to be this daemon's network. */
-	const usesRelay = (call: Call, endpoint: LiveEndpoint): boolean =>
-		isGuarded(endpoint)
-		|| ((paths.isLost(endpoint) || call.ownConnectFailures >= ownConnectFailuresUntilRelay) && relay.isAvailable(endpoint.id));
-
 	const recordOutcome = (call: Call, chosen: Choice, end: AttemptEnd, sentAt: number): void => {
 		const {id} = chosen.endpoint;
 		const {facts, firstAt} = call.progress;
@@ -171,7 +133,7 @@
 			crashWatch.reportBrokenConnection(chosen.endpoint, {digest: call.digest, position: streamPosition(call)});
 		}
 
-		recordPath(call, chosen, end);
+		attemptPaths.recordEnd(call, chosen.endpoint, end);
 		recordPresence(call, chosen, end);
 		recordHealth(call, chosen, end);
 	};
@@ -193,7 +155,7 @@
 		}
 
 		limits.recordSent(endpoint);
-		call.isRelayed = usesRelay(call, endpoint);
+		call.pathKind = attemptPaths.choose(call, endpoint);
 		call.peer = undefined;
 		const isOnce = !mayRunAgain(call);
 		const request = {
@@ -203,14 +165,15 @@
 			...(call.body !== undefined && call.body.length > 0 && {body: {kind: 'whole' as const, content: call.body}}),
 		};
 		transport.allowConnectionReuse(target);
-		const leaveEndpoint = call.isRelayed ? undefined : brittle.started(endpoint);
-		const watch = call.isRelayed
-			? undefined
-			: paths.watch(endpoint, () => {
+		const isOwnPath = call.pathKind === 'own';
+		const leaveEndpoint = isOwnPath ? brittle.started(endpoint) : undefined;
+		const watch = isOwnPath
+			? paths.watch(endpoint, () => {
 				call.leavePath?.();
-			});
+			})
+			: undefined;
 		const send = (events: ExchangeEvents): Exchange => {
-			if (!call.isRelayed) {
+			if (isOwnPath) {
 				return transport.send({...request, endpoint: target, dedicatedConnection: paths.isUnproven(endpoint)}, events);
 			}
 
@@ -218,7 +181,7 @@
 				...request,
 				endpoint,
 				isOnce,
-				isGuarded: isGuarded(endpoint),
+				isGuarded: call.pathKind === 'gatekeeper',
 				onPeer(peer) {
 					call.peer = peer;
 				},
