A silent endpoint that accepts connections is checked once a second at most

Found on reading: while one endpoint is silent, every other one that owed a response for 250 ms was checked with a new connection each 150 ms. An overloaded service with one lost endpoint would have got some seven connections a second and endpoint from each daemon. The new test saw 626 checks of 20 busy endpoints in five seconds before, where 100 are allowed.

--- a/packages/router/src/lib/paths/endpoint-paths.ts
+++ b/packages/router/src/lib/paths/endpoint-paths.ts
@@ -63,6 +63,8 @@
 	/** Pause after the next failed check. */
 	checkPauseMs: number;
 	isChecking: boolean;
+	/** When the endpoint last accepted a connection although it was silent. */
+	acceptedAt: number;
 	heardAt: number;
 	passedOnAt: number;
 	unreachableUntil: number;
@@ -91,8 +93,8 @@
 /** Silence in milliseconds after which an endpoint that owes a response is checked. */
 const silenceMs = 250;
 
-/** Interval in milliseconds between such checks while all paths work; bounds what an overload costs. */
-const calmCheckIntervalMs = 1000;
+/** Interval in milliseconds between such checks of one endpoint, and of any while all paths work; bounds what an overload costs. */
+const silenceCheckIntervalMs = 1000;
 
 /** Other endpoints that are checked when one went silent, the latest heard first. */
 const otherChecks = 4;
@@ -129,7 +131,7 @@
 
 		const path: Path = {
 			endpoint, lostAt: undefined, checkAt: never, checkPauseMs: firstCheckPauseMs, isChecking: false,
-			heardAt: never, passedOnAt: never, unreachableUntil: never, unreachableMs: firstUnreachableMs,
+			acceptedAt: never, heardAt: never, passedOnAt: never, unreachableUntil: never, unreachableMs: firstUnreachableMs,
 		};
 		paths.set(endpoint.id, path);
 		return path;
@@ -218,12 +220,14 @@
 		path.isChecking = true;
 		const state = await checkConnection(endpoint.address);
 		path.isChecking = false;
-		if (state !== 'accepted' && paths.get(endpoint.id) === path) {
+		if (state === 'accepted') {
+			path.acceptedAt = performance.now();
+		} else if (paths.get(endpoint.id) === path) {
 			lose(endpoint, state);
 		}
 	};
 
-	/** One more silent endpoint has further ones checked, so a partition is found at once and a lone failure costs little. */
+	/** Checks further endpoints, so that a partition is found at once while a lone failure costs few connections. */
 	const checkOthers = (): void => {
 		const inDoubt = [...paths.values()].filter(({lostAt, isChecking, heardAt}) => lostAt === undefined && !isChecking && heardAt < lastSilenceAt);
 		for (const {endpoint} of inDoubt.toSorted((a, b) => b.heardAt - a.heardAt).slice(0, otherChecks)) {
@@ -238,6 +242,14 @@
 		return path !== undefined && path.passedOnAt >= path.lostAt;
 	};
 
+	/** Whether a silent endpoint is to be checked. */
+	const isCheckDue = ({heardAt, acceptedAt}: Path): boolean => {
+		const now = performance.now();
+		return now - heardAt >= silenceMs
+			&& now - acceptedAt >= silenceCheckIntervalMs
+			&& (isInDoubt() || now - silenceCheckedAt >= silenceCheckIntervalMs);
+	};
+
 	const sweep = (): void => {
 		const now = performance.now();
 		const silent = new Map<string, LiveEndpoint>();
@@ -250,7 +262,7 @@
 		for (const endpoint of silent.values()) {
 			if (lostPath(endpoint) !== undefined) {
 				notifyOpenRequests(endpoint);
-			} else if (now - pathOf(endpoint).heardAt >= silenceMs && (isInDoubt() || now - silenceCheckedAt >= calmCheckIntervalMs)) {
+			} else if (isCheckDue(pathOf(endpoint))) {
 				void checkSilent(endpoint);
 			}
 		}
--- a/packages/router/src/test/paths/endpoint-paths.test.ts
+++ b/packages/router/src/test/paths/endpoint-paths.test.ts
@@ -157,6 +157,19 @@
 		}
 	});
 
+	it('checks each busy endpoint at most once a second while another one is silent', async () => {
+		// Guards against a storm of connections to overloaded endpoints when one of them has crashed.
+		states.set(e1.address, 'silent');
+		const busy = Array.from({length: 20}, (_item, index) => endpointNamed(`busy-${index}`));
+		const open = [e1, ...busy].map(endpoint => paths.watch(endpoint));
+		await clock.tickAsync(5000);
+		assert.isTrue(paths.isLost(e1));
+		assert.isAtMost(checks.filter(address => address !== e1.address).length, busy.length * 5);
+		for (const request of open) {
+			request.ended();
+		}
+	});
+
 	it('leaves out an endpoint that no peer reaches either, ever longer, until a peer reaches it', () => {
 		// Guards against requests that are sent in circles to an endpoint that has crashed.
 		paths.connectFailed(e1);
