Logs and metrics tell when an answer began, and on weights of which age

Missing: the time of the latest dispatch (after a retry, firstMs says nothing), the age of the weights at the begin, and for how long a naming counted as known when it was learnt. Now: sentMs and begunWeightsAgeMs in Request ended, weights and weightsAgeMs in Endpoint failed a request, ms and reason (dated, undated) in New weights version was named, and the histogram hickorywalk_begun_weights_age_seconds.

--- a/packages/entry/src/lib/daemon-metrics.ts
+++ b/packages/entry/src/lib/daemon-metrics.ts
@@ -8,6 +8,7 @@
 export const metricHelp = {
 	hickorywalk_requests_total: 'Requests that ended, by service and result; results are the reasons in the log.',
 	hickorywalk_request_first_seconds: 'Time from a whole request to the first byte of its answer.',
+	hickorywalk_begun_weights_age_seconds: 'Time since the weights were replaced on which an answer began, for answers on replaced weights.',
 	hickorywalk_request_seconds: 'Time from a whole request to the end of its answer.',
 	hickorywalk_attempts_failed_total: 'Attempts at endpoints that failed, by service and reason.',
 	hickorywalk_requests_relayed_total: 'Requests that ended after a peer passed them on, by service and result.',
@@ -72,6 +73,7 @@
 	const droppedLineCounter = new Counter(describe('hickorywalk_log_lines_left_out_total'));
 	const firstByteSeconds = new Histogram({...describe('hickorywalk_request_first_seconds'), labelNames: ['service'], buckets: secondsBuckets});
 	const totalSeconds = new Histogram({...describe('hickorywalk_request_seconds'), labelNames: ['service'], buckets: secondsBuckets});
+	const begunWeightsAgeSeconds = new Histogram({...describe('hickorywalk_begun_weights_age_seconds'), labelNames: ['service'], buckets: secondsBuckets});
 	registerTotal('hickorywalk_event_loop_turns_total', () => performance.nodeTiming.uvMetricsInfo.loopCount);
 	registerTotal('hickorywalk_event_loop_busy_seconds_total', () => performance.eventLoopUtilization().active / msPerSecond);
 
@@ -82,7 +84,7 @@
 	}
 
 	return {
-		requestEnded({service = 'none', reason, peer, ms, firstMs}) {
+		requestEnded({service = 'none', reason, peer, ms, firstMs, begunWeightsAgeMs = 0}) {
 			requestCounter.inc({service, result: reason});
 			if (peer !== undefined) {
 				relayedCounter.inc({service, result: reason});
@@ -92,6 +94,10 @@
 			if (firstMs !== undefined) {
 				firstByteSeconds.observe({service}, firstMs / msPerSecond);
 			}
+
+			if (begunWeightsAgeMs > 0) {
+				begunWeightsAgeSeconds.observe({service}, begunWeightsAgeMs / msPerSecond);
+			}
 		},
 		attemptFailed(service, reason) {
 			failedAttemptCounter.inc({service, reason});
--- a/packages/entry/src/test/metrics.test.ts
+++ b/packages/entry/src/test/metrics.test.ts
@@ -23,8 +23,8 @@
 		const metrics = createDaemonMetrics();
 		metrics.registerGauges({requestsInFlight: () => 3, livePeers: () => 8, lostPaths: () => 2});
 		metrics.requestEnded({
-			requestId: 'r', digest: 'd', route: 'a', workspace: 'school', service: 'desk', endpoint: 'e', peer: undefined, status: 200, attempts: 1, ms: 40, firstMs: 30, expectedMs: 20,
-			weights: undefined, weightsAgeMs: undefined, isLeaving: false, reason: 'answered',
+			requestId: 'r', digest: 'd', route: 'a', workspace: 'school', service: 'desk', endpoint: 'e', peer: undefined, status: 200, attempts: 1, ms: 40, firstMs: 30, sentMs: 1, expectedMs: 20,
+			weights: 2, weightsAgeMs: 5800, begunWeightsAgeMs: 6100, isLeaving: false, reason: 'answered',
 		});
 		const text = await metrics.text();
 		const page = readFileSync(new URL('../../../../docs/metrics.md', import.meta.url), 'utf8');
@@ -34,6 +34,8 @@
 		}
 
 		assert.include(text, 'hickorywalk_requests_total{service="desk",result="answered"} 1');
+		assert.include(text, 'hickorywalk_begun_weights_age_seconds_bucket{le="4",service="desk"} 0');
+		assert.include(text, 'hickorywalk_begun_weights_age_seconds_bucket{le="8",service="desk"} 1');
 		assert.include(text, 'hickorywalk_peers_heard 8');
 		assert.include(text, 'hickorywalk_paths_lost 2');
 	});
--- a/packages/router/src/lib/fleet/fleet-view.ts
+++ b/packages/router/src/lib/fleet/fleet-view.ts
@@ -220,7 +220,7 @@
 				version, learntAt, isDated: unseenMs === 0, gapAt: learntAt,
 			};
 			named.set(model, [...history, naming].slice(-maxNamings));
-			log.info('New weights version was named.', {version});
+			log.info('New weights version was named.', {version, ms: Number.isFinite(unseenMs) ? Math.round(unseenMs) : undefined, reason: naming.isDated ? 'dated' : 'undated'});
 		},
 		acceptNamingAge(model, version, ageMs) {
 			const history = named.get(model) ?? [];
--- a/packages/router/src/lib/forwarding/call.ts
+++ b/packages/router/src/lib/forwarding/call.ts
@@ -57,8 +57,11 @@
 	progress: AttemptProgress;
 	/** The endpoint of the latest attempt. */
 	choice: Choice | undefined;
-	/** Milliseconds since the weights version of the latest attempt was replaced, at dispatch. */
+	/** `performance.now()` of the latest dispatch. */
+	sentAt: number | undefined;
+	/** Milliseconds since the weights version of the latest attempt was replaced, at dispatch and when its response began. */
 	weightsAgeMs: number | undefined;
+	begunWeightsAgeMs: number | undefined;
 	/** An endpoint's error response, returned if no retry succeeds. */
 	errorResponse: BufferedResponse | undefined;
 };
@@ -86,7 +89,9 @@
 		isRetryGranted: false,
 		progress: {firstAt: undefined, lastEventId: undefined, facts: undefined},
 		choice: undefined,
+		sentAt: undefined,
 		weightsAgeMs: undefined,
+		begunWeightsAgeMs: undefined,
 		errorResponse: undefined,
 	};
 }
--- a/packages/router/src/lib/forwarding/forwarder.ts
+++ b/packages/router/src/lib/forwarding/forwarder.ts
@@ -51,7 +51,7 @@
 
 /** Creates the forwarder. */
 export function createForwarder(options: ForwarderOptions): Forwarder {
-	const {view, headers, quota, quarantine, choice, budgetOf} = options;
+	const {headers, quota, quarantine, choice, budgetOf} = options;
 	/** Requests being sent to endpoints. */
 	const calls = new Set<Call>();
 	let inFlight = 0;
@@ -59,9 +59,6 @@
 	const chooseFor = (call: Call): Choice | undefined =>
 		choice.choose({service: call.service, prompt: call.prompt, excluded: call.excluded});
 
-	const weightsAgeMs = ({prompt}: Call, {weights}: Choice): number | undefined =>
-		prompt === undefined || weights === undefined ? undefined : view.namedWeights(prompt.model)?.outdatedMs(weights);
-
 	/** Whether another endpoint may get the request; withdraws from the retry budget once per attempt. */
 	const mayTryElsewhere = (call: Call): boolean => {
 		if (call.attempts >= call.route.maxEndpoints || performance.now() >= call.deadlineAt || call.reply.isDisconnected()) {
@@ -86,11 +83,9 @@
 			}
 
 			call.choice = chosen;
-			call.weightsAgeMs = weightsAgeMs(call, chosen);
 			call.excluded.add(chosen.endpoint.id);
 			call.attempts++;
 			call.isRetryGranted = false;
-			const sentAt = performance.now();
 			const end = await send(call, chosen);
 			if (isProvenComplete(call, end)) {
 				quarantine.markCompleted(call.digest);
@@ -98,9 +93,11 @@
 
 			const decision = decideNext(call, end, decisionOptions);
 			if (end.kind !== 'answered' && end.kind !== 'callerLeft') {
+				const sentAt = call.sentAt!;
 				options.events.attemptFailed({
 					requestId: call.facts.requestId, digest: call.digest, endpoint: chosen.endpoint.id, peer: call.peer, service: call.service, reason: reasonOf(end), ms: performance.now() - sentAt,
-					firstMs: call.progress.firstAt === undefined ? undefined : call.progress.firstAt - sentAt, backoffMs: call.progress.facts?.backoffMs ?? 0, next: decision.kind,
+					firstMs: call.progress.firstAt === undefined ? undefined : call.progress.firstAt - sentAt, backoffMs: call.progress.facts?.backoffMs ?? 0,
+					weights: chosen.weights, weightsAgeMs: call.weightsAgeMs, next: decision.kind,
 				});
 			}
 
@@ -247,6 +244,7 @@
 	const {
 		call, route, workspace, digest, reply, requestId, reason, quota,
 	} = end;
+	const elapsedMs = (at: number | undefined): number | undefined => at === undefined ? undefined : at - end.startedAt;
 	return {
 		requestId,
 		route: route?.name,
@@ -258,10 +256,12 @@
 		status: reply.status(),
 		attempts: call?.attempts ?? 0,
 		ms: performance.now() - end.startedAt,
-		firstMs: call?.progress.firstAt === undefined ? undefined : call.progress.firstAt - end.startedAt,
+		firstMs: elapsedMs(call?.progress.firstAt),
+		sentMs: elapsedMs(call?.sentAt),
 		expectedMs: call?.choice?.expectedMs,
 		weights: call?.choice?.weights,
 		weightsAgeMs: call?.weightsAgeMs,
+		begunWeightsAgeMs: call?.begunWeightsAgeMs,
 		reason,
 		isLeaving: call?.progress.facts?.isLeaving ?? false,
 		quota,
--- a/packages/router/src/lib/forwarding/forwarding-events.ts
+++ b/packages/router/src/lib/forwarding/forwarding-events.ts
@@ -19,12 +19,16 @@
 	ms: number;
 	/** Milliseconds to the first byte of the response. */
 	firstMs: number | undefined;
-	/** Milliseconds to the first byte, as estimated when the endpoint was chosen. */
+	/** Milliseconds to the latest dispatch; `undefined` if there was none. */
+	sentMs: number | undefined;
+	/** Milliseconds from the latest dispatch to the first byte, as estimated when the endpoint was chosen. */
 	expectedMs: number | undefined;
 	/** Weights version that the endpoint was chosen for; `undefined` for plain services. */
 	weights: number | undefined;
 	/** Milliseconds since that version was replaced, at dispatch; 0 if it is the newest, infinite if unknown. */
 	weightsAgeMs: number | undefined;
+	/** The same when the response began; `undefined` if it did not begin. */
+	begunWeightsAgeMs: number | undefined;
 	reason: string;
 	/** The endpoint's response says that it is leaving. */
 	isLeaving: boolean;
@@ -46,6 +50,9 @@
 	firstMs: number | undefined;
 	/** Time in milliseconds for which the endpoint wants no requests from this daemon; 0 if it states none. */
 	backoffMs: number;
+	/** Weights version that the endpoint was chosen for, and milliseconds since it was replaced, at dispatch. */
+	weights: number | undefined;
+	weightsAgeMs: number | undefined;
 	next: string;
 };
 
--- a/packages/router/src/lib/forwarding/send-to-endpoint.ts
+++ b/packages/router/src/lib/forwarding/send-to-endpoint.ts
@@ -85,6 +85,10 @@
 		saveTo,
 	});
 
+	/** Milliseconds since the weights that the endpoint was chosen for were replaced. */
+	const weightsAgeMs = ({prompt}: Call, {weights}: Choice): number | undefined =>
+		prompt === undefined || weights === undefined ? undefined : view.namedWeights(prompt.model)?.outdatedMs(weights);
+
 	const recordNotRun = (endpoint: LiveEndpoint, facts: ResponseFacts | undefined): void => {
 		if (!isOwnResponse(endpoint, facts)) {
 			presence.replaced(endpoint);
@@ -143,6 +147,9 @@
 		const target = {name: endpoint.id, address: `http://${endpoint.address}`};
 		const {headMs, eventMs} = silenceTimeouts(call);
 		const sentAt = performance.now();
+		call.sentAt = sentAt;
+		call.weightsAgeMs = weightsAgeMs(call, chosen);
+		call.begunWeightsAgeMs = undefined;
 		call.progress.facts = undefined;
 		call.progress.firstAt = undefined;
 		const work = book.start(endpoint.id, {
@@ -204,7 +211,10 @@
 			onHead(facts) {
 				recordNotices(endpoint, facts);
 			},
-			onResponseStart: work.begun,
+			onResponseStart() {
+				work.begun();
+				call.begunWeightsAgeMs = weightsAgeMs(call, chosen);
+			},
 			onBytes: watch?.heard,
 			onCancellable(cancel) {
 				call.cancel = cancel;
--- a/packages/router/src/lib/observability/log.ts
+++ b/packages/router/src/lib/observability/log.ts
@@ -33,6 +33,8 @@
 	/** Actual and expected milliseconds to the first byte of a response. */
 	'firstMs',
 	'expectedMs',
+	/** Milliseconds to the latest dispatch of a request to an endpoint. */
+	'sentMs',
 	'count',
 	'bytes',
 	'tokens',
@@ -44,6 +46,8 @@
 	/** Weights version that a decision assumed, and milliseconds since that version was replaced. */
 	'weights',
 	'weightsAgeMs',
+	/** The same when the answer began. */
+	'begunWeightsAgeMs',
 	/** An endpoint's response says that the endpoint is leaving. */
 	'isLeaving',
 	/** Milliseconds for which an endpoint wants no requests. */
