A request that waits at an engine is withdrawn before its weights are too old

Cause: whether the weights will be fresh enough was judged once, at the choice, by an estimate. Nothing looked again: not when the engine was slower, not when newer weights were named while the request waited. Class: a bound that is checked where a decision is made, not where it has to hold. Now: weights/start-deadlines knows the latest moment at which a request may begin on its weights. A request that hasn't begun at 0.9 of the bound is withdrawn (outdated); one that may run twice goes to another engine within the retry budget, any other ends with 504.

--- a/packages/entry/src/lib/wiring/parts.ts
+++ b/packages/entry/src/lib/wiring/parts.ts
@@ -18,7 +18,9 @@
 import {type FleetQuota} from 'hickorywalk/quotas.js';
 import {type UnprovenVersions} from 'hickorywalk/releases.js';
 import {type AttemptBudget, type createHealthTracker} from 'hickorywalk/routing.js';
-import {type createWeightsRollout, type EngineVersions, type NamingRecord} from 'hickorywalk/weights.js';
+import {
+	type createWeightsRollout, type EngineVersions, type NamingRecord, type StartDeadlines,
+} from 'hickorywalk/weights.js';
 import {type DaemonMetrics} from '../daemon-metrics.js';
 import {type Timings} from '../timings.js';
 
@@ -40,6 +42,7 @@
 	view: FleetView;
 	documentGuard: DocumentGuard;
 	versions: EngineVersions;
+	startDeadlines: StartDeadlines;
 	releases: UnprovenVersions;
 	loadTracker: EndpointLoadTracker;
 	presence: EndpointPresence;
--- a/packages/router/src/lib/fleet/fleet-view.ts
+++ b/packages/router/src/lib/fleet/fleet-view.ts
@@ -66,6 +66,8 @@
 	boundWeights: (model: string, version: number, atMostMs: number) => void;
 	/** All stored namings; the age is the largest possible one of the version and any missed before it, infinite if unknown. */
 	namings: () => Array<{model: string} & RestoredNaming>;
+	/** Called with the model whenever a naming was added. */
+	onWeights: (listener: (model: string) => void) => void;
 	/** Called for every added, changed or removed endpoint. */
 	onEndpoint: (listener: EndpointListener) => void;
 	/** Called for every accepted document. */
@@ -96,6 +98,7 @@
 	/** Endpoints that are leaving although the list does not say so. */
 	const unlistedLeaving = new Set<string>();
 	const named = new Map<string, Naming[]>();
+	const weightsListeners: Array<(model: string) => void> = [];
 	const endpointListeners: EndpointListener[] = [];
 	const documentListeners: Array<(accepted: AcceptedDocument) => void> = [];
 	let accepted: AcceptedDocument | undefined;
@@ -110,9 +113,16 @@
 		return list;
 	};
 
+	const notifyWeights = (model: string): void => {
+		for (const listener of weightsListeners) {
+			listener(model);
+		}
+	};
+
 	const insertNaming = (model: string, naming: Naming): void => {
 		const history = [...named.get(model) ?? [], naming];
 		named.set(model, history.toSorted((a, b) => a.version - b.version).slice(-maxNamings));
+		notifyWeights(model);
 	};
 
 	const notify: EndpointListener = (id, endpoint, before) => {
@@ -221,6 +231,7 @@
 			};
 			named.set(model, [...history, naming].slice(-maxNamings));
 			log.info('New weights version was named.', {version, ms: Number.isFinite(unseenMs) ? Math.round(unseenMs) : undefined, reason: naming.isDated ? 'dated' : 'undated'});
+			notifyWeights(model);
 		},
 		acceptNamingAge(model, version, ageMs) {
 			const history = named.get(model) ?? [];
@@ -287,6 +298,9 @@
 				model, version, ageMs: now - Math.min(learntAt, gapAt), isDated: isDated && learntAt <= gapAt,
 			})));
 		},
+		onWeights(listener) {
+			weightsListeners.push(listener);
+		},
 		onEndpoint(listener) {
 			endpointListeners.push(listener);
 		},
--- a/packages/router/src/lib/forwarding/attempt.ts
+++ b/packages/router/src/lib/forwarding/attempt.ts
@@ -71,8 +71,8 @@
 	onBytes: (() => void) | undefined;
 	/** Receives a function that is to be called when the path to the endpoint is lost. */
 	onPathWatched: (leavePath: () => void) => void;
-	/** Receives a function that cancels the attempt unless its response has begun. */
-	onCancellable: (cancel: () => void) => void;
+	/** Receives a function that ends the attempt with this failure unless its response has begun. */
+	onCancellable: (cancel: (failure: FailureClass) => void) => void;
 };
 
 const statusOk = 200;
@@ -272,9 +272,9 @@
 		},
 	});
 	restartSilenceTimer(options.headTimeoutMs);
-	options.onCancellable(() => {
+	options.onCancellable(failure => {
 		if (progress.firstAt === undefined) {
-			failAttempt('cancelled', false);
+			failAttempt(failure, false);
 		}
 	});
 	options.onPathWatched(() => {
--- a/packages/router/src/lib/forwarding/retry-decision.ts
+++ b/packages/router/src/lib/forwarding/retry-decision.ts
@@ -18,6 +18,9 @@
 /** Failures to connect after which a request is rejected. */
 const maxConnectFailures = 4;
 
+/** Failures after which the caller is told that the answer came too late. */
+const lateFailures: ReadonlySet<FailureClass> = new Set(['late', 'silent', 'outdated']);
+
 /** Options of {@link decideNext}. */
 export type DecisionOptions = {
 	/** Whether another endpoint may get the request; withdraws from the retry budget. */
@@ -75,7 +78,7 @@
 		return {kind: 'next', reason: failure};
 	}
 
-	return {kind: 'refuse', name: failure === 'late' || failure === 'silent' ? 'endpoint_late' : 'endpoint_failed'};
+	return {kind: 'refuse', name: lateFailures.has(failure) ? 'endpoint_late' : 'endpoint_failed'};
 }
 
 function afterErrorResponse(call: Call, response: BufferedResponse, {mayTryElsewhere}: DecisionOptions): Decision {
--- a/packages/router/src/lib/forwarding/send-to-endpoint.ts
+++ b/packages/router/src/lib/forwarding/send-to-endpoint.ts
@@ -15,6 +15,7 @@
 import {type Relay} from '../paths/relay.js';
 import {type HealthTracker} from '../routing/health.js';
 import {type EngineVersions} from '../weights/engine-versions.js';
+import {type StartDeadlines} from '../weights/start-deadlines.js';
 import {type AttemptEnd, runAttempt} from './attempt.js';
 import {createAttemptPaths} from './attempt-path.js';
 import {type Call, mayRunAgain} from './call.js';
@@ -30,6 +31,7 @@
 	health: HealthTracker;
 	presence: EndpointPresence;
 	versions: EngineVersions;
+	startDeadlines: StartDeadlines;
 	transport: EndpointTransport;
 	crashWatch: CrashWatch;
 	limits: EndpointLimits;
@@ -89,6 +91,14 @@
 	const weightsAgeMs = ({prompt}: Call, {weights}: Choice): number | undefined =>
 		prompt === undefined || weights === undefined ? undefined : view.namedWeights(prompt.model)?.outdatedMs(weights);
 
+	/** Ends the attempt once its answer would begin on weights that are too old. */
+	const watchStart = ({prompt}: Call, {weights}: Choice, cancel: (failure: FailureClass) => void): () => void =>
+		prompt === undefined || weights === undefined
+			? () => undefined
+			: options.startDeadlines.watch({model: prompt.model, weights}, () => {
+				cancel('outdated');
+			});
+
 	const recordNotRun = (endpoint: LiveEndpoint, facts: ResponseFacts | undefined): void => {
 		if (!isOwnResponse(endpoint, facts)) {
 			presence.replaced(endpoint);
@@ -189,12 +199,14 @@
 				endpoint,
 				isOnce,
 				isGuarded: call.pathKind === 'gatekeeper',
+				weights: chosen.weights,
 				onPeer(peer) {
 					call.peer = peer;
 				},
 			}, events);
 		};
 
+		let endStartWatch = (): void => undefined;
 		const end = await runAttempt({
 			send,
 			headers,
@@ -212,17 +224,23 @@
 				recordNotices(endpoint, facts);
 			},
 			onResponseStart() {
+				endStartWatch();
 				work.begun();
 				call.begunWeightsAgeMs = weightsAgeMs(call, chosen);
 			},
 			onBytes: watch?.heard,
 			onCancellable(cancel) {
-				call.cancel = cancel;
+				call.cancel = () => {
+					cancel('cancelled');
+				};
+
+				endStartWatch = watchStart(call, chosen, cancel);
 			},
 			onPathWatched(leavePath) {
 				call.leavePath = leavePath;
 			},
 		});
+		endStartWatch();
 		watch?.ended();
 		leaveEndpoint?.();
 		work.ended(end.kind === 'answered');
--- a/packages/router/src/lib/paths/relay-protocol.ts
+++ b/packages/router/src/lib/paths/relay-protocol.ts
@@ -9,6 +9,8 @@
 /** Id of the endpoint, and the start time of its process. */
 export const endpointHeader = 'hickorywalk-endpoint';
 export const startedAtHeader = 'hickorywalk-started-at';
+/** Weights version that the endpoint was chosen for. */
+export const weightsHeader = 'hickorywalk-weights';
 /** Proves that the sender is a daemon of the fleet. */
 export const keyHeader = 'hickorywalk-key';
 
@@ -25,7 +27,7 @@
 export const wrongKeyReason = 'wrong_key';
 
 /** All headers; none of them reaches an endpoint or a caller. */
-export const relayHeaders: ReadonlySet<string> = new Set([purposeHeader, endpointHeader, startedAtHeader, keyHeader, outcomeHeader, reasonHeader]);
+export const relayHeaders: ReadonlySet<string> = new Set([purposeHeader, endpointHeader, startedAtHeader, weightsHeader, keyHeader, outcomeHeader, reasonHeader]);
 
 /** What the sender wants. */
 export type RelayPurpose = 'send' | 'check';
--- a/packages/router/src/lib/paths/relay.ts
+++ b/packages/router/src/lib/paths/relay.ts
@@ -9,7 +9,7 @@
 import {type EndpointOpinion} from './endpoint-opinion.js';
 import {type RelayPeer, type RelayPeers} from './relay-peers.js';
 import {
-	endpointHeader, keyHeader, noPathReason, noRoomReason, outcomeHeader, purposeHeader, reasonHeader, type RelayOutcome, type RelayPurpose, startedAtHeader, wrongKeyReason,
+	endpointHeader, keyHeader, noPathReason, noRoomReason, outcomeHeader, purposeHeader, reasonHeader, type RelayOutcome, type RelayPurpose, startedAtHeader, weightsHeader, wrongKeyReason,
 } from './relay-protocol.js';
 
 /** Options of {@link createRelay}. */
@@ -27,6 +27,8 @@
 	endpoint: LiveEndpoint;
 	/** It goes through the endpoint's gatekeeper, and to no other peer if that one has no room. */
 	isGuarded: boolean;
+	/** Weights version that the endpoint was chosen for; `undefined` for plain services. */
+	weights: number | undefined;
 	/** It must not run twice, so it isn't sent over a connection that may hang. */
 	isOnce: boolean;
 	/** Called with the name of each peer that the request is sent to. */
@@ -107,7 +109,7 @@
 			current = transport.send({
 				...request,
 				endpoint: addressOf(peer),
-				headers: [...request.headers, ...headersFor('send', endpoint)],
+				headers: [...request.headers, ...headersFor('send', endpoint), ...(request.weights === undefined ? [] : [weightsHeader, String(request.weights)])],
 				// The handshake shows that the path to the peer works.
 				dedicatedConnection: request.isOnce,
 			}, {
--- a/packages/router/src/lib/placing/candidates.ts
+++ b/packages/router/src/lib/placing/candidates.ts
@@ -6,13 +6,14 @@
 import {type UnprovenVersions} from '../releases/unproven-versions.js';
 import {type HealthTracker} from '../routing/health.js';
 import {type EngineVersions} from '../weights/engine-versions.js';
-import {type ChoiceRequest, type PromptNeed} from './choice-request.js';
+import {type StartDeadlines} from '../weights/start-deadlines.js';
+import {type ChoiceRequest} from './choice-request.js';
 import {type BrittleEndpoints} from './brittle-endpoints.js';
 import {type EndpointBackoff} from './endpoint-backoff.js';
 import {type EndpointLoadTracker, type EndpointLoad} from './endpoint-load-tracker.js';
 import {type EndpointLimits} from './endpoint-limits.js';
 
-/** Options of {@link createCandidates}; durations in milliseconds. */
+/** Options of {@link createCandidates}. */
 export type CandidatesOptions = {
 	view: FleetView;
 	loadTracker: EndpointLoadTracker;
@@ -27,8 +28,7 @@
 	releases: UnprovenVersions;
 	/** Fraction of an endpoint's connection limit that this daemon may use. */
 	connectionShare: () => number;
-	/** Maximum time since replacement of the weights on which a request may begin. */
-	weightsMs: number;
+	startDeadlines: StartDeadlines;
 };
 
 /** An eligible endpoint and its state at the time of the choice. */
@@ -51,12 +51,6 @@
 	all: (request: ChoiceRequest) => readonly Candidate[];
 };
 
-/**
- * Fraction of `weightsMs` after which no request is sent to replaced weights. The rest allows
- * for transit and queueing.
- */
-const maxWeightsAgeRatio = 0.8;
-
 /**
  * Tolerated overrun of a planned drain. A draining engine accepts no requests, so a long overrun
  * reduces capacity.
@@ -86,15 +80,6 @@
 	const queueMs = ({id, slots}: LiveEndpoint, load: EndpointLoad): number =>
 		Math.max(load.oldestWaitMs, load.pendingTokens * loadTracker.msPerToken(id), load.running >= slots ? load.remainingMs : 0);
 
-	/**
-	 * Whether the weights will still be fresh enough when the request begins after `waitMs`.
-	 * Weights of unknown age are not: they may have been replaced before this process started.
-	 */
-	const isFreshEnough = ({model}: PromptNeed, version: number, waitMs: number): boolean => {
-		const outdatedMs = view.namedWeights(model)?.outdatedMs(version) ?? 0;
-		return outdatedMs === 0 || outdatedMs + waitMs < options.weightsMs * maxWeightsAgeRatio;
-	};
-
 	/**
 	 * Connections that this daemon may open. Endpoints reset connections above their limit, and
 	 * requests on those may have run, so the daemons divide the limit between them.
@@ -125,8 +110,9 @@
 			};
 		}
 
-		const {version, isChanging, dueInMs} = versions.of(endpoint, request.prompt.model);
-		if (isChanging || !isFreshEnough(request.prompt, version, queueMs(endpoint, load))) {
+		const {model, outputTokens} = request.prompt;
+		const {version, isChanging, dueInMs} = versions.of(endpoint, model);
+		if (isChanging || !options.startDeadlines.maySend({model, weights: version}, queueMs(endpoint, load))) {
 			return undefined;
 		}
 
@@ -134,7 +120,7 @@
 			endpoint,
 			load,
 			weights: version,
-			drainOverrunMs: Math.max(0, loadTracker.runMs(request.prompt.outputTokens) - maxOverrunMs - dueInMs),
+			drainOverrunMs: Math.max(0, loadTracker.runMs(outputTokens) - maxOverrunMs - dueInMs),
 			isDoubtful: presence.isDoubtful(endpoint),
 		};
 	};
--- a/packages/router/src/test/placing/endpoint-choice.test.ts
+++ b/packages/router/src/test/placing/endpoint-choice.test.ts
@@ -12,7 +12,7 @@
 } from '../../placing.js';
 import {createUnprovenVersions, type UnprovenVersions} from '../../releases.js';
 import {createHealthTracker} from '../../routing.js';
-import {createEngineVersions, type EngineVersions} from '../../weights.js';
+import {createEngineVersions, createStartDeadlines, type EngineVersions} from '../../weights.js';
 import {reportOf} from '../peers/empty-report.js';
 import {createLoneBrittle, createLoneLimits} from './lone-limits.js';
 import {createWorkingPaths} from './working-paths.js';
@@ -73,9 +73,10 @@
 		releases = createUnprovenVersions({view, log: createSilentLog()});
 		const random = xoroshiro128plus(1);
 		choice = createEndpointChoice({
-			view, loadTracker, health: createHealthTracker(), presence, versions, limits, backoff, brittle: createLoneBrittle(), paths: createWorkingPaths(), releases, storedParts,
+			view, loadTracker, health: createHealthTracker(), presence, versions,
+			startDeadlines: createStartDeadlines({view, weightsMs: 8000}), limits, backoff, brittle: createLoneBrittle(), paths: createWorkingPaths(), releases, storedParts,
 			residentParts: createResidentParts({memoryTokens: view.memoryTokens}),
-			dataCentre: 'a', connectionShare: () => 0.1, weightsMs: 8000, daemons: () => 10, random: () => uniformFloat64(random),
+			dataCentre: 'a', connectionShare: () => 0.1, daemons: () => 10, random: () => uniformFloat64(random),
 		});
 		for (let index = 0; index < 8; index++) {
 			list(`e${index}`);
--- a/packages/router/src/test/weights/change-under-load.test.ts
+++ b/packages/router/src/test/weights/change-under-load.test.ts
@@ -9,7 +9,9 @@
 } from '../../placing.js';
 import {createUnprovenVersions} from '../../releases.js';
 import {createHealthTracker} from '../../routing.js';
-import {createEngineVersions, createWeightsRollout, type WeightsControl} from '../../weights.js';
+import {
+	createEngineVersions, createStartDeadlines, createWeightsRollout, type WeightsControl,
+} from '../../weights.js';
 import {createLoneBrittle, createLoneLimits} from '../placing/lone-limits.js';
 import {createWorkingPaths} from '../placing/working-paths.js';
 import {engineDocument} from './engine-document.js';
@@ -73,11 +75,11 @@
 		const presence = createEndpointPresence(createSilentLog());
 		const versions = createEngineVersions();
 		const choice = createEndpointChoice({
-			view, loadTracker, health: createHealthTracker(), presence, versions, limits: createLoneLimits(),
+			view, loadTracker, health: createHealthTracker(), presence, versions, startDeadlines: createStartDeadlines({view, weightsMs: 12_000}), limits: createLoneLimits(),
 			backoff: createEndpointBackoff({random: () => 0.5, log: createSilentLog()}),
 			brittle: createLoneBrittle(), paths: createWorkingPaths(), releases: createUnprovenVersions({view, log: createSilentLog()}),
 			storedParts: createStoredParts(), residentParts: createResidentParts({memoryTokens: view.memoryTokens}),
-			dataCentre: 'a', connectionShare: () => 1, weightsMs: 12_000, daemons: () => 1, random: () => uniformFloat64(random),
+			dataCentre: 'a', connectionShare: () => 1, daemons: () => 1, random: () => uniformFloat64(random),
 		});
 		const rollout = createWeightsRollout({
 			name: 'vm-1', view, presence, versions, control, held: () => ({duty: 'weights', fencing: 1, msLeft: 1000}), handoverMs: 3200, announce: () => undefined, weightsMs: 12_000,
--- /dev/null
+++ b/packages/router/src/test/weights/start-deadlines.test.ts
@@ -0,0 +1,86 @@
+import FakeTimers from '@sinonjs/fake-timers';
+import {assert} from 'chai';
+import {createFleetView, type FleetView} from '../../fleet.js';
+import {createSilentLog} from '../../observability.js';
+import {createStartDeadlines, type StartDeadlines} from '../../weights.js';
+
+const weightsMs = 8000;
+const requested = {model: 'm', weights: 1};
+
+describe('createStartDeadlines', () => {
+	let clock: FakeTimers.Clock;
+	let view: FleetView;
+	let deadlines: StartDeadlines;
+	/** Times at which watched requests were withdrawn. */
+	let withdrawals: number[];
+
+	const watch = (weights = 1): (() => void) => deadlines.watch({...requested, weights}, () => {
+		withdrawals.push(performance.now());
+	});
+
+	beforeEach(() => {
+		clock = FakeTimers.install({toFake: ['performance', 'setTimeout', 'clearTimeout']});
+		view = createFleetView(createSilentLog());
+		view.acceptWeights('m', 1, 0);
+		deadlines = createStartDeadlines({view, weightsMs});
+		withdrawals = [];
+	});
+
+	afterEach(() => {
+		clock.uninstall();
+	});
+
+	it('withdraws a request whose weights are replaced while it waits, with time left for the cancellation to arrive', () => {
+		// Guards against requests that were sent on the newest weights and never looked at again.
+		watch();
+		clock.tick(5000);
+		view.acceptWeights('m', 2, 0);
+		clock.tick(weightsMs);
+		assert.lengthOf(withdrawals, 1);
+		assert.isAtMost(withdrawals[0], 5000 + weightsMs - 500);
+		assert.isAtLeast(withdrawals[0], 5000 + (weightsMs * 0.8));
+	});
+
+	it('counts from the first newer version, however many follow', () => {
+		// Guards against a bound that starts again with each naming.
+		view.acceptWeights('m', 2, 0);
+		watch();
+		for (let version = 3; version < 20; version++) {
+			clock.tick(500);
+			view.acceptWeights('m', version, 0);
+		}
+
+		assert.lengthOf(withdrawals, 1);
+		assert.isBelow(withdrawals[0], weightsMs);
+	});
+
+	it('withdraws within a moment when it learns that the weights are older than it took them for', () => {
+		// Guards against a daemon that dates a naming too late and keeps to that when its peers know better.
+		view.acceptWeights('m', 2, 0);
+		watch();
+		clock.tick(1000);
+		view.acceptNamingAge('m', 2, weightsMs);
+		clock.tick(250);
+		assert.lengthOf(withdrawals, 1);
+	});
+
+	it('leaves requests alone that have begun, and those on the newest weights', () => {
+		watch()();
+		watch(2);
+		view.acceptWeights('m', 2, 0);
+		clock.tick(weightsMs * 2);
+		assert.isEmpty(withdrawals);
+	});
+
+	it('lets nothing be sent that is expected to begin late, or on weights of unknown age', () => {
+		assert.isTrue(deadlines.maySend(requested, weightsMs));
+		view.acceptWeights('m', 2, 0);
+		assert.isTrue(deadlines.maySend(requested, 1000));
+		assert.isFalse(deadlines.maySend(requested, weightsMs));
+		clock.tick(weightsMs * 0.8);
+		assert.isFalse(deadlines.maySend(requested, 0));
+		view.acceptWeights('other', 5, Number.POSITIVE_INFINITY);
+		assert.isFalse(deadlines.maySend({model: 'other', weights: 4}, 0));
+		assert.isTrue(deadlines.maySend({model: 'other', weights: 5}, 0));
+	});
+});
