The age of weights counts from the store's answer, on the store's clock

Cause: a naming counted from the moment at which the daemon handled the store's answer or a peer's relay, on the process's own steady clock. Neither the time for which the answer lay unread nor a suspension counted. Class: a time that belongs to an event is taken where the event is heard of. Now: answers carry the store's time to the feed, relays carry it to the peers, and the view measures ages on a clock that follows the store's and never goes back. A poll counts as prompt only if no time is missing between it and the answer before, on that clock, and rows that a relay passes on later than their own answer aren't prompt. Evidence: two tests of entry/naming-age failed before (2 ms for 3,990, 3 ms for 7,990) and pass; three more for relays and missed polls.

--- a/packages/entry/src/lib/entry-parts.ts
+++ b/packages/entry/src/lib/entry-parts.ts
@@ -5,7 +5,9 @@
 import {
 	asFunction, asValue, type AwilixContainer, createContainer, InjectionMode,
 } from 'awilix';
-import {createDocumentGuard, createEndpointPresence, createFleetView} from 'hickorywalk/fleet.js';
+import {
+	createDocumentGuard, createEndpointPresence, createFleetClock, createFleetView,
+} from 'hickorywalk/fleet.js';
 import {createEntryServer, createForwarder} from 'hickorywalk/forwarding.js';
 import {createLineBudget, createLog} from 'hickorywalk/observability.js';
 import {createUndiciTransport} from 'hickorywalk/orders.js';
@@ -46,7 +48,8 @@
 		state: asValue({isStopping: false, isClosed: false}),
 		incarnation: asValue(Date.now()),
 		log: asValue(createLog('entry', {vm: settings.name, dataCentre: settings.dataCentre})),
-		view: asFunction(({log}: EntryParts) => createFleetView(log)).singleton(),
+		clock: asFunction(({store}: EntryParts) => createFleetClock(store)).singleton(),
+		view: asFunction(({log, clock}: EntryParts) => createFleetView(log, clock)).singleton(),
 		documentGuard: asFunction(({view, timings}: EntryParts) => createDocumentGuard({view, maxWaitMs: timings.catchUpMs})).singleton(),
 		versions: asFunction((parts: EntryParts) => createEngineVersions({
 			// Each renewal of the lease is reported to all peers, and a plan can't outlive its lease.
--- a/packages/entry/src/lib/wiring/feed-wiring.ts
+++ b/packages/entry/src/lib/wiring/feed-wiring.ts
@@ -25,8 +25,12 @@
 
 /** Follows the fleet document, the named weights and the ordered releases. */
 export function wireOperatorFeed(parts: EntryParts): ChangeFeed {
-	const {store, view, timings, log} = parts;
-	const apply = (item: OperatorRow, number: number, unseenMs: number): void => {
+	const {store, view, timings, clock, log} = parts;
+	const apply = ({item, version}: Change<OperatorRow>, unseenMs: number, answeredMs: number): void => {
+		if (item === undefined) {
+			return;
+		}
+
 		switch (item.kind) {
 			case 'document': {
 				view.acceptDocument(item.document);
@@ -34,23 +38,21 @@
 			}
 
 			case 'weights': {
-				view.acceptWeights(item.model, item.version, unseenMs);
+				view.acceptWeights(item.model, item.version, unseenMs, answeredMs);
 				parts.namingRecord.apply();
 				break;
 			}
 
 			case 'release': {
-				parts.releases.ordered(item.order, number);
+				parts.releases.ordered(item.order, version);
 				break;
 			}
 		}
 	};
 
-	const update = (rows: ReadonlyArray<Change<OperatorRow>>, unseenMs: number): void => {
-		for (const {item, version} of rows) {
-			if (item !== undefined) {
-				apply(item, version, unseenMs);
-			}
+	const update = (rows: ReadonlyArray<Change<OperatorRow>>, unseenMs: number, answeredMs = 0): void => {
+		for (const row of rows) {
+			apply(row, unseenMs, answeredMs);
 		}
 	};
 
@@ -61,6 +63,7 @@
 		waitMs: () => timings.feedWaitMs,
 		timeoutMs: timings.storeTimeoutMs,
 		coalesceMs: 0,
+		clock,
 		sharing: sharingOf('operator', parts),
 		log,
 	});
@@ -69,7 +72,7 @@
 /** Follows the endpoint list and drops local state of removed endpoints. */
 export function wireEndpointFeed(parts: EntryParts): ChangeFeed {
 	const {
-		store, view, timings, health, loadTracker, presence, versions, limits, paths, residentParts, log,
+		store, view, timings, clock, health, loadTracker, presence, versions, limits, paths, residentParts, log,
 	} = parts;
 	const tracker = createEndpointTracker({
 		view, graceMs: timings.expiredGraceMs, graceWindowMs: timings.graceWindowMs, expiryMs: timings.rowExpiryMs,
@@ -112,6 +115,7 @@
 		waitMs: () => timings.feedWaitMs,
 		timeoutMs: timings.storeTimeoutMs,
 		coalesceMs: timings.endpointsCoalesceMs,
+		clock,
 		sharing: sharingOf('endpoints', parts),
 		log,
 	});
--- a/packages/entry/src/lib/wiring/parts.ts
+++ b/packages/entry/src/lib/wiring/parts.ts
@@ -1,7 +1,7 @@
 /** Types of the entry daemon's parts, by their name in the container. */
 import {type BootSettings, type createEndpointControl, type createStoreClient} from '@hickorywalk/platform';
 import {
-	type ChangeFeed, type DocumentGuard, type EndpointPresence, type FleetView,
+	type ChangeFeed, type DocumentGuard, type EndpointPresence, type FleetClock, type FleetView,
 } from 'hickorywalk/fleet.js';
 import {type createEntryServer, type createForwarder, type ForwardingEvents} from 'hickorywalk/forwarding.js';
 import {type DutyTimer, type LeaseHolder} from 'hickorywalk/leases.js';
@@ -43,6 +43,7 @@
 	documentGuard: DocumentGuard;
 	versions: EngineVersions;
 	startDeadlines: StartDeadlines;
+	clock: FleetClock;
 	releases: UnprovenVersions;
 	loadTracker: EndpointLoadTracker;
 	presence: EndpointPresence;
--- a/packages/entry/src/test/naming-age.test.ts
+++ b/packages/entry/src/test/naming-age.test.ts
@@ -66,6 +66,19 @@
 		}
 	};
 
+	/** A peer relays an answer that the store gave at `answeredAt`, with the naming of a version if any. */
+	const relay = (answeredAt: number, version?: number): void => {
+		parts.operatorFeed.relayed('vm-2', {
+			since: 1,
+			version: 5,
+			rows: version === undefined ? [] : [[`version/${model}`, 5, JSON.stringify({model, version})]],
+			isPrompt: true,
+			storeMs: answeredAt,
+			outage: null,
+			restoredMs: null,
+		});
+	};
+
 	/** Another answer of the store tells the daemon the time. */
 	const readClock = async (): Promise<void> => {
 		await parts.ownTable.get('any');
@@ -86,4 +99,25 @@
 		await readClock();
 		assert.isAtLeast(parts.view.namedWeights(model)!.outdatedMs(1), 7990);
 	});
+
+	it('includes all time in which a suspended daemon may have missed the naming', async () => {
+		// Guards against a naming that is taken for new because the daemon polled right after it had been suspended.
+		await name(106_000);
+		assert.isAtLeast(parts.view.namedWeights(model)!.outdatedMs(1), 5990);
+	});
+
+	it('includes the time for which a peer\'s relay lay unread', async () => {
+		// Guards against a naming that counts from the arrival of a late datagram.
+		storeMs = 104_000;
+		await readClock();
+		relay(100_010, 2);
+		assert.isAtLeast(parts.view.namedWeights(model)!.outdatedMs(1), 3990);
+	});
+
+	it('includes a suspension of a daemon that hears from the store through peers only', async () => {
+		// Guards against a clock that stands still because the daemon has no need to call the store.
+		relay(100_010, 2);
+		relay(108_000);
+		assert.isAtLeast(parts.view.namedWeights(model)!.outdatedMs(1), 7990);
+	});
 });
--- a/packages/router/src/fleet.ts
+++ b/packages/router/src/fleet.ts
@@ -11,3 +11,4 @@
 export * from './lib/fleet/fleet-view.js';
 export * from './lib/fleet/live-endpoint.js';
 export * from './lib/fleet/route-table.js';
+export * from './lib/time/fleet-clock.js';
--- a/packages/router/src/lib/fleet/change-feed.ts
+++ b/packages/router/src/lib/fleet/change-feed.ts
@@ -3,6 +3,7 @@
  * reads the table and relays the store's responses.
  */
 import {type Log} from '../observability/log.js';
+import {type FleetClock, processClock} from '../time/fleet-clock.js';
 import {pause} from '../time/pause.js';
 import {
 	type Change, type ChangeHandler, type Changes, type ChangeSource, HistoryGoneError, OutdatedListingError, StoreRestoredError,
@@ -43,6 +44,8 @@
 	 * updates into one call.
 	 */
 	coalesceMs: number;
+	/** Measures the ages of responses and changes. Default: the process's own clock. */
+	clock?: FleetClock;
 	/** Without it, this daemon reads for itself alone. */
 	sharing?: FeedSharing;
 	log: Log;
@@ -86,11 +89,12 @@
 
 /** Follows a table until closed. */
 export function followChanges<T>(options: ChangeFeedOptions<T>): ChangeFeed {
-	const {source, handler, log, timeoutMs: answerMs} = options;
+	const {source, handler, log, timeoutMs: answerMs, clock = processClock} = options;
 	const sharing = options.sharing ?? unshared;
 	const relayLog = createRelayLog();
 	let version: number | undefined;
 	let newestChange = 0;
+	/** Time on `clock` of the latest response. */
 	let respondedAt = Number.NEGATIVE_INFINITY;
 	let failures = 0;
 	/** Polls were skipped since the latest call, because relays kept the table current. */
@@ -106,16 +110,22 @@
 	let ignoreHintsUntil = Number.NEGATIVE_INFINITY;
 	let hasChanges = false;
 
-	const recordResponse = (): void => {
+	const ageMs = (): number => clock.now() - respondedAt;
+
+	const recordTime = (storeMs: number | undefined): void => {
+		respondedAt = Math.max(respondedAt, clock.now() - clock.sinceMs(storeMs));
+	};
+
+	const recordResponse = ({storeMs}: Changes<T>): void => {
 		if (failures > 0) {
-			const outageMs = performance.now() - respondedAt;
+			const outageMs = ageMs();
 			log.info('Store responds again.', {path: options.name, ms: Math.round(outageMs), count: failures});
 			handler.recovered?.(outageMs, 0);
 			relayLog.recovered(outageMs);
 			failures = 0;
 		}
 
-		respondedAt = performance.now();
+		recordTime(storeMs);
 	};
 
 	const trackNewest = (rows: ReadonlyArray<Change<T>>): void => {
@@ -143,8 +153,8 @@
 			throw new OutdatedListingError(`The store listed the table as of version ${all.version}, after version ${version}.`);
 		}
 
-		const unseenMs = performance.now() - respondedAt;
-		recordResponse();
+		const unseenMs = ageMs();
+		recordResponse(all);
 		version = all.version;
 		trackNewest(all.changes);
 		relayLog.listed(all);
@@ -162,15 +172,17 @@
 		version = update.version;
 		if (update.changes.length > 0) {
 			trackNewest(update.changes);
-			handler.update(update.changes, unseenMs);
+			handler.update(update.changes, unseenMs, clock.sinceMs(update.storeMs));
 		}
 
 		return true;
 	};
 
-	const apply = (update: Changes<T>, isPrompt: boolean): void => {
-		const unseenMs = isPrompt && failures === 0 ? 0 : performance.now() - respondedAt;
-		recordResponse();
+	/** Applies a response; `pollMs` is the time for which its poll waited. */
+	const apply = (update: Changes<T>, pollMs: number): void => {
+		const isPrompt = ageMs() - pollMs <= options.coalesceMs + maxGapMs;
+		const unseenMs = isPrompt && failures === 0 ? 0 : ageMs();
+		recordResponse(update);
 		if (accept(update, unseenMs)) {
 			hasChanges ||= update.changes.length > 0;
 			relayChanges();
@@ -178,7 +190,8 @@
 	};
 
 	/** Asks for changes, or for the whole table if the store no longer has them. */
-	const update = async (waitMs: number, isPrompt: boolean): Promise<void> => {
+	const update = async (waitMs: number): Promise<void> => {
+		const sentAt = performance.now();
 		let changes: Changes<T>;
 		try {
 			changes = await source.changes(version!, waitMs, waitMs + answerMs);
@@ -197,7 +210,7 @@
 			return;
 		}
 
-		apply(changes, isPrompt);
+		apply(changes, performance.now() - sentAt);
 	};
 
 	const poll = async (): Promise<void> => {
@@ -210,14 +223,13 @@
 		const wait = failures > 0 || isHinted || hasSkippedPolls ? 0 : options.waitMs();
 		isHinted = false;
 		hasSkippedPolls = false;
-		const isPrompt = performance.now() - respondedAt <= options.coalesceMs + maxGapMs;
-		await update(wait, isPrompt);
+		await update(wait);
 	};
 
 	const failed = async (error: unknown): Promise<void> => {
 		failures++;
 		if (failures === 1) {
-			log.warn('Store did not respond with current rows.', {path: options.name, ms: roundedAgeMs(respondedAt), err: error});
+			log.warn('Store did not respond with current rows.', {path: options.name, ms: roundedMs(ageMs()), err: error});
 		}
 
 		await pause(Math.min(sharing.isFirstChoice() ? maxBackoffMs : sharing.freshMs, minBackoffMs * (2 ** Math.min(failures - 1, 8))));
@@ -227,7 +239,7 @@
 	const logMissingRelays = (): void => {
 		if (!areRelaysMissing) {
 			areRelaysMissing = true;
-			log.info('No peer relays a table; the store is polled.', {path: options.name, ms: roundedAgeMs(respondedAt)});
+			log.info('No peer relays a table; the store is polled.', {path: options.name, ms: roundedMs(ageMs())});
 		}
 	};
 
@@ -239,7 +251,7 @@
 			}
 
 			const readerInMs = sharing.readerInMs();
-			const leftMs = Math.min(readerInMs, respondedAt + sharing.freshMs - performance.now());
+			const leftMs = Math.min(readerInMs, sharing.freshMs - ageMs());
 			if (leftMs <= 0) {
 				if (readerInMs > 0) {
 					logMissingRelays();
@@ -274,7 +286,7 @@
 		try {
 			await pause(delayMs);
 			if (isNeeded()) {
-				await update(0, false);
+				await update(0);
 			}
 		} catch (error) {
 			ignoreHintsUntil = performance.now() + maxBackoffMs;
@@ -296,24 +308,29 @@
 	/** Applies a relay, or holds it until its predecessor has arrived. */
 	const acceptRelay = (relay: FeedRelay): void => {
 		const {since, version: upTo, rows, isPrompt} = relay;
+		const storeMs = relay.storeMs ?? undefined;
+		if (storeMs !== undefined) {
+			clock.observe(storeMs, upTo);
+		}
+
 		if (version! < since) {
 			earlyRelay = relay;
 			schedulePoll(sharing.relayDelayMs, () => version! < since);
 			return;
 		}
 
-		const unseenMs = isPrompt ? 0 : performance.now() - respondedAt;
+		const unseenMs = isPrompt ? 0 : ageMs();
 		// Each reader of a table relays the same rows.
 		const newRows = rows.filter(([, changedIn]) => changedIn > version!);
-		if (accept({version: upTo, changes: newRows.map(row => source.decode(row))}, unseenMs)) {
-			respondedAt = performance.now();
+		if (accept({version: upTo, changes: newRows.map(row => source.decode(row)), storeMs}, unseenMs)) {
+			recordTime(storeMs);
 			areRelaysMissing = false;
 		}
 	};
 
 	void run();
 	return {
-		ageMs: () => performance.now() - respondedAt,
+		ageMs,
 		newestChange: () => newestChange,
 		hint(known) {
 			schedulePoll(options.coalesceMs + sharing.relayDelayMs, () => known > Math.max(version!, newestChange));
@@ -345,6 +362,6 @@
 	};
 }
 
-function roundedAgeMs(at: number): number | undefined {
-	return Number.isFinite(at) ? Math.round(performance.now() - at) : undefined;
+function roundedMs(ms: number): number | undefined {
+	return Number.isFinite(ms) ? Math.round(ms) : undefined;
 }
--- a/packages/router/src/lib/fleet/change-source.ts
+++ b/packages/router/src/lib/fleet/change-source.ts
@@ -40,6 +40,8 @@
 	changes: ReadonlyArray<Change<T>>;
 	/** Grows with each transaction of the store, also when the store comes back from an older copy. */
 	version: number;
+	/** The store's clock when it answered, in milliseconds; `undefined` if it didn't say. */
+	storeMs?: number | undefined;
 };
 
 /** A table that can be listed and followed. `list` and `changes` throw the platform's errors. */
@@ -59,8 +61,8 @@
 export type ChangeHandler<T> = {
 	/** All rows; rows not among them were deleted. They may have changed up to `unseenMs` ago. */
 	replace: (rows: ReadonlyArray<Change<T>>, unseenMs: number) => void;
-	/** Changed rows, at most `unseenMs` old; 0 while the feed is current. */
-	update: (rows: ReadonlyArray<Change<T>>, unseenMs: number) => void;
+	/** Changed rows, at most `unseenMs` old; 0 while the feed is current. They changed when the store answered, which is `answeredMs` ago. */
+	update: (rows: ReadonlyArray<Change<T>>, unseenMs: number, answeredMs?: number) => void;
 	/** The store responded `sinceMs` ago after an outage of `outageMs`; may be called again for the same outage. */
 	recovered?: (outageMs: number, sinceMs: number) => void;
 	/**
--- a/packages/router/src/lib/fleet/feed-relay.ts
+++ b/packages/router/src/lib/fleet/feed-relay.ts
@@ -11,8 +11,10 @@
 	/** Store version up to which they are complete. */
 	version: z.number(),
 	rows: z.array(relayedRowSchema),
-	/** The reader saw each of the changes without delay. */
+	/** The reader saw each of the changes without delay, in the answer that the relay passes on. */
 	isPrompt: z.boolean(),
+	/** The store's clock when it gave that answer, in milliseconds; null if unknown. */
+	storeMs: z.number().nullable().default(null),
 	/** Latest outage that the reader saw: its length, and milliseconds since its end. */
 	outage: z.tuple([z.number(), z.number()]).nullable(),
 	/** Milliseconds since the reader learned that the store came back from an older copy; null if that is long ago. */
@@ -23,8 +25,8 @@
 export type FeedRelay = z.infer<typeof feedRelaySchema>;
 
 type Row = {key: string; version: number; text?: string | undefined; isSecret?: boolean};
-type Rows = {changes: readonly Row[]; version: number};
-type PendingRow = Row & {isPrompt: boolean};
+type Rows = {changes: readonly Row[]; version: number; storeMs?: number | undefined};
+type PendingRow = Row & {isPrompt: boolean; storeMs: number | undefined};
 
 /** Collects what a reader's next relay carries. */
 export type RelayLog = {
@@ -58,6 +60,8 @@
 	let pending = new Map<string, PendingRow>();
 	let since = 0;
 	let version = 0;
+	/** The store's clock at the latest answer. */
+	let storeMs: number | undefined;
 	let outage: {durationMs: number; endedAt: number} | undefined;
 	let restoredAt = Number.NEGATIVE_INFINITY;
 
@@ -69,7 +73,9 @@
 
 	const add = (row: Row, isPrompt: boolean): void => {
 		pending.delete(row.key);
-		pending.set(row.key, {...row, text: row.isSecret === true ? '' : row.text, isPrompt});
+		pending.set(row.key, {
+			...row, text: row.isSecret === true ? '' : row.text, isPrompt, storeMs,
+		});
 		if (pending.size > maxPendingRows) {
 			dropOldest();
 		}
@@ -85,6 +91,7 @@
 
 	return {
 		listed(rows) {
+			({storeMs} = rows);
 			const listed = new Set(rows.changes.map(({key}) => key));
 			if (isFirst()) {
 				since = rows.version;
@@ -107,6 +114,7 @@
 			version = rows.version;
 		},
 		changed(rows, isPrompt) {
+			({storeMs} = rows);
 			for (const row of rows.changes) {
 				add(row, isPrompt);
 			}
@@ -130,7 +138,7 @@
 					break;
 				}
 
-				isPrompt &&= row.isPrompt;
+				isPrompt &&= row.isPrompt && row.storeMs === storeMs;
 				rows.unshift([row.key, row.version, row.text ?? null]);
 			}
 
@@ -141,6 +149,7 @@
 				version,
 				rows,
 				isPrompt,
+				storeMs: storeMs ?? null,
 				outage: outageMs <= outageTtlMs ? [Math.round(outage!.durationMs), Math.round(outageMs)] : null,
 				restoredMs: sinceRestoreMs <= outageTtlMs ? Math.round(sinceRestoreMs) : null,
 			};
--- a/packages/router/src/lib/fleet/fleet-view.ts
+++ b/packages/router/src/lib/fleet/fleet-view.ts
@@ -4,6 +4,7 @@
  */
 import {isDeepStrictEqual} from 'node:util';
 import {type Log} from '../observability/log.js';
+import {type FleetClock, processClock} from '../time/fleet-clock.js';
 import {type FleetDocument, type Workspace} from './fleet-document.js';
 import {createLeavingRecord, type EndpointProcess} from './leaving-record.js';
 import {isNewer, type LiveEndpoint} from './live-endpoint.js';
@@ -54,8 +55,11 @@
 	dropEndpoint: (id: string) => void;
 	endpointIds: () => Iterable<string>;
 	namedWeights: (model: string) => NamedWeights | undefined;
-	/** Weights were named at most `unseenMs` ago; 0 if this process saw the naming without delay. */
-	acceptWeights: (model: string, version: number, unseenMs: number) => void;
+	/**
+	 * Weights were named at most `unseenMs` ago. If 0, this daemon saw the naming without delay: it
+	 * happened when the store answered, which is `answeredMs` ago.
+	 */
+	acceptWeights: (model: string, version: number, unseenMs: number, answeredMs?: number) => void;
 	/** A peer that saw the naming without delay reports its age. */
 	acceptNamingAge: (model: string, version: number, ageMs: number) => void;
 	/** Namings of the last `maxAgeMs` whose age is exact. */
@@ -75,7 +79,7 @@
 };
 
 /**
- * One naming of weights. Without an exact time (`isDated`), `learntAt` is the earliest
+ * One naming of weights, with times on the view's clock. Without an exact time (`isDated`), `learntAt` is the earliest
  * possible one, so that staleness is never underestimated.
  */
 type Naming = {
@@ -89,8 +93,8 @@
 /** Namings stored per model. */
 const maxNamings = 16;
 
-/** Creates an empty view. */
-export function createFleetView(log: Log): FleetView {
+/** Creates an empty view; ages of weights are measured on `clock`. */
+export function createFleetView(log: Log, {now}: Pick<FleetClock, 'now'> = processClock): FleetView {
 	const endpoints = new Map<string, LiveEndpoint>();
 	/** Cached lists; a change removes the service's list. */
 	const byService = new Map<string, readonly LiveEndpoint[]>();
@@ -215,22 +219,23 @@
 					}
 
 					const isSuccessor = next.version === version + 1;
-					return performance.now() - (isSuccessor ? next.learntAt : Math.min(next.learntAt, next.gapAt));
+					return now() - (isSuccessor ? next.learntAt : Math.min(next.learntAt, next.gapAt));
 				},
 			};
 		},
-		acceptWeights(model, version, unseenMs) {
+		acceptWeights(model, version, unseenMs, answeredMs = 0) {
 			const history = named.get(model) ?? [];
 			if (version <= (history.at(-1)?.version ?? 0)) {
 				return;
 			}
 
-			const learntAt = performance.now() - unseenMs;
+			const ageMs = Math.max(unseenMs, answeredMs);
+			const learntAt = now() - ageMs;
 			const naming: Naming = {
 				version, learntAt, isDated: unseenMs === 0, gapAt: learntAt,
 			};
 			named.set(model, [...history, naming].slice(-maxNamings));
-			log.info('New weights version was named.', {version, ms: Number.isFinite(unseenMs) ? Math.round(unseenMs) : undefined, reason: naming.isDated ? 'dated' : 'undated'});
+			log.info('New weights version was named.', {version, ms: Number.isFinite(ageMs) ? Math.round(ageMs) : undefined, reason: naming.isDated ? 'dated' : 'undated'});
 			notifyWeights(model);
 		},
 		acceptNamingAge(model, version, ageMs) {
@@ -239,7 +244,7 @@
 				return;
 			}
 
-			const learntAt = performance.now() - ageMs;
+			const learntAt = now() - ageMs;
 			const naming = history.find(item => item.version === version);
 			if (naming === undefined) {
 				// The store lists only the newest naming, but engines may run older ones.
@@ -256,7 +261,7 @@
 			const recent: Array<[string, number, number]> = [];
 			for (const [model, history] of named) {
 				for (const {version, learntAt, isDated} of history) {
-					const ageMs = performance.now() - learntAt;
+					const ageMs = now() - learntAt;
 					if (isDated && ageMs <= maxAgeMs) {
 						recent.push([model, version, Math.round(ageMs)]);
 					}
@@ -267,7 +272,7 @@
 		},
 		restoreWeights(model, {version, ageMs, isDated}) {
 			const history = named.get(model) ?? [];
-			const learntAt = performance.now() - ageMs;
+			const learntAt = now() - ageMs;
 			const naming = history.find(item => item.version === version);
 			if (naming === undefined) {
 				if (version < (history.at(-1)?.version ?? 0)) {
@@ -288,14 +293,14 @@
 		boundWeights(model, version, atMostMs) {
 			const naming = named.get(model)?.find(item => item.version === version);
 			if (naming !== undefined && !naming.isDated) {
-				naming.learntAt = Math.max(naming.learntAt, performance.now() - atMostMs);
+				naming.learntAt = Math.max(naming.learntAt, now() - atMostMs);
 				naming.gapAt = Math.max(naming.gapAt, naming.learntAt);
 			}
 		},
 		namings() {
-			const now = performance.now();
+			const at = now();
 			return [...named].flatMap(([model, history]) => history.map(({version, learntAt, isDated, gapAt}) => ({
-				model, version, ageMs: now - Math.min(learntAt, gapAt), isDated: isDated && learntAt <= gapAt,
+				model, version, ageMs: at - Math.min(learntAt, gapAt), isDated: isDated && learntAt <= gapAt,
 			})));
 		},
 		onWeights(listener) {
--- a/packages/router/src/test/fleet/feed-relay.test.ts
+++ b/packages/router/src/test/fleet/feed-relay.test.ts
@@ -19,15 +19,15 @@
 		const log = createRelayLog();
 		log.listed({version: 5, changes: [row('a', 3)]});
 		assert.deepEqual(log.take(), {
-			since: 5, version: 5, rows: [], isPrompt: true, outage: null, restoredMs: null,
+			since: 5, version: 5, rows: [], isPrompt: true, storeMs: null, outage: null, restoredMs: null,
 		});
 		log.changed({version: 7, changes: [row('b', 6)]}, true);
 		log.changed({version: 9, changes: [row('b', 8), {key: 'a', version: 9}]}, true);
 		assert.deepEqual(log.take(), {
-			since: 5, version: 9, rows: [['b', 8, 'b'], ['a', 9, null]], isPrompt: true, outage: null, restoredMs: null,
+			since: 5, version: 9, rows: [['b', 8, 'b'], ['a', 9, null]], isPrompt: true, storeMs: null, outage: null, restoredMs: null,
 		});
 		assert.deepEqual(log.take(), {
-			since: 9, version: 9, rows: [], isPrompt: true, outage: null, restoredMs: null,
+			since: 9, version: 9, rows: [], isPrompt: true, storeMs: null, outage: null, restoredMs: null,
 		});
 	});
 
