Slow engines no longer hold up a rollout of weights

Callers: engines with replaced weights take no requests from 0.8 of the bound on; where they were slow, that lasted until their longest run had ended, one third of the engines at a time. Engines with the old version when traffic ends break VERSION as well. Cause: an order lets runs end first, however near the bound is, and an engine that waits for its runs took one of the rollout's places. Class: a wait without an end that follows from the bound that it delays. Now: weights-deadlines has a second deadline. At 0.9 of the bound a stream that may go on elsewhere is moved if an engine there responds soon, within the retry budget; at 1.05 any run on replaced weights ends, so that the loads fit into 1.375 times the bound. Engines that are unusable and only wait for their last requests are ordered beside those that load.

--- a/packages/entry/src/lib/entry-parts.ts
+++ b/packages/entry/src/lib/entry-parts.ts
@@ -14,7 +14,7 @@
 import {createEndpointLoadTracker, createStoredParts, createResidentParts} from 'hickorywalk/placing.js';
 import {createUnprovenVersions} from 'hickorywalk/releases.js';
 import {createHealthTracker} from 'hickorywalk/routing.js';
-import {createEngineVersions, createStartDeadlines} from 'hickorywalk/weights.js';
+import {createEngineVersions, createWeightsDeadlines} from 'hickorywalk/weights.js';
 import {createDaemonMetrics} from './daemon-metrics.js';
 import {timingsFor} from './timings.js';
 import {
@@ -55,7 +55,7 @@
 			// Each renewal of the lease is reported to all peers, and a plan can't outlive its lease.
 			planRepeatMs: () => Math.min(parts.peers.silenceMs(), parts.timings.leaseMs),
 		})).singleton(),
-		startDeadlines: asFunction(({view}: EntryParts) => createStartDeadlines({view, weightsMs: settings.weightsMs})).singleton(),
+		weightsDeadlines: asFunction(({view}: EntryParts) => createWeightsDeadlines({view, weightsMs: settings.weightsMs})).singleton(),
 		releases: asFunction(({view, log}: EntryParts) => createUnprovenVersions({view, log})).singleton(),
 		loadTracker: asFunction((parts: EntryParts) => createEndpointLoadTracker({
 			onLarge() {
@@ -125,7 +125,7 @@
 			health: parts.health,
 			presence: parts.presence,
 			versions: parts.versions,
-			startDeadlines: parts.startDeadlines,
+			weightsDeadlines: parts.weightsDeadlines,
 			transport: parts.transport,
 			isClosed: () => parts.state.isClosed,
 			budgetOf: parts.budgetOf,
--- a/packages/entry/src/lib/wiring/lease-wiring.ts
+++ b/packages/entry/src/lib/wiring/lease-wiring.ts
@@ -86,6 +86,10 @@
 			const endpoint = view.endpoint(id);
 			return endpoint === undefined ? 0 : loadTracker.load(endpoint).remainingMs;
 		},
+		hasRequests(id) {
+			const endpoint = view.endpoint(id);
+			return endpoint !== undefined && loadTracker.load(endpoint).running > 0;
+		},
 		minRequestIntervalMs: endpoint => limits.waitMs([endpoint]),
 		log,
 	});
--- a/packages/entry/src/lib/wiring/parts.ts
+++ b/packages/entry/src/lib/wiring/parts.ts
@@ -19,7 +19,7 @@
 import {type UnprovenVersions} from 'hickorywalk/releases.js';
 import {type AttemptBudget, type createHealthTracker} from 'hickorywalk/routing.js';
 import {
-	type createWeightsRollout, type EngineVersions, type NamingRecord, type StartDeadlines,
+	type createWeightsRollout, type EngineVersions, type NamingRecord, type WeightsDeadlines,
 } from 'hickorywalk/weights.js';
 import {type DaemonMetrics} from '../daemon-metrics.js';
 import {type Timings} from '../timings.js';
@@ -42,7 +42,7 @@
 	view: FleetView;
 	documentGuard: DocumentGuard;
 	versions: EngineVersions;
-	startDeadlines: StartDeadlines;
+	weightsDeadlines: WeightsDeadlines;
 	clock: FleetClock;
 	releases: UnprovenVersions;
 	loadTracker: EndpointLoadTracker;
--- a/packages/entry/src/lib/wiring/request-wiring.ts
+++ b/packages/entry/src/lib/wiring/request-wiring.ts
@@ -78,9 +78,9 @@
 
 /** Creates the endpoint choice. */
 export function wireChoice(parts: EntryParts) {
-	const {view, loadTracker, health, presence, versions, startDeadlines, limits, backoff, brittle, paths, releases, storedParts, residentParts, peers, settings} = parts;
+	const {view, loadTracker, health, presence, versions, weightsDeadlines, limits, backoff, brittle, paths, releases, storedParts, residentParts, peers, settings} = parts;
 	return createEndpointChoice({
-		view, loadTracker, health, presence, versions, startDeadlines, limits, backoff, brittle, paths, releases, storedParts, residentParts,
+		view, loadTracker, health, presence, versions, weightsDeadlines, limits, backoff, brittle, paths, releases, storedParts, residentParts,
 		dataCentre: settings.dataCentre, connectionShare: () => connectionsRatio / peers.fleetSize(),
 		// Peers within one report round learn of large prompts at once, so only the others may choose the same endpoint.
 		daemons: () => 1 + peers.peersBeyondRound(), random: Math.random,
--- a/packages/router/src/lib/forwarding/attempt.ts
+++ b/packages/router/src/lib/forwarding/attempt.ts
@@ -71,8 +71,8 @@
 	onBytes: (() => void) | undefined;
 	/** Receives a function that is to be called when the path to the endpoint is lost. */
 	onPathWatched: (leavePath: () => void) => void;
-	/** Receives a function that ends the attempt with this failure unless its response has begun. */
-	onCancellable: (cancel: (failure: FailureClass) => void) => void;
+	/** Receives a function that ends the attempt with this failure. */
+	onAbortable: (abort: (failure: FailureClass) => void) => void;
 };
 
 const statusOk = 200;
@@ -272,10 +272,8 @@
 		},
 	});
 	restartSilenceTimer(options.headTimeoutMs);
-	options.onCancellable(failure => {
-		if (progress.firstAt === undefined) {
-			failAttempt(failure, false);
-		}
+	options.onAbortable(failure => {
+		failAttempt(failure, false);
 	});
 	options.onPathWatched(() => {
 		if (!isSettled && options.mayLeavePath()) {
--- a/packages/router/src/lib/forwarding/send-to-endpoint.ts
+++ b/packages/router/src/lib/forwarding/send-to-endpoint.ts
@@ -15,7 +15,7 @@
 import {type Relay} from '../paths/relay.js';
 import {type HealthTracker} from '../routing/health.js';
 import {type EngineVersions} from '../weights/engine-versions.js';
-import {type StartDeadlines} from '../weights/start-deadlines.js';
+import {type WeightsDeadlines} from '../weights/weights-deadlines.js';
 import {type AttemptEnd, runAttempt} from './attempt.js';
 import {createAttemptPaths} from './attempt-path.js';
 import {type Call, mayRunAgain} from './call.js';
@@ -31,7 +31,7 @@
 	health: HealthTracker;
 	presence: EndpointPresence;
 	versions: EngineVersions;
-	startDeadlines: StartDeadlines;
+	weightsDeadlines: WeightsDeadlines;
 	transport: EndpointTransport;
 	crashWatch: CrashWatch;
 	limits: EndpointLimits;
@@ -91,13 +91,25 @@
 	const weightsAgeMs = ({prompt}: Call, {weights}: Choice): number | undefined =>
 		prompt === undefined || weights === undefined ? undefined : view.namedWeights(prompt.model)?.outdatedMs(weights);
 
-	/** Ends the attempt once its answer would begin on weights that are too old. */
-	const watchStart = ({prompt}: Call, {weights}: Choice, cancel: (failure: FailureClass) => void): () => void =>
-		prompt === undefined || weights === undefined
-			? () => undefined
-			: options.startDeadlines.watch({model: prompt.model, weights}, () => {
-				cancel('outdated');
-			});
+	/** Aborts the attempt once its weights are too old; a stream that has begun goes on elsewhere if it may. */
+	const watchWeights = (call: Call, {weights}: Choice, abort: (failure: FailureClass) => void): () => void => {
+		if (call.prompt === undefined || weights === undefined) {
+			return () => undefined;
+		}
+
+		return options.weightsDeadlines.watch({
+			model: call.prompt.model,
+			weights,
+			onStartDeadline() {
+				if (call.progress.firstAt === undefined || (mayRunAgain(call) && options.mayMoveAway(call))) {
+					abort('outdated');
+				}
+			},
+			onRunDeadline() {
+				abort('outdated');
+			},
+		});
+	};
 
 	const recordNotRun = (endpoint: LiveEndpoint, facts: ResponseFacts | undefined): void => {
 		if (!isOwnResponse(endpoint, facts)) {
@@ -206,7 +218,7 @@
 			}, events);
 		};
 
-		let endStartWatch = (): void => undefined;
+		let endWeightsWatch = (): void => undefined;
 		const end = await runAttempt({
 			send,
 			headers,
@@ -224,23 +236,24 @@
 				recordNotices(endpoint, facts);
 			},
 			onResponseStart() {
-				endStartWatch();
 				work.begun();
 				call.begunWeightsAgeMs = weightsAgeMs(call, chosen);
 			},
 			onBytes: watch?.heard,
-			onCancellable(cancel) {
+			onAbortable(abort) {
 				call.cancel = () => {
-					cancel('cancelled');
+					if (call.progress.firstAt === undefined) {
+						abort('cancelled');
+					}
 				};
 
-				endStartWatch = watchStart(call, chosen, cancel);
+				endWeightsWatch = watchWeights(call, chosen, abort);
 			},
 			onPathWatched(leavePath) {
 				call.leavePath = leavePath;
 			},
 		});
-		endStartWatch();
+		endWeightsWatch();
 		watch?.ended();
 		leaveEndpoint?.();
 		work.ended(end.kind === 'answered');
--- a/packages/router/src/lib/orders/failure-classes.ts
+++ b/packages/router/src/lib/orders/failure-classes.ts
@@ -38,7 +38,7 @@
 	path_lost: {reach: 'perhaps', blamesEndpoint: false},
 	/** The peer that passed the request on was lost before a response began. */
 	relay_lost: {reach: 'perhaps', blamesEndpoint: false},
-	/** The answer did not begin before the weights that the endpoint was chosen for were too old. */
+	/** The weights that the endpoint was chosen for became too old, for the answer to begin or to go on. */
 	outdated: {reach: 'perhaps', blamesEndpoint: false},
 	/** The caller disconnected, or does not read. */
 	cancelled: {reach: 'perhaps', blamesEndpoint: false},
--- a/packages/router/src/lib/placing/candidates.ts
+++ b/packages/router/src/lib/placing/candidates.ts
@@ -6,7 +6,7 @@
 import {type UnprovenVersions} from '../releases/unproven-versions.js';
 import {type HealthTracker} from '../routing/health.js';
 import {type EngineVersions} from '../weights/engine-versions.js';
-import {type StartDeadlines} from '../weights/start-deadlines.js';
+import {type WeightsDeadlines} from '../weights/weights-deadlines.js';
 import {type ChoiceRequest} from './choice-request.js';
 import {type BrittleEndpoints} from './brittle-endpoints.js';
 import {type EndpointBackoff} from './endpoint-backoff.js';
@@ -28,7 +28,7 @@
 	releases: UnprovenVersions;
 	/** Fraction of an endpoint's connection limit that this daemon may use. */
 	connectionShare: () => number;
-	startDeadlines: StartDeadlines;
+	weightsDeadlines: WeightsDeadlines;
 };
 
 /** An eligible endpoint and its state at the time of the choice. */
@@ -112,7 +112,7 @@
 
 		const {model, outputTokens} = request.prompt;
 		const {version, isChanging, dueInMs} = versions.of(endpoint, model);
-		if (isChanging || !options.startDeadlines.maySend({model, weights: version}, queueMs(endpoint, load))) {
+		if (isChanging || !options.weightsDeadlines.maySend({model, weights: version}, queueMs(endpoint, load))) {
 			return undefined;
 		}
 
--- a/packages/router/src/lib/relaying/relay-server.ts
+++ b/packages/router/src/lib/relaying/relay-server.ts
@@ -18,7 +18,7 @@
 import {type OpinionOn} from '../paths/endpoint-opinion.js';
 import {type EndpointPaths} from '../paths/endpoint-paths.js';
 import {type BrittleEndpoints} from '../placing/brittle-endpoints.js';
-import {type StartDeadlines} from '../weights/start-deadlines.js';
+import {type WeightsDeadlines} from '../weights/weights-deadlines.js';
 import {
 	endpointHeader, keyHeader, noPathReason, noRoomReason, outcomeHeader, purposeHeader, reasonHeader, type RelayOutcome, startedAtHeader, weightsHeader, withoutRelayHeaders, wrongKeyReason,
 } from '../paths/relay-protocol.js';
@@ -29,7 +29,7 @@
 	paths: EndpointPaths;
 	transport: EndpointTransport;
 	headers: CallHeaders;
-	startDeadlines: StartDeadlines;
+	weightsDeadlines: WeightsDeadlines;
 	/** Counts the requests at brittle endpoints. */
 	brittle: BrittleEndpoints;
 	/** Whether an endpoint may get a request of this daemon now. */
@@ -95,17 +95,31 @@
 		return endpoint?.startedAt === Number(req.headers[startedAtHeader]) ? endpoint : undefined;
 	};
 
-	/** Calls `withdraw` if the request must not begin any more, also where its sender is out of reach. */
-	const watchStart = (req: IncomingMessage, withdraw: () => void): () => void => {
+	/** Calls `abort` once the request's weights are too old, also where its sender is out of reach. */
+	const watchWeights = (req: IncomingMessage, hasBegun: () => boolean, abort: () => void): () => void => {
 		const {model} = headers.readCall(req.rawHeaders);
 		const weights = Number(req.headers[weightsHeader] ?? Number.NaN);
-		return model === undefined || Number.isNaN(weights) ? () => undefined : options.startDeadlines.watch({model, weights}, withdraw);
+		if (model === undefined || Number.isNaN(weights)) {
+			return () => undefined;
+		}
+
+		return options.weightsDeadlines.watch({
+			model,
+			weights,
+			onStartDeadline() {
+				if (!hasBegun()) {
+					abort();
+				}
+			},
+			onRunDeadline: abort,
+		});
 	};
 
 	/** Sends the request over the own path and resolves when the response has ended. */
 	const passOn = async (req: IncomingMessage, body: unknown, reply: CallerReply, endpoint: LiveEndpoint): Promise<'passed' | {outcome: RelayOutcome; reason: string}> => new Promise(resolve => {
 		const watch = paths.watch(endpoint);
-		let endStartWatch = (): void => undefined;
+		let hasBegun = false;
+		let endWeightsWatch = (): void => undefined;
 		const target = {name: endpoint.id, address: `http://${endpoint.address}`};
 		transport.allowConnectionReuse(target);
 		const exchange = transport.send({
@@ -129,7 +143,7 @@
 				reply.head(head.status, [...headers.forCaller(head.headers), outcomeHeader, 'passed'], facts.isUnframed);
 			},
 			data(chunk) {
-				endStartWatch();
+				hasBegun = true;
 				watch.heard();
 				if (!reply.write(chunk)) {
 					exchange.pause();
@@ -137,13 +151,13 @@
 				}
 			},
 			end() {
-				endStartWatch();
+				endWeightsWatch();
 				watch.ended();
 				reply.end();
 				resolve('passed');
 			},
 			failed(failure) {
-				endStartWatch();
+				endWeightsWatch();
 				watch.ended();
 				if (failure === 'connect_failed') {
 					paths.connectFailed(endpoint);
@@ -152,14 +166,14 @@
 				resolve(failureClasses[failure].reach === 'nothing' ? {outcome: 'declined', reason: noPathReason} : {outcome: 'failed', reason: failure});
 			},
 		});
-		endStartWatch = watchStart(req, () => {
+		endWeightsWatch = watchWeights(req, () => hasBegun, () => {
 			watch.ended();
 			// First, since the abort reports a reset.
 			resolve({outcome: 'failed', reason: 'outdated'});
-			exchange.abort(new EndpointExchangeError('The request could not begin in time.'), false);
+			exchange.abort(new EndpointExchangeError('The weights of the request became too old.'), false);
 		});
 		reply.onDisconnect(() => {
-			endStartWatch();
+			endWeightsWatch();
 			watch.ended();
 			exchange.abort(new EndpointExchangeError('The peer disconnected.'), false);
 			resolve('passed');
--- a/packages/router/src/lib/weights/rollout-planner.ts
+++ b/packages/router/src/lib/weights/rollout-planner.ts
@@ -16,6 +16,8 @@
 	isDoubtful: boolean;
 	/** Its weights are too stale for any new request. */
 	isUnusable: boolean;
+	/** It will wait for its last requests before it loads, and gets no others meanwhile. */
+	isOnlyWaiting: boolean;
 	/** Milliseconds until its announced start; infinite if none. */
 	dueInMs: number;
 	/** Expected milliseconds until its last request in flight ends. */
@@ -85,8 +87,8 @@
 			const due: ChangeTask[] = [];
 			const later: RolloutPlan['later'] = [];
 			let position = changing;
-			for (const {task, isChanging, dueInMs} of pending.toSorted(compare)) {
-				if (isChanging) {
+			for (const {task, isChanging, isOnlyWaiting, dueInMs} of pending.toSorted(compare)) {
+				if (isChanging || isOnlyWaiting) {
 					due.push(task);
 					continue;
 				}
--- a/packages/router/src/lib/weights/weights-rollout.ts
+++ b/packages/router/src/lib/weights/weights-rollout.ts
@@ -39,6 +39,8 @@
 	weightsMs: number;
 	/** Expected milliseconds until an endpoint's last request in flight ends. */
 	remainingMs: (id: string) => number;
+	/** Whether an endpoint has requests in flight, as far as known. */
+	hasRequests?: (id: string) => boolean;
 	/** Minimum interval between two requests to an endpoint with a rate limit; `undefined` without a limit. */
 	minRequestIntervalMs?: (endpoint: LiveEndpoint) => number | undefined;
 	log: Log;
@@ -86,7 +88,7 @@
 /** Creates a rollout; it acts only while the lease is held. */
 export function createWeightsRollout(options: WeightsRolloutOptions): WeightsRollout {
 	const {view, presence, versions, control, log} = options;
-	const inProgress = new Map<string, Promise<void>>();
+	const inProgress = new Map<string, ChangeTask>();
 	let heldFencing: number | undefined;
 	const startedAt = performance.now();
 	const ownOrders = new Map<string, number>();
@@ -153,6 +155,9 @@
 	const isUnusable = ({endpoint, model}: ChangeTask): boolean =>
 		view.namedWeights(model)!.outdatedMs(versions.of(endpoint, model).version) > options.weightsMs * maxWeightsAgeRatio;
 
+	/** An unusable engine that still has requests only waits for them; it takes no capacity and loads nothing yet. */
+	const isOnlyWaiting = (task: ChangeTask): boolean => isUnusable(task) && (options.hasRequests?.(task.endpoint.id) ?? false);
+
 	const advance = async (task: ChangeTask): Promise<void> => {
 		const {endpoint, model, version} = task;
 		if (!drains.areLongRequestsDone(task, isUnusable(task))) {
@@ -243,7 +248,8 @@
 			acceptedOrders.delete(id);
 		}
 
-		inProgress.set(id, (async () => {
+		inProgress.set(id, task);
+		void (async () => {
 			await runTask(task);
 			const downtimeMs = drains.finish(id);
 			if (downtimeMs !== undefined && versions.of(task.endpoint, task.model).version >= task.version) {
@@ -255,7 +261,7 @@
 			log.info('Change of an engine\'s weights ended.', {
 				endpoint: id, version: versions.of(task.endpoint, task.model).version, ms: Math.round(performance.now() - startedMs),
 			});
-		})());
+		})();
 	};
 
 	const tasksOf = (service: string, models: readonly string[]): ChangeTask[] => {
@@ -295,17 +301,23 @@
 		return true;
 	};
 
+	const isChanging = (endpoint: LiveEndpoint, models: readonly string[]): boolean => {
+		const task = inProgress.get(endpoint.id);
+		return task === undefined ? isCarryingOut(endpoint, models) : !isOnlyWaiting(task);
+	};
+
 	const startTasks = (service: string, models: readonly string[]): void => {
 		const serving = view.endpointsOf(service).filter(endpoint => !presence.hasEnded(endpoint) && !presence.isDoubtful(endpoint));
 		const pending = tasksOf(service, models).filter(task => !inProgress.has(task.endpoint.id));
 		const {due, later} = planner.plan({
 			engines: serving.length,
-			changing: serving.filter(endpoint => inProgress.has(endpoint.id) || isCarryingOut(endpoint, models)).length,
+			changing: serving.filter(endpoint => isChanging(endpoint, models)).length,
 			pending: pending.map(task => ({
 				task,
 				isChanging: isCarryingOut(task.endpoint, models),
 				isDoubtful: presence.isDoubtful(task.endpoint),
 				isUnusable: isUnusable(task),
+				isOnlyWaiting: isOnlyWaiting(task),
 				dueInMs: versions.of(task.endpoint, task.model).dueInMs,
 				remainingMs: options.remainingMs(task.endpoint.id),
 			})),
--- a/packages/router/src/test/placing/endpoint-choice.test.ts
+++ b/packages/router/src/test/placing/endpoint-choice.test.ts
@@ -12,7 +12,7 @@
 } from '../../placing.js';
 import {createUnprovenVersions, type UnprovenVersions} from '../../releases.js';
 import {createHealthTracker} from '../../routing.js';
-import {createEngineVersions, createStartDeadlines, type EngineVersions} from '../../weights.js';
+import {createEngineVersions, createWeightsDeadlines, type EngineVersions} from '../../weights.js';
 import {reportOf} from '../peers/empty-report.js';
 import {createLoneBrittle, createLoneLimits} from './lone-limits.js';
 import {createWorkingPaths} from './working-paths.js';
@@ -74,7 +74,7 @@
 		const random = xoroshiro128plus(1);
 		choice = createEndpointChoice({
 			view, loadTracker, health: createHealthTracker(), presence, versions,
-			startDeadlines: createStartDeadlines({view, weightsMs: 8000}), limits, backoff, brittle: createLoneBrittle(), paths: createWorkingPaths(), releases, storedParts,
+			weightsDeadlines: createWeightsDeadlines({view, weightsMs: 8000}), limits, backoff, brittle: createLoneBrittle(), paths: createWorkingPaths(), releases, storedParts,
 			residentParts: createResidentParts({memoryTokens: view.memoryTokens}),
 			dataCentre: 'a', connectionShare: () => 0.1, daemons: () => 10, random: () => uniformFloat64(random),
 		});
--- a/packages/router/src/test/placing/rolling-update.test.ts
+++ b/packages/router/src/test/placing/rolling-update.test.ts
@@ -11,7 +11,7 @@
 } from '../../placing.js';
 import {createUnprovenVersions} from '../../releases.js';
 import {createHealthTracker} from '../../routing.js';
-import {createEngineVersions, createStartDeadlines} from '../../weights.js';
+import {createEngineVersions, createWeightsDeadlines} from '../../weights.js';
 import {reportOf} from '../peers/empty-report.js';
 import {createLoneBrittle, createLoneLimits} from './lone-limits.js';
 import {createWorkingPaths} from './working-paths.js';
@@ -156,7 +156,7 @@
 	const residentParts = createResidentParts({memoryTokens: view.memoryTokens});
 	const choice = createEndpointChoice({
 		view, loadTracker, health: createHealthTracker(), presence: createEndpointPresence(createSilentLog()), versions,
-		startDeadlines: createStartDeadlines({view, weightsMs: 10_000}), limits: createLoneLimits(),
+		weightsDeadlines: createWeightsDeadlines({view, weightsMs: 10_000}), limits: createLoneLimits(),
 		backoff: createEndpointBackoff({random: () => 0.5, log: createSilentLog()}), brittle: createLoneBrittle(), paths: createWorkingPaths(),
 		releases: createUnprovenVersions({view, log: createSilentLog()}), storedParts, residentParts,
 		dataCentre: 'a', connectionShare: () => 1 / daemonCount, daemons: () => daemonCount, random,
--- a/packages/router/src/test/weights/change-under-load.test.ts
+++ b/packages/router/src/test/weights/change-under-load.test.ts
@@ -10,7 +10,7 @@
 import {createUnprovenVersions} from '../../releases.js';
 import {createHealthTracker} from '../../routing.js';
 import {
-	createEngineVersions, createStartDeadlines, createWeightsRollout, type WeightsControl,
+	createEngineVersions, createWeightsDeadlines, createWeightsRollout, type WeightsControl,
 } from '../../weights.js';
 import {createLoneBrittle, createLoneLimits} from '../placing/lone-limits.js';
 import {createWorkingPaths} from '../placing/working-paths.js';
@@ -75,7 +75,7 @@
 		const presence = createEndpointPresence(createSilentLog());
 		const versions = createEngineVersions();
 		const choice = createEndpointChoice({
-			view, loadTracker, health: createHealthTracker(), presence, versions, startDeadlines: createStartDeadlines({view, weightsMs: 12_000}), limits: createLoneLimits(),
+			view, loadTracker, health: createHealthTracker(), presence, versions, weightsDeadlines: createWeightsDeadlines({view, weightsMs: 12_000}), limits: createLoneLimits(),
 			backoff: createEndpointBackoff({random: () => 0.5, log: createSilentLog()}),
 			brittle: createLoneBrittle(), paths: createWorkingPaths(), releases: createUnprovenVersions({view, log: createSilentLog()}),
 			storedParts: createStoredParts(), residentParts: createResidentParts({memoryTokens: view.memoryTokens}),
--- a/packages/router/src/test/weights/rollout-planner.test.ts
+++ b/packages/router/src/test/weights/rollout-planner.test.ts
@@ -7,7 +7,7 @@
 		id, service: 'engines', address: '10.0.0.1:80', dataCentre: 'a', slots: 8, isLeaving: false, startedAt: 1, reportNumber: 1, software: 'v1', weights: new Map([['m', 1]]),
 	};
 	return {
-		task: {endpoint, model: 'm', version: 2}, isChanging: false, isDoubtful: false, isUnusable: false, dueInMs: Number.POSITIVE_INFINITY, remainingMs: 0, ...more,
+		task: {endpoint, model: 'm', version: 2}, isChanging: false, isDoubtful: false, isUnusable: false, isOnlyWaiting: false, dueInMs: Number.POSITIVE_INFINITY, remainingMs: 0, ...more,
 	};
 };
 
@@ -42,6 +42,14 @@
 		assert.deepEqual(ids(due), ['b']);
 	});
 
+	it('starts engines that only wait for their last requests beside those that load', () => {
+		// Guards against slow engines that take the places of those that could load at once.
+		const {due} = createRolloutPlanner().plan({
+			engines: 3, changing: 0, pending: [pendingTask('slow', {isUnusable: true, isOnlyWaiting: true}), pendingTask('idle', {isUnusable: true}), pendingTask('young')],
+		});
+		assert.sameMembers(ids(due), ['slow', 'idle']);
+	});
+
 	it('estimates the downtime of engines from earlier changes', () => {
 		const planner = createRolloutPlanner();
 		for (let count = 0; count < 20; count++) {
--- a/packages/router/src/test/weights/start-deadlines.test.ts
+++ b/packages/router/src/test/weights/weights-deadlines.test.ts
@@ -2,28 +2,37 @@
 import {assert} from 'chai';
 import {createFleetView, type FleetView} from '../../fleet.js';
 import {createSilentLog} from '../../observability.js';
-import {createStartDeadlines, type StartDeadlines} from '../../weights.js';
+import {createWeightsDeadlines, type WeightsDeadlines} from '../../weights.js';
 
 const weightsMs = 8000;
 const requested = {model: 'm', weights: 1};
 
-describe('createStartDeadlines', () => {
+describe('createWeightsDeadlines', () => {
 	let clock: FakeTimers.Clock;
 	let view: FleetView;
-	let deadlines: StartDeadlines;
-	/** Times at which watched requests were withdrawn. */
+	let deadlines: WeightsDeadlines;
+	/** Times at which watched requests reached their deadlines. */
 	let withdrawals: number[];
+	let runEnds: number[];
 
-	const watch = (weights = 1): (() => void) => deadlines.watch({...requested, weights}, () => {
-		withdrawals.push(performance.now());
+	const watch = (weights = 1): (() => void) => deadlines.watch({
+		...requested,
+		weights,
+		onStartDeadline() {
+			withdrawals.push(performance.now());
+		},
+		onRunDeadline() {
+			runEnds.push(performance.now());
+		},
 	});
 
 	beforeEach(() => {
 		clock = FakeTimers.install({toFake: ['performance', 'setTimeout', 'clearTimeout']});
 		view = createFleetView(createSilentLog());
 		view.acceptWeights('m', 1, 0);
-		deadlines = createStartDeadlines({view, weightsMs});
+		deadlines = createWeightsDeadlines({view, weightsMs});
 		withdrawals = [];
+		runEnds = [];
 	});
 
 	afterEach(() => {
@@ -64,12 +73,39 @@
 		assert.lengthOf(withdrawals, 1);
 	});
 
-	it('leaves requests alone that have begun, and those on the newest weights', () => {
+	it('leaves requests alone that have ended, and those on the newest weights', () => {
 		watch()();
 		watch(2);
 		view.acceptWeights('m', 2, 0);
 		clock.tick(weightsMs * 2);
-		assert.isEmpty(withdrawals);
+		assert.isEmpty([...withdrawals, ...runEnds]);
+	});
+
+	it('ends a run early enough for its engine to load within 1.375 times the bound', () => {
+		// Guards against engines that keep replaced weights because requests run on them for long.
+		view.acceptWeights('m', 2, 0);
+		watch();
+		clock.tick(weightsMs * 2);
+		assert.lengthOf(runEnds, 1);
+		assert.isAtMost(runEnds[0], weightsMs * 1.1);
+		assert.isAbove(runEnds[0], withdrawals[0]);
+	});
+
+	it('calls nothing more once the first deadline has ended the watch', () => {
+		const end = deadlines.watch({
+			...requested,
+			onStartDeadline() {
+				end();
+				withdrawals.push(performance.now());
+			},
+			onRunDeadline() {
+				runEnds.push(performance.now());
+			},
+		});
+		clock.tick(1000);
+		view.acceptWeights('m', 2, 0);
+		clock.tick(weightsMs * 2);
+		assert.deepEqual([withdrawals.length, runEnds.length], [1, 0]);
 	});
 
 	it('lets nothing be sent that is expected to begin late, or on weights of unknown age', () => {
--- a/packages/router/src/test/weights/weights-rollout.test.ts
+++ b/packages/router/src/test/weights/weights-rollout.test.ts
@@ -95,6 +95,7 @@
 		weightsMs: 8000,
 		remainingMs: id => remainingMs.get(id) ?? 0,
 		minRequestIntervalMs: ({id}) => minRequestIntervalMs.get(id),
+		hasRequests: id => performance.now() < (engines.runsUntil.get(id) ?? 0),
 		isOutOfReach: ({id}) => outOfReach.has(id),
 		handOver() {
 			handOvers++;
--- a/packages/router/src/weights.ts
+++ b/packages/router/src/weights.ts
@@ -4,4 +4,4 @@
 export * from './lib/weights/naming-record.js';
 export * from './lib/weights/weights-rollout.js';
 export * from './lib/weights/rollout-planner.js';
-export * from './lib/weights/start-deadlines.js';
+export * from './lib/weights/weights-deadlines.js';
