--- a/packages/entry/src/test/daemon-settings.ts
+++ b/packages/entry/src/test/daemon-settings.ts
@@ -2,8 +2,8 @@
 
 export const host = '127.0.0.1';
 
-/** Settings of a daemon that uses `port` for its peers, and free ports for the rest; without a store address, no store answers. */
-export const settingsWith = (port: number, storeAddress = `${host}:1`) => parseBootSettings(JSON.stringify({
+/** Settings of a daemon that uses `port` for its peers, and free ports for the rest. */
+export const settingsWith = (port: number) => parseBootSettings(JSON.stringify({
 	node: 'vm-1',
 	role: 'entry',
 	ip: host,
@@ -16,5 +16,5 @@
 	bounds: {
 		stable_window_ms: 3000, drain_ms: 2000, grace_s: 8, config_ms: 2000,
 	},
-	platform: {address: storeAddress},
+	platform: {address: `${host}:1`},
 }));
