An engine that refuses its believed version counts as what it is listed with

Cause: the tracked version only grew. It outlived the engine's process, a refusal of another process at its address could raise it, and no refusal lowered it. An order that is carried out after a restart, which clears the engine's count of orders, takes weights back. Class: a belief that nothing can correct. Now the version is forgotten with the process, answers of other processes say nothing, and a refusal of the believed version leaves the listed one.

--- a/packages/entry/src/lib/wiring/feed-wiring.ts
+++ b/packages/entry/src/lib/wiring/feed-wiring.ts
@@ -92,14 +92,14 @@
 		if (endpoint === undefined) {
 			loadTracker.forget(id);
 			presence.forget(id);
-			versions.forget(id);
 			limits.forget(id);
 			paths.forget(id);
 		}
 
-		// A process that restarted under the same id has an empty cache.
+		// A process that restarted under the same id has an empty cache, and may run other weights.
 		if (before?.startedAt !== endpoint?.startedAt) {
 			residentParts.forget(id);
+			versions.forget(id);
 		}
 
 		// Most changes are heartbeats, which do not change the membership of services.
--- a/packages/entry/src/test/feed-wiring.test.ts
+++ b/packages/entry/src/test/feed-wiring.test.ts
@@ -63,6 +63,15 @@
 		assert.equal(parts.health.healthOf('e1'), 'healthy');
 	});
 
+	it('knows no weights of a process from the one before it under its id', () => {
+		// Guards against an engine that gets no requests, and no order, because its former process ran newer weights.
+		const engine = (startedAt: number, version: number) => endpoint('e1', {startedAt, weights: new Map([['m', version]])});
+		parts.view.acceptEndpoint(engine(100, 1));
+		parts.versions.seen('e1', 3);
+		parts.view.acceptEndpoint(engine(200, 2));
+		assert.equal(parts.versions.of(engine(200, 2), 'm').version, 2);
+	});
+
 	it('moves an endpoint that restarts under another service', () => {
 		parts.view.acceptDocument(document(1, ['mail', 'desk']));
 		parts.view.acceptEndpoint(endpoint('e1'));
--- a/packages/router/src/lib/fleet/call-headers.ts
+++ b/packages/router/src/lib/fleet/call-headers.ts
@@ -57,6 +57,8 @@
 	isSigned: boolean;
 	/** The endpoint has not run the request and never will. */
 	provesNotRun: boolean;
+	/** The endpoint is another process, or runs other weights, than the request was meant for. */
+	isMisdirected: boolean;
 	/** Endpoint process that responded, if stated. */
 	endpointId: string | undefined;
 	/** Weights version that generated the response. */
--- a/packages/router/src/lib/forwarding/send-to-endpoint.ts
+++ b/packages/router/src/lib/forwarding/send-to-endpoint.ts
@@ -120,6 +120,21 @@
 		}
 	};
 
+	const recordWeights = (call: Call, {endpoint, weights}: Choice): void => {
+		const {facts} = call.progress;
+		if (call.prompt === undefined || facts === undefined || !isOwnResponse(endpoint, facts)) {
+			return;
+		}
+
+		if (facts.isMisdirected && weights !== undefined) {
+			versions.disproved(endpoint.id, weights);
+		}
+
+		if (facts.weights !== undefined) {
+			versions.seen(endpoint.id, facts.weights);
+		}
+	};
+
 	const recordPresence = (call: Call, {endpoint}: Choice, end: AttemptEnd): void => {
 		if (end.kind === 'answered') {
 			presence.accepted(endpoint);
@@ -147,10 +162,6 @@
 			book.recordReportedLoad(id, facts.load);
 		}
 
-		if (facts?.weights !== undefined && call.prompt !== undefined) {
-			versions.seen(id, facts.weights);
-		}
-
 		if (end.kind === 'answered' && firstAt !== undefined && call.prompt !== undefined) {
 			book.updateEstimates(id, firstAt - sentAt - chosen.fetchMs, chosen.missingTokens, chosen.pendingTokens);
 		}
@@ -159,6 +170,7 @@
 			crashWatch.reportBrokenConnection(chosen.endpoint, {digest: call.digest, position: streamPosition(call)});
 		}
 
+		recordWeights(call, chosen);
 		attemptPaths.recordEnd(call, chosen.endpoint, end);
 		recordPresence(call, chosen, end);
 		recordHealth(call, chosen, end);
--- a/packages/router/src/lib/weights/engine-versions.ts
+++ b/packages/router/src/lib/weights/engine-versions.ts
@@ -1,6 +1,7 @@
 /**
  * Tracks the weights versions that engines run, from the endpoint list, responses and reports
- * of the lease holder. The tracked versions may lag behind and only grow.
+ * of the lease holder. The tracked versions may lag behind. They only grow, until the engine's
+ * process ends or refuses a request for the tracked version.
  */
 import {type LiveEndpoint} from '../fleet/live-endpoint.js';
 
@@ -18,12 +19,15 @@
 	of: (endpoint: LiveEndpoint, model: string) => EngineVersion;
 	/** Records the version that the engine runs, from a response or report. */
 	seen: (id: string, version: number) => void;
+	/** The engine refused a request for this version: it counts as running the listed one until a response says otherwise. */
+	disproved: (id: string, version: number) => void;
 	/** Records that the engine is being drained or changed to a version. */
 	changing: (id: string, toVersion: number) => void;
 	/** Records that the engine will be drained in `dueInMs` for a change to a version. */
 	planned: (id: string, toVersion: number, dueInMs: number) => void;
 	/** Engines that are being changed, with their target version. */
 	allChanging: () => ReadonlyMap<string, number>;
+	/** The engine's process has ended. */
 	forget: (id: string) => void;
 };
 
@@ -86,6 +90,11 @@
 				versions.set(id, version);
 			}
 		},
+		disproved(id, version) {
+			if (versions.get(id) === version) {
+				versions.delete(id);
+			}
+		},
 		changing(id, toVersion) {
 			const known = changes.get(id);
 			if (known === undefined || known.toVersion < toVersion) {
