The age of weights counts from the first newer version, however many were named since

Callers: with more than 16 namings of a model within the bound, a request could begin on weights that were replaced longer ago. Cause: the view keeps 16 namings; the first one that was left counted as the first newer version. Class: a bounded memory whose end is taken for the beginning. Now the first kept naming stands for those that were dropped, as for namings that were missed. Evidence: the new check of fleet/fleet-view failed before (1,600 ms instead of 3,900) and passes. An age that is unknown no longer enters the histogram of ages.

--- a/packages/entry/src/lib/daemon-metrics.ts
+++ b/packages/entry/src/lib/daemon-metrics.ts
@@ -95,7 +95,7 @@
 				firstByteSeconds.observe({service}, firstMs / msPerSecond);
 			}
 
-			if (begunWeightsAgeMs > 0) {
+			if (begunWeightsAgeMs > 0 && Number.isFinite(begunWeightsAgeMs)) {
 				begunWeightsAgeSeconds.observe({service}, begunWeightsAgeMs / msPerSecond);
 			}
 		},
--- a/packages/router/src/lib/fleet/fleet-view.ts
+++ b/packages/router/src/lib/fleet/fleet-view.ts
@@ -93,6 +93,17 @@
 /** Namings stored per model. */
 const maxNamings = 16;
 
+/** Keeps the newest namings. The first of them stands for those that are dropped: they count as missed before it. */
+function withoutOldest(history: readonly Naming[]): Naming[] {
+	const [dropped] = history.slice(0, -maxNamings).slice(-1);
+	const kept = history.slice(-maxNamings);
+	if (dropped !== undefined) {
+		kept[0].gapAt = Math.min(kept[0].gapAt, dropped.gapAt, dropped.learntAt);
+	}
+
+	return kept;
+}
+
 /** Creates an empty view; ages of weights are measured on `clock`. */
 export function createFleetView(log: Log, {now}: Pick<FleetClock, 'now'> = processClock): FleetView {
 	const endpoints = new Map<string, LiveEndpoint>();
@@ -125,7 +136,7 @@
 
 	const insertNaming = (model: string, naming: Naming): void => {
 		const history = [...named.get(model) ?? [], naming];
-		named.set(model, history.toSorted((a, b) => a.version - b.version).slice(-maxNamings));
+		named.set(model, withoutOldest(history.toSorted((a, b) => a.version - b.version)));
 		notifyWeights(model);
 	};
 
@@ -234,7 +245,7 @@
 			const naming: Naming = {
 				version, learntAt, isDated: unseenMs === 0, gapAt: learntAt,
 			};
-			named.set(model, [...history, naming].slice(-maxNamings));
+			named.set(model, withoutOldest([...history, naming]));
 			log.info('New weights version was named.', {version, ms: Number.isFinite(ageMs) ? Math.round(ageMs) : undefined, reason: naming.isDated ? 'dated' : 'undated'});
 			notifyWeights(model);
 		},
--- a/packages/router/src/test/fleet/fleet-view.test.ts
+++ b/packages/router/src/test/fleet/fleet-view.test.ts
@@ -81,6 +81,18 @@
 		assert.deepEqual([named.outdatedMs(1), named.outdatedMs(2), named.outdatedMs(3)], [7000, 2000, 0]);
 	});
 
+	it('measures it from the first newer version, however many were named since', () => {
+		// Guards against weights that seem younger with each naming, because the earliest ones are forgotten.
+		const view = createFleetView(createSilentLog());
+		for (let version = 2; version <= 40; version++) {
+			view.acceptWeights('m', version, 0);
+			clock.tick(100);
+		}
+
+		assert.equal(view.namedWeights('m')!.outdatedMs(1), 3900);
+		assert.equal(view.namedWeights('m')!.outdatedMs(39), 100);
+	});
+
 	it('learns the age of namings from a peer after a restart', () => {
 		// A restarted daemon reads that version 4 is named, but not since when, so it must treat
 		// older weights as infinitely outdated until a peer reports the age of each naming.
