One look-up of an engine's load for the rollout, a simpler way to the oldest naming left out

Callers: none; behaviour stays as it is. Found by reading the whole change once more: two functions looked up the same load, and two slices stood for one index.

--- a/packages/entry/src/lib/wiring/lease-wiring.ts
+++ b/packages/entry/src/lib/wiring/lease-wiring.ts
@@ -2,6 +2,7 @@
 import {
 	createDutyTimer, createLeaseHolder, type DutyTimer, type LeaseHolder,
 } from 'hickorywalk/leases.js';
+import {type EndpointLoad} from 'hickorywalk/placing.js';
 import {createNamingRecord, createWeightsRollout, type NamingRecord} from 'hickorywalk/weights.js';
 import {type EntryParts} from './parts.js';
 
@@ -66,6 +67,11 @@
 	const {
 		settings, timings, view, versions, control, leases, loadTracker, presence, limits, paths, log,
 	} = parts;
+	const loadOf = (id: string): EndpointLoad | undefined => {
+		const endpoint = view.endpoint(id);
+		return endpoint && loadTracker.load(endpoint);
+	};
+
 	return createWeightsRollout({
 		name: settings.name,
 		view,
@@ -82,14 +88,8 @@
 		announce: parts.peers.sendNow,
 		daemons: parts.peers.fleetSize,
 		weightsMs: settings.weightsMs,
-		remainingMs(id) {
-			const endpoint = view.endpoint(id);
-			return endpoint === undefined ? 0 : loadTracker.load(endpoint).remainingMs;
-		},
-		hasRequests(id) {
-			const endpoint = view.endpoint(id);
-			return endpoint !== undefined && loadTracker.load(endpoint).running > 0;
-		},
+		remainingMs: id => loadOf(id)?.remainingMs ?? 0,
+		hasRequests: id => (loadOf(id)?.running ?? 0) > 0,
 		minRequestIntervalMs: endpoint => limits.waitMs([endpoint]),
 		log,
 	});
--- a/packages/router/src/lib/fleet/fleet-view.ts
+++ b/packages/router/src/lib/fleet/fleet-view.ts
@@ -95,7 +95,7 @@
 
 /** Keeps the newest namings. The first of them stands for those that are dropped: they count as missed before it. */
 function withoutOldest(history: readonly Naming[]): Naming[] {
-	const [dropped] = history.slice(0, -maxNamings).slice(-1);
+	const dropped = history.at(-maxNamings - 1);
 	const kept = history.slice(-maxNamings);
 	if (dropped !== undefined) {
 		kept[0].gapAt = Math.min(kept[0].gapAt, dropped.gapAt, dropped.learntAt);
