Logs and metrics tell software versions and resumed streams

No line named the version of an endpoint, and none told that a request resumes a stream or which of the caller's attempts began it, so neither way could be told from logs. Endpoint is live, Request ended and Endpoint failed a request now carry software, Request ended resumes, and hickorywalk_streams_resumed_total counts resumed streams by service and result.

--- a/packages/entry/src/lib/daemon-metrics.ts
+++ b/packages/entry/src/lib/daemon-metrics.ts
@@ -12,6 +12,7 @@
 	hickorywalk_request_seconds: 'Time from a whole request to the end of its answer.',
 	hickorywalk_attempts_failed_total: 'Attempts at endpoints that failed, by service and reason.',
 	hickorywalk_requests_relayed_total: 'Requests that ended after a peer passed them on, by service and result.',
+	hickorywalk_streams_resumed_total: 'Requests of callers that resume a stream, by service and result.',
 	hickorywalk_relays_declined_total: 'Requests of peers that were not passed on, by reason.',
 	hickorywalk_paths_lost: 'Endpoints that this daemon can\'t reach over its own network.',
 	hickorywalk_store_calls_total: 'Calls to the platform\'s store, by call.',
@@ -68,6 +69,7 @@
 	const requestCounter = new Counter({...describe('hickorywalk_requests_total'), labelNames: ['service', 'result']});
 	const failedAttemptCounter = new Counter({...describe('hickorywalk_attempts_failed_total'), labelNames: ['service', 'reason']});
 	const relayedCounter = new Counter({...describe('hickorywalk_requests_relayed_total'), labelNames: ['service', 'result']});
+	const resumedCounter = new Counter({...describe('hickorywalk_streams_resumed_total'), labelNames: ['service', 'result']});
 	const declinedCounter = new Counter({...describe('hickorywalk_relays_declined_total'), labelNames: ['reason']});
 	const storeCallCounter = new Counter({...describe('hickorywalk_store_calls_total'), labelNames: ['call']});
 	const droppedLineCounter = new Counter(describe('hickorywalk_log_lines_left_out_total'));
@@ -84,12 +86,16 @@
 	}
 
 	return {
-		requestEnded({service = 'none', reason, peer, ms, firstMs, begunWeightsAgeMs = 0}) {
+		requestEnded({service = 'none', reason, peer, resumes, ms, firstMs, begunWeightsAgeMs = 0}) {
 			requestCounter.inc({service, result: reason});
 			if (peer !== undefined) {
 				relayedCounter.inc({service, result: reason});
 			}
 
+			if (resumes !== undefined) {
+				resumedCounter.inc({service, result: reason});
+			}
+
 			totalSeconds.observe({service}, ms / msPerSecond);
 			if (firstMs !== undefined) {
 				firstByteSeconds.observe({service}, firstMs / msPerSecond);
--- a/packages/entry/src/lib/wiring/request-wiring.ts
+++ b/packages/entry/src/lib/wiring/request-wiring.ts
@@ -125,17 +125,17 @@
 			}
 
 			const {
-				requestId, digest, workspace, service, endpoint, peer, status, reason,
+				requestId, digest, workspace, service, endpoint, software, resumes, peer, status, reason,
 			} = end;
 			log.info('Request ended.', {
-				requestId, digest, workspace, service, endpoint, peer, status, result: reason, attempt: end.attempts, path: end.route,
+				requestId, digest, workspace, service, endpoint, software: software === '' ? undefined : software, resumes, peer, status, result: reason, attempt: end.attempts, path: end.route,
 				ms: Math.round(end.ms), sentMs: rounded(end.sentMs), firstMs: rounded(end.firstMs), expectedMs: rounded(end.expectedMs),
 				weights: end.weights, weightsAgeMs: ageForLog(end.weightsAgeMs), begunWeightsAgeMs: ageForLog(end.begunWeightsAgeMs),
 				isLeaving: end.isLeaving || undefined, units: end.quota?.units, level: rounded(end.quota?.level), own: rounded(end.quota?.own),
 			});
 		},
 		attemptFailed({
-			requestId, digest, endpoint, peer, service, reason, ms, firstMs, backoffMs, weights, weightsAgeMs, next,
+			requestId, digest, endpoint, software, peer, service, reason, ms, firstMs, backoffMs, weights, weightsAgeMs, next,
 		}) {
 			metrics.attemptFailed(service, reason);
 			if (!logLineBudget.take(`attempt ${reason}`)) {
@@ -143,7 +143,7 @@
 			}
 
 			log.warn('Endpoint failed a request.', {
-				requestId, digest, endpoint, peer, service, reason, ms: Math.round(ms), firstMs: rounded(firstMs), backoffMs: backoffMs > 0 ? Math.round(backoffMs) : undefined,
+				requestId, digest, endpoint, software, peer, service, reason, ms: Math.round(ms), firstMs: rounded(firstMs), backoffMs: backoffMs > 0 ? Math.round(backoffMs) : undefined,
 				weights, weightsAgeMs: ageForLog(weightsAgeMs), result: next,
 			});
 		},
--- a/packages/router/src/lib/fleet/call-headers.ts
+++ b/packages/router/src/lib/fleet/call-headers.ts
@@ -25,6 +25,8 @@
 	parts: readonly PromptPart[];
 	/** Id of the last event of the stream that the caller has. */
 	resumeAfter: string | undefined;
+	/** Id of the caller's earlier attempt that brought the first event of the stream. */
+	resumes: string | undefined;
 };
 
 /** Contents of the headers that the router adds to a request. */
--- a/packages/router/src/lib/fleet/fleet-view.ts
+++ b/packages/router/src/lib/fleet/fleet-view.ts
@@ -155,7 +155,7 @@
 
 		if (known?.isLeaving !== endpoint.isLeaving || known.startedAt !== endpoint.startedAt) {
 			log.info(endpoint.isLeaving ? 'Endpoint is leaving.' : 'Endpoint is live.', {
-				endpoint: endpoint.id, service: endpoint.service, ...(endpoint.isLeaving && {reason: source}),
+				endpoint: endpoint.id, service: endpoint.service, software: endpoint.software, ...(endpoint.isLeaving && {reason: source}),
 			});
 		}
 
--- a/packages/router/src/lib/forwarding/forwarder.ts
+++ b/packages/router/src/lib/forwarding/forwarder.ts
@@ -95,7 +95,8 @@
 			if (end.kind !== 'answered' && end.kind !== 'callerLeft') {
 				const sentAt = call.sentAt!;
 				options.events.attemptFailed({
-					requestId: call.facts.requestId, digest: call.digest, endpoint: chosen.endpoint.id, peer: call.peer, service: call.service, reason: reasonOf(end), ms: performance.now() - sentAt,
+					requestId: call.facts.requestId, digest: call.digest, endpoint: chosen.endpoint.id, software: chosen.endpoint.software,
+					peer: call.peer, service: call.service, reason: reasonOf(end), ms: performance.now() - sentAt,
 					firstMs: call.progress.firstAt === undefined ? undefined : call.progress.firstAt - sentAt, backoffMs: call.progress.facts?.backoffMs ?? 0,
 					weights: chosen.weights, weightsAgeMs: call.weightsAgeMs, next: decision.kind,
 				});
@@ -157,7 +158,7 @@
 		const reply = createCallerReply(res);
 		const reportEnd = (reason: string, more: EndDetails): void => {
 			options.events.ended(describeEnd({
-				...more, reason, reply, requestId: facts.requestId, startedAt,
+				...more, reason, reply, facts, startedAt,
 			}));
 		};
 
@@ -236,30 +237,33 @@
 type EndOfRequest = EndDetails & {
 	reason: string;
 	reply: CallerReply;
-	requestId: string | undefined;
+	facts: CallFacts;
 	startedAt: number;
 };
 
 function describeEnd(end: EndOfRequest): RequestEnd {
 	const {
-		call, route, workspace, digest, reply, requestId, reason, quota,
+		call, route, workspace, digest, reply, facts, reason, quota,
 	} = end;
 	const elapsedMs = (at: number | undefined): number | undefined => at === undefined ? undefined : at - end.startedAt;
+	const choice = call?.choice;
 	return {
-		requestId,
+		requestId: facts.requestId,
+		resumes: facts.resumes,
 		route: route?.name,
 		workspace: workspace?.name,
 		digest,
 		service: call?.service,
-		endpoint: call?.choice?.endpoint.id,
+		endpoint: choice?.endpoint.id,
+		software: choice?.endpoint.software,
 		peer: call?.peer,
 		status: reply.status(),
 		attempts: call?.attempts ?? 0,
 		ms: performance.now() - end.startedAt,
 		firstMs: elapsedMs(call?.progress.firstAt),
 		sentMs: elapsedMs(call?.sentAt),
-		expectedMs: call?.choice?.expectedMs,
-		weights: call?.choice?.weights,
+		expectedMs: choice?.expectedMs,
+		weights: choice?.weights,
 		weightsAgeMs: call?.weightsAgeMs,
 		begunWeightsAgeMs: call?.begunWeightsAgeMs,
 		reason,
--- a/packages/router/src/lib/forwarding/forwarding-events.ts
+++ b/packages/router/src/lib/forwarding/forwarding-events.ts
@@ -9,6 +9,10 @@
 	digest: string | undefined;
 	service: string | undefined;
 	endpoint: string | undefined;
+	/** Software version of that endpoint. */
+	software: string | undefined;
+	/** Id of the caller's earlier attempt whose stream this request resumes; `undefined` if it resumes none. */
+	resumes: string | undefined;
 	/** Peer that passed on the latest attempt; `undefined` if it went over this daemon's own path. */
 	peer: string | undefined;
 	/** Status of the response; `undefined` if the connection ended without one. */
@@ -41,6 +45,8 @@
 	requestId: string | undefined;
 	digest: string;
 	endpoint: string;
+	/** Software version of the endpoint. */
+	software: string;
 	peer: string | undefined;
 	service: string;
 	reason: string;
--- a/packages/router/src/lib/observability/log.ts
+++ b/packages/router/src/lib/observability/log.ts
@@ -43,6 +43,9 @@
 	'level',
 	'own',
 	'order',
+	/** Software version of an endpoint, and id of the caller's earlier attempt whose stream a request resumes. */
+	'software',
+	'resumes',
 	/** Weights version that a decision assumed, and milliseconds since that version was replaced. */
 	'weights',
 	'weightsAgeMs',
