A stream goes on at the software version that began it

Cause: a router that resumes a stream chose among all endpoints of the service; neither choice nor call knew a version.

A call now holds the stream's origin (service and software version) from its first event on, and every choice of an endpoint for it, after a break, silence, old weights or a lost path, is made among the endpoints of that version. If none is left, the answer is broken off at once, so that it doesn't look complete. Before the first event any version will do. A version that was ordered and isn't proved yet may get its own streams, since they can go on nowhere else.

--- a/packages/router/src/lib/forwarding/attempt.ts
+++ b/packages/router/src/lib/forwarding/attempt.ts
@@ -67,6 +67,8 @@
 	onHead: (facts: ResponseFacts) => void;
 	/** Called when the response begins. */
 	onResponseStart: () => void;
+	/** Called before events of a stream are passed to the caller. */
+	onEvents: () => void;
 	/** Called when bytes of the response arrive. */
 	onBytes: (() => void) | undefined;
 	/** Receives a function that is to be called when the path to the endpoint is lost. */
@@ -156,6 +158,7 @@
 			return;
 		}
 
+		options.onEvents();
 		progress.lastEventId = events.lastId ?? progress.lastEventId;
 		startReply();
 		if (!reply.write(events.bytes)) {
--- a/packages/router/src/lib/forwarding/call.ts
+++ b/packages/router/src/lib/forwarding/call.ts
@@ -6,6 +6,7 @@
 import {type AcceptedDocument} from '../fleet/fleet-view.js';
 import {type PromptNeed} from '../placing/choice-request.js';
 import {type Choice} from '../placing/endpoint-choice.js';
+import {type StreamOrigin} from '../streams/stream-origin.js';
 import {type AttemptProgress, type BufferedResponse} from './attempt.js';
 import {type PathKind} from './attempt-path.js';
 import {type CallerReply} from './caller-reply.js';
@@ -31,6 +32,8 @@
 	service: string;
 	/** Set for requests to model engines. */
 	prompt: PromptNeed | undefined;
+	/** Set once the caller has events of the stream. */
+	origin: StreamOrigin | undefined;
 	/** `performance.now()` at which the caller gives up. */
 	deadlineAt: number;
 	/** Ids of endpoints that were tried already. */
@@ -76,6 +79,7 @@
 		...origin,
 		prompt: promptOf(facts, workspace),
 		deadlineAt: startedAt + Math.min(facts.remainingMs ?? route.timeoutMs, route.timeoutMs),
+		origin: undefined,
 		excluded: new Set(),
 		attempts: 0,
 		mayHaveRun: false,
--- a/packages/router/src/lib/forwarding/forwarder.ts
+++ b/packages/router/src/lib/forwarding/forwarder.ts
@@ -57,7 +57,9 @@
 	let inFlight = 0;
 
 	const chooseFor = (call: Call): Choice | undefined =>
-		choice.choose({service: call.service, prompt: call.prompt, excluded: call.excluded});
+		choice.choose({
+			service: call.service, prompt: call.prompt, excluded: call.excluded, software: call.origin?.software,
+		});
 
 	/** Whether another endpoint may get the request; withdraws from the retry budget once per attempt. */
 	const mayTryElsewhere = (call: Call): boolean => {
--- a/packages/router/src/lib/forwarding/send-to-endpoint.ts
+++ b/packages/router/src/lib/forwarding/send-to-endpoint.ts
@@ -14,6 +14,7 @@
 import {type EndpointPaths} from '../paths/endpoint-paths.js';
 import {type Relay} from '../paths/relay.js';
 import {type HealthTracker} from '../routing/health.js';
+import {type StreamOrigin} from '../streams/stream-origin.js';
 import {type EngineVersions} from '../weights/engine-versions.js';
 import {type WeightsDeadlines} from '../weights/weights-deadlines.js';
 import {type AttemptEnd, runAttempt} from './attempt.js';
@@ -111,6 +112,9 @@
 		});
 	};
 
+	/** The list may have told of another process under the endpoint's id since the choice. */
+	const originAt = ({id, service, software}: LiveEndpoint): StreamOrigin => ({service, software: view.endpoint(id)?.software ?? software});
+
 	const recordNotRun = (endpoint: LiveEndpoint, facts: ResponseFacts | undefined): void => {
 		if (!isOwnResponse(endpoint, facts)) {
 			presence.replaced(endpoint);
@@ -251,6 +255,9 @@
 				work.begun();
 				call.begunWeightsAgeMs = weightsAgeMs(call, chosen);
 			},
+			onEvents() {
+				call.origin ??= originAt(endpoint);
+			},
 			onBytes: watch?.heard,
 			onAbortable(abort) {
 				call.cancel = () => {
--- a/packages/router/src/lib/placing/candidates.ts
+++ b/packages/router/src/lib/placing/candidates.ts
@@ -49,6 +49,8 @@
 	of: (endpoint: LiveEndpoint, request: ChoiceRequest) => Candidate | undefined;
 	/** All that the request may go to. Doubtful endpoints are returned only when there are no others. */
 	all: (request: ChoiceRequest) => readonly Candidate[];
+	/** Endpoints of the request's service, including leaving ones, of the software versions that may get it. */
+	endpointsFor: (request: ChoiceRequest) => readonly LiveEndpoint[];
 };
 
 /**
@@ -125,11 +127,16 @@
 		};
 	};
 
+	/** A stream that began on an unproven version may go on there, since it can go on nowhere else. */
+	const endpointsFor = ({service, software}: ChoiceRequest): readonly LiveEndpoint[] =>
+		software === undefined ? releases.endpointsOf(service) : view.endpointsOf(service).filter(endpoint => endpoint.software === software);
+
 	return {
 		of: candidateOf,
+		endpointsFor,
 		all(request) {
 			const candidates: Candidate[] = [];
-			for (const endpoint of releases.endpointsOf(request.service)) {
+			for (const endpoint of endpointsFor(request)) {
 				const candidate = candidateOf(endpoint, request);
 				if (candidate !== undefined) {
 					candidates.push(candidate);
--- a/packages/router/src/lib/placing/choice-request.ts
+++ b/packages/router/src/lib/placing/choice-request.ts
@@ -8,6 +8,8 @@
 	prompt: PromptNeed | undefined;
 	/** Ids of endpoints that were already tried. */
 	excluded: ReadonlySet<string>;
+	/** The only software version that may get the request; any if `undefined`. */
+	software?: string | undefined;
 };
 
 /** Prompt of a request to a model engine: its parts, size and cache isolation. */
--- a/packages/router/src/lib/placing/endpoint-choice.ts
+++ b/packages/router/src/lib/placing/endpoint-choice.ts
@@ -141,7 +141,7 @@
 	};
 
 	const chooseEngine = (request: ChoiceRequest, prompt: PromptNeed): Choice | undefined => {
-		const engines = options.releases.endpointsOf(request.service);
+		const engines = candidates.endpointsFor(request);
 		const homeId = homeOf(prompt, engines);
 		const costOf = costEstimatorFor(request, prompt, homeId);
 		let best: Choice | undefined;
