A caller's stream goes on at the version that began it, at any daemon

Cause: nothing read Resumes, and only the daemon that served the stream could have known its version.

Where a stream began is now recorded with its first event, under workspace and attempt. While its service has several versions, it is reported at once to four daemons that rendezvous hashing chooses by that key; whoever gets the caller asks these, within 250 ms. In a service that had one version for as long as a stream can be taken up, nothing is reported or asked: the version follows from the list, unless the list may be out of date. What nobody knows is refused at once as not run. Weighed: rows in the store (a write a stream), a report to all (650 datagrams a stream at the target size), asking all (the daemon that knows may be the one that was lost).

--- a/packages/entry/src/lib/entry-parts.ts
+++ b/packages/entry/src/lib/entry-parts.ts
@@ -30,6 +30,7 @@
 import {
 	wireBackoff, wireBrittle, wireBudgets, wireCapacityWait, wireChoice, wireEvents, wireLimits, wireQuota,
 } from './wiring/request-wiring.js';
+import {wireOriginFinder, wireSoftwareHistory, wireStreamOrigins} from './wiring/stream-wiring.js';
 
 const connectTimeoutMs = 300;
 
@@ -79,6 +80,9 @@
 		fleetKey: asFunction(wireFleetKey).singleton(),
 		relay: asFunction(wireRelay).singleton(),
 		relayServer: asFunction(wireRelayServer).singleton(),
+		softwareHistory: asFunction(wireSoftwareHistory).singleton(),
+		origins: asFunction(wireStreamOrigins).singleton(),
+		originFinder: asFunction(wireOriginFinder).singleton(),
 		limits: asFunction(wireLimits).singleton(),
 		backoff: asFunction(wireBackoff).singleton(),
 		brittle: asFunction(wireBrittle).singleton(),
@@ -120,6 +124,8 @@
 			paths: parts.paths,
 			relay: parts.relay,
 			capacityWait: parts.capacityWait,
+			origins: parts.origins,
+			originFinder: parts.originFinder,
 			choice: parts.choice,
 			loadTracker: parts.loadTracker,
 			health: parts.health,
--- a/packages/entry/src/lib/wiring/parts.ts
+++ b/packages/entry/src/lib/wiring/parts.ts
@@ -18,6 +18,7 @@
 import {type FleetQuota} from 'hickorywalk/quotas.js';
 import {type UnprovenVersions} from 'hickorywalk/releases.js';
 import {type AttemptBudget, type createHealthTracker} from 'hickorywalk/routing.js';
+import {type OriginFinder, type SoftwareHistory, type StreamOrigins} from 'hickorywalk/streams.js';
 import {
 	type createWeightsRollout, type EngineVersions, type NamingRecord, type WeightsDeadlines,
 } from 'hickorywalk/weights.js';
@@ -60,6 +61,9 @@
 	fleetKey: FleetKey;
 	relay: Relay;
 	relayServer: RelayServer;
+	softwareHistory: SoftwareHistory;
+	origins: StreamOrigins;
+	originFinder: OriginFinder;
 	limits: EndpointLimits;
 	backoff: EndpointBackoff;
 	brittle: BrittleEndpoints;
--- a/packages/entry/src/lib/wiring/path-wiring.ts
+++ b/packages/entry/src/lib/wiring/path-wiring.ts
@@ -50,7 +50,7 @@
 
 /** Creates the server for requests that peers can't send themselves. */
 export const wireRelayServer = ({
-	view, presence, paths, transport, weightsDeadlines, limits, backoff, brittle, opinionOn, fleetKey, state, metrics, log,
+	view, presence, paths, transport, weightsDeadlines, limits, backoff, brittle, opinionOn, originFinder, fleetKey, state, metrics, log,
 }: EntryParts): RelayServer => createRelayServer({
 	view,
 	paths,
@@ -63,6 +63,7 @@
 		view, limits, backoff, brittle,
 	}),
 	opinionOn,
+	originOf: originFinder.answer,
 	fleetKey: fleetKey.current,
 	isStopping: () => state.isStopping,
 	onDeclined: metrics.relayDeclined,
--- a/packages/entry/src/lib/wiring/peer-wiring.ts
+++ b/packages/entry/src/lib/wiring/peer-wiring.ts
@@ -30,6 +30,7 @@
 		parts.quarantine.applyPeerReport(report.daemon, report);
 		parts.limits.applyPeerReport(report.limits);
 		parts.brittle.applyPeerReport(report.brittle);
+		parts.origins.applyPeerReport(report.streams);
 		for (const [id, startedAt] of report.ended) {
 			const endpoint = parts.view.endpoint(id);
 			if (endpoint?.startedAt === startedAt) {
@@ -96,6 +97,7 @@
 			brittle: parts.brittle.report(),
 			leaving: parts.view.unlistedLeaving().slice(-maxReportedLeaving).map(({id, startedAt}) => [id, startedAt]),
 		}),
+		takeStreams: peer => parts.origins.takeUnreported(peer),
 		onReport,
 		openTransport,
 		log,
--- a/packages/router/src/lib/forwarding/call.ts
+++ b/packages/router/src/lib/forwarding/call.ts
@@ -34,6 +34,8 @@
 	prompt: PromptNeed | undefined;
 	/** Set once the caller has events of the stream. */
 	origin: StreamOrigin | undefined;
+	/** This daemon has passed on events of the stream. */
+	hasEvents: boolean;
 	/** `performance.now()` at which the caller gives up. */
 	deadlineAt: number;
 	/** Ids of endpoints that were tried already. */
@@ -70,7 +72,7 @@
 };
 
 /** Arguments of {@link createCall}. */
-export type CallOrigin = Pick<Call, 'req' | 'body' | 'digest' | 'facts' | 'reply' | 'route' | 'workspace' | 'service'> & {startedAt: number};
+export type CallOrigin = Pick<Call, 'req' | 'body' | 'digest' | 'facts' | 'reply' | 'route' | 'workspace' | 'service' | 'origin'> & {startedAt: number};
 
 /** Creates a call without attempts. */
 export function createCall({startedAt, ...origin}: CallOrigin): Call {
@@ -79,7 +81,7 @@
 		...origin,
 		prompt: promptOf(facts, workspace),
 		deadlineAt: startedAt + Math.min(facts.remainingMs ?? route.timeoutMs, route.timeoutMs),
-		origin: undefined,
+		hasEvents: false,
 		excluded: new Set(),
 		attempts: 0,
 		mayHaveRun: false,
--- a/packages/router/src/lib/forwarding/forwarder.ts
+++ b/packages/router/src/lib/forwarding/forwarder.ts
@@ -10,6 +10,8 @@
 import {digestRequest} from '../quarantine/request-digest.js';
 import {type FleetQuota} from '../quotas/fleet-quota.js';
 import {type AttemptBudget} from '../routing/attempt-budget.js';
+import {type OriginFinder} from '../streams/origin-finder.js';
+import {type StreamOrigin, streamKey} from '../streams/stream-origin.js';
 import {type AttemptEnd} from './attempt.js';
 import {
 	type Call, createCall, findRoute, type RequestBody, unitsOf,
@@ -30,6 +32,7 @@
 	quota: FleetQuota;
 	quarantine: Quarantine;
 	capacityWait: CapacityWait;
+	originFinder: Pick<OriginFinder, 'locate'>;
 	/** The process is about to exit and rejects new requests. */
 	isClosed: () => boolean;
 	/** The retry budget of a service. */
@@ -154,6 +157,16 @@
 		return {...details, mustBeClaimed: standing === 'due', refund: () => admission?.refund()};
 	};
 
+	/** Where the stream began that a caller takes up again, if it can go on there. */
+	const findOrigin = async (route: Route, workspace: Workspace | undefined, {resumes}: CallFacts): Promise<StreamOrigin | undefined> => {
+		const services = route.targets.map(target => target.service);
+		const origin = await options.originFinder.locate(resumes === undefined ? undefined : streamKey(workspace?.name, resumes), services);
+		return origin !== undefined && services.includes(origin.service) && hasEndpoint(origin) ? origin : undefined;
+	};
+
+	const hasEndpoint = ({service, software}: StreamOrigin): boolean =>
+		options.view.endpointsOf(service).some(endpoint => endpoint.software === software && !endpoint.isLeaving);
+
 	const handle = async (req: IncomingMessage, body: RequestBody | undefined, res: ServerResponse): Promise<void> => {
 		const startedAt = performance.now();
 		const facts = headers.readCall(req.rawHeaders);
@@ -182,9 +195,17 @@
 			return;
 		}
 
-		const service = chooseService(route, options.random()) ?? '';
+		const isResuming = resumesStream(route, facts);
+		const origin = isResuming ? await findOrigin(route, workspace, facts) : undefined;
+		if (isResuming && origin === undefined) {
+			refund();
+			refuseCaller({refusal: {name: 'cannot_resume'}, details: {route, workspace, digest}});
+			return;
+		}
+
+		const service = origin?.service ?? chooseService(route, options.random()) ?? '';
 		const call = createCall({
-			req, body: body?.content, digest, facts, reply, route, workspace, service, startedAt,
+			req, body: body?.content, digest, facts, reply, route, workspace, service, origin, startedAt,
 		});
 		budgetOf(service).deposit();
 		const decision = await runRegistered(call);
@@ -211,6 +232,10 @@
 	};
 }
 
+/** Whether a caller that has a part of a stream asks for the rest of it. */
+const resumesStream = (route: Route, {resumeAfter, resumes}: CallFacts): boolean =>
+	route.kind === 'stream' && route.isResumable && (resumeAfter !== undefined || resumes !== undefined);
+
 /** Whether the endpoint provably ran the request to its end; an unframed response also ends when the endpoint crashes. */
 const isProvenComplete = ({progress}: Call, {kind}: AttemptEnd): boolean =>
 	(kind === 'answered' || kind === 'errorAnswer') && progress.facts?.isUnframed === false;
--- a/packages/router/src/lib/forwarding/send-to-endpoint.ts
+++ b/packages/router/src/lib/forwarding/send-to-endpoint.ts
@@ -14,7 +14,8 @@
 import {type EndpointPaths} from '../paths/endpoint-paths.js';
 import {type Relay} from '../paths/relay.js';
 import {type HealthTracker} from '../routing/health.js';
-import {type StreamOrigin} from '../streams/stream-origin.js';
+import {type StreamOrigin, streamKey} from '../streams/stream-origin.js';
+import {type StreamOrigins} from '../streams/stream-origins.js';
 import {type EngineVersions} from '../weights/engine-versions.js';
 import {type WeightsDeadlines} from '../weights/weights-deadlines.js';
 import {type AttemptEnd, runAttempt} from './attempt.js';
@@ -40,6 +41,7 @@
 	brittle: BrittleEndpoints;
 	paths: EndpointPaths;
 	relay: Relay;
+	origins: Pick<StreamOrigins, 'began'>;
 	/** Whether another endpoint may get the request; withdraws from the retry budget. */
 	mayTryElsewhere: (call: Call) => boolean;
 	/** Whether a request may be moved from a silent endpoint to another one. */
@@ -115,6 +117,20 @@
 	/** The list may have told of another process under the endpoint's id since the choice. */
 	const originAt = ({id, service, software}: LiveEndpoint): StreamOrigin => ({service, software: view.endpoint(id)?.software ?? software});
 
+	/** Called before the caller gets events. */
+	const recordBegin = (call: Call, endpoint: LiveEndpoint): void => {
+		if (call.hasEvents) {
+			return;
+		}
+
+		call.hasEvents = true;
+		call.origin ??= originAt(endpoint);
+		const firstAttempt = call.facts.resumes ?? call.facts.requestId;
+		if (firstAttempt !== undefined && mayRunAgain(call)) {
+			options.origins.began(streamKey(call.workspace?.name, firstAttempt), call.origin);
+		}
+	};
+
 	const recordNotRun = (endpoint: LiveEndpoint, facts: ResponseFacts | undefined): void => {
 		if (!isOwnResponse(endpoint, facts)) {
 			presence.replaced(endpoint);
@@ -256,7 +272,7 @@
 				call.begunWeightsAgeMs = weightsAgeMs(call, chosen);
 			},
 			onEvents() {
-				call.origin ??= originAt(endpoint);
+				recordBegin(call, endpoint);
 			},
 			onBytes: watch?.heard,
 			onAbortable(abort) {
--- a/packages/router/src/lib/paths/relay-peers.ts
+++ b/packages/router/src/lib/paths/relay-peers.ts
@@ -29,6 +29,8 @@
 	gatekeeper: (endpointId: string, tried: ReadonlySet<string>) => RelayPeer | undefined;
 	/** Peers to ask whether an endpoint accepts connections, each in another data centre where possible. */
 	witnesses: (endpointId: string, count: number) => RelayPeer[];
+	/** Those of these peers that are not silent. */
+	named: (names: readonly string[]) => RelayPeer[];
 	/** Counts a request that the peer passes on; the returned function ends it. */
 	started: (peer: string) => () => void;
 	/** The peer could not be reached, or passes on nothing now. */
@@ -154,6 +156,7 @@
 			const distinct = all.filter(peer => !seen.has(peer.dataCentre) && seen.add(peer.dataCentre));
 			return [...distinct, ...all.filter(peer => !distinct.includes(peer))].slice(0, count);
 		},
+		named: names => peers().filter(peer => names.includes(peer.name)),
 		started(peer) {
 			inFlight.set(peer, (inFlight.get(peer) ?? 0) + 1);
 			return () => {
--- a/packages/router/src/lib/paths/relay-protocol.ts
+++ b/packages/router/src/lib/paths/relay-protocol.ts
@@ -4,13 +4,18 @@
  */
 import {connectionHeaders, headerPairs} from '../orders/credential-headers.js';
 
-/** What the peer is asked for: to pass the request on, or to tell whether the endpoint accepts connections. */
+/** What the peer is asked for, see {@link RelayPurpose}. */
 export const purposeHeader = 'hickorywalk-relay';
 /** Id of the endpoint, and the start time of its process. */
 export const endpointHeader = 'hickorywalk-endpoint';
 export const startedAtHeader = 'hickorywalk-started-at';
 /** Weights version that the endpoint was chosen for. */
 export const weightsHeader = 'hickorywalk-weights';
+/** Key of a stream whose origin is asked for; the service is the one at which it is presumed to have begun. */
+export const streamHeader = 'hickorywalk-stream';
+/** Service and software version of an origin, URI-encoded. */
+export const serviceHeader = 'hickorywalk-service';
+export const softwareHeader = 'hickorywalk-software';
 /** Proves that the sender is a daemon of the fleet. */
 export const keyHeader = 'hickorywalk-key';
 
@@ -27,10 +32,12 @@
 export const wrongKeyReason = 'wrong_key';
 
 /** All headers; none of them reaches an endpoint or a caller. */
-export const relayHeaders: ReadonlySet<string> = new Set([purposeHeader, endpointHeader, startedAtHeader, weightsHeader, keyHeader, outcomeHeader, reasonHeader]);
+export const relayHeaders: ReadonlySet<string> = new Set([
+	purposeHeader, endpointHeader, startedAtHeader, weightsHeader, streamHeader, serviceHeader, softwareHeader, keyHeader, outcomeHeader, reasonHeader,
+]);
 
-/** What the sender wants. */
-export type RelayPurpose = 'send' | 'check';
+/** What the sender wants: that the request is sent, to know whether the endpoint accepts connections, or where a stream began. */
+export type RelayPurpose = 'send' | 'check' | 'origin';
 
 /**
  * What became of a request: the response is the endpoint's (`passed`), the endpoint got nothing
--- a/packages/router/src/lib/paths/relay.ts
+++ b/packages/router/src/lib/paths/relay.ts
@@ -6,10 +6,13 @@
 import {failureClasses, type FailureClass} from '../orders/failure-classes.js';
 import {EndpointExchangeError} from '../orders/orders-errors.js';
 import {headerValue} from '../orders/response-checks.js';
+import {type OriginQuestion} from '../streams/origin-finder.js';
+import {type OriginAnswer} from '../streams/stream-origin.js';
 import {type EndpointOpinion} from './endpoint-opinion.js';
 import {type RelayPeer, type RelayPeers} from './relay-peers.js';
 import {
-	endpointHeader, keyHeader, noPathReason, noRoomReason, outcomeHeader, purposeHeader, reasonHeader, type RelayOutcome, type RelayPurpose, startedAtHeader, weightsHeader, wrongKeyReason,
+	endpointHeader, keyHeader, noPathReason, noRoomReason, outcomeHeader, purposeHeader, reasonHeader, type RelayOutcome, type RelayPurpose,
+	serviceHeader, softwareHeader, startedAtHeader, streamHeader, weightsHeader, wrongKeyReason,
 } from './relay-protocol.js';
 
 /** Options of {@link createRelay}. */
@@ -49,6 +52,8 @@
 	send: (request: RelayedRequest, events: ExchangeEvents) => Exchange;
 	/** Asks some peers for their opinions on an endpoint. */
 	opinionsOn: (endpoint: LiveEndpoint) => Promise<EndpointOpinion[]>;
+	/** Asks peers by name where a stream began; silent peers are left out. */
+	askOrigin: (names: readonly string[], question: OriginQuestion) => Array<Promise<OriginAnswer>>;
 };
 
 /** Peers that one request is sent to at most. */
@@ -60,6 +65,9 @@
 /** Timeout of this question, in milliseconds. */
 const witnessTimeoutMs = 600;
 
+/** The same of the question where a stream began, for which its caller waits. */
+const originTimeoutMs = 250;
+
 const ownHeaders: ReadonlySet<string> = new Set([outcomeHeader, reasonHeader]);
 
 function withoutOwnHeaders({status, headers}: ResponseHead): ResponseHead {
@@ -77,8 +85,10 @@
 
 /** Creates a relay. */
 export function createRelay({transport, peers, fleetKey, onKeyRefused}: RelayOptions): Relay {
-	const headersFor = (purpose: RelayPurpose, {id, startedAt}: LiveEndpoint): string[] => [
-		purposeHeader, purpose, endpointHeader, id, startedAtHeader, String(startedAt), keyHeader, fleetKey() ?? '',
+	const headersFor = (purpose: RelayPurpose): string[] => [purposeHeader, purpose, keyHeader, fleetKey() ?? ''];
+
+	const endpointHeadersFor = (purpose: RelayPurpose, {id, startedAt}: LiveEndpoint): string[] => [
+		...headersFor(purpose), endpointHeader, id, startedAtHeader, String(startedAt),
 	];
 
 	const addressOf = (peer: RelayPeer) => ({name: peer.name, address: `http://${peer.address}`});
@@ -109,7 +119,7 @@
 			current = transport.send({
 				...request,
 				endpoint: addressOf(peer),
-				headers: [...request.headers, ...headersFor('send', endpoint), ...(request.weights === undefined ? [] : [weightsHeader, String(request.weights)])],
+				headers: [...request.headers, ...endpointHeadersFor('send', endpoint), ...(request.weights === undefined ? [] : [weightsHeader, String(request.weights)])],
 				// The handshake shows that the path to the peer works.
 				dedicatedConnection: request.isOnce,
 			}, {
@@ -187,26 +197,26 @@
 		};
 	};
 
-	const ask = async (peer: RelayPeer, endpoint: LiveEndpoint): Promise<EndpointOpinion> => new Promise(resolve => {
-		let opinion: EndpointOpinion = 'unknown';
+	/** Asks a peer; resolves to the headers of its answer, or to none if it doesn't answer in time. */
+	const ask = async (peer: RelayPeer, headers: readonly string[], timeoutMs: number): Promise<readonly string[]> => new Promise(resolve => {
+		let answered: readonly string[] = [];
 		const timer = setTimeout(() => {
 			exchange.abort(new EndpointExchangeError('The peer did not respond in time.'), true);
-			resolve('unknown');
-		}, witnessTimeoutMs);
+			resolve([]);
+		}, timeoutMs);
 		const finish = (): void => {
 			clearTimeout(timer);
-			resolve(opinion);
+			resolve(answered);
 		};
 
 		transport.allowConnectionReuse(addressOf(peer));
 		const exchange = transport.send({
-			endpoint: addressOf(peer), method: 'GET', path: '/', headers: headersFor('check', endpoint), dedicatedConnection: false,
+			endpoint: addressOf(peer), method: 'GET', path: '/', headers, dedicatedConnection: false,
 		}, {
 			beforeSend: () => true,
 			progress: () => undefined,
-			head({headers}) {
-				const stated = headerValue(headers, reasonHeader);
-				opinion = stated === 'reached' || stated === 'refused' ? stated : 'unknown';
+			head(head) {
+				answered = head.headers;
 			},
 			data: () => undefined,
 			end: finish,
@@ -214,10 +224,24 @@
 		});
 	});
 
+	const opinionOf = async (peer: RelayPeer, endpoint: LiveEndpoint): Promise<EndpointOpinion> => {
+		const stated = headerValue(await ask(peer, endpointHeadersFor('check', endpoint), witnessTimeoutMs), reasonHeader);
+		return stated === 'reached' || stated === 'refused' ? stated : 'unknown';
+	};
+
+	const originFrom = async (peer: RelayPeer, {key, service}: OriginQuestion): Promise<OriginAnswer> => {
+		const headers = await ask(peer, [...headersFor('origin'), streamHeader, key, serviceHeader, encodeURIComponent(service)], originTimeoutMs);
+		const kind = headerValue(headers, reasonHeader);
+		return kind === 'began' || kind === 'sole'
+			? {kind, origin: {service: decodeURIComponent(headerValue(headers, serviceHeader) ?? ''), software: decodeURIComponent(headerValue(headers, softwareHeader) ?? '')}}
+			: {kind: 'unknown'};
+	};
+
 	return {
 		isAvailable: endpointId => fleetKey() !== undefined && peers.choose(endpointId, new Set()) !== undefined,
 		hasGatekeeper: endpointId => fleetKey() !== undefined && peers.gatekeeper(endpointId, new Set()) !== undefined,
 		send,
-		opinionsOn: async endpoint => Promise.all(peers.witnesses(endpoint.id, witnessCount).map(async peer => ask(peer, endpoint))),
+		opinionsOn: async endpoint => Promise.all(peers.witnesses(endpoint.id, witnessCount).map(async peer => opinionOf(peer, endpoint))),
+		askOrigin: (names, question) => fleetKey() === undefined ? [] : peers.named(names).map(async peer => originFrom(peer, question)),
 	};
 }
--- a/packages/router/src/lib/peers/peer-exchange.ts
+++ b/packages/router/src/lib/peers/peer-exchange.ts
@@ -24,7 +24,7 @@
 };
 
 /** Report contents, without the fields that the exchange adds. */
-export type OwnReport = Omit<PeerReport, 'daemon' | 'incarnation' | 'number' | 'address' | 'isLeaving' | 'dataCentre' | 'relays'>;
+export type OwnReport = Omit<PeerReport, 'daemon' | 'incarnation' | 'number' | 'address' | 'isLeaving' | 'dataCentre' | 'relays' | 'streams'>;
 
 /** Report fields that depend on the recipients. */
 type SendFields = Pick<PeerReport, 'isLeaving' | 'relays'>;
@@ -43,6 +43,8 @@
 	sharedClockMs?: () => number | undefined;
 	/** Returns the current report contents; `kept` and `placed` hold only what is new since the last call. */
 	compose: () => OwnReport;
+	/** Takes the streams that one peer has to be told. */
+	takeStreams?: (peer: string) => PeerReport['streams'];
 	/** Called for each new report. */
 	onReport: (report: PeerReport) => void;
 	/** Defaults to UDP. */
@@ -185,18 +187,24 @@
 		options.onReport(report);
 	};
 
-	/** Returns an encoder of one report; peers that lack the same updates share a datagram. */
-	const createEncoder = (extra: SendFields): (peer: Peer) => Buffer => {
+	/** Returns an encoder of one report; peers that lack the same updates, and have to be told no streams, share a datagram. */
+	const createEncoder = (extra: SendFields): (daemon: string, peer: Peer) => Buffer => {
 		const {kept, placed, ...state} = options.compose();
 		keptUpdates.add(kept, number);
 		placedUpdates.add(placed, number);
 		const contents = new Map<string, Buffer>();
-		return ({sentNumber}) => {
+		return (daemon, {sentNumber}) => {
 			const updates = {kept: keptUpdates.since(sentNumber), placed: placedUpdates.since(sentNumber)};
-			const key = `${updates.kept.length} ${updates.placed.length}`;
-			const content = contents.get(key) ?? encodeReport({
-				daemon: name, incarnation, number, address, dataCentre: options.dataCentre, ...extra, ...state, ...updates,
+			const encode = (streams: PeerReport['streams']): Buffer => encodeReport({
+				daemon: name, incarnation, number, address, dataCentre: options.dataCentre, ...extra, ...state, ...updates, streams,
 			});
+			const streams = options.takeStreams?.(daemon) ?? [];
+			if (streams.length > 0) {
+				return encode(streams);
+			}
+
+			const key = `${updates.kept.length} ${updates.placed.length}`;
+			const content = contents.get(key) ?? encode([]);
 			contents.set(key, content);
 			return content;
 		};
@@ -211,8 +219,8 @@
 		sentAt = performance.now();
 		const encode = createEncoder({isLeaving: false, relays: [], ...extra});
 		const sends: Array<Promise<void>> = [];
-		for (const [, peer] of peers) {
-			sends.push(transport.send(encode(peer), peer.address));
+		for (const [daemon, peer] of peers) {
+			sends.push(transport.send(encode(daemon, peer), peer.address));
 			peer.sentNumber = number;
 		}
 
--- a/packages/router/src/lib/peers/peer-report.ts
+++ b/packages/router/src/lib/peers/peer-report.ts
@@ -2,6 +2,7 @@
 import {z} from 'zod';
 import {feedRelaySchema} from '../fleet/feed-relay.js';
 import {quarantineReportSchema} from '../quarantine/quarantine-report.js';
+import {streamReportSchema} from '../streams/stream-origins.js';
 
 /** Maximum numbers of saved parts and placements in one report; they keep it within one datagram. */
 export const maxReportedParts = 24;
@@ -68,6 +69,8 @@
 	leaving: z.array(z.tuple([z.string(), z.number()])).default([]),
 	/** Service, requests that each of its endpoints can turn away in a second or null once there is no such number, milliseconds since an endpoint stated it. */
 	brittle: z.array(z.tuple([z.string(), z.number().nullable(), z.number()])).default([]),
+	/** Streams that this peer keeps the origins of, if they began since the previous report to it. */
+	streams: z.array(streamReportSchema).default([]),
 });
 
 /** A decoded report. */
--- a/packages/router/src/lib/relaying/relay-server.ts
+++ b/packages/router/src/lib/relaying/relay-server.ts
@@ -18,9 +18,12 @@
 import {type OpinionOn} from '../paths/endpoint-opinion.js';
 import {type EndpointPaths} from '../paths/endpoint-paths.js';
 import {type BrittleEndpoints} from '../placing/brittle-endpoints.js';
+import {type OriginQuestion} from '../streams/origin-finder.js';
+import {type OriginAnswer} from '../streams/stream-origin.js';
 import {type WeightsDeadlines} from '../weights/weights-deadlines.js';
 import {
-	endpointHeader, keyHeader, noPathReason, noRoomReason, outcomeHeader, purposeHeader, reasonHeader, type RelayOutcome, startedAtHeader, weightsHeader, withoutRelayHeaders, wrongKeyReason,
+	endpointHeader, keyHeader, noPathReason, noRoomReason, outcomeHeader, purposeHeader, reasonHeader, type RelayOutcome, serviceHeader, softwareHeader,
+	startedAtHeader, streamHeader, weightsHeader, withoutRelayHeaders, wrongKeyReason,
 } from '../paths/relay-protocol.js';
 
 /** Options of {@link createRelayServer}. */
@@ -38,6 +41,8 @@
 	onNotices: (endpoint: LiveEndpoint, facts: ResponseFacts) => void;
 	/** Tells whether an endpoint accepts connections. */
 	opinionOn: OpinionOn;
+	/** Tells where a stream began. */
+	originOf: (question: OriginQuestion) => OriginAnswer;
 	fleetKey: () => string | undefined;
 	/** The process is stopping and accepts no further requests. */
 	isStopping: () => boolean;
@@ -219,7 +224,22 @@
 		}
 	};
 
+	const answerOrigin = (req: IncomingMessage, res: ServerResponse): void => {
+		const answer = options.originOf({key: String(req.headers[streamHeader]), service: decodeURIComponent(String(req.headers[serviceHeader] ?? ''))});
+		if (answer.kind !== 'unknown') {
+			res.setHeader(serviceHeader, encodeURIComponent(answer.origin.service));
+			res.setHeader(softwareHeader, encodeURIComponent(answer.origin.software));
+		}
+
+		respond(res, statusOk, 'passed', answer.kind);
+	};
+
 	const handle = async (req: IncomingMessage, body: unknown, res: ServerResponse): Promise<void> => {
+		if (req.headers[purposeHeader] === 'origin') {
+			answerOrigin(req, res);
+			return;
+		}
+
 		const endpoint = endpointOf(req);
 		if (endpoint === undefined) {
 			decline(res, 'unknown_endpoint');
--- a/packages/router/src/test/peers/report-codec.test.ts
+++ b/packages/router/src/test/peers/report-codec.test.ts
@@ -27,6 +27,7 @@
 	limits: [['i-5d4fb03dc1', 1_783_535_000_000, 1.5, 300]],
 	leaving: [['i-72c4dccf3c', 1_783_535_000_000]],
 	brittle: [['bilheteria', 5, 1200]],
+	streams: [['engines', 'v1.1', ['Wd1jGqGhbOQh', 'Xe1jGqGhbOQh']]],
 };
 
 describe('report codec', () => {
--- a/packages/router/src/test/peers/simulated-network.ts
+++ b/packages/router/src/test/peers/simulated-network.ts
@@ -22,6 +22,7 @@
 	incarnation?: number;
 	/** Report fields that are not empty. */
 	contents: () => Partial<OwnReport>;
+	takeStreams?: (peer: string) => PeerReport['streams'];
 	onReport: (report: PeerReport) => void;
 };
 
@@ -38,9 +39,9 @@
 export function createSimulatedNetwork({size, random, passes = () => true}: SimulatedNetworkOptions) {
 	const receivers = new Map<string, {index: number; onDatagram: (content: Buffer) => void}>();
 
-	return ({index, incarnation = 1, contents, onReport}: SimulatedDaemon): PeerExchange => {
+	return ({index, incarnation = 1, contents, takeStreams, onReport}: SimulatedDaemon): PeerExchange => {
 		const exchange = createPeerExchange({
-			name: nameOf(index), incarnation, dataCentre: 'a', bind: {host: nameOf(index), port: 1}, everyMs, minSilenceMs, onReport,
+			name: nameOf(index), incarnation, dataCentre: 'a', bind: {host: nameOf(index), port: 1}, everyMs, minSilenceMs, onReport, takeStreams,
 			compose: () => ({...emptyContents, ...contents()}),
 			async openTransport({onDatagram}) {
 				receivers.set(addressOf(index), {index, onDatagram});
