Logs and metrics tell prompt parts of broken attempts, and crashes

Endpoint failed a request now carries parts, Endpoint crashed unbegun (suspects without an event), and two counters tell crashes, and refusals by what is refused.

--- a/packages/entry/src/lib/daemon-metrics.ts
+++ b/packages/entry/src/lib/daemon-metrics.ts
@@ -13,6 +13,8 @@
 	hickorywalk_attempts_failed_total: 'Attempts at endpoints that failed, by service and reason.',
 	hickorywalk_requests_relayed_total: 'Requests that ended after a peer passed them on, by service and result.',
 	hickorywalk_streams_resumed_total: 'Requests of callers that resume a stream, by service and result.',
+	hickorywalk_endpoint_crashes_total: 'Crashes of endpoints that this daemon observed.',
+	hickorywalk_crash_refusals_total: 'Refusals that this daemon learned of, by kind: of a request or of a prompt part that crashes endpoints.',
 	hickorywalk_relays_declined_total: 'Requests of peers that were not passed on, by reason.',
 	hickorywalk_paths_lost: 'Endpoints that this daemon can\'t reach over its own network.',
 	hickorywalk_store_calls_total: 'Calls to the platform\'s store, by call.',
@@ -34,6 +36,8 @@
 export type DaemonMetrics = {
 	requestEnded: (end: RequestEnd) => void;
 	attemptFailed: (service: string, reason: string) => void;
+	endpointCrashed: () => void;
+	crashRefused: (kind: 'request' | 'part') => void;
 	relayDeclined: (reason: string) => void;
 	storeCalled: (call: string) => void;
 	logLinesDropped: (count: number) => void;
@@ -71,6 +75,8 @@
 	const relayedCounter = new Counter({...describe('hickorywalk_requests_relayed_total'), labelNames: ['service', 'result']});
 	const resumedCounter = new Counter({...describe('hickorywalk_streams_resumed_total'), labelNames: ['service', 'result']});
 	const declinedCounter = new Counter({...describe('hickorywalk_relays_declined_total'), labelNames: ['reason']});
+	const crashCounter = new Counter(describe('hickorywalk_endpoint_crashes_total'));
+	const crashRefusalCounter = new Counter({...describe('hickorywalk_crash_refusals_total'), labelNames: ['kind']});
 	const storeCallCounter = new Counter({...describe('hickorywalk_store_calls_total'), labelNames: ['call']});
 	const droppedLineCounter = new Counter(describe('hickorywalk_log_lines_left_out_total'));
 	const firstByteSeconds = new Histogram({...describe('hickorywalk_request_first_seconds'), labelNames: ['service'], buckets: secondsBuckets});
@@ -108,6 +114,12 @@
 		attemptFailed(service, reason) {
 			failedAttemptCounter.inc({service, reason});
 		},
+		endpointCrashed() {
+			crashCounter.inc();
+		},
+		crashRefused(kind) {
+			crashRefusalCounter.inc({kind});
+		},
 		relayDeclined(reason) {
 			declinedCounter.inc({reason});
 		},
--- a/packages/entry/src/lib/wiring/quarantine-wiring.ts
+++ b/packages/entry/src/lib/wiring/quarantine-wiring.ts
@@ -1,27 +1,33 @@
 /** Wires the quarantine of requests that crash endpoints. */
 import {
-	type CrashWatch, createCrashWatch, createQuarantine, createRefusalStore, type Quarantine, type RefusalRows,
+	type CrashWatch, createCrashWatch, createQuarantine, createRefusalStore, isPartKey, type Quarantine, type RefusalRows,
 } from 'hickorywalk/quarantine.js';
 import {provesEnd} from 'hickorywalk/paths.js';
 import {type EntryParts} from './parts.js';
 
 /** Creates the quarantine. */
-export const wireQuarantine = (parts: EntryParts): Quarantine => createQuarantine({
-	name: parts.settings.name,
-	store: {
-		save(refusal) {
-			parts.refusalRows.save(refusal);
+export function wireQuarantine(parts: EntryParts): Quarantine {
+	const quarantine = createQuarantine({
+		name: parts.settings.name,
+		store: {
+			save(refusal) {
+				parts.refusalRows.save(refusal);
+			},
+			claim: async refusal => parts.refusalRows.claim(refusal),
+			remove(digest) {
+				parts.refusalRows.remove(digest);
+			},
 		},
-		claim: async refusal => parts.refusalRows.claim(refusal),
-		remove(digest) {
-			parts.refusalRows.remove(digest);
+		onUpdate() {
+			parts.peers.sendSoonTo('all');
 		},
-	},
-	onUpdate() {
-		parts.peers.sendSoonTo('all');
-	},
-	log: parts.log,
-});
+		log: parts.log,
+	});
+	quarantine.onRefused(key => {
+		parts.metrics.crashRefused(isPartKey(key) ? 'part' : 'request');
+	});
+	return quarantine;
+}
 
 /** Creates the store of refusals. */
 export const wireRefusalRows = (parts: EntryParts): RefusalRows => createRefusalStore({
@@ -39,7 +45,7 @@
  * daemon and the endpoint, so peers are asked as well.
  */
 export const wireCrashWatch = ({
-	quarantine, presence, view, paths, relay, opinionOn,
+	quarantine, presence, view, paths, relay, opinionOn, metrics,
 }: EntryParts): CrashWatch => createCrashWatch({
 	async hasCrashed(endpoint) {
 		const own = await opinionOn(endpoint);
@@ -58,5 +64,8 @@
 
 		return listed.isLeaving ? 'leaving' : 'listed';
 	},
-	onCrash: quarantine.recordCrash,
+	onCrash(crash) {
+		metrics.endpointCrashed();
+		quarantine.recordCrash(crash);
+	},
 });
--- a/packages/entry/src/lib/wiring/request-wiring.ts
+++ b/packages/entry/src/lib/wiring/request-wiring.ts
@@ -22,6 +22,9 @@
 /** Refresh intervals without a report after which a peer's spending is assumed. */
 const refreshesUntilSilent = 2;
 
+/** Prompt parts in one log line. */
+const maxLoggedParts = 8;
+
 /** Known daemons, including this one. */
 const countDaemons = (parts: EntryParts): number => parts.peers.known().size + 1;
 
@@ -135,7 +138,7 @@
 			});
 		},
 		attemptFailed({
-			requestId, digest, endpoint, software, peer, service, reason, ms, firstMs, backoffMs, weights, weightsAgeMs, next,
+			requestId, digest, parts, endpoint, software, peer, service, reason, ms, firstMs, backoffMs, weights, weightsAgeMs, next,
 		}) {
 			metrics.attemptFailed(service, reason);
 			if (!logLineBudget.take(`attempt ${reason}`)) {
@@ -143,7 +146,8 @@
 			}
 
 			log.warn('Endpoint failed a request.', {
-				requestId, digest, endpoint, software, peer, service, reason, ms: Math.round(ms), firstMs: rounded(firstMs), backoffMs: backoffMs > 0 ? Math.round(backoffMs) : undefined,
+				requestId, digest, parts: parts.length > 0 ? parts.slice(0, maxLoggedParts).join(',') : undefined,
+				endpoint, software, peer, service, reason, ms: Math.round(ms), firstMs: rounded(firstMs), backoffMs: backoffMs > 0 ? Math.round(backoffMs) : undefined,
 				weights, weightsAgeMs: ageForLog(weightsAgeMs), result: next,
 			});
 		},
--- a/packages/router/src/lib/forwarding/call.ts
+++ b/packages/router/src/lib/forwarding/call.ts
@@ -6,6 +6,7 @@
 import {type AcceptedDocument} from '../fleet/fleet-view.js';
 import {type PromptNeed} from '../placing/choice-request.js';
 import {type Choice} from '../placing/endpoint-choice.js';
+import {sharedPartKeys} from '../quarantine/prompt-part-keys.js';
 import {type StreamOrigin} from '../streams/stream-origin.js';
 import {type AttemptProgress, type BufferedResponse} from './attempt.js';
 import {type PathKind} from './attempt-path.js';
@@ -25,6 +26,8 @@
 	body: Buffer | undefined;
 	/** Digest of its content; equal for repeats. */
 	digest: string;
+	/** Keys of the prompt's parts that other requests may share. */
+	parts: readonly string[];
 	facts: CallFacts;
 	reply: CallerReply;
 	route: Route;
@@ -79,6 +82,7 @@
 	const {facts, route, workspace} = origin;
 	return {
 		...origin,
+		parts: sharedPartKeys(facts.parts),
 		prompt: promptOf(facts, workspace),
 		deadlineAt: startedAt + Math.min(facts.remainingMs ?? route.timeoutMs, route.timeoutMs),
 		hasEvents: false,
--- a/packages/router/src/lib/forwarding/forwarder.ts
+++ b/packages/router/src/lib/forwarding/forwarder.ts
@@ -100,7 +100,7 @@
 			if (end.kind !== 'answered' && end.kind !== 'callerLeft') {
 				const sentAt = call.sentAt!;
 				options.events.attemptFailed({
-					requestId: call.facts.requestId, digest: call.digest, endpoint: chosen.endpoint.id, software: chosen.endpoint.software,
+					requestId: call.facts.requestId, digest: call.digest, parts: call.parts, endpoint: chosen.endpoint.id, software: chosen.endpoint.software,
 					peer: call.peer, service: call.service, reason: reasonOf(end), ms: performance.now() - sentAt,
 					firstMs: call.progress.firstAt === undefined ? undefined : call.progress.firstAt - sentAt, backoffMs: call.progress.facts?.backoffMs ?? 0,
 					weights: chosen.weights, weightsAgeMs: call.weightsAgeMs, next: decision.kind,
--- a/packages/router/src/lib/forwarding/forwarding-events.ts
+++ b/packages/router/src/lib/forwarding/forwarding-events.ts
@@ -44,6 +44,8 @@
 export type AttemptFailure = {
 	requestId: string | undefined;
 	digest: string;
+	/** Keys of the prompt's parts that other requests may share. */
+	parts: readonly string[];
 	endpoint: string;
 	/** Software version of the endpoint. */
 	software: string;
--- a/packages/router/src/lib/observability/log.ts
+++ b/packages/router/src/lib/observability/log.ts
@@ -46,6 +46,9 @@
 	/** Software version of an endpoint, and id of the caller's earlier attempt whose stream a request resumes. */
 	'software',
 	'resumes',
+	/** Keys of the prompt parts that a request shares with others, and suspects whose answer had no event. */
+	'parts',
+	'unbegun',
 	/** Weights version that a decision assumed, and milliseconds since that version was replaced. */
 	'weights',
 	'weightsAgeMs',
--- a/packages/router/src/lib/quarantine/quarantine.ts
+++ b/packages/router/src/lib/quarantine/quarantine.ts
@@ -253,7 +253,9 @@
 		},
 		recordCrash(crash) {
 			ownCrashes.push({crash, at: performance.now() - crash.ageMs});
-			log.warn('Endpoint crashed.', {endpoint: crash.endpoint, count: crash.suspects.length, ms: Math.round(crash.ageMs)});
+			log.warn('Endpoint crashed.', {
+				endpoint: crash.endpoint, count: crash.suspects.length, unbegun: crash.suspects.filter(({position}) => position === '').length, ms: Math.round(crash.ageMs),
+			});
 			addEvidence(name, crash);
 			onNews();
 		},
