A prompt part that crashes engines is refused with any request that has it

A crash now has two kinds of suspects: the requests in flight, and the shared parts of those that had no event, unless a request with the part completed within the last minute, on any daemon. A part is the cause after three crashes with two different requests at least; parts that no crash tells apart wait for sound requests to clear one, until the fifth crash. Refusals of parts go the way of those of requests: to peers and the store at once, to requests that wait at engines, and to each further send.

--- a/packages/router/src/lib/forwarding/call.ts
+++ b/packages/router/src/lib/forwarding/call.ts
@@ -6,7 +6,6 @@
 import {type AcceptedDocument} from '../fleet/fleet-view.js';
 import {type PromptNeed} from '../placing/choice-request.js';
 import {type Choice} from '../placing/endpoint-choice.js';
-import {sharedPartKeys} from '../quarantine/prompt-part-keys.js';
 import {type StreamOrigin} from '../streams/stream-origin.js';
 import {type AttemptProgress, type BufferedResponse} from './attempt.js';
 import {type PathKind} from './attempt-path.js';
@@ -28,6 +27,8 @@
 	digest: string;
 	/** Keys of the prompt's parts that other requests may share. */
 	parts: readonly string[];
+	/** The digest and these keys: what the request may be refused for. */
+	refusalKeys: readonly string[];
 	facts: CallFacts;
 	reply: CallerReply;
 	route: Route;
@@ -60,6 +61,8 @@
 	leavePath: (() => void) | undefined;
 	/** Cancels the current attempt unless its response has begun. */
 	cancel: (() => void) | undefined;
+	/** It was refused, its term has ended, and this daemon may send it once. */
+	isClaimed: boolean;
 	/** The retry budget has granted the next attempt. */
 	isRetryGranted: boolean;
 	progress: AttemptProgress;
@@ -75,14 +78,14 @@
 };
 
 /** Arguments of {@link createCall}. */
-export type CallOrigin = Pick<Call, 'req' | 'body' | 'digest' | 'facts' | 'reply' | 'route' | 'workspace' | 'service' | 'origin'> & {startedAt: number};
+export type CallOrigin = Pick<Call, 'req' | 'body' | 'digest' | 'parts' | 'facts' | 'reply' | 'route' | 'workspace' | 'service' | 'origin'> & {startedAt: number};
 
 /** Creates a call without attempts. */
 export function createCall({startedAt, ...origin}: CallOrigin): Call {
 	const {facts, route, workspace} = origin;
 	return {
 		...origin,
-		parts: sharedPartKeys(facts.parts),
+		refusalKeys: [origin.digest, ...origin.parts],
 		prompt: promptOf(facts, workspace),
 		deadlineAt: startedAt + Math.min(facts.remainingMs ?? route.timeoutMs, route.timeoutMs),
 		hasEvents: false,
@@ -96,6 +99,7 @@
 		peer: undefined,
 		leavePath: undefined,
 		cancel: undefined,
+		isClaimed: false,
 		isRetryGranted: false,
 		progress: {firstAt: undefined, lastEventId: undefined, facts: undefined},
 		choice: undefined,
--- a/packages/router/src/lib/forwarding/forwarder.ts
+++ b/packages/router/src/lib/forwarding/forwarder.ts
@@ -6,7 +6,8 @@
 import {chooseService} from '../fleet/route-table.js';
 import {type CapacityWait} from '../placing/capacity-wait.js';
 import {type Choice} from '../placing/endpoint-choice.js';
-import {type Quarantine} from '../quarantine/quarantine.js';
+import {sharedPartKeys} from '../quarantine/prompt-part-keys.js';
+import {type Quarantine, type Standing} from '../quarantine/quarantine.js';
 import {digestRequest} from '../quarantine/request-digest.js';
 import {type FleetQuota} from '../quotas/fleet-quota.js';
 import {type AttemptBudget} from '../routing/attempt-budget.js';
@@ -59,6 +60,29 @@
 	const calls = new Set<Call>();
 	let inFlight = 0;
 
+	/** A request is suspect for its own crashes only: most parts of a suspect are sound. */
+	const standingOf = ([digest, ...parts]: readonly string[]): Standing => {
+		const standings = new Set(parts.map(key => quarantine.standingOf(key)));
+		const own = quarantine.standingOf(digest);
+		if (own === 'refused' || standings.has('refused')) {
+			return 'refused';
+		}
+
+		return standings.has('due') ? 'due' : own;
+	};
+
+	const markCompleted = (call: Call, end: AttemptEnd): void => {
+		if (isProvenComplete(call, end)) {
+			quarantine.markCompleted(call.digest);
+		}
+
+		if (provesPartsSound(call, end)) {
+			for (const key of call.parts) {
+				quarantine.markCompleted(key);
+			}
+		}
+	};
+
 	const chooseFor = (call: Call): Choice | undefined =>
 		choice.choose({
 			service: call.service, prompt: call.prompt, excluded: call.excluded, software: call.origin?.software,
@@ -78,10 +102,17 @@
 
 	const send = createEndpointSender({...options, mayMoveAway, mayTryElsewhere});
 
-	const decisionOptions: DecisionOptions = {mayTryElsewhere, standingOf: quarantine.standingOf, capacityWait: options.capacityWait};
+	/** A request that was claimed when its term had ended is sent once, although it is refused again meanwhile. */
+	const isRefused = ({refusalKeys, isClaimed}: Call): boolean => !isClaimed && standingOf(refusalKeys) === 'refused';
+
+	const decisionOptions: DecisionOptions = {mayTryElsewhere, standingOf: ({refusalKeys}) => standingOf(refusalKeys), capacityWait: options.capacityWait};
 
 	const run = async (call: Call): Promise<Decision> => {
 		for (;;) {
+			if (isRefused(call)) {
+				return {kind: 'refuse', name: call.mayHaveRun ? 'crashed_endpoints' : 'crashes_endpoints'};
+			}
+
 			const chosen = chooseFor(call);
 			if (chosen === undefined) {
 				return decideWithoutEndpoint(call, options.capacityWait);
@@ -92,9 +123,7 @@
 			call.attempts++;
 			call.isRetryGranted = false;
 			const end = await send(call, chosen);
-			if (isProvenComplete(call, end)) {
-				quarantine.markCompleted(call.digest);
-			}
+			markCompleted(call, end);
 
 			const decision = decideNext(call, end, decisionOptions);
 			if (end.kind !== 'answered' && end.kind !== 'callerLeft') {
@@ -113,9 +142,9 @@
 		}
 	};
 
-	quarantine.onRefused(digest => {
+	quarantine.onRefused(key => {
 		for (const call of calls) {
-			if (call.digest === digest) {
+			if (call.refusalKeys.includes(key)) {
 				call.cancel?.();
 			}
 		}
@@ -141,8 +170,9 @@
 		const digest = digestRequest({
 			workspace: workspace?.name, method: req.method ?? '', path: req.url ?? '', bodyHash: body?.hash,
 		});
+		const parts = sharedPartKeys(facts.parts);
 		const details = {route, workspace, digest};
-		const standing = quarantine.standingOf(digest);
+		const standing = standingOf([digest, ...parts]);
 		if (standing === 'refused') {
 			return {refusal: {name: 'crashes_endpoints'}, details};
 		}
@@ -154,7 +184,10 @@
 			return {refusal: {name: 'over_quota', retryAfterMs}, details: {...details, quota: {units, level, own}}};
 		}
 
-		return {...details, mustBeClaimed: standing === 'due', refund: () => admission?.refund()};
+		const dueKeys = [digest, ...parts].filter(key => quarantine.standingOf(key) === 'due');
+		return {
+			...details, parts, dueKeys, refund: () => admission?.refund(),
+		};
 	};
 
 	/** Where the stream began that a caller takes up again, if it can go on there. */
@@ -167,6 +200,16 @@
 	const hasEndpoint = ({service, software}: StreamOrigin): boolean =>
 		options.view.endpointsOf(service).some(endpoint => endpoint.software === software && !endpoint.isLeaving);
 
+	const claimAll = async (keys: readonly string[]): Promise<boolean> => {
+		for (const key of keys) {
+			if (!await quarantine.claim(key)) {
+				return false;
+			}
+		}
+
+		return true;
+	};
+
 	const handle = async (req: IncomingMessage, body: RequestBody | undefined, res: ServerResponse): Promise<void> => {
 		const startedAt = performance.now();
 		const facts = headers.readCall(req.rawHeaders);
@@ -188,8 +231,8 @@
 			return;
 		}
 
-		const {route, workspace, digest, mustBeClaimed, refund} = result;
-		if (mustBeClaimed && !await quarantine.claim(digest)) {
+		const {route, workspace, digest, parts, dueKeys, refund} = result;
+		if (!await claimAll(dueKeys)) {
 			refund();
 			refuseCaller({refusal: {name: 'crashes_endpoints'}, details: {route, workspace, digest}});
 			return;
@@ -205,8 +248,9 @@
 
 		const service = origin?.service ?? chooseService(route, options.random()) ?? '';
 		const call = createCall({
-			req, body: body?.content, digest, facts, reply, route, workspace, service, origin, startedAt,
+			req, body: body?.content, digest, parts, facts, reply, route, workspace, service, origin, startedAt,
 		});
+		call.isClaimed = dueKeys.length > 0;
 		budgetOf(service).deposit();
 		const decision = await runRegistered(call);
 		const reason = finishResponse(headers, call, decision);
@@ -240,6 +284,10 @@
 const isProvenComplete = ({progress}: Call, {kind}: AttemptEnd): boolean =>
 	(kind === 'answered' || kind === 'errorAnswer') && progress.facts?.isUnframed === false;
 
+/** Whether an endpoint wrote an answer on the request's parts; a part that crashes endpoints does so before the first event. */
+const provesPartsSound = ({progress, hasEvents}: Call, {kind}: AttemptEnd): boolean =>
+	kind === 'answered' && (hasEvents || progress.facts?.isUnframed === false);
+
 type EndDetails = {
 	call?: Call;
 	route?: Route;
@@ -253,8 +301,9 @@
 	route: Route;
 	workspace: Workspace | undefined;
 	digest: string;
-	/** It is refused unless this daemon's claim on it succeeds. */
-	mustBeClaimed: boolean;
+	parts: readonly string[];
+	/** It is refused unless this daemon's claims on these succeed. */
+	dueKeys: readonly string[];
 	/** Returns the units taken from the workspace's quota. */
 	refund: () => void;
 };
--- a/packages/router/src/lib/forwarding/retry-decision.ts
+++ b/packages/router/src/lib/forwarding/retry-decision.ts
@@ -25,7 +25,7 @@
 export type DecisionOptions = {
 	/** Whether another endpoint may get the request; withdraws from the retry budget. */
 	mayTryElsewhere: (call: Call) => boolean;
-	standingOf: (digest: string) => Standing;
+	standingOf: (call: Call) => Standing;
 	capacityWait: CapacityWait;
 };
 
@@ -39,7 +39,7 @@
 }
 
 function afterNotRun(call: Call, {mayTryElsewhere, standingOf, capacityWait}: DecisionOptions): Decision {
-	if (standingOf(call.digest) === 'refused') {
+	if (standingOf(call) === 'refused') {
 		return {kind: 'refuse', name: call.mayHaveRun ? 'crashed_endpoints' : 'crashes_endpoints'};
 	}
 
@@ -67,7 +67,7 @@
 	const {mayTryElsewhere, standingOf} = options;
 	call.mayHaveRun = true;
 	call.brokenConnections += connectionLossFailures.has(failure) ? 1 : 0;
-	const standing = standingOf(call.digest);
+	const standing = standingOf(call);
 	if (standing === 'refused') {
 		return {kind: 'refuse', name: 'crashed_endpoints'};
 	}
--- a/packages/router/src/lib/forwarding/send-to-endpoint.ts
+++ b/packages/router/src/lib/forwarding/send-to-endpoint.ts
@@ -187,7 +187,7 @@
 		}
 
 		if (end.kind === 'failed' && connectionLossFailures.has(end.failure)) {
-			crashWatch.reportBrokenConnection(chosen.endpoint, {digest: call.digest, position: streamPosition(call)});
+			crashWatch.reportBrokenConnection(chosen.endpoint, {digest: call.digest, position: streamPosition(call), parts: call.parts});
 		}
 
 		recordWeights(call, chosen);
--- a/packages/router/src/lib/quarantine/crash-evidence.ts
+++ b/packages/router/src/lib/quarantine/crash-evidence.ts
@@ -1,18 +1,24 @@
 /**
- * Determines which request caused crashes of endpoints.
+ * Determines which request, or which part that prompts share, caused crashes of endpoints.
  *
  * Each request that was in flight at a crash is a suspect. A cause is in flight at repeated
  * crashes and never gets past the position of its earlier ones, while the other requests on the
  * endpoints change. Once a cause is found, its crashes count against other requests only together
  * with a further crash that it doesn't explain.
+ *
+ * A part is a suspect with each different request whose answer had no event. Parts that sound
+ * requests share are cleared whenever one of these completes.
  */
 import {LRUCache} from 'lru-cache';
+import {isPartKey} from './prompt-part-keys.js';
 
 /** A request that was in flight on an endpoint when it crashed. */
 export type Suspect = {
 	digest: string;
 	/** Id of the last stream event that the caller received; empty if there is none. */
 	position: string;
+	/** Keys of its prompt's parts that other requests may share. */
+	parts: readonly string[];
 };
 
 /** Crash of one process of an endpoint, as one daemon observed it. */
@@ -34,12 +40,12 @@
 	observers: readonly string[];
 };
 
-/** A request that was found to crash endpoints, with the crashes that count against it. */
+/** A request or part that was found to crash endpoints, by its digest or key, with the crashes that count against it. */
 export type CrashCause = {digest: string; crashes: readonly CountedCrash[]};
 
 /** Options of {@link createCrashEvidence}. */
 export type CrashEvidenceOptions = {
-	/** Whether a request is already refused; crashes at which it was in flight count against no other. */
+	/** Whether a request or part is already refused; crashes at which it was in flight count against no other. */
 	isKnownCause?: (digest: string) => boolean;
 	/** Number of crashes after which a request counts as their cause. Default 3. */
 	crashThreshold?: number;
@@ -51,7 +57,7 @@
 	maxSuspects?: number;
 	/** Milliseconds for which a completed request is no suspect. Default 60,000. */
 	completedMs?: number;
-	/** Maximum number of stored completed requests; the oldest are evicted first. Default 4,096. */
+	/** Maximum number of stored completed requests, and of their parts; the oldest are evicted first. Default 4,096. */
 	maxCompleted?: number;
 };
 
@@ -59,7 +65,7 @@
 export type EvidenceChange = {
 	/** Suspects found to be causes of crashes. */
 	causes: readonly CrashCause[];
-	/** Suspects that are ignored since they completed recently. */
+	/** Suspects, and parts of suspects, that are ignored since they completed recently. */
 	completed: readonly string[];
 };
 
@@ -67,7 +73,7 @@
 export type CrashEvidence = {
 	/** Adds a daemon's observation; observations of the same crash are merged. */
 	add: (observer: string, crash: ObservedCrash) => EvidenceChange;
-	/** Clears a request that completed, so it doesn't crash endpoints. Returns the number of crashes that counted against it. */
+	/** Clears a request that completed, or a part of it, so it doesn't crash endpoints. Returns the number of crashes that counted against it. */
 	markCompleted: (digest: string) => number;
 	/** Whether the request completed recently. */
 	completedRecently: (digest: string) => boolean;
@@ -82,6 +88,8 @@
 	at: number;
 	/** By digest. */
 	suspects: Map<string, {position: string; observers: Set<string>}>;
+	/** By key: digests of the requests without an event that have the part, and the daemons that observed these. */
+	parts: Map<string, {requests: Set<string>; observers: Set<string>}>;
 	/** Digest of the request that caused it, once found. */
 	cause: string | undefined;
 };
@@ -92,6 +100,15 @@
 const defaultCompletedMs = 60_000;
 const defaultMaxCompleted = 4096;
 
+/** Stored suspected parts for each stored suspect. */
+const maxPartsPerSuspect = 4;
+
+/** Number of different requests that must have been in flight with a part; with one alone, that request is the cause. */
+const minRequestsOfPart = 2;
+
+/** Number of crashes after which parts are refused that no crash tells apart, since sound requests haven't cleared one of them. */
+const tieThreshold = 5;
+
 /** Crashes closer together than this have a common cause outside the endpoints and count once. */
 const commonCauseMs = 50;
 
@@ -107,26 +124,47 @@
 	return distinct;
 }
 
+type Likely = {digest: string; counting: readonly Crash[]};
+
 /** Creates empty evidence. */
 export function createCrashEvidence(options: CrashEvidenceOptions = {}): CrashEvidence {
 	const {
 		isKnownCause = () => false, crashThreshold = 3, maxAgeMs = defaultMaxAgeMs, maxSuspects = defaultMaxSuspects, completedMs = defaultCompletedMs,
 	} = options;
 	const crashes = new LRUCache<string, Crash>({max: options.maxCrashes ?? defaultMaxCrashes});
-	const completed = new LRUCache<string, number>({max: options.maxCompleted ?? defaultMaxCompleted});
+	const createCompleted = () => new LRUCache<string, number>({max: options.maxCompleted ?? defaultMaxCompleted});
+	/** Apart, since requests are many and would displace the parts. */
+	const completed = {requests: createCompleted(), parts: createCompleted()};
+
+	const completedLike = (digest: string): LRUCache<string, number> => isPartKey(digest) ? completed.parts : completed.requests;
 
 	const completedRecently = (digest: string): boolean => {
-		const at = completed.get(digest);
+		const at = completedLike(digest).get(digest);
 		return at !== undefined && performance.now() - at <= completedMs;
 	};
 
-	/** Crashes that count against a request: those at the position where most of them occurred. */
-	const crashesAgainst = (digest: string): Crash[] => {
+	const recentCrashes = (): Crash[] => {
 		const now = performance.now();
+		return [...crashes.values()].filter(({at}) => now - at <= maxAgeMs);
+	};
+
+	/** If endpoints keep crashing after a cause is refused, its crashes may have had another cause. */
+	const isUnexplained = (counting: readonly Crash[]): boolean => counting.some(({cause}) => cause === undefined);
+
+	/** Crashes that count against a part: all at which requests without an event had it, if these were different ones. */
+	const crashesAgainstPart = (key: string): Crash[] => {
+		const found = recentCrashes().filter(({parts}) => parts.has(key));
+		const requests = new Set(found.flatMap(({parts}) => [...parts.get(key)!.requests]));
+		const distinct = withoutCommonCause(found);
+		return requests.size >= minRequestsOfPart && isUnexplained(distinct) ? distinct : [];
+	};
+
+	/** Crashes that count against a request: those at the position where most of them occurred. */
+	const crashesAgainstRequest = (digest: string): Crash[] => {
 		const byPosition = new Map<string, Crash[]>();
-		for (const crash of crashes.values()) {
+		for (const crash of recentCrashes()) {
 			const suspect = crash.suspects.get(digest);
-			if (suspect === undefined || now - crash.at > maxAgeMs) {
+			if (suspect === undefined) {
 				continue;
 			}
 
@@ -136,9 +174,7 @@
 		let most: Crash[] = [];
 		for (const found of byPosition.values()) {
 			const distinct = withoutCommonCause(found);
-			// If endpoints keep crashing after a cause is refused, its crashes may have had another cause.
-			const isUnexplained = distinct.some(({cause}) => cause === undefined);
-			if (isUnexplained && distinct.length > most.length) {
+			if (isUnexplained(distinct) && distinct.length > most.length) {
 				most = distinct;
 			}
 		}
@@ -146,18 +182,26 @@
 		return most;
 	};
 
+	const crashesAgainst = (digest: string): Crash[] => isPartKey(digest) ? crashesAgainstPart(digest) : crashesAgainstRequest(digest);
+
 	const attribute = (digest: string): void => {
 		for (const crash of crashes.values()) {
-			if (crash.suspects.has(digest)) {
+			if (crash.suspects.has(digest) || crash.parts.has(digest)) {
 				crash.cause ??= digest;
 			}
 		}
 	};
 
-	/** Requests with the most crashes, if these reach the threshold. */
-	const findLikeliest = (digests: readonly string[]): Array<{digest: string; counting: Crash[]}> => {
+	/** Parts that were in flight at the same crashes are left out: sound requests soon clear those that aren't the cause. */
+	const withoutTiedParts = (likeliest: readonly Likely[]): readonly Likely[] => {
+		const parts = likeliest.filter(({digest}) => isPartKey(digest));
+		return parts.length > 1 && parts[0].counting.length < tieThreshold ? likeliest.filter(({digest}) => !isPartKey(digest)) : likeliest;
+	};
+
+	/** Requests and parts with the most crashes, if these reach the threshold. */
+	const findLikeliest = (digests: readonly string[]): readonly Likely[] => {
 		let most = crashThreshold;
-		let likeliest: Array<{digest: string; counting: Crash[]}> = [];
+		let likeliest: Likely[] = [];
 		for (const digest of digests) {
 			const counting = crashesAgainst(digest);
 			if (counting.length > most) {
@@ -170,7 +214,7 @@
 			}
 		}
 
-		return likeliest;
+		return withoutTiedParts(likeliest);
 	};
 
 	const describe = (digest: string, counting: readonly Crash[]): CrashCause => ({
@@ -178,7 +222,7 @@
 		crashes: counting.map(crash => ({
 			endpoint: crash.endpoint,
 			ageMs: performance.now() - crash.at,
-			observers: [...crash.suspects.get(digest)!.observers],
+			observers: [...(crash.parts.get(digest) ?? crash.suspects.get(digest))!.observers],
 		})),
 	});
 
@@ -208,6 +252,28 @@
 		return isKnownCause(digest);
 	};
 
+	/** Returns the parts that were added, and those that are ignored. */
+	const addParts = (crash: Crash, observer: string, {digest, position, parts}: Suspect): {added: string[]; cleared: string[]} => {
+		const isBegun = position !== '';
+		const cleared = isBegun ? [] : parts.filter(key => completedRecently(key));
+		const added = isBegun ? [] : parts.filter(key => !cleared.includes(key));
+		for (const key of added) {
+			if (isCause(key)) {
+				crash.cause ??= key;
+			}
+
+			const known = crash.parts.get(key);
+			if (known !== undefined) {
+				known.requests.add(digest);
+				known.observers.add(observer);
+			} else if (crash.parts.size < maxSuspects * maxPartsPerSuspect) {
+				crash.parts.set(key, {requests: new Set([digest]), observers: new Set([observer])});
+			}
+		}
+
+		return {added, cleared};
+	};
+
 	const addSuspect = (crash: Crash, observer: string, {digest, position}: Suspect): void => {
 		const {suspects} = crash;
 		if (isCause(digest)) {
@@ -226,7 +292,7 @@
 		add(observer, {endpoint, startedAt, ageMs, suspects}) {
 			const key = `${endpoint} ${startedAt}`;
 			const crash: Crash = crashes.get(key) ?? {
-				endpoint, at: performance.now() - ageMs, suspects: new Map(), cause: undefined,
+				endpoint, at: performance.now() - ageMs, suspects: new Map(), parts: new Map(), cause: undefined,
 			};
 			crashes.set(key, crash);
 			const added: string[] = [];
@@ -234,19 +300,27 @@
 			for (const suspect of suspects) {
 				if (completedRecently(suspect.digest)) {
 					alreadyCompleted.push(suspect.digest);
-				} else {
-					addSuspect(crash, observer, suspect);
-					added.push(suspect.digest);
+					continue;
 				}
+
+				addSuspect(crash, observer, suspect);
+				const parts = addParts(crash, observer, suspect);
+				added.push(suspect.digest, ...parts.added);
+				alreadyCompleted.push(...parts.cleared);
 			}
 
-			return {causes: findCauses(added), completed: alreadyCompleted};
+			return {causes: findCauses([...new Set(added)]), completed: alreadyCompleted};
 		},
 		markCompleted(digest) {
-			completed.set(digest, performance.now());
+			completedLike(digest).set(digest, performance.now());
+			if (crashes.size === 0) {
+				return 0;
+			}
+
 			const counted = crashesAgainst(digest).length;
 			for (const crash of crashes.values()) {
 				crash.suspects.delete(digest);
+				crash.parts.delete(digest);
 				if (crash.cause === digest) {
 					crash.cause = undefined;
 				}
--- a/packages/router/src/lib/quarantine/quarantine.ts
+++ b/packages/router/src/lib/quarantine/quarantine.ts
@@ -1,5 +1,6 @@
 /**
- * Refuses requests that crash the endpoints they run on, consistently on all daemons.
+ * Refuses requests that crash the endpoints they run on, consistently on all daemons, and requests
+ * with a prompt part that does so. Both are known by a key: the digest of the request, or the part's key.
  *
  * A refusal lasts for a term, since endpoints and weights are replaced. Then one daemon claims
  * the right to send the request once. The claim starts a new, longer term, and only a complete
@@ -8,7 +9,7 @@
 import {LRUCache} from 'lru-cache';
 import {type Log} from '../observability/log.js';
 import {
-	type CrashCause, type CrashEvidenceOptions, createCrashEvidence, type ObservedCrash,
+	type CrashCause, type CrashEvidenceOptions, createCrashEvidence, type ObservedCrash, type Suspect,
 } from './crash-evidence.js';
 import {type QuarantineReport} from './quarantine-report.js';
 
@@ -17,6 +18,7 @@
 
 /** A refusal as stored outside this process. */
 export type Refusal = {
+	/** Digest of the request, or key of the part. */
 	digest: string;
 	/** Number of the term, from 1; incremented whenever the request is refused anew. */
 	term: number;
@@ -197,6 +199,11 @@
 		}
 	};
 
+	/** Parts that peers would only learn to ignore, and those of requests that have begun, aren't reported. */
+	const withoutClearedParts = (suspects: readonly Suspect[]): Suspect[] => suspects.map(suspect => ({
+		...suspect, parts: suspect.position === '' ? suspect.parts.filter(key => !evidence.completedRecently(key)) : [],
+	}));
+
 	const reportCrashes = (now: number): QuarantineReport['crashes'] => {
 		ownCrashes = ownCrashes.filter(({at}) => now - at <= reportMs).slice(-maxOwnCrashes);
 		const items: QuarantineReport['crashes'] = [];
@@ -207,7 +214,7 @@
 				break;
 			}
 
-			items.push([crash.endpoint, crash.startedAt, Math.round(now - at), crash.suspects.map(({digest, position}) => [digest, position])]);
+			items.push([crash.endpoint, crash.startedAt, Math.round(now - at), crash.suspects.map(({digest, position, parts}) => [digest, position, [...parts]])]);
 		}
 
 		return items;
@@ -252,7 +259,7 @@
 			return isGranted;
 		},
 		recordCrash(crash) {
-			ownCrashes.push({crash, at: performance.now() - crash.ageMs});
+			ownCrashes.push({crash: {...crash, suspects: withoutClearedParts(crash.suspects)}, at: performance.now() - crash.ageMs});
 			log.warn('Endpoint crashed.', {
 				endpoint: crash.endpoint, count: crash.suspects.length, unbegun: crash.suspects.filter(({position}) => position === '').length, ms: Math.round(crash.ageMs),
 			});
@@ -285,7 +292,7 @@
 
 			for (const [endpoint, startedAt, ageMs, suspects] of report.crashes) {
 				addEvidence(peer, {
-					endpoint, startedAt, ageMs, suspects: suspects.map(([digest, position]) => ({digest, position})),
+					endpoint, startedAt, ageMs, suspects: suspects.map(([digest, position, parts]) => ({digest, position, parts})),
 				});
 			}
 		},
--- a/packages/router/src/test/peers/report-codec.test.ts
+++ b/packages/router/src/test/peers/report-codec.test.ts
@@ -21,7 +21,7 @@
 	placed: [['i-5d4fb03dc1', 'sese880:5', 2950, [['5c1e07a2', 2520], ['91bd3f06', 3780]]]],
 	dataCentre: 'fortaleza',
 	relays: [],
-	crashes: [['i-5d4fb03dc1', 1_783_535_000_000, 20, [['Zc0jGqGhbOQh', '']]]],
+	crashes: [['i-5d4fb03dc1', 1_783_535_000_000, 20, [['Zc0jGqGhbOQh', '', ['part:5c1e07a2']]]]],
 	completed: ['Ux3jGqGhbOQh'],
 	refused: [['Ye1jGqGhbOQh', 1, 300_000, false]],
 	limits: [['i-5d4fb03dc1', 1_783_535_000_000, 1.5, 300]],
--- a/packages/router/src/test/quarantine/crash-evidence.test.ts
+++ b/packages/router/src/test/quarantine/crash-evidence.test.ts
@@ -19,7 +19,7 @@
 		clock.uninstall();
 	});
 
-	const at = (position: string) => (digest: string): Suspect => ({digest, position});
+	const at = (position: string) => (digest: string): Suspect => ({digest, position, parts: []});
 
 	/** Adds a crash of a new process; returns the digests of the causes found. */
 	const crash = (suspects: readonly Suspect[], pauseMs = crashIntervalMs): string[] => {
--- a/packages/router/src/test/quarantine/crash-watch.test.ts
+++ b/packages/router/src/test/quarantine/crash-watch.test.ts
@@ -43,10 +43,10 @@
 
 	it('reports connections that break together as one crash if the endpoint refuses new ones', async () => {
 		isRefusing = true;
-		watch.reportBrokenConnection(endpoint, {digest: 'a', position: ''});
-		watch.reportBrokenConnection(endpoint, {digest: 'b', position: '4'});
+		watch.reportBrokenConnection(endpoint, {digest: 'a', position: '', parts: []});
+		watch.reportBrokenConnection(endpoint, {digest: 'b', position: '4', parts: []});
 		await clock.tickAsync(20);
-		watch.reportBrokenConnection(endpoint, {digest: 'c', position: ''});
+		watch.reportBrokenConnection(endpoint, {digest: 'c', position: '', parts: []});
 		await clock.tickAsync(20);
 		assert.deepEqual(digests(), [['a', 'b'], ['c']]);
 		assert.equal(checks, 1);
@@ -55,13 +55,13 @@
 
 	it('reports no crash when an endpoint that keeps running resets a connection', async () => {
 		// Guards against refusing requests because an endpoint fails some of them, or because a link is down.
-		watch.reportBrokenConnection(endpoint, {digest: 'a', position: ''});
+		watch.reportBrokenConnection(endpoint, {digest: 'a', position: '', parts: []});
 		await clock.tickAsync(20_000);
 		assert.lengthOf(crashes, 0);
 	});
 
 	it('reports a crash when the endpoint restarts at once with another id', async () => {
-		watch.reportBrokenConnection(endpoint, {digest: 'a', position: ''});
+		watch.reportBrokenConnection(endpoint, {digest: 'a', position: '', parts: []});
 		await clock.tickAsync(300);
 		state = 'ended';
 		await clock.tickAsync(400);
@@ -72,10 +72,10 @@
 		// Guards against refusing requests while endpoints are drained or replaced.
 		isRefusing = true;
 		state = 'leaving';
-		watch.reportBrokenConnection(endpoint, {digest: 'a', position: ''});
+		watch.reportBrokenConnection(endpoint, {digest: 'a', position: '', parts: []});
 		state = 'listed';
 		isRefusing = false;
-		watch.reportBrokenConnection(endpoint, {digest: 'b', position: ''});
+		watch.reportBrokenConnection(endpoint, {digest: 'b', position: '', parts: []});
 		await clock.tickAsync(50);
 		state = 'leaving';
 		await clock.tickAsync(200);
--- a/packages/router/src/test/quarantine/crashing-load.test.ts
+++ b/packages/router/src/test/quarantine/crashing-load.test.ts
@@ -53,11 +53,11 @@
 				due.push({at: now + (isNewAttempt ? retryMs.byCaller : retryMs.inAttempt), run: {...run, runs: run.runs + 1, event: isNewAttempt ? 0 : event}});
 			}
 
-			return {digest: run.digest, position: event === 0 ? '' : String(event)};
+			return {digest: run.digest, position: event === 0 ? '' : String(event), parts: []};
 		});
 		if (cause !== undefined) {
 			crashesOfBad.set(cause, (crashesOfBad.get(cause) ?? 0) + 1);
-			suspects.push({digest: cause, position: ''});
+			suspects.push({digest: cause, position: '', parts: []});
 		}
 
 		for (const {digest} of evidence.add('vm-1', {
--- a/packages/router/src/test/quarantine/fleet-refusal.test.ts
+++ b/packages/router/src/test/quarantine/fleet-refusal.test.ts
@@ -69,7 +69,7 @@
 		fleet.state.isFrozen = true;
 		for (let crash = 0; crash < 3; crash++) {
 			daemons[crash].recordCrash({
-				endpoint: `e${crash}`, startedAt: 1, ageMs: 0, suspects: ['bad', `beside-${crash}`].map(digest => ({digest, position: ''})),
+				endpoint: `e${crash}`, startedAt: 1, ageMs: 0, suspects: ['bad', `beside-${crash}`].map(digest => ({digest, position: '', parts: []})),
 			});
 			await clock.tickAsync(crash < 2 ? crashEveryMs : startAfterMs);
 		}
--- a/packages/router/src/test/quarantine/quarantine.test.ts
+++ b/packages/router/src/test/quarantine/quarantine.test.ts
@@ -59,7 +59,7 @@
 		clock.tick(200);
 		starts++;
 		quarantine.recordCrash({
-			endpoint: 'e', startedAt: starts, ageMs: 0, suspects: [{digest, position: ''}],
+			endpoint: 'e', startedAt: starts, ageMs: 0, suspects: [{digest, position: '', parts: []}],
 		});
 	};
 
