Crashes are noticed at once although other engines have ended too

Cause: a refused connection counts as a crash only where two other endpoints accept connections, and the two were drawn once, whether they had ended or not. Up to eight are now tried until two accept.

--- a/packages/router/src/lib/paths/endpoint-opinion.ts
+++ b/packages/router/src/lib/paths/endpoint-opinion.ts
@@ -20,13 +20,28 @@
 /** Other endpoints of the service that must accept connections before a refused one counts as the endpoint's fault. */
 const controlCount = 2;
 
+/** Other endpoints that are tried at most, since some may have ended as well. */
+const maxControls = 8;
+
 /** Creates the check. */
 export function createOpinionOn({checkConnection, endpointsOf, random}: OpinionOptions): OpinionOn {
 	/** Other endpoints of the same service, drawn at random. */
 	const controlsFor = ({id, service}: LiveEndpoint): LiveEndpoint[] => {
 		const others = endpointsOf(service).filter(other => other.id !== id && !other.isLeaving);
 		const first = Math.floor(random() * others.length);
-		return [...others.slice(first), ...others.slice(0, first)].slice(0, controlCount);
+		return [...others.slice(first), ...others.slice(0, first)].slice(0, maxControls);
+	};
+
+	/** Whether enough of these accept connections; tries as many at a time as are still needed. */
+	const areReached = async (controls: readonly LiveEndpoint[]): Promise<boolean> => {
+		const left = [...controls];
+		let needed = Math.min(controlCount, left.length);
+		while (needed > 0 && left.length >= needed) {
+			const states = await Promise.all(left.splice(0, needed).map(async ({address}) => checkConnection(address)));
+			needed -= states.filter(state => state === 'accepted').length;
+		}
+
+		return needed === 0;
 	};
 
 	return async endpoint => {
@@ -35,8 +50,7 @@
 			return state === 'accepted' ? 'reached' : 'unknown';
 		}
 
-		const controls = await Promise.all(controlsFor(endpoint).map(async ({address}) => checkConnection(address)));
-		return controls.every(control => control === 'accepted') ? 'refused' : 'unknown';
+		return await areReached(controlsFor(endpoint)) ? 'refused' : 'unknown';
 	};
 }
 
