A stream without length that ends inside an event is broken off

Cause: the end of the connection was taken for the end of the stream whatever it cut. Such a stream, and one that ends before any event, now counts as broken off: it goes on at another engine, and the crash has its suspects. A reply without length that can't go on is reset instead of closed, and one that goes on may end without length too.

--- a/packages/router/src/lib/forwarding/attempt.ts
+++ b/packages/router/src/lib/forwarding/attempt.ts
@@ -101,7 +101,7 @@
 	let chunks: Buffer[] = [];
 	let bytes = 0;
 	let timer: NodeJS.Timeout | undefined;
-	let isReplyUnframed = false;
+	let hasEvents = false;
 
 	const finish = (end: AttemptEnd): void => {
 		if (!isSettled) {
@@ -147,8 +147,7 @@
 
 	const startReply = (): void => {
 		if (!reply.isStarted()) {
-			isReplyUnframed = progress.facts!.isUnframed;
-			reply.head(head!.status, headers.forCaller(head!.headers), isReplyUnframed);
+			reply.head(head!.status, headers.forCaller(head!.headers), progress.facts!.isUnframed);
 		}
 	};
 
@@ -158,6 +157,7 @@
 			return;
 		}
 
+		hasEvents = true;
 		options.onEvents();
 		progress.lastEventId = events.lastId ?? progress.lastEventId;
 		startReply();
@@ -171,9 +171,17 @@
 		}
 	};
 
+	/** Without a length or chunks, only the events show that a stream was broken off. */
+	const endsInsideEvent = (): boolean => progress.facts!.isUnframed && (!hasEvents || splitter.remainder().length > 0);
+
 	const endStream = (): void => {
+		if (endsInsideEvent()) {
+			finish({kind: 'failed', failure: 'truncated'});
+			return;
+		}
+
 		// An unframed end may be a truncation, and a chunked response would present it as complete.
-		if (progress.facts!.isUnframed && reply.isStarted() && !isReplyUnframed) {
+		if (progress.facts!.isUnframed && reply.isStarted() && !reply.isUnframed()) {
 			finish({kind: 'failed', failure: 'unframed'});
 			return;
 		}
--- a/packages/router/src/lib/forwarding/caller-reply.ts
+++ b/packages/router/src/lib/forwarding/caller-reply.ts
@@ -5,6 +5,8 @@
 export type CallerReply = {
 	/** Whether the head has been sent. */
 	isStarted: () => boolean;
+	/** The response has neither a length nor chunks. */
+	isUnframed: () => boolean;
 	isDisconnected: () => boolean;
 	status: () => number | undefined;
 	/**
@@ -18,17 +20,21 @@
 	onDrain: (resume: () => void) => void;
 	/** Ends a complete response. */
 	end: (chunk?: Uint8Array) => void;
-	/** Destroys the connection, so that a partial response doesn't look complete. */
+	/** Destroys the connection, so that a partial response doesn't look complete. An unframed one is complete unless its connection is reset. */
 	abort: () => void;
 	/** Called when the caller disconnects before the response has ended. */
 	onDisconnect: (listener: () => void) => void;
 };
 
+/** Time in milliseconds for which an aborted response may take to be delivered. */
+const flushTimeoutMs = 1000;
+
 /** Wraps a Node.js response. */
 export function createCallerReply(res: ServerResponse): CallerReply {
 	const listeners: Array<() => void> = [];
 	let isDisconnected = res.destroyed;
 	let status: number | undefined;
+	let isUnframedReply = false;
 	res.on('close', () => {
 		if (res.writableFinished) {
 			return;
@@ -44,10 +50,12 @@
 
 	return {
 		isStarted: () => res.headersSent,
+		isUnframed: () => isUnframedReply,
 		isDisconnected: () => isDisconnected,
 		status: () => status,
 		head(code, headers, isUnframed = false) {
 			status = code;
+			isUnframedReply = isUnframed;
 			if (isUnframed) {
 				res.useChunkedEncodingByDefault = false;
 				res.setHeader('connection', 'close');
@@ -67,7 +75,19 @@
 			res.end(chunk);
 		},
 		abort() {
-			res.destroy();
+			const {socket} = res;
+			if (!isUnframedReply || socket === null) {
+				res.destroy();
+				return;
+			}
+
+			// Events that were passed on are delivered first, unless the caller doesn't read them.
+			socket.setTimeout(flushTimeoutMs, () => {
+				socket.resetAndDestroy();
+			});
+			socket.write('', () => {
+				socket.resetAndDestroy();
+			});
 		},
 		onDisconnect(listener) {
 			if (isDisconnected) {
