A stream that can't go on is refused before its refusal is claimed

A caller that takes a stream up again whose version is unknown, with a refused part whose term has ended, was refused, and the term was doubled all the same: the claim came first. Found in review.

--- a/packages/router/src/lib/forwarding/forwarder.ts
+++ b/packages/router/src/lib/forwarding/forwarder.ts
@@ -232,12 +232,6 @@
 		}
 
 		const {route, workspace, digest, parts, dueKeys, refund} = result;
-		if (!await claimAll(dueKeys)) {
-			refund();
-			refuseCaller({refusal: {name: 'crashes_endpoints'}, details: {route, workspace, digest}});
-			return;
-		}
-
 		const isResuming = resumesStream(route, facts);
 		const origin = isResuming ? await findOrigin(route, workspace, facts) : undefined;
 		if (isResuming && origin === undefined) {
@@ -246,6 +240,13 @@
 			return;
 		}
 
+		// Last, since a claim doubles the term.
+		if (!await claimAll(dueKeys)) {
+			refund();
+			refuseCaller({refusal: {name: 'crashes_endpoints'}, details: {route, workspace, digest}});
+			return;
+		}
+
 		const service = origin?.service ?? chooseService(route, options.random()) ?? '';
 		const call = createCall({
 			req, body: body?.content, digest, parts, facts, reply, route, workspace, service, origin, startedAt,
