--- a/packages/router/src/test/streams/stream-histories.test.ts
+++ b/packages/router/src/test/streams/stream-histories.test.ts
@@ -188,6 +188,28 @@
 			}, 2000);
 		};
 
+		const removeEngine = (id: string): void => {
+			listed.delete(id);
+			changed(id);
+		};
+
+		/** Replaces all engines by ones of a new version, or only starts these beside them. */
+		const release = (): void => {
+			version++;
+			const old = [...listed.keys()];
+			for (let count = 0; count < 3; count++) {
+				addEngine(`v${version}`);
+			}
+
+			if (random() < 0.7) {
+				setTimeout(() => {
+					for (const id of old.filter(id => listed.has(id))) {
+						removeEngine(id);
+					}
+				}, 600);
+			}
+		};
+
 		const events: Array<[probability: number, run: () => void]> = [
 			[0.9, begin],
 			[0.9, begin],
@@ -197,18 +219,14 @@
 					breakOff(stream);
 				}
 			}],
-			[0.01, () => {
-				version++;
-				addEngine(`v${version}`);
-			}],
+			[0.015, release],
 			[0.05, () => {
 				addEngine([...listed.values()][draw(listed.size)]);
 			}],
 			[0.06, () => {
 				const [id] = [...listed.keys()].slice(draw(listed.size));
 				if (listed.size > 2) {
-					listed.delete(id);
-					changed(id);
+					removeEngine(id);
 				}
 			}],
 			[0.02, () => {
