A caller that doesn't name its stream goes on where peers know of one version only

Callers that send Last-Event-Id without the name of their stream were refused by daemons that had just started, even in a service that never had two versions: such a daemon can't infer the version, and without a name it asked nobody. The keepers of the caller's own attempt are asked now; one that knows of one version only says so.

--- a/packages/router/src/lib/forwarding/forwarder.ts
+++ b/packages/router/src/lib/forwarding/forwarder.ts
@@ -191,9 +191,10 @@
 	};
 
 	/** Where the stream began that a caller takes up again, if it can go on there. */
-	const findOrigin = async (route: Route, workspace: Workspace | undefined, {resumes}: CallFacts): Promise<StreamOrigin | undefined> => {
+	const findOrigin = async (route: Route, workspace: Workspace | undefined, {resumes, requestId = ''}: CallFacts): Promise<StreamOrigin | undefined> => {
 		const services = route.targets.map(target => target.service);
-		const origin = await options.originFinder.locate(resumes === undefined ? undefined : streamKey(workspace?.name, resumes), services);
+		// Without the name of the stream, peers may still know of one version only.
+		const origin = await options.originFinder.locate(streamKey(workspace?.name, resumes ?? requestId), services);
 		return origin !== undefined && services.includes(origin.service) && hasEndpoint(origin) ? origin : undefined;
 	};
 
--- a/packages/router/src/lib/streams/origin-finder.ts
+++ b/packages/router/src/lib/streams/origin-finder.ts
@@ -17,10 +17,10 @@
 /** Looks for origins. */
 export type OriginFinder = {
 	/**
-	 * Resolves to the stream's origin, or to `undefined` if it can't be known for certain. `key` is `undefined`
-	 * if the caller doesn't name the stream; `services` are those to which its route may go.
+	 * Resolves to the stream's origin, or to `undefined` if it can't be known for certain. `services` are
+	 * those to which its route may go.
 	 */
-	locate: (key: string | undefined, services: readonly string[]) => Promise<StreamOrigin | undefined>;
+	locate: (key: string, services: readonly string[]) => Promise<StreamOrigin | undefined>;
 	/** What this daemon can say without asking others. */
 	answer: (question: OriginQuestion) => OriginAnswer;
 };
@@ -65,14 +65,14 @@
 
 	return {
 		async locate(key, services) {
-			const known = key === undefined ? undefined : origins.originOf(key);
+			const known = origins.originOf(key);
 			if (known !== undefined) {
 				return known;
 			}
 
 			// A stream of a split route may have begun at another service than the one that is asked about.
 			const inferred = services.length === 1 ? inferOrigin(services[0]) : undefined;
-			return inferred ?? (key === undefined ? undefined : askPeers({key, service: services.length === 1 ? services[0] : ''}));
+			return inferred ?? askPeers({key, service: services.length === 1 ? services[0] : ''});
 		},
 		answer({key, service}) {
 			const origin = origins.originOf(key);
--- /dev/null
+++ b/packages/router/src/test/streams/origin-finder.test.ts
@@ -0,0 +1,31 @@
+import {assert} from 'chai';
+import {createOriginFinder, createStreamOrigins, type OriginAnswer} from '../../streams.js';
+
+describe('createOriginFinder', () => {
+	const finderWith = (sole: string | undefined, answers: readonly OriginAnswer[]) => {
+		const origins = createStreamOrigins({
+			peers: () => [], mustReport: () => true, onUnreported: () => undefined, streamMs: () => 1000,
+		});
+		const history = {soleSoftware: () => sole, isMixed: () => sole === undefined, onVersionAdded: () => undefined};
+		return createOriginFinder({origins, history, ask: () => answers.map(async answer => answer)});
+	};
+
+	const answer = (kind: 'began' | 'sole', software: string, service = 'engines'): OriginAnswer => ({kind, origin: {service, software}});
+
+	it('trusts a daemon that was told of the stream more than one that knows of one version only', async () => {
+		const finder = finderWith(undefined, [{kind: 'unknown'}, answer('sole', 'v2'), answer('began', 'v1')]);
+		assert.deepEqual(await finder.locate('key', ['engines']), {service: 'engines', software: 'v1'});
+	});
+
+	it('takes the only version that a peer knows of, also for a stream that nobody was told of', async () => {
+		// Guards against a daemon that has just started and refuses all streams that callers take up again.
+		const finder = finderWith(undefined, [{kind: 'unknown'}, answer('sole', 'v2')]);
+		assert.deepEqual(await finder.locate('key', ['engines']), {service: 'engines', software: 'v2'});
+	});
+
+	it('finds nothing where nobody knows, and nothing by the service alone where a route divides its streams', async () => {
+		// Guards against a stream that goes on at another service than the one that began it.
+		assert.isUndefined(await finderWith(undefined, [{kind: 'unknown'}]).locate('key', ['engines']));
+		assert.isUndefined(await finderWith('v1', [answer('sole', 'v1', 'other')]).locate('key', ['engines', 'other']));
+	});
+});
