One digest for requests and streams

The key of a stream hashed, cut and encoded as the digest of a request did, line for line. Both call shortDigest now; the digests are the same.

--- a/packages/router/src/lib/streams/stream-origin.ts
+++ b/packages/router/src/lib/streams/stream-origin.ts
@@ -2,7 +2,7 @@
  * Where a stream began. What two software versions write doesn't fit together, so a stream that has
  * begun goes on only at endpoints of the service and the software version that began it.
  */
-import {createHash} from 'node:crypto';
+import {shortDigest} from '../fleet/short-digest.js';
 
 /** Service and software version of the endpoint that wrote a stream's first event. */
 export type StreamOrigin = {service: string; software: string};
@@ -13,9 +13,5 @@
  */
 export type OriginAnswer = {kind: 'began' | 'sole'; origin: StreamOrigin} | {kind: 'unknown'};
 
-/** Length of a key in bytes; a multiple of 3, so base64 needs no padding. */
-const keyBytes = 9;
-
 /** Identifies a stream by the caller's attempt that brought its first event; attempts of different workspaces never match. */
-export const streamKey = (workspace: string | undefined, attemptId: string): string =>
-	createHash('sha256').update(JSON.stringify([workspace ?? null, attemptId])).digest().subarray(0, keyBytes).toString('base64url');
+export const streamKey = (workspace: string | undefined, attemptId: string): string => shortDigest([workspace ?? null, attemptId]);
