The routes' facts about streams are read once for each document

Each stream that began searched all routes twice, for their longest timeout and for split ones, and each key of a report once more; an operator may have thousands of routes. They are kept from one document to the next now. Behaviour is as before.

--- a/packages/entry/src/lib/entry-parts.ts
+++ b/packages/entry/src/lib/entry-parts.ts
@@ -30,7 +30,9 @@
 import {
 	wireBackoff, wireBrittle, wireBudgets, wireCapacityWait, wireChoice, wireEvents, wireLimits, wireQuota,
 } from './wiring/request-wiring.js';
-import {wireOriginFinder, wireSoftwareHistory, wireStreamOrigins} from './wiring/stream-wiring.js';
+import {
+	wireOriginFinder, wireSoftwareHistory, wireStreamOrigins, wireStreamRoutes,
+} from './wiring/stream-wiring.js';
 
 const connectTimeoutMs = 300;
 
@@ -80,6 +82,7 @@
 		fleetKey: asFunction(wireFleetKey).singleton(),
 		relay: asFunction(wireRelay).singleton(),
 		relayServer: asFunction(wireRelayServer).singleton(),
+		streamRoutes: asFunction(wireStreamRoutes).singleton(),
 		softwareHistory: asFunction(wireSoftwareHistory).singleton(),
 		origins: asFunction(wireStreamOrigins).singleton(),
 		originFinder: asFunction(wireOriginFinder).singleton(),
--- a/packages/entry/src/lib/wiring/parts.ts
+++ b/packages/entry/src/lib/wiring/parts.ts
@@ -24,6 +24,7 @@
 } from 'hickorywalk/weights.js';
 import {type DaemonMetrics} from '../daemon-metrics.js';
 import {type Timings} from '../timings.js';
+import {type StreamRoutes} from './stream-wiring.js';
 
 /** Shutdown state of the daemon. */
 export type DaemonState = {
@@ -61,6 +62,7 @@
 	fleetKey: FleetKey;
 	relay: Relay;
 	relayServer: RelayServer;
+	streamRoutes: () => StreamRoutes;
 	softwareHistory: SoftwareHistory;
 	origins: StreamOrigins;
 	originFinder: OriginFinder;
--- a/packages/entry/src/lib/wiring/stream-wiring.ts
+++ b/packages/entry/src/lib/wiring/stream-wiring.ts
@@ -1,4 +1,5 @@
 /** Wires the record of where streams began. */
+import {type Route} from 'hickorywalk/fleet.js';
 import {
 	createOriginFinder, createSoftwareHistory, createStreamOrigins, type OriginFinder, type SoftwareHistory, type StreamOrigins,
 } from 'hickorywalk/streams.js';
@@ -10,20 +11,29 @@
 /** Time in milliseconds without any report after which this daemon may be cut off from the others. */
 const maxSilenceMs = 600;
 
-/** Longest time in milliseconds for which a caller may take up a stream again. */
-function streamMs({view}: EntryParts): number {
-	let longestMs = 0;
-	for (const {kind, timeoutMs} of view.current()?.document.routes ?? []) {
-		longestMs = kind === 'stream' ? Math.max(longestMs, timeoutMs) : longestMs;
-	}
+/** What the routes in force say of streams. */
+export type StreamRoutes = {
+	/** Longest time in milliseconds for which a caller may take up a stream again. */
+	streamMs: number;
+	/** Services that share the streams of a route with others. */
+	splitServices: ReadonlySet<string>;
+};
 
-	return longestMs * maxTries;
+function describeStreams(routes: readonly Route[]): StreamRoutes {
+	const streams = routes.filter(({kind}) => kind === 'stream');
+	return {
+		streamMs: Math.max(0, ...streams.map(({timeoutMs}) => timeoutMs)) * maxTries,
+		splitServices: new Set(streams.filter(({targets}) => targets.length > 1).flatMap(({targets}) => targets.map(({service}) => service))),
+	};
 }
 
-/** Whether a route divides its streams between this service and others. */
-function isSplit({view}: EntryParts, service: string): boolean {
-	const routes = view.current()?.document.routes ?? [];
-	return routes.some(({kind, targets}) => kind === 'stream' && targets.length > 1 && targets.some(target => target.service === service));
+/** Reads the routes once for each document, since each stream needs what they say. */
+export function wireStreamRoutes({view}: EntryParts): () => StreamRoutes {
+	let current = describeStreams(view.current()?.document.routes ?? []);
+	view.onDocument(({document}) => {
+		current = describeStreams(document.routes);
+	});
+	return () => current;
 }
 
 /** Whether the endpoint list lacks no change that any daemon knows. A daemon that hears nobody may be cut off. */
@@ -39,7 +49,7 @@
 export const wireSoftwareHistory = (parts: EntryParts): SoftwareHistory => createSoftwareHistory({
 	view: parts.view,
 	startsEmpty: parts.settings.isFirstStart,
-	streamMs: () => streamMs(parts),
+	streamMs: () => parts.streamRoutes().streamMs,
 	isCurrent: () => isListCurrent(parts),
 });
 
@@ -47,11 +57,11 @@
 export function wireStreamOrigins(parts: EntryParts): StreamOrigins {
 	const origins = createStreamOrigins({
 		peers: () => [...parts.peers.known().keys()],
-		mustReport: service => isSplit(parts, service) || parts.softwareHistory.isMixed(service),
+		mustReport: service => parts.streamRoutes().splitServices.has(service) || parts.softwareHistory.isMixed(service),
 		onUnreported(peers) {
 			parts.peers.sendSoonTo(peers);
 		},
-		streamMs: () => streamMs(parts),
+		streamMs: () => parts.streamRoutes().streamMs,
 	});
 	parts.softwareHistory.onVersionAdded(origins.reportAll);
 	return origins;
