Refusals are looked up once, without a look at the crashes

Each request asked for the standing of its digest and of each part, twice on admission and once before each send, and each of these counted the crashes of the last ten minutes, though parts and admission only need to know whether something is refused. refusalOf tells that by one look-up; due keys are listed where one is due. The refusal after crashes was built in three places, and which parts of a suspect count in two (evidence and report): one function each now. Behaviour is as before.

--- a/packages/router/src/lib/forwarding/forwarder.ts
+++ b/packages/router/src/lib/forwarding/forwarder.ts
@@ -23,7 +23,7 @@
 import {createEndpointSender, type EndpointSenderOptions} from './send-to-endpoint.js';
 import {respondsSoon} from './silence-timeouts.js';
 import {
-	decideNext, reasonOf, type Decision, type DecisionOptions, decideWithoutEndpoint,
+	decideNext, reasonOf, refuseForCrashes, type Decision, type DecisionOptions, decideWithoutEndpoint,
 } from './retry-decision.js';
 
 /** Options of {@link createForwarder}. */
@@ -60,17 +60,24 @@
 	const calls = new Set<Call>();
 	let inFlight = 0;
 
-	/** A request is suspect for its own crashes only: most parts of a suspect are sound. */
-	const standingOf = ([digest, ...parts]: readonly string[]): Standing => {
-		const standings = new Set(parts.map(key => quarantine.standingOf(key)));
-		const own = quarantine.standingOf(digest);
-		if (own === 'refused' || standings.has('refused')) {
-			return 'refused';
+	/** The strictest refusal among these keys. */
+	const refusalOf = (keys: readonly string[]): ReturnType<Quarantine['refusalOf']> => {
+		let refusal: ReturnType<Quarantine['refusalOf']>;
+		for (const key of keys) {
+			const ofKey = quarantine.refusalOf(key);
+			if (ofKey === 'refused') {
+				return 'refused';
+			}
+
+			refusal ??= ofKey;
 		}
 
-		return standings.has('due') ? 'due' : own;
+		return refusal;
 	};
 
+	/** A request is suspect for its own crashes only: most parts of a suspect are sound. */
+	const standingOf = ({refusalKeys, digest}: Call): Standing => refusalOf(refusalKeys) ?? quarantine.standingOf(digest);
+
 	const markCompleted = (call: Call, end: AttemptEnd): void => {
 		if (isProvenComplete(call, end)) {
 			quarantine.markCompleted(call.digest);
@@ -103,14 +110,14 @@
 	const send = createEndpointSender({...options, mayMoveAway, mayTryElsewhere});
 
 	/** A request that was claimed when its term had ended is sent once, although it is refused again meanwhile. */
-	const isRefused = ({refusalKeys, isClaimed}: Call): boolean => !isClaimed && standingOf(refusalKeys) === 'refused';
+	const isRefused = ({refusalKeys, isClaimed}: Call): boolean => !isClaimed && refusalOf(refusalKeys) === 'refused';
 
-	const decisionOptions: DecisionOptions = {mayTryElsewhere, standingOf: ({refusalKeys}) => standingOf(refusalKeys), capacityWait: options.capacityWait};
+	const decisionOptions: DecisionOptions = {mayTryElsewhere, standingOf, capacityWait: options.capacityWait};
 
 	const run = async (call: Call): Promise<Decision> => {
 		for (;;) {
 			if (isRefused(call)) {
-				return {kind: 'refuse', name: call.mayHaveRun ? 'crashed_endpoints' : 'crashes_endpoints'};
+				return refuseForCrashes(call);
 			}
 
 			const chosen = chooseFor(call);
@@ -172,8 +179,9 @@
 		});
 		const parts = sharedPartKeys(facts.parts);
 		const details = {route, workspace, digest};
-		const standing = standingOf([digest, ...parts]);
-		if (standing === 'refused') {
+		const refusalKeys = [digest, ...parts];
+		const refusal = refusalOf(refusalKeys);
+		if (refusal === 'refused') {
 			return {refusal: {name: 'crashes_endpoints'}, details};
 		}
 
@@ -184,7 +192,7 @@
 			return {refusal: {name: 'over_quota', retryAfterMs}, details: {...details, quota: {units, level, own}}};
 		}
 
-		const dueKeys = [digest, ...parts].filter(key => quarantine.standingOf(key) === 'due');
+		const dueKeys = refusal === 'due' ? refusalKeys.filter(key => quarantine.refusalOf(key) === 'due') : [];
 		return {
 			...details, parts, dueKeys, refund: () => admission?.refund(),
 		};
--- a/packages/router/src/lib/forwarding/retry-decision.ts
+++ b/packages/router/src/lib/forwarding/retry-decision.ts
@@ -38,9 +38,12 @@
 	return call.mayHaveRun ? {kind: 'refuse', name: 'endpoint_failed'} : refuseNotRun(call, 'no_endpoint', capacityWait);
 }
 
+/** Decision for a request that is refused because endpoints crash under it. */
+export const refuseForCrashes = ({mayHaveRun}: Call): Decision => ({kind: 'refuse', name: mayHaveRun ? 'crashed_endpoints' : 'crashes_endpoints'});
+
 function afterNotRun(call: Call, {mayTryElsewhere, standingOf, capacityWait}: DecisionOptions): Decision {
 	if (standingOf(call) === 'refused') {
-		return {kind: 'refuse', name: call.mayHaveRun ? 'crashed_endpoints' : 'crashes_endpoints'};
+		return refuseForCrashes(call);
 	}
 
 	if (mayTryElsewhere(call)) {
@@ -69,7 +72,7 @@
 	call.brokenConnections += connectionLossFailures.has(failure) ? 1 : 0;
 	const standing = standingOf(call);
 	if (standing === 'refused') {
-		return {kind: 'refuse', name: 'crashed_endpoints'};
+		return refuseForCrashes(call);
 	}
 
 	// A request during which an endpoint crashed before may have crashed this one too.
--- a/packages/router/src/lib/quarantine/crash-evidence.ts
+++ b/packages/router/src/lib/quarantine/crash-evidence.ts
@@ -75,6 +75,8 @@
 	add: (observer: string, crash: ObservedCrash) => EvidenceChange;
 	/** Clears a request that completed, or a part of it, so it doesn't crash endpoints. Returns the number of crashes that counted against it. */
 	markCompleted: (digest: string) => number;
+	/** Those of a suspect's parts that may have crashed the endpoint: none if it had an event, and none that completed recently. */
+	suspectedParts: (suspect: Suspect) => string[];
 	/** Whether the request completed recently. */
 	completedRecently: (digest: string) => boolean;
 	/** Number of crashes that count against a request. */
@@ -252,11 +254,12 @@
 		return isKnownCause(digest);
 	};
 
-	/** Returns the parts that were added, and those that are ignored. */
-	const addParts = (crash: Crash, observer: string, {digest, position, parts}: Suspect): {added: string[]; cleared: string[]} => {
-		const isBegun = position !== '';
-		const cleared = isBegun ? [] : parts.filter(key => completedRecently(key));
-		const added = isBegun ? [] : parts.filter(key => !cleared.includes(key));
+	const suspectedParts = ({position, parts}: Suspect): string[] => position === '' ? parts.filter(key => !completedRecently(key)) : [];
+
+	/** Returns the parts that were added. */
+	const addParts = (crash: Crash, observer: string, suspect: Suspect): string[] => {
+		const {digest} = suspect;
+		const added = suspectedParts(suspect);
 		for (const key of added) {
 			if (isCause(key)) {
 				crash.cause ??= key;
@@ -271,7 +274,7 @@
 			}
 		}
 
-		return {added, cleared};
+		return added;
 	};
 
 	const addSuspect = (crash: Crash, observer: string, {digest, position}: Suspect): void => {
@@ -304,9 +307,8 @@
 				}
 
 				addSuspect(crash, observer, suspect);
-				const parts = addParts(crash, observer, suspect);
-				added.push(suspect.digest, ...parts.added);
-				alreadyCompleted.push(...parts.cleared);
+				added.push(suspect.digest, ...addParts(crash, observer, suspect));
+				alreadyCompleted.push(...suspect.parts.filter(key => suspect.position === '' && completedRecently(key)));
 			}
 
 			return {causes: findCauses([...new Set(added)]), completed: alreadyCompleted};
@@ -328,6 +330,7 @@
 
 			return counted;
 		},
+		suspectedParts,
 		completedRecently,
 		countCrashes: digest => crashesAgainst(digest).length,
 		attribute,
--- a/packages/router/src/lib/quarantine/quarantine.ts
+++ b/packages/router/src/lib/quarantine/quarantine.ts
@@ -54,6 +54,8 @@
 /** Refusals of requests that crash endpoints. */
 export type Quarantine = {
 	standingOf: (digest: string) => Standing;
+	/** Whether a request or part is refused, or due; `undefined` while it is accepted. Costs no look at the crashes. */
+	refusalOf: (key: string) => 'refused' | 'due' | undefined;
 	/** Claims the right to send a due request once; never rejects. */
 	claim: (digest: string) => Promise<boolean>;
 	/** Records a crash that this daemon observed. */
@@ -199,10 +201,18 @@
 		}
 	};
 
-	/** Parts that peers would only learn to ignore, and those of requests that have begun, aren't reported. */
-	const withoutClearedParts = (suspects: readonly Suspect[]): Suspect[] => suspects.map(suspect => ({
-		...suspect, parts: suspect.position === '' ? suspect.parts.filter(key => !evidence.completedRecently(key)) : [],
-	}));
+	const refusalOf: Quarantine['refusalOf'] = key => {
+		const entry = entries.get(key);
+		if (entry === undefined || entry.isLifted) {
+			return undefined;
+		}
+
+		return performance.now() < entry.dueAt ? 'refused' : 'due';
+	};
+
+	/** Peers would only learn to ignore the other parts. */
+	const withSuspectedParts = (suspects: readonly Suspect[]): Suspect[] =>
+		suspects.map(suspect => ({...suspect, parts: evidence.suspectedParts(suspect)}));
 
 	const reportCrashes = (now: number): QuarantineReport['crashes'] => {
 		ownCrashes = ownCrashes.filter(({at}) => now - at <= reportMs).slice(-maxOwnCrashes);
@@ -238,14 +248,8 @@
 	};
 
 	return {
-		standingOf(digest) {
-			const entry = entries.get(digest);
-			if (entry === undefined || entry.isLifted) {
-				return evidence.countCrashes(digest) > 0 ? 'suspect' : 'clear';
-			}
-
-			return performance.now() < entry.dueAt ? 'refused' : 'due';
-		},
+		standingOf: digest => refusalOf(digest) ?? (evidence.countCrashes(digest) > 0 ? 'suspect' : 'clear'),
+		refusalOf,
 		async claim(digest) {
 			const term = (entries.get(digest)?.term ?? 0) + 1;
 			const refusal: Refusal = {digest, term, msLeft: termMs(term)};
@@ -259,7 +263,7 @@
 			return isGranted;
 		},
 		recordCrash(crash) {
-			ownCrashes.push({crash: {...crash, suspects: withoutClearedParts(crash.suspects)}, at: performance.now() - crash.ageMs});
+			ownCrashes.push({crash: {...crash, suspects: withSuspectedParts(crash.suspects)}, at: performance.now() - crash.ageMs});
 			log.warn('Endpoint crashed.', {
 				endpoint: crash.endpoint, count: crash.suspects.length, unbegun: crash.suspects.filter(({position}) => position === '').length, ms: Math.round(crash.ageMs),
 			});
