The digest of a request includes the parts of its prompt

Cause: requests were known by workspace, method, path and body. Requests with equal bodies whose prompts differ in their parts counted as one request, so while some of them completed, a part that crashes engines was never identified.

Change: the digest covers the ids and sizes of all parts.

--- a/packages/router/src/lib/forwarding/forwarder.ts
+++ b/packages/router/src/lib/forwarding/forwarder.ts
@@ -175,7 +175,7 @@
 
 		const {route, workspace} = found;
 		const digest = digestRequest({
-			workspace: workspace?.name, method: req.method ?? '', path: req.url ?? '', bodyHash: body?.hash,
+			workspace: workspace?.name, method: req.method ?? '', path: req.url ?? '', bodyHash: body?.hash, parts: facts.parts,
 		});
 		const parts = sharedPartKeys(facts.parts);
 		const details = {route, workspace, digest};
