An endpoint's connections are divided by what daemons use

Cause: each daemon could use the endpoint's limit divided by the number of daemons. Where most callers of a data centre connect to one daemon, it refused them within 1 ms although endpoints were idle.

--- a/packages/entry/src/lib/entry-parts.ts
+++ b/packages/entry/src/lib/entry-parts.ts
@@ -28,7 +28,7 @@
 } from './wiring/path-wiring.js';
 import {wireCrashWatch, wireQuarantine, wireRefusalRows} from './wiring/quarantine-wiring.js';
 import {
-	wireBackoff, wireBrittle, wireBudgets, wireCapacityWait, wireChoice, wireEvents, wireLimits, wireQuota,
+	wireBackoff, wireBrittle, wireBudgets, wireCapacityWait, wireChoice, wireConnectionShares, wireEvents, wireLimits, wireQuota,
 } from './wiring/request-wiring.js';
 import {
 	wireOriginFinder, wireSoftwareHistory, wireStreamOrigins, wireStreamRoutes,
@@ -90,6 +90,7 @@
 		backoff: asFunction(wireBackoff).singleton(),
 		brittle: asFunction(wireBrittle).singleton(),
 		capacityWait: asFunction(wireCapacityWait).singleton(),
+		connectionShares: asFunction(wireConnectionShares).singleton(),
 		choice: asFunction(wireChoice).singleton(),
 		store: asFunction(({timings, metrics, log}: EntryParts) => createStoreClient({
 			address: settings.storeAddress, timeoutMs: timings.storeTimeoutMs * 2, onCall: metrics.storeCalled, log,
--- a/packages/entry/src/lib/wiring/feed-wiring.ts
+++ b/packages/entry/src/lib/wiring/feed-wiring.ts
@@ -91,6 +91,7 @@
 	view.onEndpoint((id, endpoint, before) => {
 		if (endpoint === undefined) {
 			loadTracker.forget(id);
+			parts.connectionShares.forget(id);
 			presence.forget(id);
 			limits.forget(id);
 			paths.forget(id);
--- a/packages/entry/src/lib/wiring/parts.ts
+++ b/packages/entry/src/lib/wiring/parts.ts
@@ -12,7 +12,8 @@
 } from 'hickorywalk/paths.js';
 import {type createPeerDirectory, type FleetKey, type PeerExchange} from 'hickorywalk/peers.js';
 import {
-	type BrittleEndpoints, type CapacityWait, type createEndpointChoice, type EndpointBackoff, type EndpointLimits, type EndpointLoadTracker, type ResidentParts, type StoredParts,
+	type BrittleEndpoints, type CapacityWait, type ConnectionShares, type createEndpointChoice,
+	type EndpointBackoff, type EndpointLimits, type EndpointLoadTracker, type ResidentParts, type StoredParts,
 } from 'hickorywalk/placing.js';
 import {type CrashWatch, type Quarantine, type RefusalRows} from 'hickorywalk/quarantine.js';
 import {type FleetQuota} from 'hickorywalk/quotas.js';
@@ -70,6 +71,7 @@
 	backoff: EndpointBackoff;
 	brittle: BrittleEndpoints;
 	capacityWait: CapacityWait;
+	connectionShares: ConnectionShares;
 	choice: ReturnType<typeof createEndpointChoice>;
 	store: ReturnType<typeof createStoreClient>;
 	ownTable: ReturnType<ReturnType<typeof createStoreClient>['table']>;
--- a/packages/entry/src/lib/wiring/peer-wiring.ts
+++ b/packages/entry/src/lib/wiring/peer-wiring.ts
@@ -85,7 +85,7 @@
 				operator: parts.operatorFeed.newestChange(), endpoints: parts.endpointFeed.newestChange(), document: parts.documentGuard.current()?.document.version ?? 0,
 			},
 			usage: quota.report(),
-			loads: loadTracker.report(),
+			loads: loadsForReport(parts),
 			named: parts.view.recentWeights(settings.weightsMs * 2),
 			duty: leaseForReport(parts),
 			engines: enginesForReport(parts),
@@ -105,6 +105,12 @@
 	return exchange;
 }
 
+function loadsForReport({loadTracker, connectionShares}: EntryParts): PeerReport['loads'] {
+	const loads = loadTracker.report();
+	connectionShares.reported(loads);
+	return loads;
+}
+
 /** Tells peers how long the lease may still be held, so that a successor waits no longer than needed. */
 function leaseForReport({leases}: EntryParts): PeerReport['duty'] {
 	const report = leases.report(weightsLease);
--- a/packages/entry/src/lib/wiring/request-wiring.ts
+++ b/packages/entry/src/lib/wiring/request-wiring.ts
@@ -1,7 +1,8 @@
 /** Wires the request path: quotas, endpoint choice, retry budgets, logs and metrics. */
 import {type ForwardingEvents} from 'hickorywalk/forwarding.js';
 import {
-	type BrittleEndpoints, type CapacityWait, createBrittleEndpoints, createCapacityWait, createEndpointBackoff, createEndpointChoice, createEndpointLimits, type EndpointBackoff, type EndpointLimits,
+	type BrittleEndpoints, type CapacityWait, type ConnectionShares, createBrittleEndpoints, createCapacityWait,
+	createConnectionShares, createEndpointBackoff, createEndpointChoice, createEndpointLimits, type EndpointBackoff, type EndpointLimits,
 } from 'hickorywalk/placing.js';
 import {createFleetQuota, type FleetQuota} from 'hickorywalk/quotas.js';
 import {type AttemptBudget, createRetryBudget} from 'hickorywalk/routing.js';
@@ -13,12 +14,6 @@
 /** Fraction of the tolerated excess over a quota with which a restarted fleet starts. */
 const initialExcessRatio = 0.5;
 
-/**
- * Fraction of an endpoint's connection limit that all daemons share; leaves headroom while
- * daemons join and leave.
- */
-const connectionsRatio = 0.9;
-
 /** Refresh intervals without a report after which a peer's spending is assumed. */
 const refreshesUntilSilent = 2;
 
@@ -79,12 +74,20 @@
 	view, presence, backoff, brittle, limits, random: Math.random,
 });
 
+/** Creates the division of endpoints' connections between the daemons. */
+export const wireConnectionShares = ({peers, loadTracker, view}: EntryParts): ConnectionShares => createConnectionShares({
+	daemons: () => peers.fleetSize(),
+	peersRunning: loadTracker.peersRunning,
+	refreshMs: () => peers.refreshMs(),
+	limitOf: ({service}) => view.maxConnections(service),
+});
+
 /** Creates the endpoint choice. */
 export function wireChoice(parts: EntryParts) {
-	const {view, loadTracker, health, presence, versions, weightsDeadlines, limits, backoff, brittle, paths, releases, storedParts, residentParts, peers, settings} = parts;
+	const {view, loadTracker, health, presence, versions, weightsDeadlines, limits, backoff, brittle, paths, releases, storedParts, residentParts, peers, settings, connectionShares} = parts;
 	return createEndpointChoice({
 		view, loadTracker, health, presence, versions, weightsDeadlines, limits, backoff, brittle, paths, releases, storedParts, residentParts,
-		dataCentre: settings.dataCentre, connectionShare: () => connectionsRatio / peers.fleetSize(),
+		dataCentre: settings.dataCentre, connectionShare: connectionShares.shareOf,
 		// Peers within one report round learn of large prompts at once, so only the others may choose the same endpoint.
 		daemons: () => 1 + peers.peersBeyondRound(), random: Math.random,
 	});
--- a/packages/router/src/lib/fleet/fleet-view.ts
+++ b/packages/router/src/lib/fleet/fleet-view.ts
@@ -45,6 +45,8 @@
 	endpoint: (id: string) => LiveEndpoint | undefined;
 	/** Tokens that an engine's memory holds; `undefined` if unknown or not an engine. */
 	memoryTokens: (id: string) => number | undefined;
+	/** Connections that an endpoint of this service accepts from all daemons together; infinite if unknown. */
+	maxConnections: (service: string) => number;
 	/** Ignores state that is not newer than what is known. */
 	acceptEndpoint: (endpoint: LiveEndpoint) => void;
 	/** An endpoint process is leaving, whether or not the list says so. */
@@ -178,6 +180,7 @@
 		},
 		endpointsOf,
 		endpoint: id => endpoints.get(id),
+		maxConnections: service => accepted?.document.services.get(service)?.maxConnections ?? Number.POSITIVE_INFINITY,
 		memoryTokens: id => accepted?.document.services.get(endpoints.get(id)?.service ?? '')?.engine?.memoryTokens,
 		acceptEndpoint(endpoint) {
 			const known = endpoints.get(endpoint.id);
--- a/packages/router/src/lib/placing/candidates.ts
+++ b/packages/router/src/lib/placing/candidates.ts
@@ -27,7 +27,7 @@
 	/** Leaves out the endpoints of software versions that haven't proved themselves. */
 	releases: UnprovenVersions;
 	/** Fraction of an endpoint's connection limit that this daemon may use. */
-	connectionShare: () => number;
+	connectionShare: (endpoint: LiveEndpoint) => number;
 	weightsDeadlines: WeightsDeadlines;
 };
 
@@ -86,10 +86,8 @@
 	 * Connections that this daemon may open. Endpoints reset connections above their limit, and
 	 * requests on those may have run, so the daemons divide the limit between them.
 	 */
-	const maxOwnConnections = ({service}: LiveEndpoint): number => {
-		const connectionLimit = view.current()?.document.services.get(service)?.maxConnections ?? Number.POSITIVE_INFINITY;
-		return Math.max(minConnections, Math.floor(connectionLimit * options.connectionShare()));
-	};
+	const maxOwnConnections = (endpoint: LiveEndpoint): number =>
+		Math.max(minConnections, Math.floor(view.maxConnections(endpoint.service) * options.connectionShare(endpoint)));
 
 	const candidateOf = (endpoint: LiveEndpoint, request: ChoiceRequest): Candidate | undefined => {
 		if (endpoint.isLeaving || request.excluded.has(endpoint.id) || presence.hasEnded(endpoint) || paths.isUnreachable(endpoint) || !limits.canSend(endpoint)) {
--- a/packages/router/src/lib/placing/endpoint-load-tracker.ts
+++ b/packages/router/src/lib/placing/endpoint-load-tracker.ts
@@ -43,6 +43,8 @@
 	load: (endpoint: LiveEndpoint) => EndpointLoad;
 	/** Requests of this daemon in flight. */
 	ownRunning: (id: string) => number;
+	/** Requests of the peers in flight, by their last reports. */
+	peersRunning: (id: string) => number;
 	/** Estimated milliseconds to compute one prompt token. */
 	msPerToken: (id: string) => number;
 	/** Estimated milliseconds to the first event, without the time to compute the prompt. */
@@ -209,6 +211,7 @@
 			};
 		},
 		ownRunning: id => entries.get(id)?.open.size ?? 0,
+		peersRunning: id => peerLoad(id, performance.now()).running,
 		msPerToken: id => entryOf(id).msPerToken,
 		baseMs: id => entryOf(id).baseMs,
 		runMs: outputTokens => outputTokens * runMsPerToken,
--- a/packages/router/src/placing.ts
+++ b/packages/router/src/placing.ts
@@ -2,6 +2,7 @@
 export type * from './lib/placing/choice-request.js';
 export * from './lib/placing/brittle-endpoints.js';
 export * from './lib/placing/capacity-wait.js';
+export * from './lib/placing/connection-shares.js';
 export * from './lib/placing/endpoint-backoff.js';
 export * from './lib/placing/endpoint-load-tracker.js';
 export * from './lib/placing/endpoint-choice.js';
