One account of the bytes that are buffered for slow readers

Cause: nothing counted what a daemon holds for callers that stop reading. Beside 300 callers that read nothing of answers of 2 MB a daemon with a limit of 200 MB was seen to grow from 117 to 219 MB.

New requests are refused as overloaded only while all that is buffered makes progress. Answers are no longer copied when they are complete.

--- a/packages/entry/src/lib/daemon-metrics.ts
+++ b/packages/entry/src/lib/daemon-metrics.ts
@@ -19,6 +19,8 @@
 	hickorywalk_paths_lost: 'Endpoints that this daemon can\'t reach over its own network.',
 	hickorywalk_store_calls_total: 'Calls to the platform\'s store, by call.',
 	hickorywalk_requests_under_way: 'Requests that are being handled.',
+	hickorywalk_buffered_bytes: 'Bytes buffered for callers and endpoints that read slowly.',
+	hickorywalk_buffer_aborts_total: 'Requests that were aborted since their bytes were not read and buffers were full.',
 	hickorywalk_peers_heard: 'Daemons whose reports arrive.',
 	hickorywalk_event_loop_turns_total: 'Turns of the event loop; each wake-up of the process takes at least one.',
 	hickorywalk_event_loop_busy_seconds_total: 'Time that the event loop did not spend waiting.',
@@ -30,6 +32,8 @@
 	requestsInFlight: () => number;
 	livePeers: () => number;
 	lostPaths: () => number;
+	bufferedBytes: () => number;
+	bufferAborts: () => number;
 };
 
 /** Records and serves the metrics. */
@@ -129,7 +133,7 @@
 		logLinesDropped(count) {
 			droppedLineCounter.inc(count);
 		},
-		registerGauges({requestsInFlight, livePeers, lostPaths}) {
+		registerGauges({requestsInFlight, livePeers, lostPaths, bufferedBytes, bufferAborts}) {
 			const registerGauge = (name: keyof typeof metricHelp, read: () => number) => new Gauge({
 				...describe(name),
 				collect() {
@@ -139,6 +143,8 @@
 			registerGauge('hickorywalk_requests_under_way', requestsInFlight);
 			registerGauge('hickorywalk_peers_heard', livePeers);
 			registerGauge('hickorywalk_paths_lost', lostPaths);
+			registerGauge('hickorywalk_buffered_bytes', bufferedBytes);
+			registerTotal('hickorywalk_buffer_aborts_total', bufferAborts);
 		},
 		text: async () => registry.metrics(),
 	};
--- a/packages/entry/src/lib/entry-parts.ts
+++ b/packages/entry/src/lib/entry-parts.ts
@@ -28,7 +28,7 @@
 } from './wiring/path-wiring.js';
 import {wireCrashWatch, wireQuarantine, wireRefusalRows} from './wiring/quarantine-wiring.js';
 import {
-	wireBackoff, wireBrittle, wireBudgets, wireCapacityWait, wireChoice, wireConnectionShares, wireEvents, wireLimits, wireQuota,
+	wireBackoff, wireBrittle, wireBudgets, wireBufferAccount, wireCapacityWait, wireChoice, wireConnectionShares, wireEvents, wireLimits, wireQuota,
 } from './wiring/request-wiring.js';
 import {
 	wireOriginFinder, wireSoftwareHistory, wireStreamOrigins, wireStreamRoutes,
@@ -115,6 +115,7 @@
 		events: asFunction(wireEvents).singleton(),
 		metrics: asFunction(() => createDaemonMetrics()).singleton(),
 		logLineBudget: asFunction(() => createLineBudget({perSecond: logLinesPerSecond})).singleton(),
+		bufferAccount: asFunction(wireBufferAccount).singleton(),
 		forwarder: asFunction((parts: EntryParts) => createForwarder({
 			view: parts.view,
 			document: parts.documentGuard.current,
@@ -137,12 +138,17 @@
 			versions: parts.versions,
 			weightsDeadlines: parts.weightsDeadlines,
 			transport: parts.transport,
+			bufferAccount: parts.bufferAccount,
 			isClosed: () => parts.state.isClosed,
 			budgetOf: parts.budgetOf,
 			random: Math.random,
 			events: parts.events,
 		})).singleton(),
-		server: asFunction(({forwarder, state, log}: EntryParts) => createEntryServer({forwarder, isStopping: () => state.isStopping, log})).singleton(),
+		server: asFunction(({
+			forwarder, state, bufferAccount, log,
+		}: EntryParts) => createEntryServer({
+			forwarder, isStopping: () => state.isStopping, bufferAccount, log,
+		})).singleton(),
 	});
 	return container;
 }
--- a/packages/entry/src/lib/wiring/parts.ts
+++ b/packages/entry/src/lib/wiring/parts.ts
@@ -3,7 +3,9 @@
 import {
 	type ChangeFeed, type DocumentGuard, type EndpointPresence, type FleetClock, type FleetView,
 } from 'hickorywalk/fleet.js';
-import {type createEntryServer, type createForwarder, type ForwardingEvents} from 'hickorywalk/forwarding.js';
+import {
+	type BufferAccount, type createEntryServer, type createForwarder, type ForwardingEvents,
+} from 'hickorywalk/forwarding.js';
 import {type DutyTimer, type LeaseHolder} from 'hickorywalk/leases.js';
 import {type LineBudget, type Log} from 'hickorywalk/observability.js';
 import {type createUndiciTransport} from 'hickorywalk/orders.js';
@@ -71,6 +73,7 @@
 	backoff: EndpointBackoff;
 	brittle: BrittleEndpoints;
 	capacityWait: CapacityWait;
+	bufferAccount: BufferAccount;
 	connectionShares: ConnectionShares;
 	choice: ReturnType<typeof createEndpointChoice>;
 	store: ReturnType<typeof createStoreClient>;
--- a/packages/entry/src/test/metrics.test.ts
+++ b/packages/entry/src/test/metrics.test.ts
@@ -21,7 +21,7 @@
 
 	it('serves every metric with its help text, as docs/metrics.md lists it', async () => {
 		const metrics = createDaemonMetrics();
-		metrics.registerGauges({requestsInFlight: () => 3, livePeers: () => 8, lostPaths: () => 2});
+		metrics.registerGauges({requestsInFlight: () => 3, livePeers: () => 8, lostPaths: () => 2, bufferedBytes: () => 0, bufferAborts: () => 0});
 		metrics.requestEnded({
 			requestId: 'r', digest: 'd', route: 'a', workspace: 'school', service: 'desk', endpoint: 'e', software: 'v1', resumes: 'q', peer: undefined,
 			status: 200, attempts: 1, ms: 40, firstMs: 30, sentMs: 1, expectedMs: 20,
--- a/packages/router/src/forwarding.ts
+++ b/packages/router/src/forwarding.ts
@@ -1,4 +1,5 @@
 /** Receives requests from callers and forwards them to endpoints. */
+export * from './lib/forwarding/buffer-account.js';
 export * from './lib/forwarding/endpoint-notices.js';
 export * from './lib/forwarding/entry-server.js';
 export * from './lib/forwarding/forwarder.js';
--- a/packages/router/src/lib/forwarding/attempt.ts
+++ b/packages/router/src/lib/forwarding/attempt.ts
@@ -3,11 +3,11 @@
  * gets a response that belongs to this request, is confirmed by the endpoint, and is either
  * complete or visibly truncated.
  */
-import {Buffer} from 'node:buffer';
 import {type ResponseFacts, type CallHeaders} from '../fleet/call-headers.js';
 import {type Exchange, type ExchangeEvents} from '../orders/endpoint-transport.js';
 import {EndpointExchangeError} from '../orders/orders-errors.js';
 import {failureClasses, type FailureClass} from '../orders/failure-classes.js';
+import {type RequestBuffer} from './buffer-account.js';
 import {type CallerReply} from './caller-reply.js';
 import {createEventSplitter} from './event-splitter.js';
 
@@ -15,7 +15,8 @@
 export type BufferedResponse = {
 	status: number;
 	headers: readonly string[];
-	body: Buffer;
+	/** The body, in the pieces in which it arrived; joining them would hold it twice. */
+	chunks: readonly Uint8Array[];
 	/** It had neither a length nor chunks, so its end was the end of the connection. */
 	isUnframed: boolean;
 };
@@ -65,6 +66,8 @@
 	deadlineAt: number;
 	/** Called with the facts of a response head that belongs to this request. */
 	onHead: (facts: ResponseFacts) => void;
+	/** Accounts for the bytes of the response that are buffered. */
+	buffer: Pick<RequestBuffer, 'add'>;
 	/** Called when the response begins. */
 	onResponseStart: () => void;
 	/** Called before events of a stream are passed to the caller. */
@@ -98,7 +101,7 @@
 	const splitter = createEventSplitter();
 	let isSettled = false;
 	let head: {status: number; headers: readonly string[]} | undefined;
-	let chunks: Buffer[] = [];
+	let chunks: Uint8Array[] = [];
 	let bytes = 0;
 	let timer: NodeJS.Timeout | undefined;
 	let hasEvents = false;
@@ -107,6 +110,10 @@
 		if (!isSettled) {
 			isSettled = true;
 			clearTimeout(timer);
+			if (end.kind !== 'answered' && end.kind !== 'errorAnswer') {
+				options.buffer.add(-bytes);
+			}
+
 			settle(end);
 		}
 	};
@@ -162,9 +169,12 @@
 		progress.lastEventId = events.lastId ?? progress.lastEventId;
 		startReply();
 		if (!reply.write(events.bytes)) {
+			const unsentBytes = reply.unsentBytes();
+			options.buffer.add(unsentBytes);
 			exchange.pause();
 			clearTimeout(timer);
 			reply.onDrain(() => {
+				options.buffer.add(-unsentBytes);
 				exchange.resume();
 				restartSilenceTimer(options.eventTimeoutMs);
 			});
@@ -195,7 +205,7 @@
 	const endBuffered = (): void => {
 		const {status} = head!;
 		const response: BufferedResponse = {
-			status, headers: head!.headers, body: Buffer.concat(chunks), isUnframed: progress.facts!.isUnframed,
+			status, headers: head!.headers, chunks, isUnframed: progress.facts!.isUnframed,
 		};
 		if (progress.facts!.provesNotRun) {
 			finish({kind: 'notRun', status});
@@ -261,7 +271,8 @@
 			}
 
 			bytes += chunk.length;
-			chunks.push(Buffer.from(chunk));
+			chunks.push(chunk);
+			options.buffer.add(chunk.length);
 			if (bytes > maxBufferedBytes) {
 				chunks = [];
 				failAttempt('truncated', false);
@@ -300,8 +311,14 @@
 }
 
 /** Sends an endpoint's buffered response to the caller unchanged. */
-export function sendBuffered(reply: CallerReply, headers: CallHeaders, {status, headers: raw, body, isUnframed}: BufferedResponse): void {
-	const framing = isUnframed ? [] : ['Content-Length', String(body.length)];
-	reply.head(status, [...headers.forCaller(raw), ...framing], isUnframed);
-	reply.end(body);
+export function sendBuffered(reply: CallerReply, headers: CallHeaders, {
+	status, headers: raw, chunks, isUnframed,
+}: BufferedResponse): void {
+	const bytes = chunks.reduce((sum, chunk) => sum + chunk.length, 0);
+	reply.head(status, [...headers.forCaller(raw), ...(isUnframed ? [] : ['Content-Length', String(bytes)])], isUnframed);
+	for (const chunk of chunks.slice(0, -1)) {
+		reply.write(chunk);
+	}
+
+	reply.end(chunks.at(-1));
 }
--- /dev/null
+++ b/packages/router/src/lib/forwarding/buffer-account.ts
@@ -0,0 +1,160 @@
+/**
+ * Accounts for the bytes that a daemon buffers for callers and endpoints that read slowly, and aborts
+ * requests while they exceed the limit: first those that may be repeated and whose bytes have made no
+ * progress for longest, last those that can't be repeated.
+ *
+ * Made for small VMs with many callers that stop reading in the middle of long responses.
+ */
+
+/** A request whose bytes are buffered. */
+export type BufferOwner = {
+	/** Whether the caller may send the request again. */
+	mayRepeat: () => boolean;
+	/** Bytes that the peer has taken so far; progress shows in its growth. */
+	takenBytes: () => number;
+	/** Ends the request and releases its bytes. */
+	abort: () => void;
+};
+
+/** The buffered bytes of one request. */
+export type RequestBuffer = {
+	/** Records bytes that were buffered; negative once they were taken. */
+	add: (bytes: number) => void;
+	/** Releases all bytes. */
+	close: () => void;
+};
+
+/** The account of one daemon. */
+export type BufferAccount = {
+	open: (owner: BufferOwner) => RequestBuffer;
+	/** Whether there is space for a new request; aborts requests without progress to make some. */
+	hasSpace: () => boolean;
+	bytes: () => number;
+	/** Number of requests that were aborted. */
+	abortedCount: () => number;
+};
+
+/** Options of {@link createBufferAccount}. */
+export type BufferAccountOptions = {
+	/** Upper bound on the buffered bytes of all requests. */
+	maxBytes: number;
+	/** Called when a request is aborted; `bytes` were buffered for it without progress for `idleMs`. */
+	onAborted?: (aborted: {bytes: number; idleMs: number}) => void;
+};
+
+type Entry = {owner: BufferOwner; bytes: number; takenBytes: number; progressAt: number};
+
+/** Fraction of the limit from which new requests need space; the rest is for the responses of those in flight. */
+const fullRatio = 0.9;
+
+/** Time in milliseconds without progress after which a request is aborted in favour of new ones; callers on slow links read more often. */
+const stalledMs = 1000;
+
+/** Progress is sampled this often from half of the limit on, so that it is known once space is needed. */
+const sampleMs = 250;
+const sampledRatio = 0.5;
+
+/** Creates an empty account. */
+export function createBufferAccount({maxBytes, onAborted}: BufferAccountOptions): BufferAccount {
+	const entries = new Set<Entry>();
+	let total = 0;
+	let aborted = 0;
+	let sampledAt = Number.NEGATIVE_INFINITY;
+
+	const updateProgress = (entry: Entry, now: number): void => {
+		const takenBytes = entry.owner.takenBytes();
+		if (takenBytes !== entry.takenBytes) {
+			entry.takenBytes = takenBytes;
+			entry.progressAt = now;
+		}
+	};
+
+	const sampleProgress = (): void => {
+		const now = performance.now();
+		if (total < maxBytes * sampledRatio || now - sampledAt < sampleMs) {
+			return;
+		}
+
+		sampledAt = now;
+		for (const entry of entries) {
+			updateProgress(entry, now);
+		}
+	};
+
+	const isBefore = (a: Entry, b: Entry): boolean =>
+		a.owner.mayRepeat() === b.owner.mayRepeat() ? a.progressAt < b.progressAt : a.owner.mayRepeat();
+
+	const leastWorthKeeping = (now: number): Entry | undefined => {
+		let least: Entry | undefined;
+		for (const entry of entries) {
+			updateProgress(entry, now);
+			if (entry.bytes > 0 && (least === undefined || isBefore(entry, least))) {
+				least = entry;
+			}
+		}
+
+		return least;
+	};
+
+	const release = (entry: Entry): void => {
+		entries.delete(entry);
+		total -= entry.bytes;
+		entry.bytes = 0;
+	};
+
+	const abort = (entry: Entry, now: number): void => {
+		const {owner, bytes, progressAt} = entry;
+		release(entry);
+		aborted++;
+		onAborted?.({bytes, idleMs: now - progressAt});
+		owner.abort();
+	};
+
+	/** Aborts requests until less than `limit` bytes are left, except those with progress within `minIdleMs`. */
+	const abortUntilBelow = (limit: number, minIdleMs: number): void => {
+		const now = performance.now();
+		const isAbove = (): boolean => total >= limit;
+		while (isAbove()) {
+			const entry = leastWorthKeeping(now);
+			if (entry === undefined || now - entry.progressAt < minIdleMs) {
+				return;
+			}
+
+			abort(entry, now);
+		}
+	};
+
+	return {
+		open(owner) {
+			const entry: Entry = {
+				owner, bytes: 0, takenBytes: owner.takenBytes(), progressAt: performance.now(),
+			};
+			entries.add(entry);
+			return {
+				add(bytes) {
+					if (!entries.has(entry)) {
+						return;
+					}
+
+					if (entry.bytes === 0) {
+						entry.progressAt = performance.now();
+					}
+
+					entry.bytes += bytes;
+					total += bytes;
+					abortUntilBelow(maxBytes + 1, 0);
+				},
+				close() {
+					release(entry);
+				},
+			};
+		},
+		hasSpace() {
+			sampleProgress();
+			abortUntilBelow(maxBytes * fullRatio, stalledMs);
+			return total < maxBytes * fullRatio;
+		},
+		bytes: () => total,
+		abortedCount: () => aborted,
+	};
+}
--- a/packages/router/src/lib/forwarding/call.ts
+++ b/packages/router/src/lib/forwarding/call.ts
@@ -9,6 +9,7 @@
 import {type StreamOrigin} from '../streams/stream-origin.js';
 import {type AttemptProgress, type BufferedResponse} from './attempt.js';
 import {type PathKind} from './attempt-path.js';
+import {type RequestBuffer} from './buffer-account.js';
 import {type CallerReply} from './caller-reply.js';
 import {type RefusalName} from './refusals.js';
 
@@ -23,6 +24,8 @@
 export type Call = {
 	req: IncomingMessage;
 	body: Buffer | undefined;
+	/** Accounts for the bytes that are buffered for it. */
+	buffer: RequestBuffer;
 	/** Digest of its content; equal for repeats. */
 	digest: string;
 	/** Keys of the prompt's parts that other requests may share. */
@@ -78,7 +81,7 @@
 };
 
 /** Arguments of {@link createCall}. */
-export type CallOrigin = Pick<Call, 'req' | 'body' | 'digest' | 'parts' | 'facts' | 'reply' | 'route' | 'workspace' | 'service' | 'origin'> & {startedAt: number};
+export type CallOrigin = Pick<Call, 'req' | 'body' | 'buffer' | 'digest' | 'parts' | 'facts' | 'reply' | 'route' | 'workspace' | 'service' | 'origin'> & {startedAt: number};
 
 /** Creates a call without attempts. */
 export function createCall({startedAt, ...origin}: CallOrigin): Call {
--- a/packages/router/src/lib/forwarding/caller-reply.ts
+++ b/packages/router/src/lib/forwarding/caller-reply.ts
@@ -18,6 +18,10 @@
 	/** Sends a chunk of the body; returns false if the caller reads too slowly, until `onDrain` calls back. */
 	write: (chunk: Uint8Array) => boolean;
 	onDrain: (resume: () => void) => void;
+	/** Bytes that were written and are still buffered in this process. */
+	unsentBytes: () => number;
+	/** Called when the response was sent or its connection has ended. */
+	onClose: (listener: () => void) => void;
 	/** Ends a complete response. */
 	end: (chunk?: Uint8Array) => void;
 	/** Destroys the connection, so that a partial response doesn't look complete. An unframed one is complete unless its connection is reset. */
@@ -71,6 +75,10 @@
 		onDrain(resume) {
 			res.once('drain', resume);
 		},
+		unsentBytes: () => res.writableLength,
+		onClose(listener) {
+			res.once('close', listener);
+		},
 		end(chunk) {
 			res.end(chunk);
 		},
--- a/packages/router/src/lib/forwarding/entry-server.ts
+++ b/packages/router/src/lib/forwarding/entry-server.ts
@@ -6,6 +6,7 @@
 import {type CallerLimits} from '../fleet/fleet-document.js';
 import {type BindAddress, closeServer, listenServer} from '../http/http-server.js';
 import {type Log} from '../observability/log.js';
+import {type BufferAccount} from './buffer-account.js';
 import {type Forwarder} from './forwarder.js';
 
 /** Options of {@link createEntryServer}. */
@@ -13,6 +14,7 @@
 	forwarder: Forwarder;
 	/** Whether the process is shutting down: responses then close their connections, so that callers reconnect elsewhere. */
 	isStopping: () => boolean;
+	bufferAccount: BufferAccount;
 	log: Log;
 };
 
@@ -34,7 +36,7 @@
 const headerCheckMs = 2000;
 
 /** Creates a server that doesn't listen yet. */
-export function createEntryServer({forwarder, isStopping, log}: EntryServerOptions): EntryServer {
+export function createEntryServer({forwarder, isStopping, bufferAccount, log}: EntryServerOptions): EntryServer {
 	const app = fastify({
 		bodyLimit: initialLimits.bodyBytes,
 		exposeHeadRoutes: false,
@@ -54,9 +56,19 @@
 	app.addHook('preParsing', (req, _reply, payload, done) => {
 		const hash = createHash('sha256');
 		bodyHashes.set(req.raw, hash);
+		const upload = bufferAccount.open({
+			mayRepeat: () => true,
+			takenBytes: () => req.raw.socket.bytesRead,
+			abort() {
+				req.raw.destroy();
+			},
+		});
 		payload.on('data', (chunk: Buffer) => {
 			hash.update(chunk);
+			upload.add(chunk.length);
 		});
+		payload.once('end', upload.close);
+		payload.once('close', upload.close);
 		done(null, payload);
 	});
 	app.all('*', async (req, reply) => {
--- a/packages/router/src/lib/forwarding/forwarder.ts
+++ b/packages/router/src/lib/forwarding/forwarder.ts
@@ -14,8 +14,9 @@
 import {type OriginFinder} from '../streams/origin-finder.js';
 import {type StreamOrigin, streamKey} from '../streams/stream-origin.js';
 import {type AttemptEnd} from './attempt.js';
+import {type BufferAccount} from './buffer-account.js';
 import {
-	type Call, createCall, findRoute, type RequestBody, unitsOf,
+	type Call, createCall, findRoute, mayRunAgain, type RequestBody, unitsOf,
 } from './call.js';
 import {type CallerReply, createCallerReply} from './caller-reply.js';
 import {type ForwardingEvents, type RequestEnd} from './forwarding-events.js';
@@ -34,6 +35,7 @@
 	quarantine: Quarantine;
 	capacityWait: CapacityWait;
 	originFinder: Pick<OriginFinder, 'locate'>;
+	bufferAccount: BufferAccount;
 	/** The process is about to exit and rejects new requests. */
 	isClosed: () => boolean;
 	/** The retry budget of a service. */
@@ -53,6 +55,9 @@
 
 const noDocumentRetryMs = 500;
 
+/** Buffers empty as soon as callers read or are aborted. */
+const fullBuffersRetryMs = 500;
+
 /** Creates the forwarder. */
 export function createForwarder(options: ForwarderOptions): Forwarder {
 	const {headers, quota, quarantine, choice, budgetOf} = options;
@@ -174,6 +179,10 @@
 		}
 
 		const {route, workspace} = found;
+		if (!options.bufferAccount.hasSpace()) {
+			return {refusal: {name: 'overloaded', retryAfterMs: fullBuffersRetryMs}, details: {route, workspace}};
+		}
+
 		const digest = digestRequest({
 			workspace: workspace?.name, method: req.method ?? '', path: req.url ?? '', bodyHash: body?.hash, parts: facts.parts,
 		});
@@ -257,10 +266,17 @@
 		}
 
 		const service = origin?.service ?? chooseService(route, options.random()) ?? '';
+		const buffer = options.bufferAccount.open({
+			mayRepeat: () => mayRunAgain(call),
+			takenBytes: () => req.socket.bytesWritten,
+			abort: reply.abort,
+		});
 		const call = createCall({
-			req, body: body?.content, digest, parts, facts, reply, route, workspace, service, origin, startedAt,
+			req, body: body?.content, buffer, digest, parts, facts, reply, route, workspace, service, origin, startedAt,
 		});
 		call.isClaimed = dueKeys.length > 0;
+		reply.onClose(buffer.close);
+		buffer.add(body?.content.length ?? 0);
 		budgetOf(service).deposit();
 		const decision = await runRegistered(call);
 		const reason = finishResponse(headers, call, decision);
--- a/packages/router/src/lib/forwarding/refusals.ts
+++ b/packages/router/src/lib/forwarding/refusals.ts
@@ -17,6 +17,7 @@
 	over_quota: {status: 429, provesNotRun: true, text: 'The workspace is over its rate and burst.'},
 	no_endpoint: {status: 503, provesNotRun: true, text: 'No endpoint can take the request now.'},
 	endpoint_refused: {status: 503, provesNotRun: true, text: 'The endpoint did not run the request.'},
+	overloaded: {status: 503, provesNotRun: true, text: 'The router or the service is overloaded.'},
 	cannot_resume: {status: 503, provesNotRun: true, text: 'The stream can\'t go on: the software version that began it is unknown, or none of its endpoints is left. Begin anew.'},
 	too_large: {status: 413, provesNotRun: true, text: 'The body is larger than the operator allows.'},
 	crashes_endpoints: {status: 503, provesNotRun: true, text: 'Endpoints crashed under this request each time it ran; it is not run again for now.'},
--- a/packages/router/src/lib/forwarding/send-to-endpoint.ts
+++ b/packages/router/src/lib/forwarding/send-to-endpoint.ts
@@ -264,6 +264,7 @@
 			mayMoveAway: () => options.mayMoveAway(call),
 			mayLeavePath: () => !isOnce && options.mayTryElsewhere(call),
 			deadlineAt: call.deadlineAt,
+			buffer: call.buffer,
 			onHead(facts) {
 				recordNotices(endpoint, facts);
 			},
--- /dev/null
+++ b/packages/router/src/test/forwarding/buffer-account.test.ts
@@ -0,0 +1,105 @@
+import FakeTimers from '@sinonjs/fake-timers';
+import {assert} from 'chai';
+import {type BufferAccount, createBufferAccount, type RequestBuffer} from '../../forwarding.js';
+
+const maxBytes = 1000;
+
+describe('createBufferAccount', () => {
+	let clock: FakeTimers.Clock;
+	let account: BufferAccount;
+	let aborted: string[];
+	let takenBytes: Map<string, number>;
+
+	const open = (name: string, mayRepeat = true): RequestBuffer => account.open({
+		mayRepeat: () => mayRepeat,
+		takenBytes: () => takenBytes.get(name) ?? 0,
+		abort() {
+			aborted.push(name);
+		},
+	});
+
+	beforeEach(() => {
+		clock = FakeTimers.install({toFake: ['performance']});
+		account = createBufferAccount({maxBytes});
+		aborted = [];
+		takenBytes = new Map();
+	});
+
+	afterEach(() => {
+		clock.uninstall();
+	});
+
+	it('aborts the request without progress for longest when the limit is exceeded', () => {
+		// Guards against a process that exceeds its memory limit since callers stop reading.
+		for (const name of ['first', 'second', 'third']) {
+			open(name).add(400);
+			clock.tick(100);
+		}
+
+		assert.deepEqual(aborted, ['first']);
+		assert.equal(account.bytes(), 800);
+		assert.equal(account.abortedCount(), 1);
+	});
+
+	it('keeps a request whose bytes make progress', () => {
+		open('slow').add(400);
+		clock.tick(100);
+		open('stopped').add(400);
+		clock.tick(100);
+		takenBytes.set('slow', 10);
+		open('new').add(400);
+		assert.deepEqual(aborted, ['stopped']);
+	});
+
+	it('aborts those that can\'t be repeated last', () => {
+		// Guards against a request that ran once and whose answer is lost although others could be repeated.
+		open('once', false).add(400);
+		clock.tick(100);
+		open('repeatable').add(400);
+		clock.tick(100);
+		open('once more', false).add(400);
+		assert.deepEqual(aborted, ['repeatable']);
+		open('last', false).add(400);
+		assert.deepEqual(aborted, ['repeatable', 'once']);
+	});
+
+	it('releases what was taken and what was closed, also after an abort', () => {
+		const buffer = open('a');
+		buffer.add(600);
+		buffer.add(-200);
+		assert.equal(account.bytes(), 400);
+		const other = open('b');
+		other.add(700);
+		buffer.add(-400);
+		buffer.close();
+		assert.deepEqual(aborted, ['a']);
+		other.close();
+		assert.equal(account.bytes(), 0);
+	});
+
+	it('has no space for new requests shortly below the limit', () => {
+		const buffer = open('a');
+		buffer.add(899);
+		assert.isTrue(account.hasSpace());
+		buffer.add(1);
+		assert.isFalse(account.hasSpace());
+	});
+
+	it('aborts requests without progress for a second to make space for new ones', () => {
+		// Guards against a daemon that refuses all requests while callers that stopped reading hold its buffers.
+		open('stopped').add(900);
+		clock.tick(900);
+		assert.isFalse(account.hasSpace());
+		clock.tick(100);
+		assert.isTrue(account.hasSpace());
+		assert.deepEqual(aborted, ['stopped']);
+	});
+
+	it('never aborts requests without buffered bytes', () => {
+		open('empty');
+		clock.tick(100);
+		open('large').add(2000);
+		assert.deepEqual(aborted, ['large']);
+		assert.equal(account.bytes(), 0);
+	});
+});
