The pace that endpoints state counts in the expected time to the first event

The fourth figure of the load header states how long work takes at this moment. It is weighted by its age and by how fast the endpoint's figure has been observed to change, reported to peers with its age, and not learnt as the endpoint's speed. The timeouts of silent endpoints are extended while they state that they are slow.

--- a/packages/entry/src/lib/wiring/peer-wiring.ts
+++ b/packages/entry/src/lib/wiring/peer-wiring.ts
@@ -86,6 +86,7 @@
 			},
 			usage: quota.report(),
 			loads: loadTracker.report(),
+			paces: loadTracker.reportPaces(),
 			named: parts.view.recentWeights(settings.weightsMs * 2),
 			duty: leaseForReport(parts),
 			engines: enginesForReport(parts),
--- a/packages/router/src/lib/fleet/call-headers.ts
+++ b/packages/router/src/lib/fleet/call-headers.ts
@@ -88,6 +88,8 @@
 	running: number;
 	waiting: number;
 	slots: number;
+	/** How long work takes on the endpoint's machine at this moment, relative to the usual (1); absent if it doesn't state it. */
+	paceRatio?: number;
 };
 
 /** Parses and writes request and response headers; header lists are flat, names and values alternate. */
--- a/packages/router/src/lib/forwarding/send-to-endpoint.ts
+++ b/packages/router/src/lib/forwarding/send-to-endpoint.ts
@@ -5,7 +5,7 @@
 import {type LiveEndpoint} from '../fleet/live-endpoint.js';
 import {type EndpointTransport, type Exchange, type ExchangeEvents} from '../orders/endpoint-transport.js';
 import {connectionLossFailures, failureClasses, type FailureClass} from '../orders/failure-classes.js';
-import {type EndpointLoadTracker} from '../placing/endpoint-load-tracker.js';
+import {type EndpointLoadTracker, firstMsAtUsualPace} from '../placing/endpoint-load-tracker.js';
 import {type Choice, type EndpointChoice} from '../placing/endpoint-choice.js';
 import {type BrittleEndpoints} from '../placing/brittle-endpoints.js';
 import {type EndpointBackoff} from '../placing/endpoint-backoff.js';
@@ -183,7 +183,8 @@
 		}
 
 		if (end.kind === 'answered' && firstAt !== undefined && call.prompt !== undefined) {
-			book.updateEstimates(id, firstAt - sentAt - chosen.fetchMs, chosen.missingTokens, chosen.pendingTokens);
+			const firstMs = firstMsAtUsualPace(Math.max(0, firstAt - sentAt - chosen.fetchMs), chosen.paceRatio, facts?.load?.paceRatio);
+			book.updateEstimates(id, firstMs, chosen.missingTokens, chosen.pendingTokens);
 		}
 
 		if (end.kind === 'failed' && connectionLossFailures.has(end.failure)) {
@@ -199,7 +200,7 @@
 	return async (call, chosen) => {
 		const {endpoint} = chosen;
 		const target = {name: endpoint.id, address: `http://${endpoint.address}`};
-		const {headMs, eventMs} = silenceTimeouts(call);
+		const {headMs, eventMs} = silenceTimeouts(call, chosen.paceRatio);
 		const sentAt = performance.now();
 		call.sentAt = sentAt;
 		call.weightsAgeMs = weightsAgeMs(call, chosen);
@@ -266,6 +267,9 @@
 			deadlineAt: call.deadlineAt,
 			onHead(facts) {
 				recordNotices(endpoint, facts);
+				if (facts.load?.paceRatio !== undefined && isOwnResponse(endpoint, facts)) {
+					book.recordPace(endpoint.id, facts.load.paceRatio);
+				}
 			},
 			onResponseStart() {
 				work.begun();
--- a/packages/router/src/lib/forwarding/silence-timeouts.ts
+++ b/packages/router/src/lib/forwarding/silence-timeouts.ts
@@ -21,17 +21,24 @@
 /** Silence timeouts in milliseconds, up to the response head and between events. */
 export type SilenceTimeouts = {headMs: number; eventMs: number};
 
-/** Timeouts of a request's next attempt. */
-export function silenceTimeouts(call: Call): SilenceTimeouts {
+/** Bounds the factor on the timeouts of slow endpoints, so that a hung one is left in time. */
+const maxSlowdown = 3;
+
+/**
+ * Timeouts of a request's next attempt. They are extended at an endpoint whose work takes longer than
+ * usual at this moment, since a silent endpoint is left and counts as failing.
+ */
+export function silenceTimeouts(call: Call, paceRatio = 1): SilenceTimeouts {
 	const {route} = call;
+	const slowdown = Math.min(maxSlowdown, Math.max(1, paceRatio));
 	const remainingMs = call.deadlineAt - performance.now();
 	if (!mayRunAgain(call) || call.attempts >= route.maxEndpoints) {
 		return {headMs: remainingMs, eventMs: remainingMs};
 	}
 
 	return route.kind === 'stream'
-		? {headMs: route.targetMs * streamHeadTimeoutRatio, eventMs: Math.max(minEventTimeoutMs, (route.targetPauseMs ?? 0) * eventTimeoutRatio)}
-		: {headMs: route.targetMs * headTimeoutRatio, eventMs: route.targetMs};
+		? {headMs: route.targetMs * streamHeadTimeoutRatio * slowdown, eventMs: Math.max(minEventTimeoutMs, (route.targetPauseMs ?? 0) * eventTimeoutRatio) * slowdown}
+		: {headMs: route.targetMs * headTimeoutRatio * slowdown, eventMs: route.targetMs * slowdown};
 }
 
 /** Whether the next endpoint is expected to respond soon enough to move a silent request there. */
--- a/packages/router/src/lib/peers/peer-report.ts
+++ b/packages/router/src/lib/peers/peer-report.ts
@@ -8,6 +8,9 @@
 export const maxReportedParts = 24;
 export const maxReportedPlacements = 16;
 
+/** Maximum number of endpoints whose pace is in one report; the latest are kept. */
+export const maxReportedPaces = 64;
+
 /** Maximum number of leaving endpoints in one report. Daemons learn of the others by themselves. */
 export const maxReportedLeaving = 32;
 
@@ -71,6 +74,8 @@
 	brittle: z.array(z.tuple([z.string(), z.number().nullable(), z.number()])).default([]),
 	/** Streams that this peer keeps the origins of, if they began since the previous report to it. */
 	streams: z.array(streamReportSchema).default([]),
+	/** Endpoint, duration of work there in percent of the usual as it stated to this daemon, milliseconds since then. */
+	paces: z.array(z.tuple([z.string(), z.number(), z.number()])).default([]),
 });
 
 /** A decoded report. */
--- a/packages/router/src/lib/placing/candidates.ts
+++ b/packages/router/src/lib/placing/candidates.ts
@@ -80,7 +80,7 @@
 
 	/** Expected wait in the engine's queue; at least as long as the oldest own request has waited. */
 	const queueMs = ({id, slots}: LiveEndpoint, load: EndpointLoad): number =>
-		Math.max(load.oldestWaitMs, load.pendingTokens * loadTracker.msPerToken(id), load.running >= slots ? load.remainingMs : 0);
+		Math.max(load.oldestWaitMs, load.pendingTokens * loadTracker.msPerToken(id) * Math.max(1, loadTracker.paceRatio(id)), load.running >= slots ? load.remainingMs : 0);
 
 	/**
 	 * Connections that this daemon may open. Endpoints reset connections above their limit, and
--- a/packages/router/src/lib/placing/endpoint-choice.ts
+++ b/packages/router/src/lib/placing/endpoint-choice.ts
@@ -29,6 +29,8 @@
 	pendingTokens: number;
 	/** Expected milliseconds to the first event. */
 	expectedMs: number;
+	/** Duration of work at the endpoint that `expectedMs` assumes, relative to the usual. */
+	paceRatio: number;
 	/** Part of `expectedMs` spent fetching shared parts. */
 	fetchMs: number;
 	/** IP:PORT of an engine or store to fetch missing shared parts from. */
@@ -86,9 +88,13 @@
 
 	const hangMs = ({oldestWaitMs}: EndpointLoad): number => Math.max(0, oldestWaitMs - hangAfterMs);
 
-	const plainMs = ({endpoint, load}: Candidate): number =>
-		(Math.max(0, load.running + 1 - endpoint.slots) / endpoint.slots * plainServiceMs)
-		+ (load.running / endpoint.slots * plainServiceMs) + distanceMs(endpoint) + hangMs(load);
+	/** At a slower pace, the additional time of the request itself counts as well. */
+	const plainMs = ({endpoint, load}: Candidate): number => {
+		const paceRatio = loadTracker.paceRatio(endpoint.id);
+		return (Math.max(0, load.running + 1 - endpoint.slots) / endpoint.slots * plainServiceMs * paceRatio)
+			+ (load.running / endpoint.slots * plainServiceMs * paceRatio)
+			+ ((paceRatio - 1) * plainServiceMs) + distanceMs(endpoint) + hangMs(load);
+	};
 
 	const stalenessMs = (prompt: PromptNeed, version: number): number => {
 		const named = view.namedWeights(prompt.model);
@@ -106,12 +112,13 @@
 
 	const engineMs = (candidate: Candidate, prompt: PromptNeed, cost: PromptCost): number => {
 		const {endpoint, load} = candidate;
-		const msPerToken = loadTracker.msPerToken(endpoint.id);
+		const paceRatio = loadTracker.paceRatio(endpoint.id);
 		const usedRatio = memoryRatio(candidate, prompt);
-		return loadTracker.baseMs(endpoint.id) + ((load.pendingTokens + cost.missingTokens) * msPerToken)
+		return (loadTracker.baseMs(endpoint.id) * paceRatio)
+			+ ((load.pendingTokens + cost.missingTokens) * loadTracker.msPerToken(endpoint.id) * paceRatio)
 			+ cost.fetchMs + cost.evictionMs
-			+ (load.running * perRunningMs)
-			+ (load.running >= endpoint.slots ? (load.running - endpoint.slots + 1) * perRunningMs * 10 : 0)
+			+ (load.running * perRunningMs * paceRatio)
+			+ (load.running >= endpoint.slots ? (load.running - endpoint.slots + 1) * perRunningMs * 10 * paceRatio : 0)
 			+ (usedRatio > fullMemoryRatio ? memoryWaitMs * usedRatio : 0)
 			+ distanceMs(endpoint) + hangMs(load) + stalenessMs(prompt, candidate.weights ?? 0);
 	};
@@ -157,6 +164,7 @@
 					missingTokens: cost.missingTokens,
 					pendingTokens: load.pendingTokens,
 					expectedMs,
+					paceRatio: loadTracker.paceRatio(endpoint.id),
 					fetchMs: cost.fetchMs,
 					fetchFrom: cost.fetchFrom,
 					saveTo: cost.saveTo,
@@ -173,7 +181,16 @@
 			const expectedMs = plainMs(candidate);
 			if (best === undefined || expectedMs < best.expectedMs) {
 				best = {
-					endpoint: candidate.endpoint, weights: undefined, cacheScope: undefined, missingTokens: 0, pendingTokens: 0, expectedMs, fetchMs: 0, fetchFrom: undefined, saveTo: undefined,
+					endpoint: candidate.endpoint,
+					weights: undefined,
+					cacheScope: undefined,
+					missingTokens: 0,
+					pendingTokens: 0,
+					expectedMs,
+					paceRatio: loadTracker.paceRatio(candidate.endpoint.id),
+					fetchMs: 0,
+					fetchFrom: undefined,
+					saveTo: undefined,
 				};
 			}
 		}
--- a/packages/router/src/lib/placing/endpoint-load-tracker.ts
+++ b/packages/router/src/lib/placing/endpoint-load-tracker.ts
@@ -5,6 +5,7 @@
 import {type EndpointLoadReport} from '../fleet/call-headers.js';
 import {type LiveEndpoint} from '../fleet/live-endpoint.js';
 import {type PeerReport} from '../peers/peer-report.js';
+import {createEndpointPace} from './endpoint-pace.js';
 
 /** Known load of an endpoint from all daemons. */
 export type EndpointLoad = {
@@ -43,25 +44,41 @@
 	load: (endpoint: LiveEndpoint) => EndpointLoad;
 	/** Requests of this daemon in flight. */
 	ownRunning: (id: string) => number;
-	/** Estimated milliseconds to compute one prompt token. */
+	/** Estimated milliseconds to compute one prompt token at the usual pace. */
 	msPerToken: (id: string) => number;
-	/** Estimated milliseconds to the first event, without the time to compute the prompt. */
+	/** Estimated milliseconds to the first event at the usual pace, without the time to compute the prompt. */
 	baseMs: (id: string) => number;
+	/** Estimated duration of work at the endpoint at this moment, relative to the usual (1). */
+	paceRatio: (id: string) => number;
 	/** Estimated milliseconds from the first event of an answer of this size to its end. */
 	runMs: (outputTokens: number) => number;
 	/** Adds a request to the load. */
 	start: (id: string, size: RequestSize) => TrackedRequest;
 	/** Records the load that a response of the endpoint reported. */
 	recordReportedLoad: (id: string, report: EndpointLoadReport) => void;
-	/** Updates the speed estimates; `firstMs` is the time from sending a request to its first event. */
+	/** Records the pace that a response of the endpoint states, when its head arrives. */
+	recordPace: (id: string, ratio: number) => void;
+	/**
+	 * Updates the speed estimates; `firstMs` is the time from sending a request to its first event at
+	 * the usual pace, see {@link firstMsAtUsualPace}.
+	 */
 	updateEstimates: (id: string, firstMs: number, missingTokens: number, pendingTokens: number) => void;
 	applyPeerReport: (report: PeerReport) => void;
 	removePeer: (daemon: string) => void;
 	forget: (id: string) => void;
 	/** This daemon's loads, for its report. */
 	report: () => PeerReport['loads'];
+	/** The pace of endpoints as they stated it to this daemon, for its report. */
+	reportPaces: () => PeerReport['paces'];
 };
 
+/**
+ * The time to the first event without momentary slowness, which must not be learnt as the endpoint's
+ * speed. Takes the mean of the expected pace when the request was sent and the pace stated in the response.
+ */
+export const firstMsAtUsualPace = (firstMs: number, expectedPace: number, statedPace: number | undefined): number =>
+	statedPace === undefined ? firstMs : firstMs * 2 / (expectedPace + statedPace);
+
 type OpenRequest = {size: RequestSize; startedAt: number; begunAt: number | undefined};
 
 type Entry = {
@@ -120,6 +137,7 @@
 	let peerSums = new Map<string, PeerSum>();
 	let peerSumsValidUntil = Number.NEGATIVE_INFINITY;
 	let runMsPerToken = initialRunMsPerToken;
+	const pace = createEndpointPace();
 
 	const entryOf = (id: string): Entry => {
 		let entry = entries.get(id);
@@ -211,6 +229,8 @@
 		ownRunning: id => entries.get(id)?.open.size ?? 0,
 		msPerToken: id => entryOf(id).msPerToken,
 		baseMs: id => entryOf(id).baseMs,
+		paceRatio: pace.ratio,
+		recordPace: pace.recordStated,
 		runMs: outputTokens => outputTokens * runMsPerToken,
 		start(id, size) {
 			const entry = entryOf(id);
@@ -249,6 +269,7 @@
 		},
 		applyPeerReport(report) {
 			peers.set(report.daemon, {at: performance.now(), loads: report.loads});
+			pace.applyPeerReport(report.paces);
 			invalidatePeerSums();
 		},
 		removePeer(daemon) {
@@ -257,6 +278,7 @@
 		},
 		forget(id) {
 			entries.delete(id);
+			pace.forget(id);
 		},
 		report() {
 			const now = performance.now();
@@ -270,5 +292,6 @@
 
 			return loads;
 		},
+		reportPaces: pace.report,
 	};
 }
--- a/packages/router/src/lib/placing/prompt-cost.ts
+++ b/packages/router/src/lib/placing/prompt-cost.ts
@@ -108,7 +108,7 @@
 	/** Milliseconds to fetch one token, or to compute it where that is faster. */
 	const fetchMsPerToken = (endpoint: LiveEndpoint, source: PartSource, {tokenBytes, linkBytesPerMs}: EngineTraits): number => {
 		const distance = endpoint.dataCentre === source.dataCentre ? 1 : crossDataCentreFactor;
-		return Math.min(loadTracker.msPerToken(endpoint.id), tokenBytes * distance / Math.min(linkBytesPerMs, source.linkBytesPerMs));
+		return Math.min(loadTracker.msPerToken(endpoint.id) * loadTracker.paceRatio(endpoint.id), tokenBytes * distance / Math.min(linkBytesPerMs, source.linkBytesPerMs));
 	};
 
 	return (request, prompt, homeId) => {
--- a/packages/router/src/test/peers/report-codec.test.ts
+++ b/packages/router/src/test/peers/report-codec.test.ts
@@ -1,6 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {deflateRawSync} from 'node:zlib';
 import {assert} from 'chai';
+import {peerReportSchema} from '../../lib/peers/peer-report.js';
 import {decodeReport, encodeReport, type PeerReport} from '../../peers.js';
 
 /** A typical report in a fleet of seven daemons. */
@@ -28,6 +29,7 @@
 	leaving: [['i-72c4dccf3c', 1_783_535_000_000]],
 	brittle: [['bilheteria', 5, 1200]],
 	streams: [['engines', 'v1.1', ['Wd1jGqGhbOQh', 'Xe1jGqGhbOQh']]],
+	paces: [['i-5d4fb03dc1', 250, 120]],
 };
 
 describe('report codec', () => {
@@ -49,6 +51,13 @@
 		assert.deepEqual([read.loads, read.engines, read.placed], [[['i-1', 3, 2890, 12_345, 0]], [['i-1', 4, 0, -1, -1]], []]);
 	});
 
+	it('drops values that only newer daemons know', () => {
+		// During a rolling update, daemons of this version get reports of the next one.
+		const names = Object.keys(peerReportSchema.shape) as Array<keyof PeerReport>;
+		const values = [...names.map(name => report[name]), [['new', 1]]];
+		assert.deepEqual(decodeReport(Buffer.from(JSON.stringify(values))), report);
+	});
+
 	it('rejects invalid datagrams and decompression bombs', () => {
 		const mark = Buffer.from([1]);
 		const bomb = deflateRawSync(Buffer.alloc(64 * 1024 * 1024, 32));
