Engines are ordered to load weights once no request waits there

An order makes an engine reject the requests that haven't begun. The drain now lasts until the engine's own report, read late enough to include what daemons sent before they heard of the drain, shows an empty queue and no daemon has just reported an unstarted request there. Its limit is the share of the engine's round in the time left until 0.7 of the bound on replaced weights, instead of 800 ms. Daemons learn the time of the order with the drain, and shortly before it withdraw the waiting requests that another engine may get (reason `drained`). A change that takes longer than 4 s no longer expires while it is repeated.

--- a/packages/entry/src/lib/wiring/lease-wiring.ts
+++ b/packages/entry/src/lib/wiring/lease-wiring.ts
@@ -90,6 +90,7 @@
 		weightsMs: settings.weightsMs,
 		remainingMs: id => loadOf(id)?.remainingMs ?? 0,
 		hasRequests: id => (loadOf(id)?.running ?? 0) > 0,
+		hasUnstarted: loadTracker.hasUnstarted,
 		minRequestIntervalMs: endpoint => limits.waitMs([endpoint]),
 		log,
 	});
--- a/packages/router/src/lib/forwarding/send-to-endpoint.ts
+++ b/packages/router/src/lib/forwarding/send-to-endpoint.ts
@@ -94,6 +94,22 @@
 	const weightsAgeMs = ({prompt}: Call, {weights}: Choice): number | undefined =>
 		prompt === undefined || weights === undefined ? undefined : view.namedWeights(prompt.model)?.outdatedMs(weights);
 
+	/** Whether the attempt may end although its request is perhaps in the endpoint's queue. */
+	const mayWithdraw = (call: Call): boolean => mayRunAgain(call) && options.mayMoveAway(call);
+
+	/** Aborts the attempt if it still waits when its engine is about to be ordered to load weights, and another engine may get it. */
+	const watchOrder = (call: Call, {endpoint, weights}: Choice, abort: (failure: FailureClass) => void): () => void => {
+		if (call.prompt === undefined || weights === undefined) {
+			return () => undefined;
+		}
+
+		return versions.watchOrder(endpoint.id, () => {
+			if (call.progress.firstAt === undefined && mayWithdraw(call)) {
+				abort('drained');
+			}
+		});
+	};
+
 	/** Aborts the attempt once its weights are too old; a stream that has begun goes on elsewhere if it may. */
 	const watchWeights = (call: Call, {weights}: Choice, abort: (failure: FailureClass) => void): () => void => {
 		if (call.prompt === undefined || weights === undefined) {
@@ -104,7 +120,7 @@
 			model: call.prompt.model,
 			weights,
 			onStartDeadline() {
-				if (call.progress.firstAt === undefined || (mayRunAgain(call) && options.mayMoveAway(call))) {
+				if (call.progress.firstAt === undefined || mayWithdraw(call)) {
 					abort('outdated');
 				}
 			},
@@ -251,6 +267,7 @@
 		};
 
 		let endWeightsWatch = (): void => undefined;
+		let endOrderWatch = (): void => undefined;
 		const end = await runAttempt({
 			send,
 			headers,
@@ -283,12 +300,14 @@
 				};
 
 				endWeightsWatch = watchWeights(call, chosen, abort);
+				endOrderWatch = watchOrder(call, chosen, abort);
 			},
 			onPathWatched(leavePath) {
 				call.leavePath = leavePath;
 			},
 		});
 		endWeightsWatch();
+		endOrderWatch();
 		watch?.ended();
 		leaveEndpoint?.();
 		work.ended(end.kind === 'answered');
--- a/packages/router/src/lib/orders/failure-classes.ts
+++ b/packages/router/src/lib/orders/failure-classes.ts
@@ -40,6 +40,8 @@
 	relay_lost: {reach: 'perhaps', blamesEndpoint: false},
 	/** The weights that the endpoint was chosen for became too old, for the answer to begin or to go on. */
 	outdated: {reach: 'perhaps', blamesEndpoint: false},
+	/** It had not begun when its engine was about to be ordered to load weights, which makes an engine reject what waits. */
+	drained: {reach: 'perhaps', blamesEndpoint: false},
 	/** The caller disconnected, or does not read. */
 	cancelled: {reach: 'perhaps', blamesEndpoint: false},
 } as const satisfies Record<string, {reach: Reach; blamesEndpoint: boolean}>;
--- a/packages/router/src/lib/peers/peer-report.ts
+++ b/packages/router/src/lib/peers/peer-report.ts
@@ -48,7 +48,8 @@
 	duty: z.tuple([z.number(), z.number()]).nullable().default(null),
 	/**
 	 * Sent by current or former lease holders: engine, weights version, target version or 0, milliseconds since its
-	 * last order or -1, milliseconds until its planned drain or -1.
+	 * last order or -1, milliseconds until its planned drain or -1. While an engine is being drained, the last figure is
+	 * the milliseconds until it is ordered at the latest, if above 0.
 	 */
 	engines: z.array(z.tuple([z.string(), z.number(), z.number(), z.number(), z.number().default(-1)])).default([]),
 	/** Listed endpoints whose process has ended, with its start time. */
--- a/packages/router/src/lib/placing/endpoint-load-tracker.ts
+++ b/packages/router/src/lib/placing/endpoint-load-tracker.ts
@@ -43,6 +43,8 @@
 	load: (endpoint: LiveEndpoint) => EndpointLoad;
 	/** Requests of this daemon in flight. */
 	ownRunning: (id: string) => number;
+	/** Whether a request of this daemon, or one that a peer has just reported, hasn't begun at the endpoint. */
+	hasUnstarted: (id: string) => boolean;
 	/** Estimated milliseconds to compute one prompt token. */
 	msPerToken: (id: string) => number;
 	/** Estimated milliseconds to the first event, without the time to compute the prompt. */
@@ -73,11 +75,16 @@
 
 type PeerLoads = {at: number; loads: PeerReport['loads']};
 
-/** Load of one endpoint from all peers. `endsAt` is when its last request is expected to end. */
-type PeerSum = Pick<EndpointLoad, 'running' | 'pendingTokens' | 'memoryTokens'> & {endsAt: number};
+/** Load of one endpoint from all peers. */
+type PeerSum = Pick<EndpointLoad, 'running' | 'pendingTokens' | 'memoryTokens'> & {
+	/** When its last request is expected to end. */
+	endsAt: number;
+	/** Until when a peer's report of requests that haven't begun counts. */
+	unstartedUntil: number;
+};
 
 const noPeerLoad: Readonly<PeerSum> = {
-	running: 0, pendingTokens: 0, memoryTokens: 0, endsAt: Number.NEGATIVE_INFINITY,
+	running: 0, pendingTokens: 0, memoryTokens: 0, endsAt: Number.NEGATIVE_INFINITY, unstartedUntil: Number.NEGATIVE_INFINITY,
 };
 
 /** Initial estimates in milliseconds, updated as exponential moving averages. */
@@ -95,6 +102,11 @@
 /** Time after which a load reported by an endpoint is ignored. */
 const endpointReportTtlMs = 700;
 const minPeerTtlMs = 1500;
+/**
+ * Time for which a peer's report counts in {@link EndpointLoadTracker.hasUnstarted}. Later the request has begun, or the
+ * endpoint's own report shows it; reports are up to 500 ms apart.
+ */
+const unstartedTtlMs = 600;
 /** A peer's loads are ignored after this many refresh intervals, but not before `minPeerTtlMs`. */
 const refreshesPerPeerTtl = 3;
 
@@ -171,6 +183,7 @@
 				sum.pendingTokens += pendingTokens;
 				sum.memoryTokens += memoryTokens;
 				sum.endsAt = Math.max(sum.endsAt, at + lastsMs);
+				sum.unstartedUntil = pendingTokens > 0 ? Math.max(sum.unstartedUntil, at + unstartedTtlMs) : sum.unstartedUntil;
 			}
 		}
 	};
@@ -209,6 +222,10 @@
 			};
 		},
 		ownRunning: id => entries.get(id)?.open.size ?? 0,
+		hasUnstarted(id) {
+			const now = performance.now();
+			return [...entries.get(id)?.open ?? []].some(({begunAt}) => begunAt === undefined) || now <= peerLoad(id, now).unstartedUntil;
+		},
 		msPerToken: id => entryOf(id).msPerToken,
 		baseMs: id => entryOf(id).baseMs,
 		runMs: outputTokens => outputTokens * runMsPerToken,
@@ -264,7 +281,9 @@
 			for (const [id, entry] of entries) {
 				if (entry.open.size > 0) {
 					const {running, pendingTokens, memoryTokens, remainingMs: lastsMs} = ownLoad(entry, now);
-					loads.push([id, running, Math.round(pendingTokens), Math.round(memoryTokens), Math.round(lastsMs)]);
+					// A request that hasn't begun shows even if all of its tokens are cached.
+					const unstarted = [...entry.open].filter(({begunAt}) => begunAt === undefined).length;
+					loads.push([id, running, Math.max(unstarted, Math.round(pendingTokens)), Math.round(memoryTokens), Math.round(lastsMs)]);
 				}
 			}
 
--- a/packages/router/src/lib/weights/engine-versions.ts
+++ b/packages/router/src/lib/weights/engine-versions.ts
@@ -4,6 +4,7 @@
  * process ends or refuses a request for the tracked version.
  */
 import {type LiveEndpoint} from '../fleet/live-endpoint.js';
+import {createOrderWatches, type OrderWatches} from './order-watches.js';
 
 /** Tracked state of one engine. */
 export type EngineVersion = {
@@ -21,8 +22,15 @@
 	seen: (id: string, version: number) => void;
 	/** The engine refused a request for this version: it counts as running the listed one until a response says otherwise. */
 	disproved: (id: string, version: number) => void;
-	/** Records that the engine is being drained or changed to a version. */
-	changing: (id: string, toVersion: number) => void;
+	/**
+	 * Records that the engine is being drained or changed to a version; repeated while that lasts.
+	 * `orderInMs` is the time until it is ordered at the latest; infinite if that is unknown or past.
+	 */
+	changing: (id: string, toVersion: number, orderInMs?: number) => void;
+	/** Milliseconds until an engine that is being drained is ordered, at the latest; infinite if unknown or past. */
+	orderInMs: (id: string) => number;
+	/** Calls `onDue` shortly before an engine is ordered to load, until the returned function is called. */
+	watchOrder: OrderWatches['watch'];
 	/** Records that the engine will be drained in `dueInMs` for a change to a version. */
 	planned: (id: string, toVersion: number, dueInMs: number) => void;
 	/** Engines that are being changed, with their target version. */
@@ -32,8 +40,9 @@
 };
 
 /**
- * Time after which a recorded change expires; bounds how long an engine stays unused when the
- * lease holder dies.
+ * Time after which a recorded change expires unless it is repeated; bounds how long an engine stays
+ * unused when the lease holder dies. A drain or a load that takes longer doesn't end it: daemons
+ * would send requests that the engine rejects.
  */
 const maxChangeMs = 4000;
 
@@ -46,7 +55,7 @@
 	planRepeatMs?: () => number;
 };
 
-type Change = {toVersion: number; since: number};
+type Change = {toVersion: number; heardAt: number; orderAt: number};
 
 type Plan = {toVersion: number; dueAt: number; heardAt: number};
 
@@ -70,7 +79,7 @@
 			return undefined;
 		}
 
-		if (performance.now() - change.since < maxChangeMs) {
+		if (performance.now() - change.heardAt < maxChangeMs) {
 			return change;
 		}
 
@@ -78,7 +87,16 @@
 		return undefined;
 	};
 
+	const orderInMs = (id: string): number => {
+		const leftMs = (currentChange(id)?.orderAt ?? Number.POSITIVE_INFINITY) - performance.now();
+		return leftMs > 0 ? leftMs : Number.POSITIVE_INFINITY;
+	};
+
+	const orderWatches = createOrderWatches({orderInMs});
+
 	return {
+		orderInMs,
+		watchOrder: orderWatches.watch,
 		of(endpoint, model) {
 			const listed = endpoint.weights.get(model) ?? 0;
 			const version = Math.max(listed, versions.get(endpoint.id) ?? 0);
@@ -95,10 +113,12 @@
 				versions.delete(id);
 			}
 		},
-		changing(id, toVersion) {
+		changing(id, toVersion, inMs = Number.POSITIVE_INFINITY) {
 			const known = changes.get(id);
-			if (known === undefined || known.toVersion < toVersion) {
-				changes.set(id, {toVersion, since: performance.now()});
+			if (known === undefined || known.toVersion <= toVersion) {
+				const now = performance.now();
+				changes.set(id, {toVersion, heardAt: now, orderAt: now + inMs});
+				orderWatches.updated(id);
 			}
 		},
 		planned(id, toVersion, inMs) {
@@ -120,6 +140,7 @@
 			versions.delete(id);
 			changes.delete(id);
 			plans.delete(id);
+			orderWatches.updated(id);
 		},
 	};
 }
--- a/packages/router/src/lib/weights/rollout-planner.ts
+++ b/packages/router/src/lib/weights/rollout-planner.ts
@@ -77,13 +77,16 @@
 	return 0;
 }
 
+/** Maximum number of engines that change at the same time. */
+export const maxChangingOf = (engines: number): number => Math.max(1, Math.floor(engines * maxChangingRatio));
+
 /** Creates a planner. */
 export function createRolloutPlanner(): RolloutPlanner {
 	let averageDowntimeMs = initialDowntimeMs;
 
 	return {
 		plan({engines, changing, pending}) {
-			const maxChanging = Math.max(1, Math.floor(engines * maxChangingRatio));
+			const maxChanging = maxChangingOf(engines);
 			const due: ChangeTask[] = [];
 			const later: RolloutPlan['later'] = [];
 			let position = changing;
--- a/packages/router/src/lib/weights/weights-rollout.ts
+++ b/packages/router/src/lib/weights/weights-rollout.ts
@@ -8,7 +8,7 @@
 import {type HeldLease} from '../leases/lease-holder.js';
 import {type Log} from '../observability/log.js';
 import {pause} from '../time/pause.js';
-import {type ChangeTask, createRolloutPlanner} from './rollout-planner.js';
+import {type ChangeTask, createRolloutPlanner, maxChangingOf} from './rollout-planner.js';
 import {createEngineDrains} from './engine-drains.js';
 import {type EngineVersions} from './engine-versions.js';
 import {type WeightsControl} from './weights-control.js';
@@ -41,6 +41,8 @@
 	remainingMs: (id: string) => number;
 	/** Whether an endpoint has requests in flight, as far as known. */
 	hasRequests?: (id: string) => boolean;
+	/** Whether a daemon has a request at the endpoint that hasn't begun, as far as known. */
+	hasUnstarted?: (id: string) => boolean;
 	/** Minimum interval between two requests to an endpoint with a rate limit; `undefined` without a limit. */
 	minRequestIntervalMs?: (endpoint: LiveEndpoint) => number | undefined;
 	log: Log;
@@ -58,12 +60,24 @@
 /** Fraction of `weightsMs` above which an engine gets hardly any requests. */
 const maxWeightsAgeRatio = 0.7;
 
+/** Fraction of `weightsMs` up to which an unusable engine may wait for its last requests; daemons have withdrawn those that wait by then. */
+const maxWaitingAgeRatio = 0.9;
+
+/**
+ * Shortest limit of the wait for an engine's queue, which applies when a rollout is late. The engine
+ * rejects what waits when it is ordered, so most queues should empty even then.
+ */
+const minQueueWaitLimitMs = 800;
+
 const pollMs = 200;
 
-/** Minimum interval within which announcements to peers are merged into one, and its growth per daemon. */
+/** Minimum interval between two announcements to peers, and its growth per daemon. */
 const minAnnounceMs = 50;
 const announceMsPerDaemon = 1;
 
+/** Time for which an announcement waits for other engines' changes, which come in groups. */
+const mergeAnnouncementsMs = 10;
+
 /** Initial estimate of the time from an accepted order to the new weights. */
 const initialLoadMs = 800;
 const loadSmoothing = 0.3;
@@ -96,24 +110,26 @@
 	const acceptedOrders = new Map<string, {version: number; at: number}>();
 	const peerOrders = new Map<string, number>();
 	let announcement: Promise<void> | undefined;
+	let announcedAt = Number.NEGATIVE_INFINITY;
 	let averageLoadMs = initialLoadMs;
+	/** Number of rounds that the rollout still takes, by service. */
+	const roundsLeft = new Map<string, number>();
+	const daemons = (): number => options.daemons?.() ?? 1;
 
 	/** Resolves once peers have been informed; calls within one interval share an announcement. */
 	const announce = async (): Promise<void> => {
 		announcement ??= (async () => {
-			await pause(Math.max(minAnnounceMs, announceMsPerDaemon * (options.daemons?.() ?? 1)));
+			const intervalMs = Math.max(minAnnounceMs, announceMsPerDaemon * daemons());
+			await pause(Math.max(mergeAnnouncementsMs, announcedAt + intervalMs - performance.now()));
 			announcement = undefined;
+			announcedAt = performance.now();
 			await options.announce();
 		})();
 		return announcement;
 	};
 
 	const drains = createEngineDrains({
-		versions,
-		remainingMs: options.remainingMs,
-		announce() {
-			void announce();
-		},
+		versions, remainingMs: options.remainingMs, hasUnstarted: options.hasUnstarted ?? (() => false), daemons, announce,
 	});
 	const planner = createRolloutPlanner();
 
@@ -151,13 +167,28 @@
 		return order?.version === version && performance.now() - order.at < (averageLoadMs * firstPollRatio) + acceptedOrderTtlMs;
 	};
 
+	/** Milliseconds since the weights that the engine runs were replaced. */
+	const outdatedMs = ({endpoint, model}: ChangeTask): number => view.namedWeights(model)!.outdatedMs(versions.of(endpoint, model).version);
+
 	/** Engines too stale for new requests lose nothing by changing at once. */
-	const isUnusable = ({endpoint, model}: ChangeTask): boolean =>
-		view.namedWeights(model)!.outdatedMs(versions.of(endpoint, model).version) > options.weightsMs * maxWeightsAgeRatio;
+	const isUnusable = (task: ChangeTask): boolean => outdatedMs(task) > options.weightsMs * maxWeightsAgeRatio;
 
 	/** An unusable engine that still has requests only waits for them; it takes no capacity and loads nothing yet. */
 	const isOnlyWaiting = (task: ChangeTask): boolean => isUnusable(task) && (options.hasRequests?.(task.endpoint.id) ?? false);
 
+	/**
+	 * How long the engine's queue may take to empty: the share of its round in the time in which the rollout
+	 * should end. An unusable engine that only waits takes no other's place, so it may wait until its requests
+	 * have been withdrawn.
+	 */
+	const maxQueueWaitMs = (task: ChangeTask): number => {
+		const outdated = outdatedMs(task);
+		const limitMs = isOnlyWaiting(task)
+			? (options.weightsMs * maxWaitingAgeRatio) - outdated
+			: (((options.weightsMs * maxWeightsAgeRatio) - outdated) / (roundsLeft.get(task.endpoint.service) ?? 1)) - averageLoadMs;
+		return Math.max(minQueueWaitLimitMs, limitMs);
+	};
+
 	const advance = async (task: ChangeTask): Promise<void> => {
 		const {endpoint, model, version} = task;
 		if (!drains.areLongRequestsDone(task, isUnusable(task))) {
@@ -171,11 +202,17 @@
 		}
 
 		const held = usableLease();
-		if (running === undefined || running >= version || state.isChanging || held === undefined || isOrderedByPeer(endpoint.id)) {
+		if (running === undefined || running >= version || held === undefined || isOrderedByPeer(endpoint.id)) {
 			return;
 		}
 
-		if (!drains.isQueueEmpty(task, state.waiting) || isRecentlyAccepted(task)) {
+		if (state.isChanging || isRecentlyAccepted(task)) {
+			// It takes no requests, however long its load takes.
+			versions.changing(endpoint.id, version);
+			return;
+		}
+
+		if (!drains.isQueueDone(task, {waiting: state.waiting, maxQueueWaitMs: maxQueueWaitMs(task)})) {
 			return;
 		}
 
@@ -192,6 +229,7 @@
 		});
 		if (result === 'accepted') {
 			acceptedOrders.set(endpoint.id, {version, at: performance.now()});
+			versions.changing(endpoint.id, version);
 		}
 
 		if (result === 'misdirected') {
@@ -207,7 +245,7 @@
 	const pollPauseMs = ({endpoint, version}: ChangeTask): number => {
 		const order = acceptedOrders.get(endpoint.id);
 		if (order?.version !== version) {
-			return pollMs;
+			return drains.nextCheckMs(endpoint.id) ?? pollMs;
 		}
 
 		const loadingMs = performance.now() - order.at;
@@ -308,7 +346,9 @@
 
 	const startTasks = (service: string, models: readonly string[]): void => {
 		const serving = view.endpointsOf(service).filter(endpoint => !presence.hasEnded(endpoint) && !presence.isDoubtful(endpoint));
-		const pending = tasksOf(service, models).filter(task => !inProgress.has(task.endpoint.id));
+		const tasks = tasksOf(service, models);
+		roundsLeft.set(service, Math.max(1, Math.ceil(tasks.length / maxChangingOf(serving.length))));
+		const pending = tasks.filter(task => !inProgress.has(task.endpoint.id));
 		const {due, later} = planner.plan({
 			engines: serving.length,
 			changing: serving.filter(endpoint => isChanging(endpoint, models)).length,
--- a/packages/router/src/test/placing/endpoint-load-tracker.test.ts
+++ b/packages/router/src/test/placing/endpoint-load-tracker.test.ts
@@ -66,6 +66,25 @@
 		}
 	});
 
+	it('knows of requests that haven\'t begun, here and in recent reports of peers', () => {
+		// Guards against an engine that is ordered to load while requests wait there, even if all their tokens are cached.
+		const clock = FakeTimers.install({toFake: ['performance']});
+		try {
+			const book = createEndpointLoadTracker();
+			const work = book.start('e1', {missingTokens: 0, memoryTokens: 100, outputTokens: 10});
+			assert.isTrue(book.hasUnstarted('e1'));
+			assert.equal(book.report()[0][2], 1);
+			work.begun();
+			assert.isFalse(book.hasUnstarted('e1'));
+			book.applyPeerReport(reportOf('vm-2', {loads: [['e1', 1, 1, 100, 50]]}));
+			assert.isTrue(book.hasUnstarted('e1'));
+			clock.tick(601);
+			assert.isFalse(book.hasUnstarted('e1'));
+		} finally {
+			clock.uninstall();
+		}
+	});
+
 	it('sums the latest reports of peers, without peers that left or stopped reporting', () => {
 		// A cached sum that outlived a report would show an idle engine as busy.
 		const clock = FakeTimers.install({toFake: ['performance']});
--- /dev/null
+++ b/packages/router/src/test/weights/drain-crossings.test.ts
@@ -0,0 +1,43 @@
+import {assert} from 'chai';
+import {type RolloutModel, simulateRollout} from './rollout-model.js';
+
+const weightsMs = 15_000;
+/** Time from a naming in which all engines should run the new weights. */
+const rolloutMs = weightsMs * 0.7;
+
+const fleets: ReadonlyArray<Pick<RolloutModel, 'daemons' | 'engines'>> = [{daemons: 9, engines: 12}, {daemons: 71, engines: 42}];
+
+/** Requests per second for each engine, and how long they compute. */
+const loads: Record<string, Pick<RolloutModel, 'computeMs' | 'initialQueue'> & {ratePerEngine: number}> = {
+	'half of the capacity': {ratePerEngine: 5.5, computeMs: [20, 160]},
+	'as much as two thirds of the engines serve': {ratePerEngine: 7, computeMs: [20, 160]},
+	'long prompts': {ratePerEngine: 3, computeMs: [100, 350]},
+	'queues of 2 s': {ratePerEngine: 5, computeMs: [20, 160], initialQueue: 25},
+};
+
+describe('requests and orders to load weights', () => {
+	for (const fleet of fleets) {
+		for (const [name, {ratePerEngine, ...load}] of Object.entries(loads)) {
+			it(`do not cross with ${fleet.daemons} daemons and ${name}`, async () => {
+				// Guards against requests that engines reject because they are ordered while requests wait or arrive. With
+				// a drain of at most 800 ms, whatever daemons had heard of it, the two fleets rejected 35 and 103 requests
+				// with queues of 2 s; of those of the larger fleet, daemons that hadn't heard had sent 6.
+				const {crossed, misdirected, doneMs} = await simulateRollout({
+					seed: 1, ...fleet, ...load, weightsMs, rate: ratePerEngine * fleet.engines, lossRatio: 0.02,
+				});
+				assert.deepEqual([crossed, misdirected], [{unheard: 0, queueOutlasted: 0, reportLagged: 0}, 0]);
+				assert.isAtMost(doneMs, rolloutMs);
+			});
+		}
+	}
+
+	it('do not cross where requests may be sent again and queues outlast the drain', async () => {
+		// Guards against requests that are rejected although another engine could have served them.
+		const {crossed, withdrawn, doneMs} = await simulateRollout({
+			seed: 1, daemons: 71, engines: 42, computeMs: [20, 160], rate: 42 * 4, initialQueue: 38, repeatableRatio: 1, weightsMs,
+		});
+		assert.isAbove(withdrawn, 0);
+		assert.deepEqual(crossed, {unheard: 0, queueOutlasted: 0, reportLagged: 0});
+		assert.isAtMost(doneMs, rolloutMs);
+	});
+});
--- a/packages/router/src/test/weights/weights-rollout.test.ts
+++ b/packages/router/src/test/weights/weights-rollout.test.ts
@@ -80,6 +80,8 @@
 	let remainingMs: Map<string, number>;
 	/** Minimum milliseconds between two requests to an engine with a rate limit, by engine. */
 	let minRequestIntervalMs: Map<string, number>;
+	/** Engines at which daemons know of requests that haven't begun. */
+	let unstarted: Set<string>;
 	/** Engines that only other daemons reach. */
 	let outOfReach: Set<string>;
 	let handOvers: number;
@@ -96,6 +98,7 @@
 		remainingMs: id => remainingMs.get(id) ?? 0,
 		minRequestIntervalMs: ({id}) => minRequestIntervalMs.get(id),
 		hasRequests: id => performance.now() < (engines.runsUntil.get(id) ?? 0),
+		hasUnstarted: id => unstarted.has(id),
 		isOutOfReach: ({id}) => outOfReach.has(id),
 		handOver() {
 			handOvers++;
@@ -121,6 +124,7 @@
 		fencing = 1;
 		remainingMs = new Map();
 		minRequestIntervalMs = new Map();
+		unstarted = new Set();
 		outOfReach = new Set();
 		handOvers = 0;
 		rollout = createRollout();
@@ -191,6 +195,47 @@
 		assert.lengthOf(engines.orders, ids.length);
 	});
 
+	it('orders no engine while a daemon knows of a request there that hasn\'t begun, for a moment', async () => {
+		// Guards against requests that are rejected because the engine's report of its queue is older than their
+		// arrival. An answer without events begins for its daemon only when it is complete, so the wait is short.
+		unstarted.add('e0');
+		for (const id of ids.slice(1)) {
+			versions.seen(id, 2);
+			engines.versions.set(id, 2);
+		}
+
+		view.acceptWeights('m', 2, 0);
+		await clock.tickAsync(700);
+		assert.lengthOf(engines.orders, 0);
+		await clock.tickAsync(500);
+		assert.lengthOf(engines.orders, 1);
+	});
+
+	it('lets a queue empty for longer where more time is left', async () => {
+		// Guards against requests that are rejected after a fixed wait although the bounds leave time.
+		engines.waiting = 3;
+		for (const id of ids.slice(1)) {
+			versions.seen(id, 2);
+			engines.versions.set(id, 2);
+		}
+
+		view.acceptWeights('m', 2, 0);
+		await clock.tickAsync(4000);
+		assert.lengthOf(engines.orders, 0);
+		assert.isBelow(versions.orderInMs('e0'), 1000);
+		await clock.tickAsync(1000);
+		assert.lengthOf(engines.orders, 1);
+	});
+
+	it('keeps requests away from an engine as long as its change takes', async () => {
+		// Guards against requests that an engine rejects because daemons forget of its load after some seconds.
+		engines.runsUntil.set('e0', 7000);
+		view.acceptWeights('m', 2, 0);
+		await clock.tickAsync(6500);
+		assert.equal(engines.versions.get('e0'), 1);
+		assert.isTrue(versions.of(view.endpoint('e0')!, 'm').isChanging);
+	});
+
 	it('keeps two thirds of the live engines in service when others have crashed', async () => {
 		// Four of twelve engines are listed but gone. Changing a third of the list would
 		// leave four engines for all callers.
