Requests that would be served too late are refused at once

Cause: the expected time to the first event was computed and logged, but never compared with the time that the caller has left. A request with a deadline of 5 s was sent with 22,259 ms expected.

Change: a new module, admission, decides on each request before it is sent.

--- a/packages/entry/src/lib/entry-parts.ts
+++ b/packages/entry/src/lib/entry-parts.ts
@@ -28,7 +28,7 @@
 } from './wiring/path-wiring.js';
 import {wireCrashWatch, wireQuarantine, wireRefusalRows} from './wiring/quarantine-wiring.js';
 import {
-	wireBackoff, wireBrittle, wireBudgets, wireCapacityWait, wireChoice, wireEvents, wireLimits, wireQuota,
+	wireAdmission, wireBackoff, wireBrittle, wireBudgets, wireCapacityWait, wireChoice, wireEvents, wireLimits, wireQuota,
 } from './wiring/request-wiring.js';
 import {
 	wireOriginFinder, wireSoftwareHistory, wireStreamOrigins, wireStreamRoutes,
@@ -91,6 +91,7 @@
 		brittle: asFunction(wireBrittle).singleton(),
 		capacityWait: asFunction(wireCapacityWait).singleton(),
 		choice: asFunction(wireChoice).singleton(),
+		admission: asFunction(wireAdmission).singleton(),
 		store: asFunction(({timings, metrics, log}: EntryParts) => createStoreClient({
 			address: settings.storeAddress, timeoutMs: timings.storeTimeoutMs * 2, onCall: metrics.storeCalled, log,
 		})).singleton(),
@@ -127,6 +128,7 @@
 			paths: parts.paths,
 			relay: parts.relay,
 			capacityWait: parts.capacityWait,
+			admission: parts.admission,
 			origins: parts.origins,
 			originFinder: parts.originFinder,
 			choice: parts.choice,
--- a/packages/entry/src/lib/wiring/parts.ts
+++ b/packages/entry/src/lib/wiring/parts.ts
@@ -1,5 +1,6 @@
 /** Types of the entry daemon's parts, by their name in the container. */
 import {type BootSettings, type createEndpointControl, type createStoreClient} from '@hickorywalk/platform';
+import {type Admission} from 'hickorywalk/admission.js';
 import {
 	type ChangeFeed, type DocumentGuard, type EndpointPresence, type FleetClock, type FleetView,
 } from 'hickorywalk/fleet.js';
@@ -71,6 +72,7 @@
 	brittle: BrittleEndpoints;
 	capacityWait: CapacityWait;
 	choice: ReturnType<typeof createEndpointChoice>;
+	admission: Admission;
 	store: ReturnType<typeof createStoreClient>;
 	ownTable: ReturnType<ReturnType<typeof createStoreClient>['table']>;
 	operatorFeed: ChangeFeed;
--- a/packages/entry/src/lib/wiring/request-wiring.ts
+++ b/packages/entry/src/lib/wiring/request-wiring.ts
@@ -1,4 +1,5 @@
 /** Wires the request path: quotas, endpoint choice, retry budgets, logs and metrics. */
+import {type Admission, createAdmission} from 'hickorywalk/admission.js';
 import {type ForwardingEvents} from 'hickorywalk/forwarding.js';
 import {
 	type BrittleEndpoints, type CapacityWait, createBrittleEndpoints, createCapacityWait, createEndpointBackoff, createEndpointChoice, createEndpointLimits, type EndpointBackoff, type EndpointLimits,
@@ -90,6 +91,11 @@
 	});
 }
 
+/** Creates the admission of requests. */
+export const wireAdmission = ({view, loadTracker, choice}: EntryParts): Admission => createAdmission({
+	view, loadTracker, choose: choice.choose, random: Math.random,
+});
+
 /** Returns a function that looks up the retry budget of a service. */
 export function wireBudgets(parts: EntryParts): (service: string) => AttemptBudget {
 	const budgets = new Map<string, AttemptBudget>();
--- a/packages/router/src/lib/forwarding/call.ts
+++ b/packages/router/src/lib/forwarding/call.ts
@@ -68,6 +68,8 @@
 	progress: AttemptProgress;
 	/** The endpoint of the latest attempt. */
 	choice: Choice | undefined;
+	/** Expected milliseconds to the first event for which the request was refused as `overloaded`. */
+	refusedExpectedMs: number | undefined;
 	/** `performance.now()` of the latest dispatch. */
 	sentAt: number | undefined;
 	/** Milliseconds since the weights version of the latest attempt was replaced, at dispatch and when its response began. */
@@ -103,6 +105,7 @@
 		isRetryGranted: false,
 		progress: {firstAt: undefined, lastEventId: undefined, facts: undefined},
 		choice: undefined,
+		refusedExpectedMs: undefined,
 		sentAt: undefined,
 		weightsAgeMs: undefined,
 		begunWeightsAgeMs: undefined,
--- a/packages/router/src/lib/forwarding/forwarder.ts
+++ b/packages/router/src/lib/forwarding/forwarder.ts
@@ -1,10 +1,12 @@
 /** Forwards one request: routing, authentication, quota, endpoint choice and retries. */
 import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {type Admission, type Admitted as AdmissionResult} from '../admission/admission.js';
 import {type CallFacts} from '../fleet/call-headers.js';
 import {type Route, type Workspace} from '../fleet/fleet-document.js';
 import {type AcceptedDocument} from '../fleet/fleet-view.js';
 import {chooseService} from '../fleet/route-table.js';
 import {type CapacityWait} from '../placing/capacity-wait.js';
+import {type ChoiceRequest} from '../placing/choice-request.js';
 import {type Choice} from '../placing/endpoint-choice.js';
 import {sharedPartKeys} from '../quarantine/prompt-part-keys.js';
 import {type Quarantine, type Standing} from '../quarantine/quarantine.js';
@@ -23,7 +25,7 @@
 import {createEndpointSender, type EndpointSenderOptions} from './send-to-endpoint.js';
 import {respondsSoon} from './silence-timeouts.js';
 import {
-	decideNext, reasonOf, refuseForCrashes, type Decision, type DecisionOptions, decideWithoutEndpoint,
+	decideNext, reasonOf, refuseForCrashes, refuseOverloaded, type Decision, type DecisionOptions, decideWithoutEndpoint,
 } from './retry-decision.js';
 
 /** Options of {@link createForwarder}. */
@@ -33,6 +35,7 @@
 	quota: FleetQuota;
 	quarantine: Quarantine;
 	capacityWait: CapacityWait;
+	admission: Admission;
 	originFinder: Pick<OriginFinder, 'locate'>;
 	/** The process is about to exit and rejects new requests. */
 	isClosed: () => boolean;
@@ -90,10 +93,7 @@
 		}
 	};
 
-	const chooseFor = (call: Call): Choice | undefined =>
-		choice.choose({
-			service: call.service, prompt: call.prompt, excluded: call.excluded, software: call.origin?.software,
-		});
+	const chooseFor = (call: Call): Choice | undefined => choice.choose(choiceRequestOf(call));
 
 	/** Whether another endpoint may get the request; withdraws from the retry budget once per attempt. */
 	const mayTryElsewhere = (call: Call): boolean => {
@@ -114,17 +114,27 @@
 
 	const decisionOptions: DecisionOptions = {mayTryElsewhere, standingOf, capacityWait: options.capacityWait};
 
+	const refuseUnadmitted = (call: Call, {reason, expectedMs, retryAfterMs}: Extract<AdmissionResult, {kind: 'refuse'}>): Decision => {
+		if (reason === 'unavailable') {
+			return decideWithoutEndpoint(call, options.capacityWait);
+		}
+
+		call.refusedExpectedMs = expectedMs;
+		return refuseOverloaded(call, retryAfterMs);
+	};
+
 	const run = async (call: Call): Promise<Decision> => {
 		for (;;) {
 			if (isRefused(call)) {
 				return refuseForCrashes(call);
 			}
 
-			const chosen = chooseFor(call);
-			if (chosen === undefined) {
-				return decideWithoutEndpoint(call, options.capacityWait);
+			const admitted = options.admission.decide({...choiceRequestOf(call), deadlineAt: call.deadlineAt, targetMs: call.route.targetMs});
+			if (admitted.kind === 'refuse') {
+				return refuseUnadmitted(call, admitted);
 			}
 
+			const chosen = admitted.choice;
 			call.choice = chosen;
 			call.excluded.add(chosen.endpoint.id);
 			call.attempts++;
@@ -286,6 +296,11 @@
 	};
 }
 
+/** What the endpoint choice needs to know of a request. */
+const choiceRequestOf = ({service, prompt, excluded, origin}: Call): ChoiceRequest => ({
+	service, prompt, excluded, software: origin?.software,
+});
+
 /** Whether a caller that has a part of a stream asks for the rest of it. */
 const resumesStream = (route: Route, {resumeAfter, resumes}: CallFacts): boolean =>
 	route.kind === 'stream' && route.isResumable && (resumeAfter !== undefined || resumes !== undefined);
@@ -327,6 +342,8 @@
 	startedAt: number;
 };
 
+const expectedMsOf = (call: Call | undefined): number | undefined => call?.refusedExpectedMs ?? call?.choice?.expectedMs;
+
 function describeEnd(end: EndOfRequest): RequestEnd {
 	const {
 		call, route, workspace, digest, reply, facts, reason, quota,
@@ -348,7 +365,7 @@
 		ms: performance.now() - end.startedAt,
 		firstMs: elapsedMs(call?.progress.firstAt),
 		sentMs: elapsedMs(call?.sentAt),
-		expectedMs: choice?.expectedMs,
+		expectedMs: expectedMsOf(call),
 		weights: choice?.weights,
 		weightsAgeMs: call?.weightsAgeMs,
 		begunWeightsAgeMs: call?.begunWeightsAgeMs,
--- a/packages/router/src/lib/forwarding/forwarding-events.ts
+++ b/packages/router/src/lib/forwarding/forwarding-events.ts
@@ -25,7 +25,7 @@
 	firstMs: number | undefined;
 	/** Milliseconds to the latest dispatch; `undefined` if there was none. */
 	sentMs: number | undefined;
-	/** Milliseconds from the latest dispatch to the first byte, as estimated when the endpoint was chosen. */
+	/** Milliseconds from the latest dispatch to the first byte, as estimated when the endpoint was chosen or the request was refused as `overloaded`. */
 	expectedMs: number | undefined;
 	/** Weights version that the endpoint was chosen for; `undefined` for plain services. */
 	weights: number | undefined;
--- a/packages/router/src/lib/forwarding/refusals.ts
+++ b/packages/router/src/lib/forwarding/refusals.ts
@@ -16,6 +16,7 @@
 	no_key: {status: 401, provesNotRun: true, text: 'Send a key of a workspace.'},
 	over_quota: {status: 429, provesNotRun: true, text: 'The workspace is over its rate and burst.'},
 	no_endpoint: {status: 503, provesNotRun: true, text: 'No endpoint can take the request now.'},
+	overloaded: {status: 503, provesNotRun: true, text: 'The service is short of capacity and would not respond in the request\'s time.'},
 	endpoint_refused: {status: 503, provesNotRun: true, text: 'The endpoint did not run the request.'},
 	cannot_resume: {status: 503, provesNotRun: true, text: 'The stream can\'t go on: the software version that began it is unknown, or none of its endpoints is left. Begin anew.'},
 	too_large: {status: 413, provesNotRun: true, text: 'The body is larger than the operator allows.'},
--- a/packages/router/src/lib/forwarding/retry-decision.ts
+++ b/packages/router/src/lib/forwarding/retry-decision.ts
@@ -38,6 +38,10 @@
 	return call.mayHaveRun ? {kind: 'refuse', name: 'endpoint_failed'} : refuseNotRun(call, 'no_endpoint', capacityWait);
 }
 
+/** Decision for a request that would not be served in its time. */
+export const refuseOverloaded = ({mayHaveRun}: Call, retryAfterMs: number): Decision =>
+	mayHaveRun ? {kind: 'refuse', name: 'endpoint_failed'} : {kind: 'refuse', name: 'overloaded', retryAfterMs};
+
 /** Decision for a request that is refused because endpoints crash under it. */
 export const refuseForCrashes = ({mayHaveRun}: Call): Decision => ({kind: 'refuse', name: mayHaveRun ? 'crashed_endpoints' : 'crashes_endpoints'});
 
