Requests wait while an endpoint is expected to take them in their time

Cause: a request that no endpoint could take at the moment was refused within 1 ms, although room comes back as soon as one of the daemon's own requests ends, or a pause, a rate limit or a load of weights does.

Change: such a request waits in a queue bounded by count and bytes, by rank, then returned requests, then turns of workspaces, then deadline. Events wake it (an own request ended, a report arrived, an endpoint changed), and one timer for ends that no event tells of. It is refused early if it is no longer expected to be served in its time, and leaves at once when its caller disconnects, on shutdown and when it counts as crashing endpoints; its quota is refunded. What may have run doesn't wait.

--- a/packages/entry/src/lib/daemon-metrics.ts
+++ b/packages/entry/src/lib/daemon-metrics.ts
@@ -2,6 +2,7 @@
 import {
 	collectDefaultMetrics, Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
+import {type WaitingCount} from 'hickorywalk/admission.js';
 import {type RequestEnd} from 'hickorywalk/forwarding.js';
 
 /** Help texts by metric; docs/metrics.md lists the same. */
@@ -18,6 +19,9 @@
 	hickorywalk_relays_declined_total: 'Requests of peers that were not passed on, by reason.',
 	hickorywalk_paths_lost: 'Endpoints that this daemon can\'t reach over its own network.',
 	hickorywalk_store_calls_total: 'Calls to the platform\'s store, by call.',
+	hickorywalk_requests_waiting: 'Requests that wait until an endpoint can take them, by service and rank.',
+	hickorywalk_request_wait_seconds: 'Time for which a request waited until an endpoint could take it, by service and rank; of those that waited.',
+	hickorywalk_overload_expected_seconds: 'Expected time to the first byte of requests that were refused as overloaded, by service and rank.',
 	hickorywalk_requests_under_way: 'Requests that are being handled.',
 	hickorywalk_peers_heard: 'Daemons whose reports arrive.',
 	hickorywalk_event_loop_turns_total: 'Turns of the event loop; each wake-up of the process takes at least one.',
@@ -30,6 +34,7 @@
 	requestsInFlight: () => number;
 	livePeers: () => number;
 	lostPaths: () => number;
+	waiting: () => WaitingCount[];
 };
 
 /** Records and serves the metrics. */
@@ -82,6 +87,8 @@
 	const firstByteSeconds = new Histogram({...describe('hickorywalk_request_first_seconds'), labelNames: ['service'], buckets: secondsBuckets});
 	const totalSeconds = new Histogram({...describe('hickorywalk_request_seconds'), labelNames: ['service'], buckets: secondsBuckets});
 	const begunWeightsAgeSeconds = new Histogram({...describe('hickorywalk_begun_weights_age_seconds'), labelNames: ['service'], buckets: secondsBuckets});
+	const waitSeconds = new Histogram({...describe('hickorywalk_request_wait_seconds'), labelNames: ['service', 'rank'], buckets: secondsBuckets});
+	const overloadExpectedSeconds = new Histogram({...describe('hickorywalk_overload_expected_seconds'), labelNames: ['service', 'rank'], buckets: secondsBuckets});
 	registerTotal('hickorywalk_event_loop_turns_total', () => performance.nodeTiming.uvMetricsInfo.loopCount);
 	registerTotal('hickorywalk_event_loop_busy_seconds_total', () => performance.eventLoopUtilization().active / msPerSecond);
 
@@ -92,7 +99,15 @@
 	}
 
 	return {
-		requestEnded({service = 'none', reason, peer, resumes, ms, firstMs, begunWeightsAgeMs = 0}) {
+		requestEnded({service = 'none', reason, peer, resumes, ms, firstMs, expectedMs, waitedMs, rank = 0, begunWeightsAgeMs = 0}) {
+			if (waitedMs > 0) {
+				waitSeconds.observe({service, rank}, waitedMs / msPerSecond);
+			}
+
+			if (reason === 'overloaded' && expectedMs !== undefined) {
+				overloadExpectedSeconds.observe({service, rank}, expectedMs / msPerSecond);
+			}
+
 			requestCounter.inc({service, result: reason});
 			if (peer !== undefined) {
 				relayedCounter.inc({service, result: reason});
@@ -129,13 +144,25 @@
 		logLinesDropped(count) {
 			droppedLineCounter.inc(count);
 		},
-		registerGauges({requestsInFlight, livePeers, lostPaths}) {
+		registerGauges({requestsInFlight, livePeers, lostPaths, waiting}) {
 			const registerGauge = (name: keyof typeof metricHelp, read: () => number) => new Gauge({
 				...describe(name),
 				collect() {
 					this.set(read());
 				},
 			});
+			registry.registerMetric(new Gauge({
+				name: 'hickorywalk_requests_waiting',
+				help: metricHelp.hickorywalk_requests_waiting,
+				registers: [],
+				labelNames: ['service', 'rank'],
+				collect() {
+					this.reset();
+					for (const {service, rank, count} of waiting()) {
+						this.set({service, rank}, count);
+					}
+				},
+			}));
 			registerGauge('hickorywalk_requests_under_way', requestsInFlight);
 			registerGauge('hickorywalk_peers_heard', livePeers);
 			registerGauge('hickorywalk_paths_lost', lostPaths);
--- a/packages/entry/src/lib/entry-daemon.ts
+++ b/packages/entry/src/lib/entry-daemon.ts
@@ -35,7 +35,9 @@
 	const isReady = (): boolean => !state.isStopping && operatorFeed.newestChange() > 0 && endpointFeed.newestChange() > 0 && parts.documentGuard.current() !== undefined;
 	const readiness = createReadinessServer(isReady, [readinessPath]);
 	serveMetrics(readiness, metrics.text);
-	metrics.registerGauges({requestsInFlight: parts.forwarder.inFlight, livePeers: () => parts.peers.live().length, lostPaths: parts.paths.lostCount});
+	metrics.registerGauges({
+		requestsInFlight: parts.forwarder.inFlight, livePeers: () => parts.peers.live().length, lostPaths: parts.paths.lostCount, waiting: parts.admission.waiting,
+	});
 	view.onDocument(({document}) => {
 		server.setLimits(document.limits);
 	});
@@ -72,6 +74,7 @@
 		parts.leases.close();
 		await pause(timings.balancerDelayMs);
 		state.isClosed = true;
+		parts.admission.wakeAll();
 		await Promise.race([Promise.all([server.close(), parts.relayServer.close()]), pause(settings.stopMs - timings.balancerDelayMs - stopReserveMs)]);
 		await Promise.race([Promise.all([parts.peers.leave(), parts.directory.leave()]), pause(stopReserveMs / 2)]);
 		log.info('Daemon has stopped.', {ms: Math.round(performance.now() - startedAt), count: parts.forwarder.inFlight()});
--- a/packages/entry/src/lib/wiring/peer-wiring.ts
+++ b/packages/entry/src/lib/wiring/peer-wiring.ts
@@ -67,6 +67,7 @@
 			}
 		}
 
+		parts.admission.capacityChanged();
 		for (const [table, feed] of Object.entries(feeds)) {
 			feed().hint(report.heard[table] ?? 0);
 		}
--- a/packages/entry/src/lib/wiring/request-wiring.ts
+++ b/packages/entry/src/lib/wiring/request-wiring.ts
@@ -92,8 +92,10 @@
 }
 
 /** Creates the admission of requests. */
-export const wireAdmission = ({view, loadTracker, choice}: EntryParts): Admission => createAdmission({
-	view, loadTracker, choose: choice.choose, random: Math.random,
+export const wireAdmission = ({
+	view, loadTracker, health, presence, versions, weightsDeadlines, limits, backoff, brittle, paths, releases, choice,
+}: EntryParts): Admission => createAdmission({
+	view, loadTracker, health, presence, versions, weightsDeadlines, limits, backoff, brittle, paths, releases, choose: choice.choose, random: Math.random,
 });
 
 /** Returns a function that looks up the retry budget of a service. */
@@ -138,7 +140,8 @@
 			} = end;
 			log.info('Request ended.', {
 				requestId, digest, workspace, service, endpoint, software: software === '' ? undefined : software, resumes, peer, status, result: reason, attempt: end.attempts, path: end.route,
-				ms: Math.round(end.ms), sentMs: rounded(end.sentMs), firstMs: rounded(end.firstMs), expectedMs: rounded(end.expectedMs),
+				ms: Math.round(end.ms), sentMs: rounded(end.sentMs), waitedMs: end.waitedMs > 0 ? Math.round(end.waitedMs) : undefined,
+				firstMs: rounded(end.firstMs), expectedMs: rounded(end.expectedMs),
 				weights: end.weights, weightsAgeMs: ageForLog(end.weightsAgeMs), begunWeightsAgeMs: ageForLog(end.begunWeightsAgeMs),
 				isLeaving: end.isLeaving || undefined, units: end.quota?.units, level: rounded(end.quota?.level), own: rounded(end.quota?.own),
 			});
--- a/packages/router/src/lib/admission/admission-decision.ts
+++ b/packages/router/src/lib/admission/admission-decision.ts
@@ -11,8 +11,10 @@
 	expectedMs: number | undefined;
 	/** The chosen endpoint runs nothing, so the request would not wait for others there. */
 	isIdle: boolean;
-	/** Expected time until an endpoint can take the request; `undefined` if it isn't known that one will. */
+	/** Expected time until an endpoint can take any request; `undefined` if it isn't known that one will. */
 	capacityMs: number | undefined;
+	/** Expected time until the requests that are served before this one have been taken. */
+	queueMs: number;
 	/** Shortest time to the first event once an endpoint takes the request. */
 	serviceMs: number;
 	/** Whether the queue of waiting requests has room. */
@@ -52,16 +54,16 @@
 
 /** Decides on a request. An estimate alone never refuses a request that an idle endpoint can take. */
 export function decideAdmission(facts: AdmissionFacts): AdmissionDecision {
-	const {remainingMs, expectedMs, capacityMs, serviceMs} = facts;
+	const {remainingMs, expectedMs, capacityMs, queueMs, serviceMs} = facts;
 	if (expectedMs !== undefined) {
 		return facts.isIdle || !isLate(expectedMs, remainingMs) ? {kind: 'send'} : {kind: 'refuse', reason: 'late', expectedMs};
 	}
 
-	if (capacityMs === undefined) {
-		return {kind: 'refuse', reason: 'unavailable', expectedMs: Number.POSITIVE_INFINITY};
+	if (capacityMs === undefined || capacityMs + serviceMs > remainingMs) {
+		return {kind: 'refuse', reason: 'unavailable', expectedMs: (capacityMs ?? Number.POSITIVE_INFINITY) + serviceMs};
 	}
 
-	const waitedMs = capacityMs + serviceMs;
+	const waitedMs = Math.max(capacityMs, queueMs) + serviceMs;
 	if (waitedMs > remainingMs) {
 		return {kind: 'refuse', reason: 'late', expectedMs: waitedMs};
 	}
--- a/packages/router/src/lib/forwarding/call.ts
+++ b/packages/router/src/lib/forwarding/call.ts
@@ -68,6 +68,8 @@
 	progress: AttemptProgress;
 	/** The endpoint of the latest attempt. */
 	choice: Choice | undefined;
+	/** Milliseconds for which the request has waited until an endpoint could take it. */
+	waitedMs: number;
 	/** Expected milliseconds to the first event for which the request was refused as `overloaded`. */
 	refusedExpectedMs: number | undefined;
 	/** `performance.now()` of the latest dispatch. */
@@ -105,6 +107,7 @@
 		isRetryGranted: false,
 		progress: {firstAt: undefined, lastEventId: undefined, facts: undefined},
 		choice: undefined,
+		waitedMs: 0,
 		refusedExpectedMs: undefined,
 		sentAt: undefined,
 		weightsAgeMs: undefined,
@@ -113,6 +116,9 @@
 	};
 }
 
+/** Rank of the workspace, or else of the route; 0 is the most urgent. */
+export const rankOf = ({workspace, route}: Pick<Call, 'workspace' | 'route'>): number => workspace?.rank ?? route.rank;
+
 /** Whether the request is safe to run more than once. */
 export const mayRunAgain = ({route}: Call): boolean => route.kind === 'idempotent' || (route.kind === 'stream' && route.isResumable);
 
--- a/packages/router/src/lib/forwarding/forwarder.ts
+++ b/packages/router/src/lib/forwarding/forwarder.ts
@@ -1,6 +1,6 @@
 /** Forwards one request: routing, authentication, quota, endpoint choice and retries. */
 import {type IncomingMessage, type ServerResponse} from 'node:http';
-import {type Admission, type Admitted as AdmissionResult} from '../admission/admission.js';
+import {type Admission, type AdmissionTicket, type Admitted as AdmissionResult} from '../admission/admission.js';
 import {type CallFacts} from '../fleet/call-headers.js';
 import {type Route, type Workspace} from '../fleet/fleet-document.js';
 import {type AcceptedDocument} from '../fleet/fleet-view.js';
@@ -17,7 +17,7 @@
 import {type StreamOrigin, streamKey} from '../streams/stream-origin.js';
 import {type AttemptEnd} from './attempt.js';
 import {
-	type Call, createCall, findRoute, type RequestBody, unitsOf,
+	type Call, createCall, findRoute, rankOf, type RequestBody, unitsOf,
 } from './call.js';
 import {type CallerReply, createCallerReply} from './caller-reply.js';
 import {type ForwardingEvents, type RequestEnd} from './forwarding-events.js';
@@ -123,13 +123,48 @@
 		return refuseOverloaded(call, retryAfterMs);
 	};
 
-	const run = async (call: Call): Promise<Decision> => {
+	/** Decides on a request that has waited if it must not be sent any more. */
+	const endWait = (call: Call): Decision | undefined => {
+		if (call.reply.isDisconnected()) {
+			return {kind: 'done', reason: 'caller_left'};
+		}
+
+		return options.isClosed() ? {kind: 'refuse', name: 'stopping'} : undefined;
+	};
+
+	/** Waits until it is the request's turn, or it must not be sent any more. */
+	const waitForTurn = async (call: Call, ticket: AdmissionTicket, turn: Promise<void>): Promise<Decision | undefined> => {
+		call.cancel = ticket.wake;
+		await turn;
+		call.cancel = undefined;
+		call.waitedMs = ticket.waitedMs();
+		return endWait(call);
+	};
+
+	const run = async (call: Call, ticket: AdmissionTicket): Promise<Decision> => {
+		let isWatchingCaller = false;
 		for (;;) {
 			if (isRefused(call)) {
 				return refuseForCrashes(call);
 			}
 
-			const admitted = options.admission.decide({...choiceRequestOf(call), deadlineAt: call.deadlineAt, targetMs: call.route.targetMs});
+			// What may have run isn't held back: its response, or its failure, is due.
+			const admitted = ticket.decide(choiceRequestOf(call), !call.mayHaveRun);
+			if (admitted.kind === 'wait') {
+				if (!isWatchingCaller) {
+					isWatchingCaller = true;
+					call.reply.onDisconnect(ticket.wake);
+				}
+
+				const decision = await waitForTurn(call, ticket, admitted.turn);
+				if (decision !== undefined) {
+					return decision;
+				}
+
+				continue;
+			}
+
+			call.waitedMs = ticket.waitedMs();
 			if (admitted.kind === 'refuse') {
 				return refuseUnadmitted(call, admitted);
 			}
@@ -140,6 +175,7 @@
 			call.attempts++;
 			call.isRetryGranted = false;
 			const end = await send(call, chosen);
+			admitted.ended();
 			markCompleted(call, end);
 
 			const decision = decideNext(call, end, decisionOptions);
@@ -168,11 +204,16 @@
 	});
 
 	const runRegistered = async (call: Call): Promise<Decision> => {
+		const {service, route, workspace, deadlineAt, body} = call;
+		const ticket = options.admission.ticketFor({
+			service, rank: rankOf(call), workspace: workspace?.name ?? '', deadlineAt, timeoutMs: route.timeoutMs, targetMs: route.targetMs, bytes: body?.length ?? 0,
+		});
 		calls.add(call);
 		try {
-			return await run(call);
+			return await run(call, ticket);
 		} finally {
 			calls.delete(call);
+			ticket.leave();
 		}
 	};
 
@@ -274,7 +315,7 @@
 		budgetOf(service).deposit();
 		const decision = await runRegistered(call);
 		const reason = finishResponse(headers, call, decision);
-		if (decision.kind === 'refuse' && !call.mayHaveRun) {
+		if (!call.mayHaveRun && (decision.kind === 'refuse' || call.sentAt === undefined)) {
 			refund();
 		}
 
@@ -342,6 +383,9 @@
 	startedAt: number;
 };
 
+const waitOf = (call: Call | undefined): Pick<RequestEnd, 'waitedMs' | 'rank'> =>
+	call === undefined ? {waitedMs: 0, rank: undefined} : {waitedMs: call.waitedMs, rank: rankOf(call)};
+
 const expectedMsOf = (call: Call | undefined): number | undefined => call?.refusedExpectedMs ?? call?.choice?.expectedMs;
 
 function describeEnd(end: EndOfRequest): RequestEnd {
@@ -365,6 +409,7 @@
 		ms: performance.now() - end.startedAt,
 		firstMs: elapsedMs(call?.progress.firstAt),
 		sentMs: elapsedMs(call?.sentAt),
+		...waitOf(call),
 		expectedMs: expectedMsOf(call),
 		weights: choice?.weights,
 		weightsAgeMs: call?.weightsAgeMs,
--- a/packages/router/src/lib/forwarding/forwarding-events.ts
+++ b/packages/router/src/lib/forwarding/forwarding-events.ts
@@ -25,6 +25,10 @@
 	firstMs: number | undefined;
 	/** Milliseconds to the latest dispatch; `undefined` if there was none. */
 	sentMs: number | undefined;
+	/** Milliseconds for which the request waited until an endpoint could take it. */
+	waitedMs: number;
+	/** Rank of the workspace, or else of the route; `undefined` if no endpoint was chosen or waited for. */
+	rank: number | undefined;
 	/** Milliseconds from the latest dispatch to the first byte, as estimated when the endpoint was chosen or the request was refused as `overloaded`. */
 	expectedMs: number | undefined;
 	/** Weights version that the endpoint was chosen for; `undefined` for plain services. */
--- a/packages/router/src/lib/forwarding/send-to-endpoint.ts
+++ b/packages/router/src/lib/forwarding/send-to-endpoint.ts
@@ -20,7 +20,7 @@
 import {type WeightsDeadlines} from '../weights/weights-deadlines.js';
 import {type AttemptEnd, runAttempt} from './attempt.js';
 import {createAttemptPaths} from './attempt-path.js';
-import {type Call, mayRunAgain} from './call.js';
+import {type Call, mayRunAgain, rankOf} from './call.js';
 import {createNoticeRecorder, isOwnResponse} from './endpoint-notices.js';
 import {silenceTimeouts} from './silence-timeouts.js';
 
@@ -84,7 +84,7 @@
 		workspace: call.workspace?.name,
 		weights,
 		cacheScope,
-		priority: call.prompt === undefined ? undefined : Math.min(lowestPriority, Math.max(0, call.workspace?.rank ?? call.route.rank)),
+		priority: call.prompt === undefined ? undefined : Math.min(lowestPriority, Math.max(0, rankOf(call))),
 		resumeAfter: call.progress.lastEventId ?? call.facts.resumeAfter,
 		fetchFrom,
 		saveTo,
--- a/packages/router/src/lib/observability/log.ts
+++ b/packages/router/src/lib/observability/log.ts
@@ -35,6 +35,8 @@
 	'expectedMs',
 	/** Milliseconds to the latest dispatch of a request to an endpoint. */
 	'sentMs',
+	/** Milliseconds for which a request waited until an endpoint could take it. */
+	'waitedMs',
 	'count',
 	'bytes',
 	'tokens',
--- a/packages/router/src/lib/placing/endpoint-limits.ts
+++ b/packages/router/src/lib/placing/endpoint-limits.ts
@@ -36,6 +36,8 @@
 	recordSent: (endpoint: LiveEndpoint) => void;
 	/** Estimated milliseconds until one of these endpoints accepts another request; `undefined` if any has no limit. */
 	waitMs: (endpoints: readonly LiveEndpoint[]) => number | undefined;
+	/** Milliseconds until this daemon may send a request there, infinite if other daemons do, and requests per millisecond from then on; 0 without a limit. */
+	ownWaitMs: (endpoint: LiveEndpoint) => {ms: number; perMs: number};
 	/** Removes an endpoint that is no longer listed. */
 	forget: (id: string) => void;
 };
@@ -212,6 +214,16 @@
 
 			return perSecond === 0 ? undefined : msPerSecond / perSecond;
 		},
+		ownWaitMs(endpoint) {
+			const limit = activeLimit(endpoint);
+			if (limit === undefined) {
+				return {ms: 0, perMs: 0};
+			}
+
+			const missing = Math.max(0, 1 - refill(endpoint.id, limit));
+			const perMs = shareOf(endpoint.id, limit, performance.now()) / msPerSecond;
+			return {ms: missing === 0 ? 0 : missing / perMs, perMs};
+		},
 		forget(id) {
 			limits.delete(id);
 		},
