--- a/packages/entry/src/lib/daemon-metrics.ts
+++ b/packages/entry/src/lib/daemon-metrics.ts
@@ -2,6 +2,7 @@
 import {
 	collectDefaultMetrics, Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
+import {type WaitingCount} from 'hickorywalk/admission.js';
 import {type RequestEnd} from 'hickorywalk/forwarding.js';
 
 /** Help texts by metric; docs/metrics.md lists the same. */
@@ -18,6 +19,9 @@
 	hickorywalk_relays_declined_total: 'Requests of peers that were not passed on, by reason.',
 	hickorywalk_paths_lost: 'Endpoints that this daemon can\'t reach over its own network.',
 	hickorywalk_store_calls_total: 'Calls to the platform\'s store, by call.',
+	hickorywalk_requests_waiting: 'Requests that wait until an endpoint can take them, by service and rank.',
+	hickorywalk_request_wait_seconds: 'Time for which a request waited until an endpoint could take it, by service and rank; of those that waited.',
+	hickorywalk_overload_expected_seconds: 'Expected time to the first byte of requests that were refused as overloaded, by service and rank.',
 	hickorywalk_requests_under_way: 'Requests that are being handled.',
 	hickorywalk_buffered_bytes: 'Bytes buffered for callers and endpoints that read slowly.',
 	hickorywalk_buffer_aborts_total: 'Requests that were aborted since their bytes were not read and buffers were full.',
@@ -34,6 +38,7 @@
 	lostPaths: () => number;
 	bufferedBytes: () => number;
 	bufferAborts: () => number;
+	waiting: () => WaitingCount[];
 };
 
 /** Records and serves the metrics. */
@@ -86,6 +91,8 @@
 	const firstByteSeconds = new Histogram({...describe('hickorywalk_request_first_seconds'), labelNames: ['service'], buckets: secondsBuckets});
 	const totalSeconds = new Histogram({...describe('hickorywalk_request_seconds'), labelNames: ['service'], buckets: secondsBuckets});
 	const begunWeightsAgeSeconds = new Histogram({...describe('hickorywalk_begun_weights_age_seconds'), labelNames: ['service'], buckets: secondsBuckets});
+	const waitSeconds = new Histogram({...describe('hickorywalk_request_wait_seconds'), labelNames: ['service', 'rank'], buckets: secondsBuckets});
+	const overloadExpectedSeconds = new Histogram({...describe('hickorywalk_overload_expected_seconds'), labelNames: ['service', 'rank'], buckets: secondsBuckets});
 	registerTotal('hickorywalk_event_loop_turns_total', () => performance.nodeTiming.uvMetricsInfo.loopCount);
 	registerTotal('hickorywalk_event_loop_busy_seconds_total', () => performance.eventLoopUtilization().active / msPerSecond);
 
@@ -96,7 +103,15 @@
 	}
 
 	return {
-		requestEnded({service = 'none', reason, peer, resumes, ms, firstMs, begunWeightsAgeMs = 0}) {
+		requestEnded({service = 'none', reason, peer, resumes, ms, firstMs, expectedMs, waitedMs, rank = 0, begunWeightsAgeMs = 0}) {
+			if (waitedMs > 0) {
+				waitSeconds.observe({service, rank}, waitedMs / msPerSecond);
+			}
+
+			if (reason === 'overloaded' && expectedMs !== undefined) {
+				overloadExpectedSeconds.observe({service, rank}, expectedMs / msPerSecond);
+			}
+
 			requestCounter.inc({service, result: reason});
 			if (peer !== undefined) {
 				relayedCounter.inc({service, result: reason});
@@ -133,13 +148,25 @@
 		logLinesDropped(count) {
 			droppedLineCounter.inc(count);
 		},
-		registerGauges({requestsInFlight, livePeers, lostPaths, bufferedBytes, bufferAborts}) {
+		registerGauges({requestsInFlight, livePeers, lostPaths, bufferedBytes, bufferAborts, waiting}) {
 			const registerGauge = (name: keyof typeof metricHelp, read: () => number) => new Gauge({
 				...describe(name),
 				collect() {
 					this.set(read());
 				},
 			});
+			registry.registerMetric(new Gauge({
+				name: 'hickorywalk_requests_waiting',
+				help: metricHelp.hickorywalk_requests_waiting,
+				registers: [],
+				labelNames: ['service', 'rank'],
+				collect() {
+					this.reset();
+					for (const {service, rank, count} of waiting()) {
+						this.set({service, rank}, count);
+					}
+				},
+			}));
 			registerGauge('hickorywalk_requests_under_way', requestsInFlight);
 			registerGauge('hickorywalk_peers_heard', livePeers);
 			registerGauge('hickorywalk_paths_lost', lostPaths);
--- a/packages/entry/src/lib/entry-daemon.ts
+++ b/packages/entry/src/lib/entry-daemon.ts
@@ -41,6 +41,7 @@
 		lostPaths: parts.paths.lostCount,
 		bufferedBytes: parts.bufferAccount.bytes,
 		bufferAborts: parts.bufferAccount.abortedCount,
+		waiting: parts.admission.waiting,
 	});
 	view.onDocument(({document}) => {
 		server.setLimits(document.limits);
@@ -78,6 +79,7 @@
 		parts.leases.close();
 		await pause(timings.balancerDelayMs);
 		state.isClosed = true;
+		parts.admission.wakeAll();
 		await Promise.race([Promise.all([server.close(), parts.relayServer.close()]), pause(settings.stopMs - timings.balancerDelayMs - stopReserveMs)]);
 		await Promise.race([Promise.all([parts.peers.leave(), parts.directory.leave()]), pause(stopReserveMs / 2)]);
 		log.info('Daemon has stopped.', {ms: Math.round(performance.now() - startedAt), count: parts.forwarder.inFlight()});
--- a/packages/entry/src/lib/wiring/request-wiring.ts
+++ b/packages/entry/src/lib/wiring/request-wiring.ts
@@ -1,4 +1,5 @@
 /** Wires the request path: quotas, endpoint choice, retry budgets, logs and metrics. */
+import {type Admission, createAdmission} from 'hickorywalk/admission.js';
 import {type BufferAccount, createBufferAccount, type ForwardingEvents} from 'hickorywalk/forwarding.js';
 import {
 	type BrittleEndpoints, type CapacityWait, type ConnectionShares, createBrittleEndpoints, createCapacityWait,
@@ -110,6 +111,13 @@
 	});
 }
 
+/** Creates the admission of requests. */
+export const wireAdmission = ({
+	view, loadTracker, health, presence, versions, weightsDeadlines, limits, backoff, brittle, paths, releases, choice,
+}: EntryParts): Admission => createAdmission({
+	view, loadTracker, health, presence, versions, weightsDeadlines, limits, backoff, brittle, paths, releases, choose: choice.choose, random: Math.random,
+});
+
 /** Returns a function that looks up the retry budget of a service. */
 export function wireBudgets(parts: EntryParts): (service: string) => AttemptBudget {
 	const budgets = new Map<string, AttemptBudget>();
@@ -152,7 +160,8 @@
 			} = end;
 			log.info('Request ended.', {
 				requestId, digest, workspace, service, endpoint, software: software === '' ? undefined : software, resumes, peer, status, result: reason, attempt: end.attempts, path: end.route,
-				ms: Math.round(end.ms), sentMs: rounded(end.sentMs), firstMs: rounded(end.firstMs), expectedMs: rounded(end.expectedMs),
+				ms: Math.round(end.ms), sentMs: rounded(end.sentMs), waitedMs: end.waitedMs > 0 ? Math.round(end.waitedMs) : undefined,
+				firstMs: rounded(end.firstMs), expectedMs: rounded(end.expectedMs),
 				weights: end.weights, weightsAgeMs: ageForLog(end.weightsAgeMs), begunWeightsAgeMs: ageForLog(end.begunWeightsAgeMs),
 				isLeaving: end.isLeaving || undefined, units: end.quota?.units, level: rounded(end.quota?.level), own: rounded(end.quota?.own),
 			});
--- a/packages/router/src/lib/forwarding/forwarder.ts
+++ b/packages/router/src/lib/forwarding/forwarder.ts
@@ -1,10 +1,12 @@
 /** Forwards one request: routing, authentication, quota, endpoint choice and retries. */
 import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {type Admission, type AdmissionTicket, type Admitted as AdmissionResult} from '../admission/admission.js';
 import {type CallFacts} from '../fleet/call-headers.js';
 import {type Route, type Workspace} from '../fleet/fleet-document.js';
 import {type AcceptedDocument} from '../fleet/fleet-view.js';
 import {chooseService} from '../fleet/route-table.js';
 import {type CapacityWait} from '../placing/capacity-wait.js';
+import {type ChoiceRequest} from '../placing/choice-request.js';
 import {type Choice} from '../placing/endpoint-choice.js';
 import {sharedPartKeys} from '../quarantine/prompt-part-keys.js';
 import {type Quarantine, type Standing} from '../quarantine/quarantine.js';
@@ -16,7 +18,7 @@
 import {type AttemptEnd} from './attempt.js';
 import {type BufferAccount} from './buffer-account.js';
 import {
-	type Call, createCall, findRoute, mayRunAgain, type RequestBody, unitsOf,
+	type Call, createCall, findRoute, mayRunAgain, rankOf, type RequestBody, unitsOf,
 } from './call.js';
 import {type CallerReply, createCallerReply} from './caller-reply.js';
 import {type ForwardingEvents, type RequestEnd} from './forwarding-events.js';
@@ -24,7 +26,7 @@
 import {createEndpointSender, type EndpointSenderOptions} from './send-to-endpoint.js';
 import {respondsSoon} from './silence-timeouts.js';
 import {
-	decideNext, reasonOf, refuseForCrashes, type Decision, type DecisionOptions, decideWithoutEndpoint,
+	decideNext, reasonOf, refuseForCrashes, refuseOverloaded, type Decision, type DecisionOptions, decideWithoutEndpoint,
 } from './retry-decision.js';
 
 /** Options of {@link createForwarder}. */
@@ -34,6 +36,7 @@
 	quota: FleetQuota;
 	quarantine: Quarantine;
 	capacityWait: CapacityWait;
+	admission: Admission;
 	originFinder: Pick<OriginFinder, 'locate'>;
 	bufferAccount: BufferAccount;
 	/** The process is about to exit and rejects new requests. */
@@ -95,10 +98,7 @@
 		}
 	};
 
-	const chooseFor = (call: Call): Choice | undefined =>
-		choice.choose({
-			service: call.service, prompt: call.prompt, excluded: call.excluded, software: call.origin?.software,
-		});
+	const chooseFor = (call: Call): Choice | undefined => choice.choose(choiceRequestOf(call));
 
 	/** Whether another endpoint may get the request; withdraws from the retry budget once per attempt. */
 	const mayTryElsewhere = (call: Call): boolean => {
@@ -119,22 +119,68 @@
 
 	const decisionOptions: DecisionOptions = {mayTryElsewhere, standingOf, capacityWait: options.capacityWait};
 
-	const run = async (call: Call): Promise<Decision> => {
+	const refuseUnadmitted = (call: Call, {reason, expectedMs, retryAfterMs}: Extract<AdmissionResult, {kind: 'refuse'}>): Decision => {
+		if (reason === 'unavailable') {
+			return decideWithoutEndpoint(call, options.capacityWait);
+		}
+
+		call.refusedExpectedMs = expectedMs;
+		return refuseOverloaded(call, retryAfterMs);
+	};
+
+	/** Decides on a request that has waited if it must not be sent any more. */
+	const endWait = (call: Call): Decision | undefined => {
+		if (call.reply.isDisconnected()) {
+			return {kind: 'done', reason: 'caller_left'};
+		}
+
+		return options.isClosed() ? {kind: 'refuse', name: 'stopping'} : undefined;
+	};
+
+	/** Waits until it is the request's turn, or it must not be sent any more. */
+	const waitForTurn = async (call: Call, ticket: AdmissionTicket, turn: Promise<void>): Promise<Decision | undefined> => {
+		call.cancel = ticket.wake;
+		await turn;
+		call.cancel = undefined;
+		call.waitedMs = ticket.waitedMs();
+		return endWait(call);
+	};
+
+	const run = async (call: Call, ticket: AdmissionTicket): Promise<Decision> => {
+		let isWatchingCaller = false;
 		for (;;) {
 			if (isRefused(call)) {
 				return refuseForCrashes(call);
 			}
 
-			const chosen = chooseFor(call);
-			if (chosen === undefined) {
-				return decideWithoutEndpoint(call, options.capacityWait);
+			// What may have run isn't held back: its response, or its failure, is due.
+			const admitted = ticket.decide(choiceRequestOf(call), !call.mayHaveRun);
+			if (admitted.kind === 'wait') {
+				if (!isWatchingCaller) {
+					isWatchingCaller = true;
+					call.reply.onDisconnect(ticket.wake);
+				}
+
+				const decision = await waitForTurn(call, ticket, admitted.turn);
+				if (decision !== undefined) {
+					return decision;
+				}
+
+				continue;
+			}
+
+			call.waitedMs = ticket.waitedMs();
+			if (admitted.kind === 'refuse') {
+				return refuseUnadmitted(call, admitted);
 			}
 
+			const chosen = admitted.choice;
 			call.choice = chosen;
 			call.excluded.add(chosen.endpoint.id);
 			call.attempts++;
 			call.isRetryGranted = false;
 			const end = await send(call, chosen);
+			admitted.ended();
 			markCompleted(call, end);
 
 			const decision = decideNext(call, end, decisionOptions);
@@ -163,11 +209,16 @@
 	});
 
 	const runRegistered = async (call: Call): Promise<Decision> => {
+		const {service, route, workspace, deadlineAt, body} = call;
+		const ticket = options.admission.ticketFor({
+			service, rank: rankOf(call), workspace: workspace?.name ?? '', deadlineAt, timeoutMs: route.timeoutMs, targetMs: route.targetMs, bytes: body?.length ?? 0,
+		});
 		calls.add(call);
 		try {
-			return await run(call);
+			return await run(call, ticket);
 		} finally {
 			calls.delete(call);
+			ticket.leave();
 		}
 	};
 
@@ -280,7 +331,7 @@
 		budgetOf(service).deposit();
 		const decision = await runRegistered(call);
 		const reason = finishResponse(headers, call, decision);
-		if (decision.kind === 'refuse' && !call.mayHaveRun) {
+		if (!call.mayHaveRun && (decision.kind === 'refuse' || call.sentAt === undefined)) {
 			refund();
 		}
 
@@ -302,6 +353,11 @@
 	};
 }
 
+/** What the endpoint choice needs to know of a request. */
+const choiceRequestOf = ({service, prompt, excluded, origin}: Call): ChoiceRequest => ({
+	service, prompt, excluded, software: origin?.software,
+});
+
 /** Whether a caller that has a part of a stream asks for the rest of it. */
 const resumesStream = (route: Route, {resumeAfter, resumes}: CallFacts): boolean =>
 	route.kind === 'stream' && route.isResumable && (resumeAfter !== undefined || resumes !== undefined);
@@ -343,6 +399,11 @@
 	startedAt: number;
 };
 
+const waitOf = (call: Call | undefined): Pick<RequestEnd, 'waitedMs' | 'rank'> =>
+	call === undefined ? {waitedMs: 0, rank: undefined} : {waitedMs: call.waitedMs, rank: rankOf(call)};
+
+const expectedMsOf = (call: Call | undefined): number | undefined => call?.refusedExpectedMs ?? call?.choice?.expectedMs;
+
 function describeEnd(end: EndOfRequest): RequestEnd {
 	const {
 		call, route, workspace, digest, reply, facts, reason, quota,
@@ -364,7 +425,8 @@
 		ms: performance.now() - end.startedAt,
 		firstMs: elapsedMs(call?.progress.firstAt),
 		sentMs: elapsedMs(call?.sentAt),
-		expectedMs: choice?.expectedMs,
+		...waitOf(call),
+		expectedMs: expectedMsOf(call),
 		weights: choice?.weights,
 		weightsAgeMs: call?.weightsAgeMs,
 		begunWeightsAgeMs: call?.begunWeightsAgeMs,
