Engines that drain soon cost more, but are not left out

Cause: an engine whose planned drain an answer would overrun by over 300 ms got no request while any other engine was left, however crowded.

--- a/packages/router/src/lib/placing/endpoint-choice.ts
+++ b/packages/router/src/lib/placing/endpoint-choice.ts
@@ -6,7 +6,7 @@
 import {type LiveEndpoint} from '../fleet/live-endpoint.js';
 import {createSampler, type SamplerOptions} from './candidate-sample.js';
 import {
-	type Candidate, type CandidatesOptions, createCandidates, isPreferred, leastUnsuitable,
+	type Candidate, type CandidatesOptions, createCandidates,
 } from './candidates.js';
 import {
 	type ChoiceRequest, partKeys, type PromptNeed, scopeOf,
@@ -68,6 +68,12 @@
 /** Replaced weights are penalised once they are outdated by more than `staleAfterMs`. */
 const staleAfterMs = 1000;
 const stalePenaltyMs = 400;
+/**
+ * Cost of an answer that overruns a planned drain, as a fraction of the overrun. The limit stays below usual
+ * target times: a request must not wait at a crowded engine because the others drain soon.
+ */
+const drainPenaltyRatio = 0.2;
+const maxDrainPenaltyMs = 500;
 /** Fraction of an engine's memory above which new requests are expected to wait. */
 const fullMemoryRatio = 0.85;
 /** Estimated wait for memory above that fraction. */
@@ -101,6 +107,9 @@
 		return named !== undefined && named.outdatedMs(version) > staleAfterMs ? stalePenaltyMs : 0;
 	};
 
+	/** An answer that overruns the engine's planned drain extends it, if no other one does by more. */
+	const drainMs = ({drainOverrunMs}: Candidate): number => Math.min(maxDrainPenaltyMs, drainOverrunMs * drainPenaltyRatio);
+
 	/** Fraction of the engine's memory in use if it got this prompt. */
 	const memoryRatio = ({endpoint, load}: Candidate, prompt: PromptNeed): number =>
 		(load.memoryTokens + prompt.promptTokens + prompt.outputTokens) / (view.memoryTokens(endpoint.id) ?? Number.POSITIVE_INFINITY);
@@ -120,31 +129,32 @@
 			+ (load.running * perRunningMs * paceRatio)
 			+ (load.running >= endpoint.slots ? (load.running - endpoint.slots + 1) * perRunningMs * 10 * paceRatio : 0)
 			+ (usedRatio > fullMemoryRatio ? memoryWaitMs * usedRatio : 0)
-			+ distanceMs(endpoint) + hangMs(load) + stalenessMs(prompt, candidate.weights ?? 0);
+			+ distanceMs(endpoint) + hangMs(load) + stalenessMs(prompt, candidate.weights ?? 0) + drainMs(candidate);
 	};
 
+	/** Doubtful engines are drawn only if there are no others. */
 	const sampleEngines = (request: ChoiceRequest, prompt: PromptNeed, engines: readonly LiveEndpoint[]): Candidate[] => {
-		const unsuitable: Candidate[] = [];
-		const preferredOf = (engine: LiveEndpoint): Candidate | undefined => {
+		const doubtful: Candidate[] = [];
+		const certainOf = (engine: LiveEndpoint): Candidate | undefined => {
 			const candidate = candidates.of(engine, request);
-			if (candidate === undefined || isPreferred(candidate)) {
+			if (candidate?.isDoubtful !== true) {
 				return candidate;
 			}
 
-			unsuitable.push(candidate);
+			doubtful.push(candidate);
 			return undefined;
 		};
 
 		const canBeginNow = (candidate: Candidate): boolean => canBegin(candidate, prompt);
-		const drawn = sample(engines, preferredOf, canBeginNow);
-		return drawn.length > 0 ? drawn : sample(leastUnsuitable(unsuitable), candidate => candidate, canBeginNow);
+		const drawn = sample(engines, certainOf, canBeginNow);
+		return drawn.length > 0 ? drawn : sample(doubtful, candidate => candidate, canBeginNow);
 	};
 
 	const sampleWithHome = (request: ChoiceRequest, prompt: PromptNeed, {engines, homeId}: Engines): Candidate[] => {
 		const drawn = sampleEngines(request, prompt, engines);
 		const homeEngine = homeId === undefined || drawn.some(({endpoint}) => endpoint.id === homeId) ? undefined : view.endpoint(homeId);
 		const home = homeEngine && candidates.of(homeEngine, request);
-		return home !== undefined && isPreferred(home) ? [...drawn, home] : drawn;
+		return home === undefined || home.isDoubtful ? drawn : [...drawn, home];
 	};
 
 	const chooseEngine = (request: ChoiceRequest, prompt: PromptNeed): Choice | undefined => {
