How many engines load at once follows from the load and the time left

At low load a third of a service's engines change at once, as before. Under pressure it is what the service can spare (by busy engines, slots and memory), but no fewer than the learnt duration of changes and the longest queue need for the rollout to end within 0.7 of the bound on replaced weights. Engines with the least work ahead start first, counting their queues. The limit of a drain divides the time by the rounds that are really left, not rounded up.

--- a/packages/entry/src/lib/wiring/lease-wiring.ts
+++ b/packages/entry/src/lib/wiring/lease-wiring.ts
@@ -90,6 +90,13 @@
 		weightsMs: settings.weightsMs,
 		remainingMs: id => loadOf(id)?.remainingMs ?? 0,
 		hasRequests: id => (loadOf(id)?.running ?? 0) > 0,
+		useOf(endpoint) {
+			const {running, pendingTokens, memoryTokens} = loadTracker.load(endpoint);
+			return {
+				queueMs: pendingTokens * loadTracker.msPerToken(endpoint.id),
+				usedRatio: Math.max(running / endpoint.slots, memoryTokens / (view.memoryTokens(endpoint.id) ?? Number.POSITIVE_INFINITY)),
+			};
+		},
 		hasUnstarted: loadTracker.hasUnstarted,
 		minRequestIntervalMs: endpoint => limits.waitMs([endpoint]),
 		log,
--- a/packages/router/src/lib/weights/weights-rollout.ts
+++ b/packages/router/src/lib/weights/weights-rollout.ts
@@ -8,7 +8,7 @@
 import {type HeldLease} from '../leases/lease-holder.js';
 import {type Log} from '../observability/log.js';
 import {pause} from '../time/pause.js';
-import {type ChangeTask, createRolloutPlanner, maxChangingOf} from './rollout-planner.js';
+import {type ChangeTask, createRolloutPlanner, type EngineUse} from './rollout-planner.js';
 import {createEngineDrains} from './engine-drains.js';
 import {type EngineVersions} from './engine-versions.js';
 import {type WeightsControl} from './weights-control.js';
@@ -39,6 +39,8 @@
 	weightsMs: number;
 	/** Expected milliseconds until an endpoint's last request in flight ends. */
 	remainingMs: (id: string) => number;
+	/** Load of an engine, as far as known; idle if left out. */
+	useOf?: (endpoint: LiveEndpoint) => EngineUse;
 	/** Whether an endpoint has requests in flight, as far as known. */
 	hasRequests?: (id: string) => boolean;
 	/** Whether a daemon has a request at the endpoint that hasn't begun, as far as known. */
@@ -112,7 +114,7 @@
 	let announcement: Promise<void> | undefined;
 	let announcedAt = Number.NEGATIVE_INFINITY;
 	let averageLoadMs = initialLoadMs;
-	/** Number of rounds that the rollout still takes, by service. */
+	/** Minimum number of rounds that the rollout still takes, by service. */
 	const roundsLeft = new Map<string, number>();
 	const daemons = (): number => options.daemons?.() ?? 1;
 
@@ -294,6 +296,7 @@
 				// In a large fleet, peers would leave the engine idle until the next round of reports.
 				void announce();
 				planner.recordDowntime(downtimeMs);
+				planner.recordTurn(performance.now() - startedMs);
 				updateAverageLoad(task);
 			}
 
@@ -349,9 +352,14 @@
 	const startTasks = (service: string, models: readonly string[]): void => {
 		const serving = view.endpointsOf(service).filter(endpoint => !presence.hasEnded(endpoint) && !presence.isDoubtful(endpoint));
 		const tasks = tasksOf(service, models);
-		roundsLeft.set(service, Math.max(1, Math.ceil(tasks.length / maxChangingOf(serving.length))));
+		if (tasks.length === 0) {
+			return;
+		}
+
 		const pending = tasks.filter(task => !inProgress.has(task.endpoint.id));
-		const {due, later} = planner.plan({
+		const {useOf} = options;
+		const uses = new Map(useOf === undefined ? [] : serving.map(endpoint => [endpoint.id, useOf(endpoint)]));
+		const {due, later, rounds} = planner.plan({
 			engines: serving.length,
 			changing: serving.filter(endpoint => isChanging(endpoint, models)).length,
 			pending: pending.map(task => ({
@@ -361,9 +369,12 @@
 				isUnusable: isUnusable(task),
 				isOnlyWaiting: isOnlyWaiting(task),
 				dueInMs: versions.of(task.endpoint, task.model).dueInMs,
-				remainingMs: options.remainingMs(task.endpoint.id),
+				remainingMs: options.remainingMs(task.endpoint.id) + (uses.get(task.endpoint.id)?.queueMs ?? 0),
+				msLeft: (options.weightsMs * maxWeightsAgeRatio) - outdatedMs(task),
 			})),
+			uses: [...uses.values()],
 		});
+		roundsLeft.set(service, rounds);
 		for (const task of due) {
 			startTask(task);
 		}
--- a/packages/router/src/test/weights/drain-crossings.test.ts
+++ b/packages/router/src/test/weights/drain-crossings.test.ts
@@ -51,4 +51,32 @@
 			assert.equal(misdirected, 0);
 		});
 	}
+
+	describe('with the number of loads at once', () => {
+		const fleet = {daemons: 71, engines: 42, computeMs: [20, 160] as [number, number]};
+
+		it('change a third of the engines at once at low load, and fewer under pressure while there is time', async () => {
+			// Guards against rollouts that take more capacity than the service can spare.
+			const longMs = weightsMs * 2;
+			const idle = await simulateRollout({
+				...fleet, seed: 1, weightsMs: longMs, rate: 42 * 3,
+			});
+			const busy = await simulateRollout({
+				...fleet, seed: 1, weightsMs: longMs, rate: 42 * 8, durationMs: 25_000,
+			});
+			assert.equal(idle.maxOut, 14);
+			assert.isAtMost(busy.maxOut, 12);
+			assert.isAtMost(busy.doneMs, longMs * 0.7);
+			assert.deepEqual(busy.crossed, {unheard: 0, queueOutlasted: 0, reportLagged: 0});
+		});
+
+		it('end in time although loads slow each other down', async () => {
+			// Guards against a pace that takes loads for as fast as a single one.
+			const {doneMs, loads: begun} = await simulateRollout({
+				...fleet, seed: 1, weightsMs, rate: 42 * 5, maxFullSpeedLoads: 8,
+			});
+			assert.isAtMost(doneMs, rolloutMs);
+			assert.lengthOf(begun, 42);
+		});
+	});
 });
--- a/packages/router/src/test/weights/rollout-model.ts
+++ b/packages/router/src/test/weights/rollout-model.ts
@@ -27,6 +27,8 @@
 	/** Fraction of the datagrams between daemons that are lost. */
 	lossRatio?: number;
 	weightsMs: number;
+	/** Whether the rollout knows the loads of the engines; true if left out. */
+	isLoadKnown?: boolean;
 	/** Times at which weights are named. */
 	namings?: readonly number[];
 	loadMs?: number;
@@ -63,6 +65,8 @@
 	doneMs: number;
 	/** Mean time for which an engine got no requests around its load. */
 	meanOutMs: number;
+	/** Times for which requests waited until they began, sorted. */
+	waitsMs: number[];
 	/** Mean time from the end of a load until the next request arrives. */
 	meanIdleMs: number;
 };
@@ -98,7 +102,11 @@
 	closedAt: number | undefined;
 	loadedAt: number | undefined;
 	lastStateWaiting: number;
-	history: Array<{at: number; waiting: number; version: number; isChanging: boolean; ordersTaken: number}>;
+	history: Array<{at: number; waiting: number; unstarted: number; version: number; isChanging: boolean; ordersTaken: number}>;
+};
+
+const defaults = {
+	repeatableRatio: 0, lossRatio: 0, namings: [firstNamingMs] as readonly number[], loadMs: 1100, maxFullSpeedLoads: 12, durationMs: 20_000, initialQueue: 0, isLoadKnown: true,
 };
 
 /** Runs the model. */
@@ -111,16 +119,17 @@
 	}
 }
 
-async function runModel(model: RolloutModel, clock: FakeTimers.Clock): Promise<RolloutOutcome> {
+async function runModel(options: RolloutModel, clock: FakeTimers.Clock): Promise<RolloutOutcome> {
+	const model = {...defaults, ...options};
 	const {
-		seed, weightsMs, repeatableRatio = 0, lossRatio = 0, namings = [firstNamingMs], loadMs = 1100, maxFullSpeedLoads = 12, durationMs = 20_000, initialQueue = 0,
+		seed, weightsMs, repeatableRatio, lossRatio, namings, loadMs, maxFullSpeedLoads, durationMs, initialQueue,
 	} = model;
 	const random = xoroshiro128plus(seed);
 	const delayMs = (): number => uniformInt(random, minDelayMs, maxDelayMs);
 	const ids = Array.from({length: model.engines}, (_item, index) => `e${index}`);
 	const outcome: RolloutOutcome = {
 		requests: 0, crossed: {unheard: 0, queueOutlasted: 0, reportLagged: 0}, misdirected: 0, unplaced: 0, withdrawn: 0, loads: [], maxOut: 0,
-		doneMs: Number.POSITIVE_INFINITY, meanOutMs: 0, meanIdleMs: 0,
+		doneMs: Number.POSITIVE_INFINITY, meanOutMs: 0, meanIdleMs: 0, waitsMs: [],
 	};
 	const outMs: number[] = [];
 	const idleMs: number[] = [];
@@ -151,6 +160,8 @@
 	/** Queue of an engine as daemons know it. */
 	const knownQueue = (id: string): number => engines.get(id)!.history.findLast(({at}) => performance.now() - at >= loadAgeMs)?.waiting ?? 0;
 
+	const knownUnstarted = (id: string): number => engines.get(id)!.history.findLast(({at}) => performance.now() - at >= loadAgeMs)?.unstarted ?? 0;
+
 	/** Of two random engines that this daemon may use, the one with the shorter queue. */
 	const chooseEngine = (daemon: number, excluded?: string): string | undefined => {
 		const open = ids.filter(id => id !== excluded && !isClosedAt(daemon, id));
@@ -305,6 +316,9 @@
 		daemons: () => daemons.length,
 		weightsMs,
 		remainingMs: id => Math.max(0, ...daemons.flatMap(({open}) => [...open.get(id) ?? []].map(() => runMs))),
+		...(model.isLoadKnown && {
+			useOf: ({id}) => ({queueMs: knownUnstarted(id) * (model.computeMs[0] + model.computeMs[1]) / 2, usedRatio: 0}),
+		}),
 		hasUnstarted: id => openAt(0, id).size > 0 || reportedUnstarted.has(id),
 		log: createSilentLog(),
 	});
@@ -320,6 +334,7 @@
 		const next = engine.computing === undefined ? engine.queue.shift() : undefined;
 		if (next !== undefined) {
 			next.leave();
+			outcome.waitsMs.push(now - next.sentAt);
 			engine.computing = {request: next, endsAt: now + next.computeMs};
 		}
 	};
@@ -346,7 +361,12 @@
 
 	const observe = (engine: Engine): void => {
 		engine.history.push({
-			at: performance.now(), waiting: engine.queue.length, version: engine.version, isChanging: engine.orderedTo !== undefined, ordersTaken: engine.ordersTaken,
+			at: performance.now(),
+			waiting: engine.queue.length,
+			unstarted: engine.queue.length + (engine.computing === undefined ? 0 : 1),
+			version: engine.version,
+			isChanging: engine.orderedTo !== undefined,
+			ordersTaken: engine.ordersTaken,
 		});
 		if (engine.history.length > 100) {
 			engine.history.shift();
@@ -411,6 +431,7 @@
 	}
 
 	const mean = (values: readonly number[]): number => values.reduce((sum, value) => sum + value, 0) / Math.max(1, values.length);
+	outcome.waitsMs.sort((a, b) => a - b);
 	outcome.meanOutMs = Math.round(mean(outMs));
 	outcome.meanIdleMs = Math.round(mean(idleMs));
 	return outcome;
--- a/packages/router/src/test/weights/rollout-planner.test.ts
+++ b/packages/router/src/test/weights/rollout-planner.test.ts
@@ -1,6 +1,6 @@
 import {assert} from 'chai';
 import {type LiveEndpoint} from '../../fleet.js';
-import {createRolloutPlanner, type PendingTask} from '../../weights.js';
+import {createRolloutPlanner, type PendingTask, type RolloutPlanner} from '../../weights.js';
 
 const pendingTask = (id: string, more: Partial<PendingTask> = {}): PendingTask => {
 	const endpoint: LiveEndpoint = {
@@ -59,4 +59,48 @@
 		const {later} = planner.plan({engines: 3, changing: 1, pending: [pendingTask('a')]});
 		assert.approximately(later[0].inMs, 5000, 50);
 	});
+
+	describe('under load', () => {
+		const engines = 42;
+		const third = 14;
+
+		/** Number of engines that start, with this fraction of the engines busy. */
+		const startedOf = (planner: RolloutPlanner, busyRatio: number, msLeft: number, queueMs = 100): number => planner.plan({
+			engines,
+			changing: 0,
+			pending: Array.from({length: engines}, (_item, index) => pendingTask(`e${index}`, {msLeft})),
+			uses: Array.from({length: engines}, (_item, index) => ({queueMs: index < engines * busyRatio ? queueMs : 0, usedRatio: 0.1})),
+		}).due.length;
+
+		it('changes no more engines at once than the service can spare, as long as the rollout ends in time', () => {
+			// Guards against rollouts that take a third of the capacity from a service that needs it, and against those
+			// that end late because the service is under pressure.
+			assert.equal(startedOf(createRolloutPlanner(), 0.3, 21_000), third);
+			assert.equal(startedOf(createRolloutPlanner(), 0.8, 21_000), 8);
+			assert.equal(startedOf(createRolloutPlanner(), 1, 21_000), 6);
+			assert.equal(startedOf(createRolloutPlanner(), 0.8, 10_500), 11);
+			assert.equal(startedOf(createRolloutPlanner(), 0.8, 4000), third);
+			assert.equal(startedOf(createRolloutPlanner(), 0.8, -1), third);
+		});
+
+		it('counts slots and memory as well as queues', () => {
+			// Guards against a service whose memory is full being taken for idle, since no request has to wait yet.
+			const {due} = createRolloutPlanner().plan({
+				engines, changing: 0, pending: Array.from({length: engines}, (_item, index) => pendingTask(`e${index}`, {msLeft: 30_000})),
+				uses: Array.from({length: engines}, () => ({queueMs: 0, usedRatio: 0.8})),
+			});
+			assert.lengthOf(due, 8);
+		});
+
+		it('takes the pace from the learnt duration of changes, and from the queues', () => {
+			// Guards against rollouts that end late because loads slow each other down, or because queues are long.
+			const planner = createRolloutPlanner();
+			for (let count = 0; count < 30; count++) {
+				planner.recordTurn(4000);
+			}
+
+			assert.equal(startedOf(planner, 1, 21_000), 9);
+			assert.equal(startedOf(createRolloutPlanner(), 1, 21_000, 2800), 11);
+		});
+	});
 });
