Events of one read are written to the caller together, and restart no timer

The first event of a stream is passed on at once, as before. Each later read of the engine's socket brings several events, each a chunk: they are now joined before they are split, recorded and written, and the silence timeout only records its new time instead of arming a timer of its own length. The id of the last event is searched from the end.

--- a/packages/router/src/lib/forwarding/attempt.ts
+++ b/packages/router/src/lib/forwarding/attempt.ts
@@ -10,6 +10,7 @@
 import {failureClasses, type FailureClass} from '../orders/failure-classes.js';
 import {type CallerReply} from './caller-reply.js';
 import {createEventSplitter} from './event-splitter.js';
+import {createSilenceTimer} from './silence-timer.js';
 
 /** An endpoint's response, read to its end. */
 export type BufferedResponse = {
@@ -100,13 +101,27 @@
 	let head: {status: number; headers: readonly string[]} | undefined;
 	let chunks: Buffer[] = [];
 	let bytes = 0;
-	let timer: NodeJS.Timeout | undefined;
+	const silence = createSilenceTimer({
+		deadlineAt: options.deadlineAt,
+		onDeadline() {
+			failAttempt('late', false);
+		},
+		onSilent(limitMs) {
+			if (options.mayMoveAway()) {
+				failAttempt('silent', true);
+			} else {
+				silence.restart(limitMs);
+			}
+		},
+	});
 	let hasEvents = false;
+	/** Chunks of a stream that arrived in the current read of the socket. */
+	let readChunks: Uint8Array[] = [];
 
 	const finish = (end: AttemptEnd): void => {
 		if (!isSettled) {
 			isSettled = true;
-			clearTimeout(timer);
+			silence.stop();
 			settle(end);
 		}
 	};
@@ -119,21 +134,6 @@
 		}
 	};
 
-	/** Restarts the silence timeout, which never exceeds the deadline. */
-	const restartSilenceTimer = (limitMs: number): void => {
-		clearTimeout(timer);
-		const leftMs = options.deadlineAt - performance.now();
-		timer = setTimeout(() => {
-			if (leftMs <= limitMs) {
-				failAttempt('late', false);
-			} else if (options.mayMoveAway()) {
-				failAttempt('silent', true);
-			} else {
-				restartSilenceTimer(limitMs);
-			}
-		}, Math.max(0, Math.min(limitMs, leftMs)));
-	};
-
 	/** Whether the response belongs to this request and, if it is a success, is signed by the endpoint and unaltered. */
 	const isTrusted = (facts: ResponseFacts, status: number): boolean => {
 		if (facts.requestId !== undefined && options.requestId !== undefined && facts.requestId !== options.requestId) {
@@ -163,14 +163,50 @@
 		startReply();
 		if (!reply.write(events.bytes)) {
 			exchange.pause();
-			clearTimeout(timer);
+			silence.stop();
 			reply.onDrain(() => {
 				exchange.resume();
-				restartSilenceTimer(options.eventTimeoutMs);
+				silence.restart(options.eventTimeoutMs);
 			});
 		}
 	};
 
+	const forwardRead = (): void => {
+		if (readChunks.length > 0 && !isSettled) {
+			const [first] = readChunks;
+			const whole = readChunks.length === 1 ? first : Buffer.concat(readChunks);
+			readChunks = [];
+			forwardChunk(whole);
+		}
+	};
+
+	/**
+	 * Passes on a chunk together with the others of the same read of the socket: an endpoint sends
+	 * each event as a chunk, and each write to the caller costs as much as its content.
+	 */
+	const receiveChunk = (chunk: Uint8Array): void => {
+		readChunks.push(chunk);
+		if (readChunks.length > 1) {
+			return;
+		}
+
+		options.onBytes?.();
+		silence.restart(options.eventTimeoutMs);
+		if (progress.firstAt !== undefined) {
+			// The parser passes all chunks of a read in one call, which ends before this runs.
+			queueMicrotask(forwardRead);
+			return;
+		}
+
+		progress.firstAt = performance.now();
+		options.onResponseStart();
+		if (options.eventBatchMs > 0) {
+			exchange.batchReads(options.eventBatchMs);
+		}
+
+		forwardRead();
+	};
+
 	/** Without a length or chunks, only the events show that a stream was broken off. */
 	const endsInsideEvent = (): boolean => progress.facts!.isUnframed && (!hasEvents || splitter.remainder().length > 0);
 
@@ -238,28 +274,19 @@
 				options.onResponseStart();
 			}
 
-			restartSilenceTimer(options.eventTimeoutMs);
+			silence.restart(options.eventTimeoutMs);
 		},
 		data(chunk) {
 			if (isSettled) {
 				return;
 			}
 
-			options.onBytes?.();
 			if (isPassedThrough()) {
-				if (progress.firstAt === undefined) {
-					progress.firstAt = performance.now();
-					options.onResponseStart();
-					if (options.eventBatchMs > 0) {
-						exchange.batchReads(options.eventBatchMs);
-					}
-				}
-
-				restartSilenceTimer(options.eventTimeoutMs);
-				forwardChunk(chunk);
+				receiveChunk(chunk);
 				return;
 			}
 
+			options.onBytes?.();
 			bytes += chunk.length;
 			chunks.push(Buffer.from(chunk));
 			if (bytes > maxBufferedBytes) {
@@ -273,16 +300,18 @@
 			}
 
 			if (isPassedThrough()) {
+				forwardRead();
 				endStream();
 			} else {
 				endBuffered();
 			}
 		},
 		failed(failure) {
+			forwardRead();
 			finish({kind: 'failed', failure: head === undefined || failureClasses[failure].reach === 'nothing' ? failure : 'truncated'});
 		},
 	});
-	restartSilenceTimer(options.headTimeoutMs);
+	silence.restart(options.headTimeoutMs);
 	options.onAbortable(failure => {
 		failAttempt(failure, false);
 	});
--- a/packages/router/src/lib/forwarding/event-splitter.ts
+++ b/packages/router/src/lib/forwarding/event-splitter.ts
@@ -23,7 +23,21 @@
 
 const lineFeed = 0x0A;
 const carriageReturn = 0x0D;
-const idField = /(?:^|\n)id: ?(?<id>[^\r\n]*)/gv;
+const lineEnd = /[\r\n]/v;
+const idField = 'id:';
+
+/** Value of the last id field; a line at a time is searched from the end, since a read may bring many events. */
+function lastIdOf(text: string): string | undefined {
+	const lineStart = text.lastIndexOf(`\n${idField}`) + 1;
+	if (!text.startsWith(idField, lineStart)) {
+		return undefined;
+	}
+
+	const value = text.slice(lineStart + idField.length);
+	const end = value.search(lineEnd);
+	const content = end === -1 ? value : value.slice(0, end);
+	return content.startsWith(' ') ? content.slice(1) : content;
+}
 
 /** Offset after the last blank line, or -1. */
 function endOfLastEvent(bytes: Buffer, from: number): number {
@@ -55,12 +69,7 @@
 
 			const bytes = pending.subarray(0, end);
 			pending = pending.subarray(end);
-			let lastId: string | undefined;
-			for (const match of bytes.toString('latin1').matchAll(idField)) {
-				lastId = match.groups!.id;
-			}
-
-			return {bytes, lastId};
+			return {bytes, lastId: lastIdOf(bytes.toString('latin1'))};
 		},
 		remainder: () => pending,
 	};
--- /dev/null
+++ b/packages/router/src/test/forwarding/attempt.test.ts
@@ -0,0 +1,160 @@
+import {Buffer} from 'node:buffer';
+import FakeTimers from '@sinonjs/fake-timers';
+import {assert} from 'chai';
+import {type CallHeaders, type ResponseFacts} from '../../lib/fleet/call-headers.js';
+import {type AttemptEnd, type AttemptOptions, runAttempt} from '../../lib/forwarding/attempt.js';
+import {type CallerReply} from '../../lib/forwarding/caller-reply.js';
+import {type ExchangeEvents} from '../../lib/orders/endpoint-transport.js';
+
+describe('runAttempt with a stream', () => {
+	let clock: FakeTimers.Clock;
+	let events: ExchangeEvents;
+	let writes: string[];
+	let pauses: number;
+	let timersArmed: number;
+	let end: Promise<AttemptEnd>;
+
+	const facts: Partial<ResponseFacts> = {
+		requestId: 'a', isSigned: true, isEncoded: false, isUnframed: false,
+	};
+
+	const start = (more: Partial<AttemptOptions> = {}, acceptsMore = true): void => {
+		let isStarted = false;
+		const reply: Partial<CallerReply> = {
+			isStarted: () => isStarted,
+			isDisconnected: () => false,
+			head() {
+				isStarted = true;
+			},
+			write(chunk) {
+				writes.push(Buffer.from(chunk).toString());
+				return acceptsMore;
+			},
+			onDrain: () => undefined,
+			end(chunk) {
+				writes.push(`${chunk === undefined ? '' : Buffer.from(chunk).toString()}END`);
+			},
+			onDisconnect: () => undefined,
+		};
+		const headers: Partial<CallHeaders> = {readResponse: () => facts as ResponseFacts, forCaller: () => []};
+		end = runAttempt({
+			send(listener) {
+				events = listener;
+				return {
+					pause() {
+						pauses++;
+					},
+					resume: () => undefined, batchReads: () => undefined, abort: () => undefined,
+				};
+			},
+			headers: headers as CallHeaders, requestId: 'a', reply: reply as CallerReply, isStream: true,
+			progress: {firstAt: undefined, lastEventId: undefined, facts: undefined}, eventBatchMs: 60, headTimeoutMs: 1000, eventTimeoutMs: 800,
+			mayMoveAway: () => true, mayLeavePath: () => false, deadlineAt: performance.now() + 5000,
+			onHead: () => undefined, onResponseStart: () => undefined, onEvents: () => undefined, onBytes: undefined, onPathWatched: () => undefined, onAbortable: () => undefined,
+			...more,
+		});
+	};
+
+	const receive = (...ids: number[]): void => {
+		for (const id of ids) {
+			events.data(Buffer.from(`id: ${id}\n\n`));
+		}
+	};
+
+	beforeEach(() => {
+		clock = FakeTimers.install({toFake: ['setTimeout', 'clearTimeout', 'performance']});
+		timersArmed = 0;
+		const arm = globalThis.setTimeout;
+		globalThis.setTimeout = ((...parameters: Parameters<typeof arm>) => {
+			timersArmed++;
+			return arm(...parameters);
+		}) as typeof arm;
+		writes = [];
+		pauses = 0;
+	});
+
+	afterEach(() => {
+		clock.uninstall();
+	});
+
+	it('passes on the first event at once, and those of each later read in one write', async () => {
+		// Guards against a write to the caller for each event, and against a first event that is delayed.
+		start();
+		events.head({status: 200, headers: []});
+		receive(1);
+		assert.deepEqual(writes, ['id: 1\n\n']);
+		for (const read of [[2, 3, 4], [5], [6, 7]]) {
+			receive(...read);
+			await Promise.resolve();
+		}
+
+		assert.deepEqual(writes.slice(1), ['id: 2\n\nid: 3\n\nid: 4\n\n', 'id: 5\n\n', 'id: 6\n\nid: 7\n\n']);
+	});
+
+	it('passes on the events that arrived with the end or with a failure', async () => {
+		// Guards against events that are lost with the end of their read.
+		start();
+		events.head({status: 200, headers: []});
+		receive(1, 2, 3);
+		events.end([]);
+		assert.deepEqual(writes, ['id: 1\n\n', 'id: 2\n\nid: 3\n\n', 'END']);
+		assert.deepEqual(await end, {kind: 'answered', status: 200});
+
+		writes = [];
+		start();
+		events.head({status: 200, headers: []});
+		receive(1, 2);
+		events.failed('reset');
+		assert.deepEqual(writes, ['id: 1\n\n', 'id: 2\n\n']);
+		assert.deepEqual(await end, {kind: 'failed', failure: 'truncated'});
+		await Promise.resolve();
+		assert.lengthOf(writes, 2);
+	});
+
+	it('stops reading while the caller does not read', async () => {
+		// Guards against a buffer that grows without bound.
+		start({}, false);
+		events.head({status: 200, headers: []});
+		receive(1);
+		receive(2, 3);
+		await Promise.resolve();
+		assert.deepEqual([writes.length, pauses], [2, 2]);
+	});
+
+	it('arms no timer for each event, and still detects silence after the last one', async () => {
+		// Guards against timers that are set for each event, and against a timeout that counts from an earlier one.
+		start();
+		events.head({status: 200, headers: []});
+		for (let event = 1; event <= 20; event++) {
+			receive(event);
+			await clock.tickAsync(20);
+		}
+
+		assert.equal(timersArmed, 2);
+		await clock.tickAsync(779);
+		let isEnded = false;
+		void (async () => {
+			await end;
+			isEnded = true;
+		})();
+
+		await Promise.resolve();
+		assert.isFalse(isEnded);
+		await clock.tickAsync(2);
+		assert.deepEqual(await end, {kind: 'failed', failure: 'silent'});
+	});
+
+	it('ends as late at the deadline although events arrive', async () => {
+		// Guards against a deadline that events postpone.
+		start({deadlineAt: performance.now() + 1000});
+		events.head({status: 200, headers: []});
+		for (let event = 1; event <= 9; event++) {
+			receive(event);
+			await clock.tickAsync(100);
+		}
+
+		receive(10);
+		await clock.tickAsync(101);
+		assert.deepEqual(await end, {kind: 'failed', failure: 'late'});
+	});
+});
