--- a/packages/router/src/lib/peers/peer-report.ts
+++ b/packages/router/src/lib/peers/peer-report.ts
@@ -77,6 +77,8 @@
 	streams: z.array(streamReportSchema).default([]),
 	/** Endpoint, duration of work there in percent of the usual as it stated to this daemon, milliseconds since then. */
 	paces: z.array(z.tuple([z.string(), z.number(), z.number()])).default([]),
+	/** Preference for this daemon as a collector of reports; 0 if it doesn't understand bundles, or its fleet is too small for them. */
+	collectorWeight: z.number().default(0),
 });
 
 /** A decoded report. */
--- a/packages/router/src/test/peers/report-codec.test.ts
+++ b/packages/router/src/test/peers/report-codec.test.ts
@@ -30,6 +30,7 @@
 	brittle: [['bilheteria', 5, 1200]],
 	streams: [['engines', 'v1.1', ['Wd1jGqGhbOQh', 'Xe1jGqGhbOQh']]],
 	paces: [['i-5d4fb03dc1', 250, 120]],
+	collectorWeight: 0.675,
 };
 
 describe('report codec', () => {
