Requests stay in their data centre while they are answered well within their target latency

Where the document states the size of cached tokens, an engine or endpoint of another data centre is looked at only if the own one is under pressure, can't begin the request at once, or would use much of its target latency. Each prompt part has a home in each data centre. Log field and metric tell which requests leave, and why.

--- a/packages/entry/src/lib/daemon-metrics.ts
+++ b/packages/entry/src/lib/daemon-metrics.ts
@@ -11,6 +11,7 @@
 	hickorywalk_begun_weights_age_seconds: 'Time since the weights were replaced on which an answer began, for answers on replaced weights.',
 	hickorywalk_request_seconds: 'Time from a whole request to the end of its answer.',
 	hickorywalk_attempts_failed_total: 'Attempts at endpoints that failed, by service and reason.',
+	hickorywalk_requests_left_data_centre_total: 'Requests whose latest attempt went to another data centre, by service and reason.',
 	hickorywalk_requests_relayed_total: 'Requests that ended after a peer passed them on, by service and result.',
 	hickorywalk_streams_resumed_total: 'Requests of callers that resume a stream, by service and result.',
 	hickorywalk_endpoint_crashes_total: 'Crashes of endpoints that this daemon observed.',
@@ -72,6 +73,7 @@
 
 	const requestCounter = new Counter({...describe('hickorywalk_requests_total'), labelNames: ['service', 'result']});
 	const failedAttemptCounter = new Counter({...describe('hickorywalk_attempts_failed_total'), labelNames: ['service', 'reason']});
+	const leftCounter = new Counter({...describe('hickorywalk_requests_left_data_centre_total'), labelNames: ['service', 'reason']});
 	const relayedCounter = new Counter({...describe('hickorywalk_requests_relayed_total'), labelNames: ['service', 'result']});
 	const resumedCounter = new Counter({...describe('hickorywalk_streams_resumed_total'), labelNames: ['service', 'result']});
 	const declinedCounter = new Counter({...describe('hickorywalk_relays_declined_total'), labelNames: ['reason']});
@@ -92,8 +94,12 @@
 	}
 
 	return {
-		requestEnded({service = 'none', reason, peer, resumes, ms, firstMs, begunWeightsAgeMs = 0}) {
+		requestEnded({service = 'none', reason, leaveReason, peer, resumes, ms, firstMs, begunWeightsAgeMs = 0}) {
 			requestCounter.inc({service, result: reason});
+			if (leaveReason !== undefined) {
+				leftCounter.inc({service, reason: leaveReason});
+			}
+
 			if (peer !== undefined) {
 				relayedCounter.inc({service, result: reason});
 			}
--- a/packages/entry/src/lib/wiring/request-wiring.ts
+++ b/packages/entry/src/lib/wiring/request-wiring.ts
@@ -132,7 +132,7 @@
 			} = end;
 			log.info('Request ended.', {
 				requestId, digest, workspace, service, endpoint, software: software === '' ? undefined : software, resumes, peer, status, result: reason, attempt: end.attempts, path: end.route,
-				ms: Math.round(end.ms), sentMs: rounded(end.sentMs), firstMs: rounded(end.firstMs), expectedMs: rounded(end.expectedMs),
+				ms: Math.round(end.ms), sentMs: rounded(end.sentMs), firstMs: rounded(end.firstMs), expectedMs: rounded(end.expectedMs), leaveReason: end.leaveReason,
 				weights: end.weights, weightsAgeMs: ageForLog(end.weightsAgeMs), begunWeightsAgeMs: ageForLog(end.begunWeightsAgeMs),
 				isLeaving: end.isLeaving || undefined, units: end.quota?.units, level: rounded(end.quota?.level), own: rounded(end.quota?.own),
 			});
--- a/packages/entry/src/test/metrics.test.ts
+++ b/packages/entry/src/test/metrics.test.ts
@@ -24,7 +24,7 @@
 		metrics.registerGauges({requestsInFlight: () => 3, livePeers: () => 8, lostPaths: () => 2});
 		metrics.requestEnded({
 			requestId: 'r', digest: 'd', route: 'a', workspace: 'school', service: 'desk', endpoint: 'e', software: 'v1', resumes: 'q', peer: undefined,
-			status: 200, attempts: 1, ms: 40, firstMs: 30, sentMs: 1, expectedMs: 20,
+			status: 200, attempts: 1, ms: 40, firstMs: 30, sentMs: 1, expectedMs: 20, leaveReason: 'slower',
 			weights: 2, weightsAgeMs: 5800, begunWeightsAgeMs: 6100, isLeaving: false, reason: 'answered',
 		});
 		const text = await metrics.text();
@@ -37,6 +37,7 @@
 		assert.include(text, 'hickorywalk_requests_total{service="desk",result="answered"} 1');
 		assert.include(text, 'hickorywalk_begun_weights_age_seconds_bucket{le="4",service="desk"} 0');
 		assert.include(text, 'hickorywalk_begun_weights_age_seconds_bucket{le="8",service="desk"} 1');
+		assert.include(text, 'hickorywalk_requests_left_data_centre_total{service="desk",reason="slower"} 1');
 		assert.include(text, 'hickorywalk_streams_resumed_total{service="desk",result="answered"} 1');
 		assert.include(text, 'hickorywalk_peers_heard 8');
 		assert.include(text, 'hickorywalk_paths_lost 2');
--- a/packages/router/src/lib/forwarding/call.ts
+++ b/packages/router/src/lib/forwarding/call.ts
@@ -42,6 +42,8 @@
 	hasEvents: boolean;
 	/** `performance.now()` at which the caller gives up. */
 	deadlineAt: number;
+	/** `performance.now()` at which its target latency ends. */
+	targetAt: number;
 	/** Ids of endpoints that were tried already. */
 	excluded: Set<string>;
 	/** Endpoints that the request was sent to. */
@@ -88,6 +90,7 @@
 		refusalKeys: [origin.digest, ...origin.parts],
 		prompt: promptOf(facts, workspace),
 		deadlineAt: startedAt + Math.min(facts.remainingMs ?? route.timeoutMs, route.timeoutMs),
+		targetAt: startedAt + route.targetMs,
 		hasEvents: false,
 		excluded: new Set(),
 		attempts: 0,
--- a/packages/router/src/lib/forwarding/forwarder.ts
+++ b/packages/router/src/lib/forwarding/forwarder.ts
@@ -5,6 +5,7 @@
 import {type AcceptedDocument} from '../fleet/fleet-view.js';
 import {chooseService} from '../fleet/route-table.js';
 import {type CapacityWait} from '../placing/capacity-wait.js';
+import {type RequestDistance} from '../placing/choice-request.js';
 import {type Choice} from '../placing/endpoint-choice.js';
 import {sharedPartKeys} from '../quarantine/prompt-part-keys.js';
 import {type Quarantine, type Standing} from '../quarantine/quarantine.js';
@@ -92,7 +93,7 @@
 
 	const chooseFor = (call: Call): Choice | undefined =>
 		choice.choose({
-			service: call.service, prompt: call.prompt, excluded: call.excluded, software: call.origin?.software,
+			service: call.service, prompt: call.prompt, excluded: call.excluded, software: call.origin?.software, distance: distanceOf(call),
 		});
 
 	/** Whether another endpoint may get the request; withdraws from the retry budget once per attempt. */
@@ -298,6 +299,10 @@
 const provesPartsSound = ({progress, hasEvents}: Call, {kind}: AttemptEnd): boolean =>
 	kind === 'answered' && (hasEvents || progress.facts?.isUnframed === false);
 
+const distanceOf = ({route, workspace, targetAt, body}: Call): RequestDistance => ({
+	targetMs: route.targetMs, leftMs: targetAt - performance.now(), rank: workspace?.rank ?? route.rank, bodyBytes: body?.length ?? 0,
+});
+
 type EndDetails = {
 	call?: Call;
 	route?: Route;
@@ -349,6 +354,7 @@
 		firstMs: elapsedMs(call?.progress.firstAt),
 		sentMs: elapsedMs(call?.sentAt),
 		expectedMs: choice?.expectedMs,
+		leaveReason: choice?.leaves,
 		weights: choice?.weights,
 		weightsAgeMs: call?.weightsAgeMs,
 		begunWeightsAgeMs: call?.begunWeightsAgeMs,
--- a/packages/router/src/lib/forwarding/forwarding-events.ts
+++ b/packages/router/src/lib/forwarding/forwarding-events.ts
@@ -1,4 +1,5 @@
 /** Events of the forwarder, for logs and metrics. */
+import {type LeaveReason} from '../placing/distance-rule.js';
 
 /** How a request ended, as the caller saw it. */
 export type RequestEnd = {
@@ -27,6 +28,8 @@
 	sentMs: number | undefined;
 	/** Milliseconds from the latest dispatch to the first byte, as estimated when the endpoint was chosen. */
 	expectedMs: number | undefined;
+	/** Why the latest attempt left this daemon's data centre; `undefined` if it didn't, or distance counts as delay only. */
+	leaveReason: LeaveReason | undefined;
 	/** Weights version that the endpoint was chosen for; `undefined` for plain services. */
 	weights: number | undefined;
 	/** Milliseconds since that version was replaced, at dispatch; 0 if it is the newest, infinite if unknown. */
--- a/packages/router/src/lib/observability/log.ts
+++ b/packages/router/src/lib/observability/log.ts
@@ -33,6 +33,8 @@
 	/** Actual and expected milliseconds to the first byte of a response. */
 	'firstMs',
 	'expectedMs',
+	/** Why a request was sent to another data centre. */
+	'leaveReason',
 	/** Milliseconds to the latest dispatch of a request to an endpoint. */
 	'sentMs',
 	'count',
--- a/packages/router/src/lib/placing/choice-request.ts
+++ b/packages/router/src/lib/placing/choice-request.ts
@@ -10,6 +10,19 @@
 	excluded: ReadonlySet<string>;
 	/** The only software version that may get the request; any if `undefined`. */
 	software?: string | undefined;
+	/** Latency and size that decide on whether it leaves its data centre; without them, distance counts as delay only. */
+	distance?: RequestDistance | undefined;
+};
+
+/** What distance between data centres means to a request. */
+export type RequestDistance = {
+	/** Target latency, and what is left of it. */
+	targetMs: number;
+	leftMs: number;
+	/** 0 is the most urgent. */
+	rank: number;
+	/** Bytes of the request's body. */
+	bodyBytes: number;
 };
 
 /** Prompt of a request to a model engine: its parts, size and cache isolation. */
--- a/packages/router/src/test/placing/endpoint-choice.test.ts
+++ b/packages/router/src/test/placing/endpoint-choice.test.ts
@@ -8,7 +8,7 @@
 import {createSilentLog} from '../../observability.js';
 import {
 	createEndpointBackoff, createEndpointLoadTracker, createEndpointChoice, createStoredParts, createResidentParts,
-	type ChoiceRequest, type EndpointBackoff, type EndpointLoadTracker, type EndpointChoice, type EndpointLimits, type StoredParts, type PromptNeed,
+	type ChoiceRequest, type EndpointBackoff, type EndpointLoadTracker, type EndpointChoice, type EndpointLimits, type StoredParts, type PromptNeed, type RequestDistance,
 } from '../../placing.js';
 import {createUnprovenVersions, type UnprovenVersions} from '../../releases.js';
 import {createHealthTracker} from '../../routing.js';
@@ -411,4 +411,94 @@
 		loadTracker.applyPeerReport(reportOf('vm-2', {loads: [[chosen.endpoint.id, 6, 40_000, 60_000, 0]]}));
 		assert.notEqual(choose(prompt('s1'))!.endpoint.id, chosen.endpoint.id);
 	});
+
+	describe('in two data centres', () => {
+		const distance: RequestDistance = {
+			targetMs: 815, leftMs: 815, rank: 0, bodyBytes: 9200,
+		};
+
+		/** Moves the engines with an odd number to another data centre. */
+		beforeEach(() => {
+			for (let index = 1; index < 8; index += 2) {
+				list(`e${index}`, {dataCentre: 'b', reportNumber: 2});
+			}
+		});
+
+		const subjectsAway = (more: Partial<ChoiceRequest>): number => Array.from({length: 40}, (_item, index) => choose(prompt(`s${index}`), more)!)
+			.filter(({endpoint}) => endpoint.dataCentre === 'b').length;
+
+		const occupy = (ids: readonly string[], missingTokens: number, memoryTokens = 0): void => {
+			for (const id of ids) {
+				loadTracker.start(id, {missingTokens, memoryTokens, outputTokens: 0});
+			}
+		};
+
+		const near = ['e0', 'e2', 'e4', 'e6'];
+		const far = ['e1', 'e3', 'e5', 'e7'];
+
+		it('keeps prompts in their own at calm times, each at the same engine', () => {
+			// Guards against a home that only one data centre has.
+			assert.equal(subjectsAway({distance}), 0);
+			const homes = Array.from({length: 40}, (_item, index) => choose(prompt(`s${index}`), {distance})!.endpoint.id);
+			assert.deepEqual(Array.from({length: 40}, (_item, index) => choose(prompt(`s${index}`), {distance})!.endpoint.id), homes);
+			assert.sameMembers([...new Set(homes)], near);
+		});
+
+		it('places prompts as before without a target latency, and without sizes in the document', () => {
+			// Guards against a change for deployments that gain nothing from it.
+			assert.isAbove(subjectsAway({}), 10);
+			const {document} = view.current()!;
+			const {engine, ...service} = document.services.get('engines')!;
+			view.acceptDocument({...document, version: 2, services: new Map([['engines', {...service, engine: {...engine!, tokenBytes: 0}}]])});
+			assert.isAbove(subjectsAway({distance}), 0);
+		});
+
+		it('sends prompts away when they would be late, and tells why', () => {
+			occupy(near, 30_000);
+			const away = choose(prompt('s1'), {distance: {...distance, targetMs: 5000, leftMs: 400}})!;
+			assert.include(far, away.endpoint.id);
+			assert.equal(away.leaves, 'pressure');
+			for (const id of near) {
+				versions.changing(id, 2);
+			}
+
+			assert.equal(choose(prompt('s1'), {distance})!.leaves, 'none_eligible');
+		});
+
+		it('keeps memory of the other data centre for its own callers of the highest rank', () => {
+			occupy(near, 15_000);
+			occupy(far, 0, 62_000);
+			const highest = choose(prompt('s1'), {distance})!;
+			const lower = choose(prompt('s1'), {distance: {...distance, rank: 2}})!;
+			assert.include(far, highest.endpoint.id);
+			assert.include(near, lower.endpoint.id);
+		});
+
+		it('takes no engine with new weights, and none that hangs, for pressure', () => {
+			// Guards against requests that leave because of a figure that says nothing of the load.
+			view.acceptWeights('m', 2, 0);
+			for (let index = 0; index < 8; index++) {
+				versions.seen(`e${index}`, 2);
+			}
+
+			occupy(['e0'], 100);
+			clock.tick(10_000);
+			assert.equal(subjectsAway({distance}), 0);
+		});
+
+		it('sends plain requests away only when all slots of their own are in use', () => {
+			const plain = {
+				distance: {
+					...distance, targetMs: 199, leftMs: 199, bodyBytes: 500,
+				},
+			};
+			occupy(near, 0);
+			assert.include(near, choose(undefined, plain)!.endpoint.id);
+			for (let count = 0; count < 100; count++) {
+				occupy(near, 0);
+			}
+
+			assert.include(far, choose(undefined, plain)!.endpoint.id);
+		});
+	});
 });
--- a/packages/router/src/test/placing/placed-fleet.ts
+++ b/packages/router/src/test/placing/placed-fleet.ts
@@ -51,7 +51,18 @@
 };
 
 /** How a request ended. */
-export type Served = {choice: Choice; firstMs: number; isLocal: boolean; paceAtSend: number};
+export type Served = {
+	choice: Choice;
+	firstMs: number;
+	/** It stayed in its data centre. */
+	isLocal: boolean;
+	/** Pace of the endpoint when the request was sent. */
+	paceAtSend: number;
+	/** Prompt tokens that the engine computed. */
+	computedTokens: number;
+	/** Data centres of the engine, and of the engine that it fetched shared parts from, differ. */
+	fetchesFromAfar: boolean;
+};
 
 export type PlacedFleet = {
 	/** Sends a request; `ended` is called at its end, or at once with `undefined` if no endpoint can take it. */
@@ -63,6 +74,12 @@
 
 type ModelDaemon = {name: string; dataCentre: string; choice: EndpointChoice; loadTracker: EndpointLoadTracker; residentParts: ResidentParts; storedParts: StoredParts};
 
+/** Milliseconds from a request to its answer that lie between two data centres. */
+const crossDataCentreMs = 2.8;
+
+/** Milliseconds in which an engine fetches shared parts from another one's memory. */
+const fetchMs = 3;
+
 /** Milliseconds that a datagram takes. */
 const datagramMs = 2;
 
@@ -75,6 +92,9 @@
 		endpoint, running: 0, waiting: [] as Array<() => void>, busyUntil: 0,
 	}]));
 
+	/** What the engines hold. Its model of the least recently used parts is the daemons' own, but it knows of each prompt at once. */
+	const held = createResidentParts({memoryTokens: id => document.services.get(service)?.engine && models.has(id) ? document.services.get(service)!.engine!.memoryTokens : undefined});
+
 	const createView = (): FleetView => {
 		const view = createFleetView(createSilentLog());
 		view.acceptDocument(document);
@@ -153,6 +173,21 @@
 			daemon.choice.placed(choice, prompt);
 		}
 
+		const isLocal = choice.endpoint.dataCentre === daemon.dataCentre;
+		const distanceMs = isLocal ? 0 : crossDataCentreMs;
+		let computedTokens = 0;
+		let fetchesFromAfar = false;
+		let fetchedTokens = 0;
+		if (prompt !== undefined) {
+			const weights = 1;
+			const ownTokens = held.tokens({id, weights}, prompt);
+			const source = endpoints.find(endpoint => `${endpoint.id}:80` === choice.fetchFrom);
+			fetchedTokens = source === undefined ? 0 : Math.max(0, held.tokens({id: source.id, weights}, prompt) - ownTokens);
+			fetchesFromAfar = fetchedTokens > 0 && source!.dataCentre !== model.endpoint.dataCentre;
+			computedTokens = prompt.promptTokens - ownTokens - fetchedTokens;
+			held.sent({id, weights}, prompt);
+		}
+
 		const end = (): void => {
 			model.running--;
 			model.waiting.shift()?.();
@@ -161,7 +196,7 @@
 		};
 
 		const first = (): void => {
-			const firstMs = performance.now() - sentAt;
+			const firstMs = performance.now() - sentAt + distanceMs;
 			const statedPace = options.statesPace ? model.endpoint.pace : undefined;
 			if (statedPace !== undefined) {
 				daemon.loadTracker.recordPace(id, statedPace);
@@ -173,7 +208,7 @@
 			}
 
 			const served: Served = {
-				choice, firstMs, isLocal: choice.endpoint.dataCentre === daemon.dataCentre, paceAtSend,
+				choice, firstMs, isLocal, paceAtSend, computedTokens, fetchesFromAfar,
 			};
 			if (prompt === undefined) {
 				end();
@@ -189,10 +224,10 @@
 
 		const begin = (): void => {
 			model.running++;
-			const computeMs = choice.missingTokens / options.tokensPerMs(id) * model.endpoint.pace;
+			const computeMs = computedTokens / options.tokensPerMs(id) * model.endpoint.pace;
 			const startAt = Math.max(performance.now(), model.busyUntil);
 			model.busyUntil = startAt + computeMs;
-			clock.setTimeout(first, startAt + computeMs + (workMs * model.endpoint.pace) - performance.now());
+			clock.setTimeout(first, startAt + computeMs + ((workMs + (fetchedTokens > 0 ? fetchMs : 0)) * model.endpoint.pace) - performance.now());
 		};
 
 		if (model.running < model.endpoint.slots) {
