--- a/packages/router/src/lib/forwarding/forwarder.ts
+++ b/packages/router/src/lib/forwarding/forwarder.ts
@@ -6,7 +6,7 @@
 import {type AcceptedDocument} from '../fleet/fleet-view.js';
 import {chooseService} from '../fleet/route-table.js';
 import {type CapacityWait} from '../placing/capacity-wait.js';
-import {type ChoiceRequest} from '../placing/choice-request.js';
+import {type ChoiceRequest, type RequestDistance} from '../placing/choice-request.js';
 import {type Choice} from '../placing/endpoint-choice.js';
 import {sharedPartKeys} from '../quarantine/prompt-part-keys.js';
 import {type Quarantine, type Standing} from '../quarantine/quarantine.js';
@@ -354,8 +354,8 @@
 }
 
 /** What the endpoint choice needs to know of a request. */
-const choiceRequestOf = ({service, prompt, excluded, origin}: Call): ChoiceRequest => ({
-	service, prompt, excluded, software: origin?.software,
+const choiceRequestOf = (call: Call): ChoiceRequest => ({
+	service: call.service, prompt: call.prompt, excluded: call.excluded, software: call.origin?.software, distance: distanceOf(call),
 });
 
 /** Whether a caller that has a part of a stream asks for the rest of it. */
@@ -370,6 +370,10 @@
 const provesPartsSound = ({progress, hasEvents}: Call, {kind}: AttemptEnd): boolean =>
 	kind === 'answered' && (hasEvents || progress.facts?.isUnframed === false);
 
+const distanceOf = ({route, workspace, targetAt, body}: Call): RequestDistance => ({
+	targetMs: route.targetMs, leftMs: targetAt - performance.now(), rank: workspace?.rank ?? route.rank, bodyBytes: body?.length ?? 0,
+});
+
 type EndDetails = {
 	call?: Call;
 	route?: Route;
@@ -427,6 +431,7 @@
 		sentMs: elapsedMs(call?.sentAt),
 		...waitOf(call),
 		expectedMs: expectedMsOf(call),
+		leaveReason: choice?.leaves,
 		weights: choice?.weights,
 		weightsAgeMs: call?.weightsAgeMs,
 		begunWeightsAgeMs: call?.begunWeightsAgeMs,
