Open requests are checked for silence when the first could be silent; no coarse connect timer

The check for silent endpoints ran every 150 ms while requests were open; it now runs when the longest silence so far reaches the limit, and not more often than before. Undici's connect timeout is off, since the transport has its own: its coarse timer woke the process twice a second after a connection was opened.

--- a/packages/router/src/lib/orders/undici-transport.ts
+++ b/packages/router/src/lib/orders/undici-transport.ts
@@ -217,7 +217,8 @@
 	const readBatches = createReadBatches();
 	const connectMs = options.connectMs ?? defaultConnectMs;
 	const connectTimeout = createConnectTimeout(connectMs);
-	const socketOptions = {timeout: connectMs, highWaterMark: batchedHighWaterMark};
+	// Without undici's own timeout, whose coarse timer wakes the process twice a second after a connection was opened.
+	const socketOptions = {timeout: 0, highWaterMark: batchedHighWaterMark};
 	// Undici returns the socket, contrary to its types.
 	const openConnection = buildConnector(socketOptions) as (...parameters: Parameters<buildConnector.connector>) => Socket;
 	const connect: buildConnector.connector = (connectOptions, callback) => {
--- a/packages/router/src/lib/paths/endpoint-paths.ts
+++ b/packages/router/src/lib/paths/endpoint-paths.ts
@@ -87,8 +87,8 @@
 /** Number of checks of lost paths at the same time. */
 const maxChecks = 4;
 
-/** Interval in milliseconds of looking for silent endpoints, while requests are open. */
-const sweepMs = 150;
+/** Shortest interval in milliseconds of looking for silent endpoints, while requests are open. */
+const minSweepMs = 150;
 
 /** Silence in milliseconds after which an endpoint that owes a response is checked. */
 const silenceMs = 250;
@@ -267,9 +267,19 @@
 			}
 		}
 
-		if (openRequests.size === 0) {
-			clearInterval(sweepTimer);
-			sweepTimer = undefined;
+		scheduleSweep();
+	};
+
+	/** Sweeps when the first open request could be silent, since each sweep wakes the process. */
+	const scheduleSweep = (): void => {
+		sweepTimer = undefined;
+		let silentFrom = Number.POSITIVE_INFINITY;
+		for (const {heardAt} of openRequests) {
+			silentFrom = Math.min(silentFrom, heardAt + silenceMs);
+		}
+
+		if (silentFrom !== Number.POSITIVE_INFINITY) {
+			sweepTimer = setTimeout(sweep, Math.max(minSweepMs, silentFrom - performance.now())).unref();
 		}
 	};
 
@@ -321,7 +331,10 @@
 		watch(endpoint, onPathLost) {
 			const open: OpenRequest = {endpoint, heardAt: performance.now(), onPathLost};
 			openRequests.add(open);
-			sweepTimer ??= setInterval(sweep, sweepMs).unref();
+			if (sweepTimer === undefined) {
+				scheduleSweep();
+			}
+
 			return {
 				heard() {
 					open.heardAt = performance.now();
--- a/packages/router/src/test/paths/endpoint-paths.test.ts
+++ b/packages/router/src/test/paths/endpoint-paths.test.ts
@@ -190,4 +190,25 @@
 		paths.connectFailed(e1);
 		assert.isFalse(paths.isLost({...e1, startedAt: e1.startedAt + 1}));
 	});
+
+	it('looks for silent endpoints no more often than they can become silent', async () => {
+		// Guards against a timer that wakes the process several times in a stream whose events arrive.
+		const request = paths.watch(e1);
+		const armed: number[] = [];
+		const arm = globalThis.setTimeout;
+		globalThis.setTimeout = ((...parameters: Parameters<typeof arm>) => {
+			armed.push(Number(parameters[1]));
+			return arm(...parameters);
+		}) as typeof arm;
+		for (let ms = 0; ms < 3000; ms += 60) {
+			request.heard();
+			await clock.tickAsync(60);
+		}
+
+		assert.isAtMost(armed.length, 16);
+		request.ended();
+		await clock.tickAsync(250);
+		assert.equal(clock.countTimers(), 0);
+		assert.deepEqual(checks, []);
+	});
 });
