The log is written to pipes and sockets by the event loop, not by the thread pool

Each write through the pool wakes two threads. The event loop writes at once where the reader has room and queues the rest up to the same bound; the process never waits for a reader, also not at its end, when lines still queued for a slow reader are lost. A reader that is gone no longer ends the process.

--- a/packages/entry/src/hickorywalk-entry.ts
+++ b/packages/entry/src/hickorywalk-entry.ts
@@ -3,8 +3,8 @@
 import {parseArgs} from 'node:util';
 import {BootSettingsError, readBootSettings, settingsVariable} from '@hickorywalk/platform';
 import {createLineBatch, createLog, setLogWriter} from 'hickorywalk/observability.js';
-import sonicBoom from 'sonic-boom';
 import {startEntryDaemon} from './lib/entry-daemon.js';
+import {createLogOutput} from './lib/log-output.js';
 
 /** Upper bound on log bytes queued for a slow reader; further lines are dropped. */
 const maxQueuedLogBytes = 256 * 1024;
@@ -15,13 +15,9 @@
 const exitCodeInvalidSettings = 2;
 const exitCodeUncaughtException = 1;
 
-// A blocking write to a pipe whose reader has stopped would block all requests.
-// This writer queues a bounded number of bytes and drops the rest.
-const output = new sonicBoom.SonicBoom({fd: 1, sync: false, maxLength: maxQueuedLogBytes});
+const output = createLogOutput({fd: 1, maxQueuedBytes: maxQueuedLogBytes});
 const logBatch = createLineBatch({
-	write(text) {
-		output.write(text);
-	},
+	write: output.write,
 	flushMs: logFlushMs,
 	maxChars: maxBatchChars,
 });
@@ -30,7 +26,7 @@
 /** Writes all buffered log lines before the process exits. */
 function flushLog(): void {
 	logBatch.flush();
-	output.flushSync();
+	output.flush();
 }
 
 const log = createLog('program');
