A superseded version is not loaded, and the oldest weights change first

An engine that is drained when newer weights are named goes on draining and is ordered to load the newest ones, instead of beginning anew. An engine that carries out an order when newer weights are named ends its turn with that load, and then waits for another turn, instead of changing once more at once while others still run the oldest weights.

--- a/packages/router/src/lib/weights/weights-rollout.ts
+++ b/packages/router/src/lib/weights/weights-rollout.ts
@@ -108,8 +108,8 @@
 	let heldFencing: number | undefined;
 	const startedAt = performance.now();
 	const ownOrders = new Map<string, number>();
-	/** Accepted orders, by engine. */
-	const acceptedOrders = new Map<string, {version: number; at: number}>();
+	/** Accepted orders, by engine; `busyAt` is when the engine last reported that it carries an order out. */
+	const acceptedOrders = new Map<string, {version: number; at: number; busyAt: number}>();
 	const peerOrders = new Map<string, number>();
 	let announcement: Promise<void> | undefined;
 	let announcedAt = Number.NEGATIVE_INFINITY;
@@ -153,12 +153,6 @@
 		return isPastHandover && held.msLeft >= minLeaseMs ? held : undefined;
 	};
 
-	const isNeeded = ({endpoint, model, version}: ChangeTask): boolean =>
-		view.endpoint(endpoint.id)?.startedAt === endpoint.startedAt
-		&& !presence.hasEnded(endpoint)
-		&& view.namedWeights(model)?.version === version
-		&& versions.of(endpoint, model).version < version;
-
 	/** Whether another daemon ordered the engine within the handover time. */
 	const isOrderedByPeer = (id: string): boolean =>
 		performance.now() - (peerOrders.get(id) ?? Number.NEGATIVE_INFINITY) < options.handoverMs;
@@ -172,6 +166,26 @@
 	/** Milliseconds since the weights that the engine runs were replaced. */
 	const outdatedMs = ({endpoint, model}: ChangeTask): number => view.namedWeights(model)!.outdatedMs(versions.of(endpoint, model).version);
 
+	/** Whether the engine has accepted an order to this version and carries it out; another order can't replace that one. */
+	const isCarriedOut = (task: ChangeTask): boolean => {
+		const order = acceptedOrders.get(task.endpoint.id);
+		return order?.version === task.version && (isRecentlyAccepted(task) || performance.now() - order.busyAt < maxPollMs + acceptedOrderTtlMs);
+	};
+
+	const isNeeded = (task: ChangeTask): boolean => {
+		const {endpoint, model, version} = task;
+		return view.endpoint(endpoint.id)?.startedAt === endpoint.startedAt
+			&& !presence.hasEnded(endpoint)
+			&& (view.namedWeights(model)?.version === version || isCarriedOut(task))
+			&& versions.of(endpoint, model).version < version;
+	};
+
+	/** An engine that was not ordered yet goes to the newest weights; what it has waited for counts. */
+	const withNewestVersion = (task: ChangeTask): ChangeTask => {
+		const newest = view.namedWeights(task.model)?.version ?? task.version;
+		return newest > task.version && !isCarriedOut(task) ? {...task, version: newest} : task;
+	};
+
 	/** Engines too stale for new requests lose nothing by changing at once. */
 	const isUnusable = (task: ChangeTask): boolean => outdatedMs(task) > options.weightsMs * maxWeightsAgeRatio;
 
@@ -208,6 +222,11 @@
 			return;
 		}
 
+		const accepted = acceptedOrders.get(endpoint.id);
+		if (state.isChanging && accepted !== undefined) {
+			accepted.busyAt = performance.now();
+		}
+
 		if (state.isChanging || isRecentlyAccepted(task)) {
 			// It takes no requests, however long its load takes.
 			versions.changing(endpoint.id, version);
@@ -230,7 +249,7 @@
 			model, version, holder: options.name, fencing: held.fencing, ordersTaken: state.ordersTaken,
 		});
 		if (result === 'accepted') {
-			acceptedOrders.set(endpoint.id, {version, at: performance.now()});
+			acceptedOrders.set(endpoint.id, {version, at: performance.now(), busyAt: Number.NEGATIVE_INFINITY});
 			versions.changing(endpoint.id, version);
 		}
 
@@ -263,7 +282,9 @@
 		}
 	};
 
-	const runTask = async (task: ChangeTask): Promise<void> => {
+	/** Changes an engine; returns the task that it ended with. */
+	const runTask = async (first: ChangeTask): Promise<ChangeTask> => {
+		let task = first;
 		while (usableLease() !== undefined && isNeeded(task)) {
 			try {
 				await advance(task);
@@ -273,26 +294,34 @@
 				log.warn('Engine did not answer a call about its weights.', {endpoint: task.endpoint.id, version: task.version, err: error});
 			}
 
+			task = withNewestVersion(task);
+			inProgress.set(task.endpoint.id, task);
 			if (!isNeeded(task)) {
-				return;
+				break;
 			}
 
 			await pause(Math.max(pollPauseMs(task), Math.min(maxPollMs, options.minRequestIntervalMs?.(task.endpoint) ?? 0)));
+			task = withNewestVersion(task);
+			inProgress.set(task.endpoint.id, task);
 		}
+
+		return task;
 	};
 
-	const startTask = (task: ChangeTask): void => {
-		const {id} = task.endpoint;
+	const startTask = (first: ChangeTask): void => {
+		const {endpoint, model} = first;
+		const {id} = endpoint;
 		const startedMs = performance.now();
-		if (!isRecentlyAccepted(task)) {
+		if (!isRecentlyAccepted(first)) {
 			acceptedOrders.delete(id);
 		}
 
-		inProgress.set(id, task);
+		inProgress.set(id, first);
 		void (async () => {
-			await runTask(task);
+			const task = await runTask(first);
 			const downtimeMs = drains.finish(id);
-			if (downtimeMs !== undefined && versions.of(task.endpoint, task.model).version >= task.version) {
+			const {version} = versions.of(endpoint, model);
+			if (downtimeMs !== undefined && version >= task.version) {
 				// In a large fleet, peers would leave the engine idle until the next round of reports.
 				void announce();
 				planner.recordDowntime(downtimeMs);
@@ -302,7 +331,7 @@
 
 			inProgress.delete(id);
 			log.info('Change of an engine\'s weights ended.', {
-				endpoint: id, version: versions.of(task.endpoint, task.model).version, ms: Math.round(performance.now() - startedMs),
+				endpoint: id, version, ms: Math.round(performance.now() - startedMs),
 			});
 		})();
 	};
--- a/packages/router/src/test/weights/drain-crossings.test.ts
+++ b/packages/router/src/test/weights/drain-crossings.test.ts
@@ -79,4 +79,24 @@
 			assert.lengthOf(begun, 42);
 		});
 	});
+
+	it('load no version that was superseded before', async () => {
+		// Guards against engines that load weights which are replaced already, and against engines that keep the oldest
+		// weights since those that have just loaded change again first: the last one began its first load 12.1 s after
+		// the first naming. An order that waits for the engine's last runs can't be taken back.
+		const orderedAheadMs = 700;
+		const namings = [1000, 3000, 5000, 7000];
+		for (const fleet of fleets) {
+			const {loads: begun, doneMs, crossed, misdirected} = await simulateRollout({
+				...fleet, seed: 1, computeMs: [20, 160], rate: fleet.engines * 5, weightsMs, namings,
+			});
+			const late = begun.filter(([at, , version]) => at > (namings.at(version - 1) ?? Number.POSITIVE_INFINITY) + orderedAheadMs);
+			const firstLoads = new Map(begun.toReversed().map(([at, id]) => [id, at]));
+			assert.deepEqual(late, []);
+			assert.lengthOf([...firstLoads], fleet.engines);
+			assert.isAtMost(Math.max(...firstLoads.values()) - namings[0], rolloutMs);
+			assert.isAtMost(doneMs, rolloutMs);
+			assert.deepEqual([crossed, misdirected], [{unheard: 0, queueOutlasted: 0, reportLagged: 0}, 0]);
+		}
+	});
 });
--- a/packages/router/src/test/weights/rollout-model.ts
+++ b/packages/router/src/test/weights/rollout-model.ts
@@ -57,8 +57,8 @@
 	unplaced: number;
 	/** Requests that were withdrawn from a queue and placed elsewhere. */
 	withdrawn: number;
-	/** Loads that began, as engine and version. */
-	loads: Array<[id: string, version: number]>;
+	/** Loads that began: time, engine and version. */
+	loads: Array<[at: number, id: string, version: number]>;
 	/** Greatest number of engines that were out of service at once. */
 	maxOut: number;
 	/** Time from the last naming until all engines run its weights; infinite if they don't. */
@@ -348,7 +348,7 @@
 		if (engine.loadEndsAt === undefined) {
 			const loading = [...engines.values()].filter(({loadEndsAt}) => loadEndsAt !== undefined).length + 1;
 			engine.loadEndsAt = now + (loadMs * Math.max(1, loading / maxFullSpeedLoads));
-			outcome.loads.push([engine.id, engine.orderedTo]);
+			outcome.loads.push([now, engine.id, engine.orderedTo]);
 		} else if (now >= engine.loadEndsAt) {
 			engine.version = engine.orderedTo;
 			engine.orderedTo = undefined;
--- a/packages/router/src/test/weights/weights-rollout.test.ts
+++ b/packages/router/src/test/weights/weights-rollout.test.ts
@@ -304,6 +304,32 @@
 		assert.isAtMost(engines.maxChanging, ids.length / 3);
 	});
 
+	it('orders an engine that it drains to change to the newest weights, without a new drain', async () => {
+		// Guards against engines that load superseded weights, and against drains that begin anew with each naming.
+		engines.waiting = 3;
+		view.acceptWeights('m', 2, 0);
+		await clock.tickAsync(450);
+		view.acceptWeights('m', 3, 0);
+		engines.waiting = 0;
+		await clock.tickAsync(150);
+		assert.deepEqual(engines.orders.map(order => order[2]), [3, 3, 3, 3]);
+		await clock.tickAsync(6000);
+		assert.lengthOf(engines.orders, ids.length);
+	});
+
+	it('changes engines with the oldest weights before those that have just loaded superseded ones', async () => {
+		// Guards against engines that keep replaced weights for longer with each further naming.
+		view.acceptWeights('m', 2, 0);
+		await clock.tickAsync(350);
+		const first = engines.orders.map(([, id]) => id);
+		view.acceptWeights('m', 3, 0);
+		await clock.tickAsync(8000);
+		const next = engines.orders.slice(first.length);
+		assert.lengthOf(next, ids.length);
+		assert.sameMembers(next.slice(-first.length).map(([, id]) => id), first);
+		assert.deepEqual(next.map(order => order[2]), ids.map(() => 3));
+	});
+
 	it('counts engines that carry out an earlier order as changing', async () => {
 		// New weights are named while a third of the engines load the previous ones. These
 		// engines finish their loads and serve no requests until then; changing as many
