--- a/packages/entry/src/lib/daemon-metrics.ts
+++ b/packages/entry/src/lib/daemon-metrics.ts
@@ -17,6 +17,11 @@
 	hickorywalk_crash_refusals_total: 'Refusals that this daemon learned of, by kind: of a request or of a prompt part that crashes endpoints.',
 	hickorywalk_relays_declined_total: 'Requests of peers that were not passed on, by reason.',
 	hickorywalk_paths_lost: 'Endpoints that this daemon can\'t reach over its own network.',
+	hickorywalk_engine_drain_seconds: 'Time for which an engine got no requests before this daemon ordered it to load weights, by service.',
+	hickorywalk_engine_orders_with_queue_total: 'Orders to load weights to engines that still reported waiting requests, by service.',
+	hickorywalk_rejections_during_loads_total: 'Attempts that engines rejected (not_run) while they were known to load weights or to be about to, by service and reason.',
+	hickorywalk_engines_waiting: 'Engines that wait for their turn to load weights, at the daemon that gives the orders.',
+	hickorywalk_engines_changing: 'Engines that are drained or load weights, at the daemon that gives the orders.',
 	hickorywalk_store_calls_total: 'Calls to the platform\'s store, by call.',
 	hickorywalk_requests_under_way: 'Requests that are being handled.',
 	hickorywalk_peers_heard: 'Daemons whose reports arrive.',
@@ -30,12 +35,16 @@
 	requestsInFlight: () => number;
 	livePeers: () => number;
 	lostPaths: () => number;
+	enginesWaiting: () => number;
+	enginesChanging: () => number;
 };
 
 /** Records and serves the metrics. */
 export type DaemonMetrics = {
 	requestEnded: (end: RequestEnd) => void;
 	attemptFailed: (service: string, reason: string) => void;
+	engineDrained: (service: string, ms: number, waiting: number) => void;
+	rejectedDuringLoad: (service: string, reason: string) => void;
 	endpointCrashed: () => void;
 	crashRefused: (kind: 'request' | 'part') => void;
 	relayDeclined: (reason: string) => void;
@@ -82,6 +91,9 @@
 	const firstByteSeconds = new Histogram({...describe('hickorywalk_request_first_seconds'), labelNames: ['service'], buckets: secondsBuckets});
 	const totalSeconds = new Histogram({...describe('hickorywalk_request_seconds'), labelNames: ['service'], buckets: secondsBuckets});
 	const begunWeightsAgeSeconds = new Histogram({...describe('hickorywalk_begun_weights_age_seconds'), labelNames: ['service'], buckets: secondsBuckets});
+	const drainSeconds = new Histogram({...describe('hickorywalk_engine_drain_seconds'), labelNames: ['service'], buckets: secondsBuckets});
+	const queuedOrderCounter = new Counter({...describe('hickorywalk_engine_orders_with_queue_total'), labelNames: ['service']});
+	const loadRejectionCounter = new Counter({...describe('hickorywalk_rejections_during_loads_total'), labelNames: ['service', 'reason']});
 	registerTotal('hickorywalk_event_loop_turns_total', () => performance.nodeTiming.uvMetricsInfo.loopCount);
 	registerTotal('hickorywalk_event_loop_busy_seconds_total', () => performance.eventLoopUtilization().active / msPerSecond);
 
@@ -114,6 +126,15 @@
 		attemptFailed(service, reason) {
 			failedAttemptCounter.inc({service, reason});
 		},
+		engineDrained(service, ms, waiting) {
+			drainSeconds.observe({service}, ms / msPerSecond);
+			if (waiting > 0) {
+				queuedOrderCounter.inc({service});
+			}
+		},
+		rejectedDuringLoad(service, reason) {
+			loadRejectionCounter.inc({service, reason});
+		},
 		endpointCrashed() {
 			crashCounter.inc();
 		},
@@ -129,7 +150,9 @@
 		logLinesDropped(count) {
 			droppedLineCounter.inc(count);
 		},
-		registerGauges({requestsInFlight, livePeers, lostPaths}) {
+		registerGauges({
+			requestsInFlight, livePeers, lostPaths, enginesWaiting, enginesChanging,
+		}) {
 			const registerGauge = (name: keyof typeof metricHelp, read: () => number) => new Gauge({
 				...describe(name),
 				collect() {
@@ -139,6 +162,8 @@
 			registerGauge('hickorywalk_requests_under_way', requestsInFlight);
 			registerGauge('hickorywalk_peers_heard', livePeers);
 			registerGauge('hickorywalk_paths_lost', lostPaths);
+			registerGauge('hickorywalk_engines_waiting', enginesWaiting);
+			registerGauge('hickorywalk_engines_changing', enginesChanging);
 		},
 		text: async () => registry.metrics(),
 	};
--- a/packages/entry/src/lib/entry-daemon.ts
+++ b/packages/entry/src/lib/entry-daemon.ts
@@ -35,7 +35,13 @@
 	const isReady = (): boolean => !state.isStopping && operatorFeed.newestChange() > 0 && endpointFeed.newestChange() > 0 && parts.documentGuard.current() !== undefined;
 	const readiness = createReadinessServer(isReady, [readinessPath]);
 	serveMetrics(readiness, metrics.text);
-	metrics.registerGauges({requestsInFlight: parts.forwarder.inFlight, livePeers: () => parts.peers.live().length, lostPaths: parts.paths.lostCount});
+	metrics.registerGauges({
+		requestsInFlight: parts.forwarder.inFlight,
+		livePeers: () => parts.peers.live().length,
+		lostPaths: parts.paths.lostCount,
+		enginesWaiting: () => parts.weightsRollout.counts().waiting,
+		enginesChanging: () => parts.weightsRollout.counts().changing,
+	});
 	view.onDocument(({document}) => {
 		server.setLimits(document.limits);
 	});
--- a/packages/entry/src/lib/wiring/lease-wiring.ts
+++ b/packages/entry/src/lib/wiring/lease-wiring.ts
@@ -65,7 +65,7 @@
 /** Creates the weights rollout; it acts only while the lease is held. */
 export function wireWeightsRollout(parts: EntryParts) {
 	const {
-		settings, timings, view, versions, control, leases, loadTracker, presence, limits, paths, log,
+		settings, timings, view, versions, control, leases, loadTracker, presence, limits, paths, metrics, log,
 	} = parts;
 	const loadOf = (id: string): EndpointLoad | undefined => {
 		const endpoint = view.endpoint(id);
@@ -98,6 +98,7 @@
 			};
 		},
 		hasUnstarted: loadTracker.hasUnstarted,
+		onDrained: metrics.engineDrained,
 		minRequestIntervalMs: endpoint => limits.waitMs([endpoint]),
 		log,
 	});
--- a/packages/entry/src/lib/wiring/request-wiring.ts
+++ b/packages/entry/src/lib/wiring/request-wiring.ts
@@ -119,7 +119,14 @@
 }
 
 /** Logs requests and records their metrics. */
-export function wireEvents({log, metrics, logLineBudget}: EntryParts): ForwardingEvents {
+export function wireEvents({
+	view, versions, log, metrics, logLineBudget,
+}: EntryParts): ForwardingEvents {
+	const isChanging = (id: string): boolean => {
+		const endpoint = view.endpoint(id);
+		return endpoint !== undefined && [...endpoint.weights.keys()].some(model => versions.of(endpoint, model).isChanging);
+	};
+
 	return {
 		ended(end) {
 			metrics.requestEnded(end);
@@ -141,6 +148,10 @@
 			requestId, digest, parts, endpoint, software, peer, service, reason, ms, firstMs, backoffMs, weights, weightsAgeMs, next,
 		}) {
 			metrics.attemptFailed(service, reason);
+			if (reason.startsWith('not_run') && isChanging(endpoint)) {
+				metrics.rejectedDuringLoad(service, reason);
+			}
+
 			if (!logLineBudget.take(`attempt ${reason}`)) {
 				return;
 			}
--- a/packages/entry/src/test/metrics.test.ts
+++ b/packages/entry/src/test/metrics.test.ts
@@ -21,7 +21,9 @@
 
 	it('serves every metric with its help text, as docs/metrics.md lists it', async () => {
 		const metrics = createDaemonMetrics();
-		metrics.registerGauges({requestsInFlight: () => 3, livePeers: () => 8, lostPaths: () => 2});
+		metrics.registerGauges({
+			requestsInFlight: () => 3, livePeers: () => 8, lostPaths: () => 2, enginesWaiting: () => 28, enginesChanging: () => 14,
+		});
 		metrics.requestEnded({
 			requestId: 'r', digest: 'd', route: 'a', workspace: 'school', service: 'desk', endpoint: 'e', software: 'v1', resumes: 'q', peer: undefined,
 			status: 200, attempts: 1, ms: 40, firstMs: 30, sentMs: 1, expectedMs: 20,
@@ -40,5 +42,7 @@
 		assert.include(text, 'hickorywalk_streams_resumed_total{service="desk",result="answered"} 1');
 		assert.include(text, 'hickorywalk_peers_heard 8');
 		assert.include(text, 'hickorywalk_paths_lost 2');
+		assert.include(text, 'hickorywalk_engines_waiting 28');
+		assert.include(text, 'hickorywalk_engines_changing 14');
 	});
 });
--- a/packages/router/src/lib/weights/engine-drains.ts
+++ b/packages/router/src/lib/weights/engine-drains.ts
@@ -37,6 +37,8 @@
 	isQueueDone: (task: ChangeTask, state: DrainState) => boolean;
 	/** Milliseconds until the decision on the engine's queue may change; `undefined` unless it is being emptied. */
 	nextCheckMs: (id: string) => number | undefined;
+	/** Milliseconds for which the engine has got no requests; `undefined` unless it is being emptied. */
+	elapsedMs: (id: string) => number | undefined;
 	/** Ends the drain; returns the milliseconds for which the engine got no requests, if any. */
 	finish: (id: string) => number | undefined;
 };
@@ -100,7 +102,13 @@
 		return drain;
 	};
 
+	const elapsedMs = (id: string): number | undefined => {
+		const drain = closed.get(id);
+		return drain === undefined ? undefined : performance.now() - drain.since;
+	};
+
 	return {
+		elapsedMs,
 		areLongRequestsDone(task, isUnusable) {
 			const {id} = task.endpoint;
 			if (closed.has(id)) {
@@ -142,10 +150,10 @@
 			return untilMs.length === 0 ? checkMs : Math.min(...untilMs, drain.settledAt > now && Number.isFinite(drain.settledAt) ? Number.POSITIVE_INFINITY : checkMs);
 		},
 		finish(id) {
-			const drain = closed.get(id);
+			const ms = elapsedMs(id);
 			drainingSince.delete(id);
 			closed.delete(id);
-			return drain === undefined ? undefined : performance.now() - drain.since;
+			return ms;
 		},
 	};
 }
--- a/packages/router/src/lib/weights/weights-rollout.ts
+++ b/packages/router/src/lib/weights/weights-rollout.ts
@@ -45,6 +45,8 @@
 	hasRequests?: (id: string) => boolean;
 	/** Whether a daemon has a request at the endpoint that hasn't begun, as far as known. */
 	hasUnstarted?: (id: string) => boolean;
+	/** Called when an engine has been drained, right before its order: for how long, and with how many requests left in its queue. */
+	onDrained?: (service: string, drainMs: number, waiting: number) => void;
 	/** Minimum interval between two requests to an endpoint with a rate limit; `undefined` without a limit. */
 	minRequestIntervalMs?: (endpoint: LiveEndpoint) => number | undefined;
 	log: Log;
@@ -55,6 +57,8 @@
 	tick: () => void;
 	/** Milliseconds since this daemon's last order to an engine; infinite if none. */
 	sinceOrderMs: (id: string) => number;
+	/** Number of engines that wait for their turn, and of those that are being drained or load. */
+	counts: () => {waiting: number; changing: number};
 	/** Records that another daemon ordered an engine `sinceMs` ago. */
 	recordPeerOrder: (id: string, sinceMs: number) => void;
 };
@@ -116,6 +120,8 @@
 	let averageLoadMs = initialLoadMs;
 	/** Minimum number of rounds that the rollout still takes, by service. */
 	const roundsLeft = new Map<string, number>();
+	/** Number of engines that wait for their turn, by service. */
+	const waitingEngines = new Map<string, number>();
 	const daemons = (): number => options.daemons?.() ?? 1;
 
 	/** Resolves once peers have been informed; calls within one interval share an announcement. */
@@ -244,11 +250,13 @@
 			return;
 		}
 
+		const drainMs = drains.elapsedMs(endpoint.id) ?? 0;
 		ownOrders.set(endpoint.id, performance.now());
 		const result = await control.order(endpoint, {
 			model, version, holder: options.name, fencing: held.fencing, ordersTaken: state.ordersTaken,
 		});
 		if (result === 'accepted') {
+			options.onDrained?.(endpoint.service, drainMs, state.waiting);
 			acceptedOrders.set(endpoint.id, {version, at: performance.now(), busyAt: Number.NEGATIVE_INFINITY});
 			versions.changing(endpoint.id, version);
 		}
@@ -258,7 +266,7 @@
 		}
 
 		log.info('Engine was ordered to change its weights.', {
-			endpoint: endpoint.id, version, result, order: held.fencing,
+			endpoint: endpoint.id, version, result, order: held.fencing, ms: Math.round(drainMs), count: state.waiting,
 		});
 	};
 
@@ -382,6 +390,7 @@
 		const serving = view.endpointsOf(service).filter(endpoint => !presence.hasEnded(endpoint) && !presence.isDoubtful(endpoint));
 		const tasks = tasksOf(service, models);
 		if (tasks.length === 0) {
+			waitingEngines.delete(service);
 			return;
 		}
 
@@ -404,6 +413,7 @@
 			uses: [...uses.values()],
 		});
 		roundsLeft.set(service, rounds);
+		waitingEngines.set(service, later.length);
 		for (const task of due) {
 			startTask(task);
 		}
@@ -414,6 +424,13 @@
 	};
 
 	return {
+		counts() {
+			if (options.held() === undefined) {
+				return {waiting: 0, changing: 0};
+			}
+
+			return {waiting: [...waitingEngines.values()].reduce((sum, count) => sum + count, 0), changing: inProgress.size};
+		},
 		sinceOrderMs: id => performance.now() - (ownOrders.get(id) ?? Number.NEGATIVE_INFINITY),
 		recordPeerOrder(id, sinceMs) {
 			peerOrders.set(id, Math.max(peerOrders.get(id) ?? 0, performance.now() - sinceMs));
--- a/packages/router/src/test/weights/weights-rollout.test.ts
+++ b/packages/router/src/test/weights/weights-rollout.test.ts
@@ -82,6 +82,8 @@
 	let minRequestIntervalMs: Map<string, number>;
 	/** Engines at which daemons know of requests that haven't begun. */
 	let unstarted: Set<string>;
+	/** Queues that engines reported last before their orders. */
+	let queuesAtOrders: number[];
 	/** Engines that only other daemons reach. */
 	let outOfReach: Set<string>;
 	let handOvers: number;
@@ -98,6 +100,9 @@
 		remainingMs: id => remainingMs.get(id) ?? 0,
 		minRequestIntervalMs: ({id}) => minRequestIntervalMs.get(id),
 		hasRequests: id => performance.now() < (engines.runsUntil.get(id) ?? 0),
+		onDrained(_service, _drainMs, waiting) {
+			queuesAtOrders.push(waiting);
+		},
 		hasUnstarted: id => unstarted.has(id),
 		isOutOfReach: ({id}) => outOfReach.has(id),
 		handOver() {
@@ -125,6 +130,7 @@
 		remainingMs = new Map();
 		minRequestIntervalMs = new Map();
 		unstarted = new Set();
+		queuesAtOrders = [];
 		outOfReach = new Set();
 		handOvers = 0;
 		rollout = createRollout();
@@ -304,6 +310,21 @@
 		assert.isAtMost(engines.maxChanging, ids.length / 3);
 	});
 
+	it('tells how many engines wait and change, and which queues outlasted their drains', async () => {
+		// Guards against operators who can't tell a rollout that waits for queues from one that stands still.
+		assert.deepEqual(rollout.counts(), {waiting: 0, changing: 0});
+		engines.waiting = 3;
+		view.acceptWeights('m', 2, 0);
+		await clock.tickAsync(450);
+		assert.deepEqual(rollout.counts(), {waiting: 8, changing: 4});
+		await clock.tickAsync(1000);
+		assert.deepEqual(queuesAtOrders, [3, 3, 3, 3]);
+		engines.waiting = 0;
+		await clock.tickAsync(5000);
+		assert.deepEqual(rollout.counts(), {waiting: 0, changing: 0});
+		assert.deepEqual(queuesAtOrders.slice(4), ids.slice(4).map(() => 0));
+	});
+
 	it('orders an engine that it drains to change to the newest weights, without a new drain', async () => {
 		// Guards against engines that load superseded weights, and against drains that begin anew with each naming.
 		engines.waiting = 3;
