A report states the time of an order only while one is to come

While an engine loaded, the holder's reports stated 1 ms until its order, so that daemons would have withdrawn requests that run there without an event yet. The model of rollouts now takes that figure from the same function.

--- a/packages/entry/src/lib/wiring/peer-wiring.ts
+++ b/packages/entry/src/lib/wiring/peer-wiring.ts
@@ -1,9 +1,8 @@
 /** Wires the exchange of reports between daemons. */
-import {type ChangeFeed, type LiveEndpoint} from 'hickorywalk/fleet.js';
+import {type ChangeFeed} from 'hickorywalk/fleet.js';
 import {
 	createPeerDirectory, createPeerExchange, maxReportedLeaving, type OpenDatagramTransport, type PeerExchange, type PeerReport,
 } from 'hickorywalk/peers.js';
-import {type EngineVersions} from 'hickorywalk/weights.js';
 import {weightsLease} from './lease-wiring.js';
 import {type EntryParts} from './parts.js';
 
@@ -126,15 +125,6 @@
 
 type EngineReport = PeerReport['engines'][number];
 
-/**
- * Milliseconds until the latest order to an engine that is being drained, or else until its planned drain. An
- * earlier version states 0 for an engine that is being drained, so 0 is no time of an order.
- */
-function dueForReport(versions: EngineVersions, endpoint: LiveEndpoint, model: string): number {
-	const {isChanging, dueInMs} = versions.of(endpoint, model);
-	return isChanging ? Math.max(1, roundedOrMinusOne(versions.orderInMs(endpoint.id))) : roundedOrMinusOne(dueInMs);
-}
-
 /**
  * Weights versions and changes that the lease holder knows beyond the endpoint list. A former
  * holder continues to report its latest orders until the handover time is over.
@@ -153,7 +143,7 @@
 
 		const sinceOrderMs = weightsRollout.sinceOrderMs(id);
 		const {version} = versions.of(endpoint, model);
-		const dueInMs = isHolder ? dueForReport(versions, endpoint, model) : -1;
+		const dueInMs = isHolder ? roundedOrMinusOne(versions.reportedDueMs(endpoint, model)) : -1;
 		const isOrdered = sinceOrderMs <= timings.handoverMs;
 		const differsFromList = changing.has(id) || version !== endpoint.weights.get(model);
 		const report: EngineReport = [id, version, changing.get(id) ?? 0, roundedOrMinusOne(sinceOrderMs), dueInMs];
--- a/packages/router/src/lib/weights/engine-versions.ts
+++ b/packages/router/src/lib/weights/engine-versions.ts
@@ -31,6 +31,12 @@
 	changing: (id: string, toVersion: number, orderInMs?: number) => void;
 	/** Milliseconds until an engine that is being drained is ordered, at the latest; infinite if unknown or past. */
 	orderInMs: (id: string) => number;
+	/**
+	 * Milliseconds for reports: until an engine that is being drained is ordered, at least 1, or else until its planned
+	 * drain; infinite if neither is known. An earlier version states 0 for an engine that is being drained, so 0 is no
+	 * time of an order.
+	 */
+	reportedDueMs: (endpoint: LiveEndpoint, model: string) => number;
 	/** Calls `onDue` shortly before an engine is ordered to load, until the returned function is called. */
 	watchOrder: OrderWatches['watch'];
 	/** Records that the engine will be drained in `dueInMs` for a change to a version. */
@@ -91,18 +97,24 @@
 
 	const orderWatches = createOrderWatches({orderInMs});
 
+	const of = (endpoint: LiveEndpoint, model: string): EngineVersion => {
+		const listed = endpoint.weights.get(model) ?? 0;
+		const version = Math.max(listed, versions.get(endpoint.id) ?? 0);
+		const isDue = (changes.get(endpoint.id)?.toVersion ?? 0) > version;
+		const isChanging = isDue && currentChange(endpoint.id) !== undefined;
+		return {
+			version, isChanging, isUncertain: isDue && !isChanging, dueInMs: dueInMs(endpoint.id, version),
+		};
+	};
+
 	return {
+		of,
 		orderInMs,
-		watchOrder: orderWatches.watch,
-		of(endpoint, model) {
-			const listed = endpoint.weights.get(model) ?? 0;
-			const version = Math.max(listed, versions.get(endpoint.id) ?? 0);
-			const isDue = (changes.get(endpoint.id)?.toVersion ?? 0) > version;
-			const isChanging = isDue && currentChange(endpoint.id) !== undefined;
-			return {
-				version, isChanging, isUncertain: isDue && !isChanging, dueInMs: dueInMs(endpoint.id, version),
-			};
+		reportedDueMs(endpoint, model) {
+			const {isChanging, dueInMs: plannedInMs} = of(endpoint, model);
+			return isChanging ? Math.max(1, orderInMs(endpoint.id)) : plannedInMs;
 		},
+		watchOrder: orderWatches.watch,
 		seen(id, version) {
 			if (version > (versions.get(id) ?? 0)) {
 				versions.set(id, version);
--- a/packages/router/src/test/weights/engine-versions.test.ts
+++ b/packages/router/src/test/weights/engine-versions.test.ts
@@ -51,4 +51,20 @@
 		clock.tick(1000);
 		assert.deepEqual(told, ['first']);
 	});
+
+	it('reports the time of an order only while one is to come', () => {
+		// Guards against peers that withdraw requests from an engine that loads already, or whose order they can't know.
+		const versions = createEngineVersions();
+		versions.planned('e1', 2, 900);
+		assert.equal(versions.reportedDueMs(endpoint, 'm'), 900);
+		versions.changing('e1', 2, 0.4);
+		assert.equal(versions.reportedDueMs(endpoint, 'm'), 1);
+		versions.changing('e1', 2, 300);
+		clock.tick(100);
+		assert.equal(versions.reportedDueMs(endpoint, 'm'), 200);
+		clock.tick(300);
+		assert.equal(versions.reportedDueMs(endpoint, 'm'), Number.POSITIVE_INFINITY);
+		versions.changing('e1', 2);
+		assert.equal(versions.reportedDueMs(endpoint, 'm'), Number.POSITIVE_INFINITY);
+	});
 });
--- a/packages/router/src/test/weights/rollout-model.ts
+++ b/packages/router/src/test/weights/rollout-model.ts
@@ -260,8 +260,8 @@
 	const holderReport = (): Array<[string, number, number, number]> => {
 		const changing = holder.versions.allChanging();
 		return ids.map(id => {
-			const {version, dueInMs, isChanging} = holder.versions.of(view.endpoint(id)!, 'm');
-			const dueMs = isChanging ? holder.versions.orderInMs(id) : dueInMs;
+			const {version} = holder.versions.of(view.endpoint(id)!, 'm');
+			const dueMs = holder.versions.reportedDueMs(view.endpoint(id)!, 'm');
 			return [id, version, changing.get(id) ?? 0, Number.isFinite(dueMs) ? dueMs : -1];
 		});
 	};
