--- a/packages/entry/src/lib/entry-daemon.ts
+++ b/packages/entry/src/lib/entry-daemon.ts
@@ -42,6 +42,8 @@
 		bufferedBytes: parts.bufferAccount.bytes,
 		bufferAborts: parts.bufferAccount.abortedCount,
 		waiting: parts.admission.waiting,
+		enginesWaiting: () => parts.weightsRollout.counts().waiting,
+		enginesChanging: () => parts.weightsRollout.counts().changing,
 	});
 	view.onDocument(({document}) => {
 		server.setLimits(document.limits);
--- a/packages/entry/src/test/metrics.test.ts
+++ b/packages/entry/src/test/metrics.test.ts
@@ -23,6 +23,7 @@
 		const metrics = createDaemonMetrics();
 		metrics.registerGauges({
 			requestsInFlight: () => 3, livePeers: () => 8, lostPaths: () => 2, bufferedBytes: () => 0, bufferAborts: () => 0, waiting: () => [{service: 'engines', rank: 2, count: 5}],
+			enginesWaiting: () => 28, enginesChanging: () => 14,
 		});
 		metrics.requestEnded({
 			requestId: 'r', digest: 'd', route: 'a', workspace: 'school', service: 'desk', endpoint: 'e', software: 'v1', resumes: 'q', peer: undefined,
@@ -43,5 +44,7 @@
 		assert.include(text, 'hickorywalk_streams_resumed_total{service="desk",result="answered"} 1');
 		assert.include(text, 'hickorywalk_peers_heard 8');
 		assert.include(text, 'hickorywalk_paths_lost 2');
+		assert.include(text, 'hickorywalk_engines_waiting 28');
+		assert.include(text, 'hickorywalk_engines_changing 14');
 	});
 });
