Plain requests are sampled like prompts, and shared parts are fetched from the nearer holder

Daemons that see the same idle plain endpoints no longer all choose the first one.

Of several engines that hold a prompt's shared parts, one in the own data centre is the source.

--- a/packages/router/src/lib/placing/endpoint-choice.ts
+++ b/packages/router/src/lib/placing/endpoint-choice.ts
@@ -349,18 +349,20 @@
 			return {choice, candidate, waitMs};
 		}), () => eligible.reduce((sum, candidate) => sum + plainMs(candidate), 0) / eligible.length);
 
+		const usedRatio = ({endpoint, load}: Candidate): number => (load.running + 1) / endpoint.slots;
+		const canBeginAt = (candidate: Candidate): boolean => usedRatio(candidate) <= 1;
 		const eligible = candidates.all(request);
+		const bestOfSample = (): Best | undefined => bestPlain(sample(eligible, candidate => candidate, canBeginAt));
 		const need = distanceNeed(request);
 		if (need === undefined) {
-			return bestPlain(eligible)?.choice;
+			return bestOfSample()?.choice;
 		}
 
-		const usedRatio = ({endpoint, load}: Candidate): number => (load.running + 1) / endpoint.slots;
 		return chooseByDistance(need, {
 			own: () => bestPlain(eligible.filter(({endpoint}) => isOwn(endpoint))),
 			others: () => bestPlain(eligible.filter(candidate => !isOwn(candidate.endpoint) && distanceRule.mayUse(need, usedRatio(candidate)))),
-			any: () => bestPlain(eligible),
-			canBeginAt: candidate => usedRatio(candidate) <= 1,
+			any: bestOfSample,
+			canBeginAt,
 			usedRatio,
 		});
 	};
--- a/packages/router/src/lib/placing/prompt-cost.ts
+++ b/packages/router/src/lib/placing/prompt-cost.ts
@@ -85,7 +85,7 @@
 			&& !presence.hasEnded(endpoint) && !presence.isDoubtful(endpoint) && health.healthOf(endpoint.id) === 'healthy';
 	};
 
-	/** The usable engine that holds the most leading shared tokens of the prompt under these weights. */
+	/** The usable engine that holds the most leading shared tokens of the prompt under these weights; one in the own data centre if several do. */
 	const bestHolder = (prompt: PromptNeed, weights: number | undefined, {linkBytesPerMs}: EngineTraits): PartSource => {
 		let best = noSource;
 		for (const id of residentParts.holders(weights, prompt)) {
@@ -95,7 +95,8 @@
 			}
 
 			const tokens = residentParts.tokens({id, weights}, prompt);
-			if (tokens > best.tokens) {
+			const isNearer = endpoint.dataCentre === options.dataCentre && best.dataCentre !== options.dataCentre;
+			if (tokens > best.tokens || (tokens > 0 && tokens === best.tokens && isNearer)) {
 				best = {
 					address: endpoint.address, dataCentre: endpoint.dataCentre, linkBytesPerMs, tokens,
 				};
