Capacity is reserved for higher ranks while a service is short of it

Cause: short patient requests filled the engines, and urgent long ones were refused or came too late.

Change: while the mean fill of a service's endpoints is high, the fraction of an endpoint up to which a request may fill it, by slots, memory and queue of prompts, falls with its rank; each rank keeps a minimum share. What may not be sent waits. Services whose requests have one rank are not affected. Requests that can still be served in their target time go before others of their rank. Estimates that are too long are corrected by what is observed, and waits of less urgent ranks are forecast from the rate at which they are sent.

--- a/packages/entry/src/lib/wiring/request-wiring.ts
+++ b/packages/entry/src/lib/wiring/request-wiring.ts
@@ -93,9 +93,9 @@
 
 /** Creates the admission of requests. */
 export const wireAdmission = ({
-	view, loadTracker, health, presence, versions, weightsDeadlines, limits, backoff, brittle, paths, releases, choice,
+	view, loadTracker, health, presence, versions, weightsDeadlines, limits, backoff, brittle, paths, releases, choice, log,
 }: EntryParts): Admission => createAdmission({
-	view, loadTracker, health, presence, versions, weightsDeadlines, limits, backoff, brittle, paths, releases, choose: choice.choose, random: Math.random,
+	view, loadTracker, health, presence, versions, weightsDeadlines, limits, backoff, brittle, paths, releases, choose: choice.choose, random: Math.random, log,
 });
 
 /** Returns a function that looks up the retry budget of a service. */
--- a/packages/router/src/lib/admission/admission.ts
+++ b/packages/router/src/lib/admission/admission.ts
@@ -3,6 +3,7 @@
  * endpoint chosen for it, waits or is refused. Requests that wait are woken by events and by one timer.
  */
 import {type FleetView} from '../fleet/fleet-view.js';
+import {type Log} from '../observability/log.js';
 import {type ChoiceRequest} from '../placing/choice-request.js';
 import {type Choice} from '../placing/endpoint-choice.js';
 import {type EndpointLoadTracker} from '../placing/endpoint-load-tracker.js';
@@ -12,14 +13,18 @@
 import {
 	type CapacityForecast, type CapacityForecastOptions, createCapacityForecast, type ExpectedCapacity,
 } from './capacity-forecast.js';
+import {createEstimateCorrection} from './estimate-correction.js';
+import {createRankRates} from './rank-rates.js';
+import {createReservedCapacity} from './reserved-capacity.js';
 import {createIdleEndpoints} from './idle-endpoints.js';
 import {createServiceTurnover} from './service-turnover.js';
 import {createWaitingQueue, type WaitingRequest} from './waiting-queue.js';
 
 /** Options of {@link createAdmission}. */
 export type AdmissionOptions = Omit<CapacityForecastOptions, 'turnover' | 'view' | 'loadTracker'> & {
-	view: Pick<FleetView, 'endpointsOf' | 'onEndpoint'>;
+	view: Pick<FleetView, 'current' | 'endpointsOf' | 'memoryTokens' | 'onEndpoint'>;
 	loadTracker: EndpointLoadTracker;
+	log: Log;
 	choose: (request: ChoiceRequest) => Choice | undefined;
 	/** Returns a number in [0, 1). */
 	random: () => number;
@@ -43,7 +48,8 @@
 
 /** What becomes of a request. */
 export type Admitted
-	= | {kind: 'send'; choice: Choice; ended: () => void}
+	/** `begun` is called when the response begins, and `ended` at the end of the attempt. */
+	= | {kind: 'send'; choice: Choice; begun: () => void; ended: () => void}
 		/** The request is decided on again once `turn` has resolved. */
 		| {kind: 'wait'; turn: Promise<void>}
 		| {kind: 'refuse'; reason: RefusalReason; expectedMs: number; retryAfterMs: number};
@@ -66,7 +72,7 @@
 /** The admission of one daemon. */
 export type Admission = {
 	ticketFor: (request: AdmissionRequest) => AdmissionTicket;
-	/** Peers have reported their load, or a request of a service has begun. */
+	/** Peers have reported their load. */
 	capacityChanged: () => void;
 	/** Wakes all requests that wait; called on shutdown. */
 	wakeAll: () => void;
@@ -78,6 +84,10 @@
 	service: string;
 	choiceRequest: ChoiceRequest | undefined;
 	targetMs: number;
+	/** `performance.now()` until which the response is wanted. */
+	targetAt: number;
+	/** `performance.now()` from which the response is expected after that. */
+	passesTargetAt: number;
 	waitingSince: number | undefined;
 	waitedMs: number;
 	/** `performance.now()` at which the request is decided on again without an event. */
@@ -93,8 +103,8 @@
 type Round = {
 	/** The request that has been woken. */
 	current: Entry | undefined;
-	/** Lanes whose first request can't be sent now. */
-	blocked: Set<string>;
+	/** Rank up to which the requests of a lane can't be sent now; less urgent ones may have a minimum share. */
+	blocked: Map<string, number>;
 	/** Another event has occurred since the round began. */
 	isRepeated: boolean;
 };
@@ -109,6 +119,12 @@
 /** Shortest time in milliseconds until a waiting request is decided on again without an event, so that no timer fires continuously. */
 const minCheckMs = 10;
 
+/** Lower bound of the rate at which waiting requests of a rank are expected to be sent. */
+const minRatePerMs = 1 / 1000;
+
+/** Factor on the mean time that requests are in flight, within which most of them end. */
+const durationReserveRatio = 1.5;
+
 /** Time between two reviews of waiting requests that no longer can be served in their time. */
 const reviewMs = 100;
 
@@ -119,6 +135,9 @@
 	const turnover = createServiceTurnover();
 	const forecast: CapacityForecast = createCapacityForecast({...options, turnover});
 	const queue = createWaitingQueue<Entry>({maxCount: maxWaiting, maxBytes: maxWaitingBytes});
+	const rates = createRankRates();
+	const correction = createEstimateCorrection();
+	const reserved = createReservedCapacity({...options, correction});
 	const rounds = new Map<string, Round>();
 	const reviewedAt = new Map<string, number>();
 	let timer: NodeJS.Timeout | undefined;
@@ -126,11 +145,25 @@
 
 	const lanesOf = (service: string): string[] => [...new Set([...queue.all()].filter(entry => entry.service === service).map(({lane}) => lane))];
 
+	const firstOf = (service: string, lane: string, blockedRank: number | undefined): Entry | undefined => {
+		if (blockedRank === undefined) {
+			return queue.first(lane);
+		}
+
+		// What is too full for a more urgent request may take a less urgent one only as the minimum share of that rank.
+		let first = queue.first(lane, blockedRank);
+		while (first !== undefined && !(reserved.isShort(service) && reserved.isBelowShare(service, first.rank))) {
+			first = queue.first(lane, first.rank);
+		}
+
+		return first;
+	};
+
 	/** The request that is sent next; requests that only some endpoints may get go first among those of their rank. */
-	const nextOf = (service: string, blocked: ReadonlySet<string>): Entry | undefined => {
+	const nextOf = (service: string, blocked: ReadonlyMap<string, number>): Entry | undefined => {
 		let next: Entry | undefined;
 		for (const lane of lanesOf(service)) {
-			const first = blocked.has(lane) ? undefined : queue.first(lane);
+			const first = firstOf(service, lane, blocked.get(lane));
 			if (first !== undefined && (next === undefined || first.rank < next.rank || (first.rank === next.rank && next.lane === service))) {
 				next = first;
 			}
@@ -168,7 +201,7 @@
 			return;
 		}
 
-		rounds.set(service, {current: undefined, blocked: new Set(), isRepeated: false});
+		rounds.set(service, {current: undefined, blocked: new Map(), isRepeated: false});
 		continueRound(service);
 		review(service);
 	};
@@ -181,7 +214,7 @@
 		}
 
 		if (isBlocked) {
-			round.blocked.add(entry.lane);
+			round.blocked.set(entry.lane, entry.rank);
 		}
 
 		queueMicrotask(() => {
@@ -192,6 +225,11 @@
 	const endWait = (entry: Entry, wasSent: boolean): void => {
 		queue.remove(entry, wasSent);
 		if (entry.waitingSince !== undefined) {
+			if (wasSent) {
+				rates.sent(entry.lane, entry.rank);
+			}
+
+			rates.backlogged(entry.lane, entry.rank, queue.hasWaiting(entry.lane, entry.rank));
 			entry.waitedMs += performance.now() - entry.waitingSince;
 			entry.waitingSince = undefined;
 		}
@@ -210,7 +248,7 @@
 			services.add(entry.service);
 			const endsAt = entry.deadlineAt - entry.serviceMs;
 			entry.checkAt = Math.max(endsAt, now + minCheckMs);
-			if (endsAt <= now) {
+			if (endsAt <= now || (!entry.isPastTarget && entry.passesTargetAt <= now)) {
 				entry.wake();
 			}
 		}
@@ -247,8 +285,15 @@
 	};
 
 	/** Milliseconds until the requests before this one have been taken; 0 if their rate isn't known. */
-	const queueMsOf = (entry: Entry, {perMs}: ExpectedCapacity): number =>
-		perMs === 0 ? 0 : queue.countBefore(entry) / perMs;
+	const queueMsOf = (entry: Entry, {perMs}: ExpectedCapacity): number => {
+		const measuredPerMs = reserved.isOvertaken(entry.service, entry.rank) ? rates.perMs(entry.lane, entry.rank) : undefined;
+		if (measuredPerMs !== undefined) {
+			// More urgent requests are in the measured rate, also those that are yet to come.
+			return queue.countBeforeInRank(entry) / Math.max(measuredPerMs, minRatePerMs);
+		}
+
+		return perMs === 0 ? 0 : queue.countBefore(entry) / perMs;
+	};
 
 	/** Wakes the requests that are no longer expected to be served in their time, so that they are refused early. */
 	const review = (service: string): void => {
@@ -281,18 +326,35 @@
 		return busy && choose({...request, excluded: new Set([...request.excluded, ...busy])});
 	};
 
+	/** The choice if requests of this rank may fill its endpoint further, or else one among the endpoints that they may fill. */
+	const chooseUnreserved = (entry: Entry, request: ChoiceRequest, choice: Choice): Choice | undefined => {
+		if (reserved.mayFill(choice.endpoint, entry.rank)) {
+			return choice;
+		}
+
+		const filled = reserved.filledUnlessAll(entry.service, entry.rank);
+		return filled && choose({...request, excluded: new Set([...request.excluded, ...filled])});
+	};
+
 	const isPreceded = (entry: Entry): boolean =>
 		queue.size() > 0 && (queue.countBefore(entry) > 0 || (entry.lane !== entry.service && queue.countMoreUrgent(entry.service, entry.rank) > 0));
 
 	const send = (entry: Entry, choice: Choice): Admitted => {
 		endWait(entry, true);
 		settleTurn(entry, false);
-		const ended = turnover.started(entry.service);
+		const sentAt = performance.now();
+		const ended = turnover.started(entry.service, entry.rank);
+		const leaveRank = reserved.started(entry.service, entry.rank);
 		return {
 			kind: 'send',
 			choice,
+			begun() {
+				correction.record(entry.service, choice.expectedMs, performance.now() - sentAt);
+				startRound(entry.service);
+			},
 			ended() {
 				ended();
+				leaveRank();
 				startRound(entry.service);
 			},
 		};
@@ -318,6 +380,7 @@
 		entry.checkAt = checkAt;
 		entry.waitingSince ??= performance.now();
 		if (!queue.has(entry)) {
+			rates.backlogged(entry.lane, entry.rank, true);
 			for (const displaced of queue.add(entry)) {
 				displaced.isDisplaced = true;
 				displaced.wake();
@@ -332,8 +395,17 @@
 	/** Decides on a request for which there is no endpoint now. */
 	const decideWithout = (entry: Entry, request: ChoiceRequest, mayWait: boolean): Admitted => {
 		const now = performance.now();
+		const meanMs = turnover.meanMs(entry.service, entry.rank);
+		if (!entry.isPastTarget && now + meanMs >= entry.targetAt) {
+			if (queue.has(entry)) {
+				queue.passTarget(entry);
+			} else {
+				entry.isPastTarget = true;
+			}
+		}
+
 		const expected = mayWait ? forecast(request) : undefined;
-		const serviceMs = expected?.serviceMs ?? 0;
+		const serviceMs = Math.max(expected?.serviceMs ?? 0, meanMs * durationReserveRatio);
 		const decision: AdmissionDecision = decideAdmission({
 			remainingMs: entry.deadlineAt - now,
 			expectedMs: undefined,
@@ -350,30 +422,41 @@
 		}
 
 		entry.serviceMs = serviceMs;
-		return wait(entry, Math.max(now + minCheckMs, Math.min(entry.deadlineAt - serviceMs, now + expected!.timedMs)));
+		entry.passesTargetAt = entry.targetAt - meanMs;
+		const endsAt = entry.isPastTarget ? entry.deadlineAt - serviceMs : Math.min(entry.targetAt - meanMs, entry.deadlineAt - serviceMs);
+		return wait(entry, Math.max(now + minCheckMs, Math.min(endsAt, now + expected!.timedMs)));
+	};
+
+	/** Whether the response is expected too late, which no wait changes: the time left passes as fast as the endpoint's queue. */
+	const refusalOf = ({service, deadlineAt}: Entry, choice: Choice): {expectedMs: number} | undefined => {
+		const expectedMs = choice.expectedMs * correction.ratio(service);
+		const decision = decideAdmission({
+			remainingMs: deadlineAt - performance.now(), expectedMs, isIdle: idleEndpoints.isIdle(choice.endpoint), capacityMs: undefined, queueMs: 0, serviceMs: 0, hasQueueRoom: false,
+		});
+		return decision.kind === 'send' ? undefined : {expectedMs};
 	};
 
 	const decide = (entry: Entry, request: ChoiceRequest, mayWait: boolean): Admitted => {
 		entry.choiceRequest = request;
-		if (mayWait && isPreceded(entry)) {
+		const isItsTurn = rounds.get(entry.service)?.current === entry;
+		if (mayWait && !isItsTurn && isPreceded(entry)) {
 			return decideWithout(entry, request, mayWait);
 		}
 
 		const choice = choose(request);
-		const remainingMs = entry.deadlineAt - performance.now();
 		if (choice === undefined) {
 			return decideWithout(entry, request, mayWait);
 		}
 
-		const decision = decideAdmission({
-			remainingMs, expectedMs: choice.expectedMs, isIdle: idleEndpoints.isIdle(choice.endpoint), capacityMs: undefined, queueMs: 0, serviceMs: 0, hasQueueRoom: false,
-		});
-		if (decision.kind === 'send') {
-			return send(entry, choice);
+		const refusal = refusalOf(entry, choice);
+		if (refusal !== undefined) {
+			const idle = chooseIdle(request);
+			return idle === undefined ? refuse(entry, 'late', refusal.expectedMs) : send(entry, idle);
 		}
 
-		const idle = chooseIdle(request);
-		return idle === undefined ? refuse(entry, 'late', choice.expectedMs) : send(entry, idle);
+		const unreserved = mayWait ? chooseUnreserved(entry, request, choice) : choice;
+		// Where the endpoints that are left would respond too late, room at a quicker one is worth waiting for.
+		return unreserved === undefined || refusalOf(entry, unreserved) !== undefined ? decideWithout(entry, request, mayWait) : send(entry, unreserved);
 	};
 
 	view.onEndpoint((_id, endpoint, before) => {
@@ -398,6 +481,9 @@
 				bytes,
 				choiceRequest: undefined,
 				targetMs,
+				targetAt: deadlineAt - timeoutMs + targetMs,
+				passesTargetAt: Number.POSITIVE_INFINITY,
+				isPastTarget: false,
 				waitingSince: undefined,
 				waitedMs: 0,
 				checkAt: Number.POSITIVE_INFINITY,
--- a/packages/router/src/lib/admission/waiting-queue.ts
+++ b/packages/router/src/lib/admission/waiting-queue.ts
@@ -11,6 +11,8 @@
 	rank: number;
 	/** Empty for public routes. */
 	workspace: string;
+	/** It can no longer be served in its target time. */
+	isPastTarget: boolean;
 	/** The caller was refused before, so it has less time left than others. */
 	isReturn: boolean;
 	/** `performance.now()` at which the caller gives up. */
@@ -29,12 +31,17 @@
 	/** Adds a request for which there is room; returns those that it displaces. */
 	add: (request: Request) => Request[];
 	has: (request: Request) => boolean;
+	/** Moves a request behind those of its rank that can still be served in their target time. */
+	passTarget: (request: Request) => void;
 	/** Removes a request; one that was sent uses up a turn of its workspace. */
 	remove: (request: Request, wasSent: boolean) => void;
-	/** The request of a lane that is sent first. */
-	first: (lane: string) => Request | undefined;
+	/** The request of a lane that is sent first, among those less urgent than `afterRank` if that is stated. */
+	first: (lane: string, afterRank?: number) => Request | undefined;
 	/** Number of waiting requests of its lane that are sent before this one, whether or not it waits itself. */
 	countBefore: (request: Request) => number;
+	/** The same, of those of its rank only. */
+	countBeforeInRank: (request: Request) => number;
+	hasWaiting: (lane: string, rank: number) => boolean;
 	/** Number of waiting requests in the lane that are more urgent than `rank`. */
 	countMoreUrgent: (lane: string, rank: number) => number;
 	/** All waiting requests, in no order. */
@@ -45,6 +52,7 @@
 /** Requests of one lane, rank and return state, among which workspaces take turns. */
 type Group<Request> = {
 	rank: number;
+	isPastTarget: boolean;
 	isReturn: boolean;
 	/** Turn of the latest request that was sent. */
 	turn: number;
@@ -55,18 +63,23 @@
 type Flow<Request> = {requests: Request[]; turns: number[]; latestTurn: number};
 
 /** Place of a request in its group. */
-type Place = {turn: number; deadlineAt: number};
+type Place = {turn: number; deadlineAt: number; number: number};
 
-const compareGroups = (a: Pick<WaitingRequest, 'rank' | 'isReturn'>, b: Pick<WaitingRequest, 'rank' | 'isReturn'>): number =>
-	a.rank - b.rank || Number(b.isReturn) - Number(a.isReturn);
+/** What the requests of a group have in common. */
+type GroupKey = Pick<WaitingRequest, 'rank' | 'isPastTarget' | 'isReturn'>;
 
-const comparePlaces = (a: Place, b: Place): number => a.turn - b.turn || a.deadlineAt - b.deadlineAt;
+const compareGroups = (a: GroupKey, b: GroupKey): number =>
+	a.rank - b.rank || Number(a.isPastTarget) - Number(b.isPastTarget) || Number(b.isReturn) - Number(a.isReturn);
+
+const comparePlaces = (a: Place, b: Place): number => a.turn - b.turn || a.deadlineAt - b.deadlineAt || a.number - b.number;
 
 /** Creates an empty queue. */
 export function createWaitingQueue<Request extends WaitingRequest>({maxCount, maxBytes}: WaitingQueueOptions): WaitingQueue<Request> {
 	/** Groups by lane, in the order in which they are served. */
 	const lanes = new Map<string, Array<Group<Request>>>();
-	const waiting = new Set<Request>();
+	/** Numbers of the waiting requests, in the order in which they were added. */
+	const waiting = new Map<Request, number>();
+	let latestNumber = 0;
 	let bytes = 0;
 
 	const findGroup = (request: Request): Group<Request> | undefined => lanes.get(request.lane)?.find(group => compareGroups(group, request) === 0);
@@ -77,9 +90,9 @@
 			return known;
 		}
 
-		const {lane, rank, isReturn} = request;
+		const {lane, rank, isPastTarget, isReturn} = request;
 		const group: Group<Request> = {
-			rank, isReturn, turn: 0, workspaces: new Map(),
+			rank, isPastTarget, isReturn, turn: 0, workspaces: new Map(),
 		};
 		lanes.set(lane, [...(lanes.get(lane) ?? []), group].toSorted(compareGroups));
 		return group;
@@ -98,7 +111,8 @@
 		flow.latestTurn = Math.max(flow.latestTurn, group.turn) + 1;
 		flow.turns.push(flow.latestTurn);
 		flow.requests.splice(indexIn(flow, request), 0, request);
-		waiting.add(request);
+		latestNumber++;
+		waiting.set(request, latestNumber);
 		bytes += request.bytes;
 	};
 
@@ -140,7 +154,9 @@
 				continue;
 			}
 
-			const place = {turn: turns.at(index)!, deadlineAt: request.deadlineAt, request};
+			const place = {
+				turn: turns.at(index)!, deadlineAt: request.deadlineAt, number: waiting.get(request)!, request,
+			};
 			const difference = extreme === undefined ? -1 : comparePlaces(place, extreme);
 			if (extreme === undefined || (end === 'first' ? difference < 0 : difference > 0)) {
 				extreme = place;
@@ -175,7 +191,7 @@
 		const flow = group?.workspaces.get(request.workspace);
 		const index = flow === undefined ? 0 : (waiting.has(request) ? flow.requests.indexOf(request) : indexIn(flow, request));
 		const turn = flow?.turns[index] ?? Math.max(flow?.latestTurn ?? 0, group?.turn ?? 0) + 1;
-		return {turn, deadlineAt: request.deadlineAt};
+		return {turn, deadlineAt: request.deadlineAt, number: waiting.get(request) ?? Number.POSITIVE_INFINITY};
 	};
 
 	const countOfGroup = ({workspaces}: Group<Request>): number => {
@@ -187,7 +203,7 @@
 		return count;
 	};
 
-	const countBefore = (request: Request): number => {
+	const countBefore = (request: Request, fromRank = Number.NEGATIVE_INFINITY): number => {
 		const groups = lanes.get(request.lane);
 		if (groups === undefined) {
 			return 0;
@@ -198,10 +214,10 @@
 		for (const group of groups) {
 			const difference = compareGroups(group, request);
 			if (difference < 0) {
-				count += countOfGroup(group);
+				count += group.rank < fromRank ? 0 : countOfGroup(group);
 			} else if (difference === 0) {
 				for (const {requests, turns} of group.workspaces.values()) {
-					count += requests.filter((other, index) => other !== request && comparePlaces({turn: turns[index], deadlineAt: other.deadlineAt}, place) <= 0).length;
+					count += requests.filter((other, index) => other !== request && comparePlaces({turn: turns[index], deadlineAt: other.deadlineAt, number: waiting.get(other)!}, place) < 0).length;
 				}
 			}
 		}
@@ -222,10 +238,15 @@
 			return displaced;
 		},
 		has: request => waiting.has(request),
+		passTarget(request) {
+			remove(request, false);
+			request.isPastTarget = true;
+			insert(request);
+		},
 		remove,
-		first(lane) {
+		first(lane, afterRank = Number.NEGATIVE_INFINITY) {
 			for (const group of lanes.get(lane) ?? []) {
-				const first = extremeOf(group, 'first');
+				const first = group.rank > afterRank ? extremeOf(group, 'first') : undefined;
 				if (first !== undefined) {
 					return first;
 				}
@@ -233,7 +254,9 @@
 
 			return undefined;
 		},
-		countBefore,
+		countBefore: request => countBefore(request),
+		countBeforeInRank: request => countBefore(request, request.rank),
+		hasWaiting: (lane, rank) => (lanes.get(lane) ?? []).some(group => group.rank === rank && countOfGroup(group) > 0),
 		countMoreUrgent(lane, rank) {
 			let count = 0;
 			for (const group of lanes.get(lane) ?? []) {
@@ -242,7 +265,7 @@
 
 			return count;
 		},
-		all: () => waiting,
+		all: () => waiting.keys(),
 		size: () => waiting.size,
 	};
 }
--- a/packages/router/src/lib/forwarding/call.ts
+++ b/packages/router/src/lib/forwarding/call.ts
@@ -61,6 +61,8 @@
 	leavePath: (() => void) | undefined;
 	/** Cancels the current attempt unless its response has begun. */
 	cancel: (() => void) | undefined;
+	/** Called when the response of the current attempt begins. */
+	onBegun: (() => void) | undefined;
 	/** It was refused, its term has ended, and this daemon may send it once. */
 	isClaimed: boolean;
 	/** The retry budget has granted the next attempt. */
@@ -103,6 +105,7 @@
 		peer: undefined,
 		leavePath: undefined,
 		cancel: undefined,
+		onBegun: undefined,
 		isClaimed: false,
 		isRetryGranted: false,
 		progress: {firstAt: undefined, lastEventId: undefined, facts: undefined},
--- a/packages/router/src/lib/forwarding/forwarder.ts
+++ b/packages/router/src/lib/forwarding/forwarder.ts
@@ -174,6 +174,7 @@
 			call.excluded.add(chosen.endpoint.id);
 			call.attempts++;
 			call.isRetryGranted = false;
+			call.onBegun = admitted.begun;
 			const end = await send(call, chosen);
 			admitted.ended();
 			markCompleted(call, end);
--- a/packages/router/src/lib/forwarding/send-to-endpoint.ts
+++ b/packages/router/src/lib/forwarding/send-to-endpoint.ts
@@ -269,6 +269,7 @@
 			},
 			onResponseStart() {
 				work.begun();
+				call.onBegun?.();
 				call.begunWeightsAgeMs = weightsAgeMs(call, chosen);
 			},
 			onEvents() {
--- a/packages/router/src/test/admission/waiting-queue.test.ts
+++ b/packages/router/src/test/admission/waiting-queue.test.ts
@@ -5,7 +5,7 @@
 type Named = WaitingRequest & {name: string};
 
 const request = (name: string, more: Partial<WaitingRequest> = {}): Named => ({
-	name, lane: 'engines', rank: 1, workspace: 'w1', isReturn: false, deadlineAt: 1000, bytes: 10, ...more,
+	name, lane: 'engines', rank: 1, workspace: 'w1', isPastTarget: false, isReturn: false, deadlineAt: 1000, bytes: 10, ...more,
 });
 
 /** Sends all requests of the lane; returns their names in order. */
