--- a/packages/router/src/test/peers/collector-fleet.test.ts
+++ b/packages/router/src/test/peers/collector-fleet.test.ts
@@ -244,9 +244,12 @@
 			assert.deepEqual(silentPairs(exchanges, (from, to) => Math.min(from, to) !== one || Math.max(from, to) !== other), [], `after ${at} ms`);
 		}
 
-		const {ageMs, received} = await measure(2000);
-		assert.isBelow(ageMs, 500);
-		assert.isBelow(received, 6);
+		// A report is 700 ms old before the next one arrives, if every bundle does.
+		for (let at = 0; at < 4000; at += 200) {
+			await clock.tickAsync(200);
+			const ages = exchanges.flatMap(exchange => exchange.live().map(({heardAt}) => performance.now() - heardAt));
+			assert.isBelow(Math.max(...ages), 800, `after ${at} ms`);
+		}
 	});
 
 	it('counts no live daemon as silent while one datagram in 20 is lost', async () => {
