Requests to brittle services don't wait for capacity

Change: gatekeepers of brittle endpoints decline what exceeds their room, as before; nothing waits for them.

--- a/packages/router/src/lib/admission/admission.ts
+++ b/packages/router/src/lib/admission/admission.ts
@@ -436,8 +436,10 @@
 		return decision.kind === 'send' ? undefined : {expectedMs};
 	};
 
-	const decide = (entry: Entry, request: ChoiceRequest, mayWait: boolean): Admitted => {
+	const decide = (entry: Entry, request: ChoiceRequest, mayBeHeld: boolean): Admitted => {
 		entry.choiceRequest = request;
+		// The gatekeepers of brittle endpoints decline what exceeds their room; callers that wait would add to each burst.
+		const mayWait = mayBeHeld && !options.brittle.isBrittle(entry.service);
 		const isItsTurn = rounds.get(entry.service)?.current === entry;
 		if (mayWait && !isItsTurn && isPreceded(entry)) {
 			return decideWithout(entry, request, mayWait);
--- a/packages/router/src/lib/admission/capacity-forecast.ts
+++ b/packages/router/src/lib/admission/capacity-forecast.ts
@@ -24,7 +24,7 @@
 	weightsDeadlines: Pick<WeightsDeadlines, 'maySend'>;
 	limits: Pick<EndpointLimits, 'ownWaitMs'>;
 	backoff: Pick<EndpointBackoff, 'leftMs'>;
-	brittle: Pick<BrittleEndpoints, 'hasRoom' | 'waitMs'>;
+	brittle: Pick<BrittleEndpoints, 'hasRoom' | 'isBrittle' | 'waitMs'>;
 	paths: Pick<EndpointPaths, 'isUnreachable'>;
 	releases: Pick<UnprovenVersions, 'endpointsOf'>;
 	turnover: Pick<ServiceTurnover, 'endsPerMs'>;
