--- a/packages/router/src/test/placing/planned-drains.test.ts
+++ b/packages/router/src/test/placing/planned-drains.test.ts
@@ -41,7 +41,8 @@
 			const versions = createEngineVersions();
 			for (let index = 0; index < engineCount; index++) {
 				const endpoint: LiveEndpoint = {
-					id: `e${index}`, service: 'service', address: `10.0.0.${index}:80`, dataCentre: 'a', slots: 64, isLeaving: false, startedAt: 1, reportNumber: 1, software: 'v1', weights: new Map([['m', 1]]),
+					id: `e${index}`, service: 'service', address: `10.0.0.${index}:80`, dataCentre: 'a', slots: 64, isLeaving: false,
+					startedAt: 1, reportNumber: 1, software: 'v1', weights: new Map([['m', 1]]),
 				};
 				view.acceptEndpoint(endpoint);
 			}
