A relayed response without length is no longer complete because its relay was killed

Nothing was tried again, although most of the requests allowed it.

Cause: the relaying daemon passed on a response without length and chunks in the same form, so its end was the end of the connection between the daemons. The operating system closes the connections of a killed process without a reset. The receiving daemon could not tell that end from the endpoint's own.

Change: between daemons every response has a length or chunks. A header of the relay says that the endpoint's response had neither, so the receiving daemon still knows that its end may be a truncation and passes it on as before. A response that a peer passes on without framing counts as truncated.

--- a/packages/router/src/lib/paths/relay-protocol.ts
+++ b/packages/router/src/lib/paths/relay-protocol.ts
@@ -23,6 +23,11 @@
 export const outcomeHeader = 'hickorywalk-outcome';
 /** In responses: the failure class of a request that may have run, or why it was declined. */
 export const reasonHeader = 'hickorywalk-reason';
+/**
+ * In responses: the endpoint's response had neither a length nor chunks. Between daemons every response has one of
+ * them, since the operating system closes the connections of a killed daemon like those of complete responses.
+ */
+export const unframedHeader = 'hickorywalk-unframed';
 
 /** Reason with which a peer declines if the endpoint is out of its reach. */
 export const noPathReason = 'no_path';
@@ -33,7 +38,7 @@
 
 /** All headers; none of them reaches an endpoint or a caller. */
 export const relayHeaders: ReadonlySet<string> = new Set([
-	purposeHeader, endpointHeader, startedAtHeader, weightsHeader, streamHeader, serviceHeader, softwareHeader, keyHeader, outcomeHeader, reasonHeader,
+	purposeHeader, endpointHeader, startedAtHeader, weightsHeader, streamHeader, serviceHeader, softwareHeader, keyHeader, outcomeHeader, reasonHeader, unframedHeader,
 ]);
 
 /** What the sender wants: that the request is sent, to know whether the endpoint accepts connections, or where a stream began. */
--- a/packages/router/src/lib/paths/relay.ts
+++ b/packages/router/src/lib/paths/relay.ts
@@ -5,14 +5,14 @@
 } from '../orders/endpoint-transport.js';
 import {failureClasses, type FailureClass} from '../orders/failure-classes.js';
 import {EndpointExchangeError} from '../orders/orders-errors.js';
-import {headerValue} from '../orders/response-checks.js';
+import {headerValue, isSelfDelimiting} from '../orders/response-checks.js';
 import {type OriginQuestion} from '../streams/origin-finder.js';
 import {type OriginAnswer} from '../streams/stream-origin.js';
 import {type EndpointOpinion} from './endpoint-opinion.js';
 import {type RelayPeer, type RelayPeers} from './relay-peers.js';
 import {
 	endpointHeader, keyHeader, noPathReason, noRoomReason, outcomeHeader, purposeHeader, reasonHeader, type RelayOutcome, type RelayPurpose,
-	serviceHeader, softwareHeader, startedAtHeader, streamHeader, weightsHeader, wrongKeyReason,
+	serviceHeader, softwareHeader, startedAtHeader, streamHeader, unframedHeader, weightsHeader, wrongKeyReason,
 } from './relay-protocol.js';
 
 /** Options of {@link createRelay}. */
@@ -68,12 +68,15 @@
 /** The same of the question where a stream began, for which its caller waits. */
 const originTimeoutMs = 250;
 
-const ownHeaders: ReadonlySet<string> = new Set([outcomeHeader, reasonHeader]);
+const ownHeaders: ReadonlySet<string> = new Set([outcomeHeader, reasonHeader, unframedHeader]);
 
-function withoutOwnHeaders({status, headers}: ResponseHead): ResponseHead {
+/** The endpoint's response head, without the peer's headers and without chunks that only the peer has added. */
+function endpointHead({status, headers}: ResponseHead): ResponseHead {
+	const isUnframed = headerValue(headers, unframedHeader) !== undefined;
 	const kept: string[] = [];
 	for (let index = 0; index + 1 < headers.length; index += 2) {
-		if (!ownHeaders.has(headers[index].toLowerCase())) {
+		const name = headers[index].toLowerCase();
+		if (!ownHeaders.has(name) && !(isUnframed && name === 'transfer-encoding')) {
 			kept.push(headers[index], headers[index + 1]);
 		}
 	}
@@ -115,6 +118,7 @@
 			const ended = peers.started(peer.name);
 			let outcome: RelayOutcome | undefined;
 			let reason: string | undefined;
+			let isEndVisible = false;
 			transport.allowConnectionReuse(addressOf(peer));
 			current = transport.send({
 				...request,
@@ -127,8 +131,9 @@
 				head(head) {
 					outcome = headerValue(head.headers, outcomeHeader) as RelayOutcome | undefined;
 					reason = headerValue(head.headers, reasonHeader);
+					isEndVisible = isSelfDelimiting(head, request.method);
 					if (outcome === 'passed') {
-						events.head(withoutOwnHeaders(head));
+						events.head(endpointHead(head));
 					}
 				},
 				data(chunk) {
@@ -138,8 +143,10 @@
 				},
 				end(trailers) {
 					ended();
-					if (outcome === 'passed') {
+					if (outcome === 'passed' && isEndVisible) {
 						events.end(trailers);
+					} else if (outcome === 'passed') {
+						events.failed('truncated');
 					} else if (outcome === 'declined' && reason === noRoomReason) {
 						events.failed('no_room');
 					} else if (outcome === 'declined') {
--- a/packages/router/src/lib/relaying/relay-server.ts
+++ b/packages/router/src/lib/relaying/relay-server.ts
@@ -23,7 +23,7 @@
 import {type WeightsDeadlines} from '../weights/weights-deadlines.js';
 import {
 	endpointHeader, keyHeader, noPathReason, noRoomReason, outcomeHeader, purposeHeader, reasonHeader, type RelayOutcome, serviceHeader, softwareHeader,
-	startedAtHeader, streamHeader, weightsHeader, withoutRelayHeaders, wrongKeyReason,
+	startedAtHeader, streamHeader, unframedHeader, weightsHeader, withoutRelayHeaders, wrongKeyReason,
 } from '../paths/relay-protocol.js';
 
 /** Options of {@link createRelayServer}. */
@@ -145,7 +145,7 @@
 					brittle.turnedAway(endpoint);
 				}
 
-				reply.head(head.status, [...headers.forCaller(head.headers), outcomeHeader, 'passed'], facts.isUnframed);
+				reply.head(head.status, [...headers.forCaller(head.headers), outcomeHeader, 'passed', ...(facts.isUnframed ? [unframedHeader, '1'] : [])]);
 			},
 			data(chunk) {
 				hasBegun = true;
