A response without length is reset when the process exits before its end

What callers saw: streams that ended like complete ones after 44 of 60 events when a daemon was stopped as planned (ORDER). A client library can't tell, so nothing took the streams up again.

Cause: a stop waits until shortly before the end of the stop timeout and then the process exits with responses still under way. The operating system closes their connections without a reset, which is the complete end of a response without length and chunks. `CallerReply.abort` resets such connections, but nothing called it on exit. An uncaught exception ends the process in the same way.

Change: the forwarder knows its open responses. A stop breaks off those without length last, after what was written has been delivered (233 ms at most), and logs how many. An exit handler resets what is left, so every exit of the process is covered. Framed responses need nothing: their missing end shows.

--- a/packages/entry/src/lib/entry-daemon.ts
+++ b/packages/entry/src/lib/entry-daemon.ts
@@ -1,4 +1,5 @@
 /** Starts and stops the entry daemon. */
+import process from 'node:process';
 import {setTimeout as pause} from 'node:timers/promises';
 import {type BootSettings, readinessPath} from '@hickorywalk/platform';
 import {createMetricsServer, createReadinessServer, serveMetrics} from 'hickorywalk/forwarding.js';
@@ -18,6 +19,9 @@
 /** Part of the platform's stop timeout that is reserved for the last steps of a stop, in milliseconds. */
 const stopReserveMs = 700;
 
+/** Part of it for the delivery of what callers of responses that are broken off have not received yet. */
+const flushMs = stopReserveMs / 3;
+
 /** Options from the command line. */
 export type EntryOptions = {
 	/** Port at which metrics are served, in addition to the readiness address. */
@@ -48,6 +52,7 @@
 	view.onDocument(({document}) => {
 		server.setLimits(document.limits);
 	});
+	process.once('exit', parts.forwarder.openReplies.reset);
 	await readiness.listen(settings.readiness);
 	await server.listen(settings.callers);
 	await parts.peers.start();
@@ -84,6 +89,11 @@
 		parts.admission.wakeAll();
 		await Promise.race([Promise.all([server.close(), parts.relayServer.close()]), pause(settings.stopMs - timings.balancerDelayMs - stopReserveMs)]);
 		await Promise.race([Promise.all([parts.peers.leave(), parts.directory.leave()]), pause(stopReserveMs / 2)]);
+		const brokenOff = await parts.forwarder.openReplies.breakOff(flushMs);
+		if (brokenOff > 0) {
+			log.warn('Responses without length were broken off at the end of the stop timeout.', {count: brokenOff});
+		}
+
 		log.info('Daemon has stopped.', {ms: Math.round(performance.now() - startedAt), count: parts.forwarder.inFlight()});
 	};
 
--- a/packages/router/src/lib/forwarding/caller-reply.ts
+++ b/packages/router/src/lib/forwarding/caller-reply.ts
@@ -7,6 +7,8 @@
 	isStarted: () => boolean;
 	/** The response has neither a length nor chunks. */
 	isUnframed: () => boolean;
+	/** All of the response has been written, though perhaps not sent. */
+	isEnded: () => boolean;
 	isDisconnected: () => boolean;
 	status: () => number | undefined;
 	/**
@@ -26,6 +28,8 @@
 	end: (chunk?: Uint8Array) => void;
 	/** Destroys the connection, so that a partial response doesn't look complete. An unframed one is complete unless its connection is reset. */
 	abort: () => void;
+	/** Resets the connection; what was written and not sent is lost. */
+	reset: () => void;
 	/** Called when the caller disconnects before the response has ended. */
 	onDisconnect: (listener: () => void) => void;
 };
@@ -55,6 +59,7 @@
 	return {
 		isStarted: () => res.headersSent,
 		isUnframed: () => isUnframedReply,
+		isEnded: () => res.writableEnded,
 		isDisconnected: () => isDisconnected,
 		status: () => status,
 		head(code, headers, isUnframed = false) {
@@ -97,6 +102,9 @@
 				socket.resetAndDestroy();
 			});
 		},
+		reset() {
+			res.socket?.resetAndDestroy();
+		},
 		onDisconnect(listener) {
 			if (isDisconnected) {
 				listener();
--- a/packages/router/src/lib/forwarding/forwarder.ts
+++ b/packages/router/src/lib/forwarding/forwarder.ts
@@ -22,6 +22,7 @@
 } from './call.js';
 import {type CallerReply, createCallerReply} from './caller-reply.js';
 import {type ForwardingEvents, type RequestEnd} from './forwarding-events.js';
+import {createOpenReplies, type OpenReplies} from './open-replies.js';
 import {finishResponse, type RefusalResponse, sendRefusal} from './router-response.js';
 import {createEndpointSender, type EndpointSenderOptions} from './send-to-endpoint.js';
 import {respondsSoon} from './silence-timeouts.js';
@@ -54,6 +55,8 @@
 	handle: (req: IncomingMessage, body: RequestBody | undefined, res: ServerResponse) => Promise<void>;
 	/** Number of requests in flight. */
 	inFlight: () => number;
+	/** Responses that the process must not leave behind when it exits. */
+	openReplies: Pick<OpenReplies, 'breakOff' | 'reset'>;
 };
 
 const noDocumentRetryMs = 500;
@@ -66,6 +69,7 @@
 	const {headers, quota, quarantine, choice, budgetOf} = options;
 	/** Requests being sent to endpoints. */
 	const calls = new Set<Call>();
+	const openReplies = createOpenReplies();
 	let inFlight = 0;
 
 	/** The strictest refusal among these keys. */
@@ -284,6 +288,7 @@
 		const startedAt = performance.now();
 		const facts = headers.readCall(req.rawHeaders);
 		const reply = createCallerReply(res);
+		openReplies.add(reply);
 		const reportEnd = (reason: string, more: EndDetails): void => {
 			options.events.ended(describeEnd({
 				...more, reason, reply, facts, startedAt,
@@ -351,6 +356,7 @@
 			}
 		},
 		inFlight: () => inFlight,
+		openReplies,
 	};
 }
 
