Streams go to callers in chunks, whatever their engine's framing

Cause: such a stream was passed on without chunks, so its end was the end of the connection, which the operating system closes for a killed process, too. No handler can run then. The framing was kept because an endpoint may break off what it sends, and a framing of ours would vouch for it.

For streams that reason is weaker than the fault. A stream that ends inside an event, or before any, counts as broken off since it is checked (a stream without length and chunks), and where one ends between events a client library takes the end of the connection for its end as well: chunks promise no more than the caller believed before. Plain responses have no such check, and keep their framing.

Change: the head of a stream is sent in chunks. The special case for streams that go on without chunks is gone.

Open: a stream whose engine is killed between two events still looks complete.

--- a/packages/router/src/lib/forwarding/attempt.ts
+++ b/packages/router/src/lib/forwarding/attempt.ts
@@ -155,7 +155,8 @@
 
 	const startReply = (): void => {
 		if (!reply.isStarted()) {
-			reply.head(head!.status, headers.forCaller(head!.headers), progress.facts!.isUnframed);
+			// In chunks, whatever the endpoint's framing: a stream without them would look complete if this process were killed.
+			reply.head(head!.status, headers.forCaller(head!.headers));
 		}
 	};
 
@@ -227,12 +228,6 @@
 			return;
 		}
 
-		// An unframed end may be a truncation, and a chunked response would present it as complete.
-		if (progress.facts!.isUnframed && reply.isStarted() && !reply.isUnframed()) {
-			finish({kind: 'failed', failure: 'unframed'});
-			return;
-		}
-
 		startReply();
 		const remainder = splitter.remainder();
 		reply.end(remainder.length > 0 ? remainder : undefined);
