A truncated response to a caller by HTTP/1.0 is reset

Cause: HTTP/1.0 has no chunks, so Node.js ends such a response with its connection. `CallerReply.abort` resets connections of responses that the endpoint sent without framing, and this one was not known as such: its connection was closed.

Change: a response counts as unframed where its caller speaks HTTP/1.0 and it has no length, so that it is reset when it is broken off and when the process exits.

Open: a killed process can't reset it.

--- a/packages/router/src/lib/forwarding/caller-reply.ts
+++ b/packages/router/src/lib/forwarding/caller-reply.ts
@@ -5,18 +5,18 @@
 export type CallerReply = {
 	/** Whether the head has been sent. */
 	isStarted: () => boolean;
-	/** The response has neither a length nor chunks. */
+	/** The response has neither a length nor chunks, which HTTP/1.0 doesn't know. */
 	isUnframed: () => boolean;
 	/** All of the response has been written, though perhaps not sent. */
 	isEnded: () => boolean;
 	isDisconnected: () => boolean;
 	status: () => number | undefined;
 	/**
-	 * Sends the head. An unframed response ends with its connection, as the endpoint's did: it
+	 * Sends the head. A response that is kept unframed ends with its connection, as the endpoint's did: it
 	 * may have been truncated undetectably, and a length set by the router would mark a partial
 	 * response as complete.
 	 */
-	head: (status: number, headers: readonly string[], isUnframed?: boolean) => void;
+	head: (status: number, headers: readonly string[], keepsUnframed?: boolean) => void;
 	/** Sends a chunk of the body; returns false if the caller reads too slowly, until `onDrain` calls back. */
 	write: (chunk: Uint8Array) => boolean;
 	onDrain: (resume: () => void) => void;
@@ -62,10 +62,9 @@
 		isEnded: () => res.writableEnded,
 		isDisconnected: () => isDisconnected,
 		status: () => status,
-		head(code, headers, isUnframed = false) {
+		head(code, headers, keepsUnframed = false) {
 			status = code;
-			isUnframedReply = isUnframed;
-			if (isUnframed) {
+			if (keepsUnframed) {
 				res.useChunkedEncodingByDefault = false;
 				res.setHeader('connection', 'close');
 			}
@@ -74,6 +73,7 @@
 				res.appendHeader(headers[index], headers[index + 1]);
 			}
 
+			isUnframedReply = keepsUnframed || (res.req.httpVersion === '1.0' && !res.hasHeader('content-length'));
 			res.writeHead(code);
 		},
 		write: chunk => res.write(chunk),
