A planned stop delivers complete responses to callers that read slowly

What callers saw: a response that the daemon had in full arrived in part when the daemon was stopped while its caller read slowly (4.3 of 7.9 MB in the test).

Cause: a server that closes destroys its idle connections, at once and then every 50 ms. Node.js counts a connection as idle once `end` was called on its response, although bytes of it are still queued in the process. Found by the test of responses that are reset at the exit: the connection was gone before the exit.

Change: the end of a response is only written once its bytes have been handed to the operating system. Until then its connection is not idle.

--- a/packages/router/src/lib/forwarding/caller-reply.ts
+++ b/packages/router/src/lib/forwarding/caller-reply.ts
@@ -43,6 +43,7 @@
 	let isDisconnected = res.destroyed;
 	let status: number | undefined;
 	let isUnframedReply = false;
+	let isEnded = false;
 	res.on('close', () => {
 		if (res.writableFinished) {
 			return;
@@ -59,7 +60,7 @@
 	return {
 		isStarted: () => res.headersSent,
 		isUnframed: () => isUnframedReply,
-		isEnded: () => res.writableEnded,
+		isEnded: () => isEnded,
 		isDisconnected: () => isDisconnected,
 		status: () => status,
 		head(code, headers, keepsUnframed = false) {
@@ -85,7 +86,16 @@
 			res.once('close', listener);
 		},
 		end(chunk) {
-			res.end(chunk);
+			isEnded = true;
+			if (chunk === undefined || res.write(chunk)) {
+				res.end();
+				return;
+			}
+
+			// A server that closes takes the connections of ended responses for idle ones and destroys them, although bytes are unsent.
+			res.once('drain', () => {
+				res.end();
+			});
 		},
 		abort() {
 			const {socket} = res;
