Connections whose bytes advance no response are closed

What callers saw: nothing until their deadline, or for requests that may run again until the silence timeout, when an endpoint in trouble wrote without end where the parser accepts any number of bytes. The daemon read all of it meanwhile: 48 MB in less than two seconds in the tests, processor time that other requests need.

Cause: the HTTP client bounds header fields only. Blank lines before or after a response, a status line, informational heads, leading zeros of a chunk's size and chunk extensions have no bound, and no timer is restarted by them but none is shorter than the attempt's. An idle connection has no timer at all.

Evidence: of twelve places in a response, six failed before (the exchange neither failed nor was its connection closed within 2 s): blank lines before it, status line, informational heads, digits of a chunk's size, chunk extension, blank lines after it. Header names, values and lines, trailers, bytes and further responses after a response were closed already.

Change: the transport counts the bytes that a socket brings from the last progress of a response on (its final head, a part of its body, its end) and destroys the connection beyond 256 KiB. The attempt fails as `reset`, so the request is tried elsewhere at once if it may be. This holds for endpoints and for peers.

After: all twelve tests pass.

--- a/packages/router/src/lib/orders/undici-transport.ts
+++ b/packages/router/src/lib/orders/undici-transport.ts
@@ -14,6 +14,7 @@
 import {type FailureClass} from './failure-classes.js';
 import {createConnectTimeout} from './connect-timeout.js';
 import {EndpointExchangeError} from './orders-errors.js';
+import {createProgressLimit} from './progress-limit.js';
 import {batchedHighWaterMark, createReadBatches} from './read-batches.js';
 
 /** Options of {@link createUndiciTransport}. */
@@ -215,6 +216,7 @@
  */
 export function createUndiciTransport(options: UndiciTransportOptions = {}): EndpointTransport {
 	const readBatches = createReadBatches();
+	const progressLimit = createProgressLimit();
 	const connectMs = options.connectMs ?? defaultConnectMs;
 	const connectTimeout = createConnectTimeout(connectMs);
 	// Without undici's own timeout, whose coarse timer wakes the process twice a second after a connection was opened.
@@ -229,6 +231,7 @@
 		});
 		attempt.destroyIfLate(socket);
 		readBatches.attach(socket);
+		progressLimit.attach(socket);
 	};
 
 	const closing = new Set<Promise<void>>();
@@ -274,7 +277,27 @@
 			}
 		};
 
-		const handler = createHandler(state, events, finish);
+		const recordProgress = (): void => {
+			if (state.socket !== undefined) {
+				progressLimit.progressed(state.socket);
+			}
+		};
+
+		const handler = createHandler(state, {
+			...events,
+			head(head) {
+				recordProgress();
+				events.head(head);
+			},
+			data(chunk) {
+				recordProgress();
+				events.data(chunk);
+			},
+			end(trailers) {
+				recordProgress();
+				events.end(trailers);
+			},
+		}, finish);
 		(pool ?? client!).dispatch(dispatchOptions(request, state, events), handler);
 		return {
 			pause() {
