A response body without end is given up soon, and not run stays not run

What callers saw: a stream whose engine sends bytes but no events waited until its deadline, since each read restarted the silence timeout, and the daemon kept all of these bytes outside of its account of buffered bytes. An order that an endpoint refused as not run, in a response whose body never ended, got 502 after 8 MB or at its deadline, though another endpoint could have run it.

Cause: the timeout between events counted reads, an incomplete event had no bound, and the head's proof that a request was not run was used only at the end of the body.

Change: the timeout between events counts events. An event longer than 1 MiB fails the attempt, and its bytes are accounted for. Once a head proves that the request was not run, nothing that follows changes that; the body is read for 200 ms or 64 KiB, for the connection's reuse only.

--- a/packages/router/src/lib/forwarding/attempt.ts
+++ b/packages/router/src/lib/forwarding/attempt.ts
@@ -58,7 +58,7 @@
 	eventBatchMs: number;
 	/** Time to the response head after which the endpoint counts as silent, in milliseconds. */
 	headTimeoutMs: number;
-	/** The same between two chunks of the response, in milliseconds. */
+	/** The same from the head or an event of a stream to its next event, and from another response's head to its end; in milliseconds. */
 	eventTimeoutMs: number;
 	/** Evaluated after such a timeout: whether to abort the attempt; if not, the timeout starts again. */
 	mayMoveAway: () => boolean;
@@ -89,6 +89,13 @@
 /** Largest response that is buffered, in bytes; larger ones would take too much of the process's memory. */
 const maxBufferedBytes = 8 * 1024 * 1024;
 
+/** Longest event of a stream, in bytes. */
+const maxEventBytes = 1024 * 1024;
+
+/** Bounds on the body of a response whose head proves that the request was not run: only its connection's reuse depends on the rest. */
+const maxNotRunBytes = 64 * 1024;
+const notRunTimeoutMs = 200;
+
 const isSuccess = (status: number): boolean => status >= statusOk && status < statusMultipleChoices;
 
 /** Runs one attempt; never rejects. */
@@ -111,7 +118,7 @@
 			failAttempt('late', false);
 		},
 		onSilent(limitMs) {
-			if (options.mayMoveAway()) {
+			if (provesNotRun() || options.mayMoveAway()) {
 				failAttempt('silent', true);
 			} else {
 				silence.restart(limitMs);
@@ -134,10 +141,17 @@
 		}
 	};
 
+	const isPassedThrough = (): boolean => options.isStream && head !== undefined && isSuccess(head.status);
+
+	/** Whether the response's head has proved that the request was not run, whatever follows it. */
+	const provesNotRun = (): boolean => head !== undefined && progress.facts?.provesNotRun === true && !isPassedThrough();
+
+	const endOf = (failure: FailureClass): AttemptEnd => provesNotRun() ? {kind: 'notRun', status: head!.status} : {kind: 'failed', failure};
+
 	const failAttempt = (failure: FailureClass, isSuspect: boolean): void => {
 		if (!isSettled) {
 			// First, since the abort reports a reset.
-			finish({kind: 'failed', failure});
+			finish(endOf(failure));
 			exchange.abort(new EndpointExchangeError(`Attempt aborted: ${failure}.`), isSuspect);
 		}
 	};
@@ -151,8 +165,6 @@
 		return !isSuccess(status) || (facts.isSigned && !facts.isEncoded && facts.requestId === options.requestId);
 	};
 
-	const isPassedThrough = (): boolean => options.isStream && head !== undefined && isSuccess(head.status);
-
 	const startReply = (): void => {
 		if (!reply.isStarted()) {
 			// In chunks, whatever the endpoint's framing: a stream without them would look complete if this process were killed.
@@ -160,12 +172,27 @@
 		}
 	};
 
+	/** Accounts for the bytes of an incomplete event, and fails the attempt if there are too many. */
+	const checkRemainder = (): void => {
+		const pendingBytes = splitter.remainder().length;
+		if (pendingBytes !== bytes) {
+			options.buffer.add(pendingBytes - bytes);
+			bytes = pendingBytes;
+		}
+
+		if (bytes > maxEventBytes) {
+			failAttempt('truncated', true);
+		}
+	};
+
 	const forwardChunk = (chunk: Uint8Array): void => {
 		const events = splitter.push(chunk);
+		checkRemainder();
 		if (events === undefined) {
 			return;
 		}
 
+		silence.restart(options.eventTimeoutMs);
 		hasEvents = true;
 		options.onEvents();
 		progress.lastEventId = events.lastId ?? progress.lastEventId;
@@ -203,7 +230,6 @@
 		}
 
 		options.onBytes?.();
-		silence.restart(options.eventTimeoutMs);
 		if (progress.firstAt !== undefined) {
 			// The parser passes all chunks of a read in one call, which ends before this runs.
 			queueMicrotask(forwardRead);
@@ -239,7 +265,7 @@
 		const response: BufferedResponse = {
 			status, headers: head!.headers, chunks, isUnframed: progress.facts!.isUnframed,
 		};
-		if (progress.facts!.provesNotRun) {
+		if (provesNotRun()) {
 			finish({kind: 'notRun', status});
 		} else if (status >= statusServerError || reply.isStarted()) {
 			finish({kind: 'errorAnswer', response});
@@ -280,7 +306,7 @@
 				options.onResponseStart();
 			}
 
-			silence.restart(options.eventTimeoutMs);
+			silence.restart(provesNotRun() ? Math.min(options.eventTimeoutMs, notRunTimeoutMs) : options.eventTimeoutMs);
 		},
 		data(chunk) {
 			if (isSettled) {
@@ -296,7 +322,7 @@
 			bytes += chunk.length;
 			chunks.push(chunk);
 			options.buffer.add(chunk.length);
-			if (bytes > maxBufferedBytes) {
+			if (bytes > (provesNotRun() ? maxNotRunBytes : maxBufferedBytes)) {
 				chunks = [];
 				failAttempt('truncated', false);
 			}
@@ -315,7 +341,7 @@
 		},
 		failed(failure) {
 			forwardRead();
-			finish({kind: 'failed', failure: head === undefined || failureClasses[failure].reach === 'nothing' ? failure : 'truncated'});
+			finish(endOf(head === undefined || failureClasses[failure].reach === 'nothing' ? failure : 'truncated'));
 		},
 	});
 	silence.restart(options.headTimeoutMs);
--- a/packages/router/src/test/forwarding/attempt.test.ts
+++ b/packages/router/src/test/forwarding/attempt.test.ts
@@ -158,4 +158,65 @@
 		await clock.tickAsync(101);
 		assert.deepEqual(await end, {kind: 'failed', failure: 'late'});
 	});
+
+	it('fails a stream that sends bytes without an event, however often they arrive', async () => {
+		// Guards against an endpoint that occupies a request until its deadline with bytes that are no events.
+		start();
+		events.head({status: 200, headers: []});
+		for (let ms = 0; ms < 1000; ms += 100) {
+			events.data(Buffer.from('x'));
+			await clock.tickAsync(100);
+		}
+
+		assert.deepEqual(await end, {kind: 'failed', failure: 'silent'});
+		assert.isEmpty(writes);
+	});
+
+	it('fails a stream whose event grows without end, and releases its bytes', async () => {
+		// Guards against an event that is buffered until the process has no memory left.
+		let buffered = 0;
+		let mostBuffered = 0;
+		start({
+			buffer: {
+				add(bytes) {
+					buffered += bytes;
+					mostBuffered = Math.max(mostBuffered, buffered);
+				},
+			},
+		});
+		events.head({status: 200, headers: []});
+		const chunk = Buffer.alloc(64 * 1024, 'x');
+		for (let count = 0; count < 100; count++) {
+			events.data(chunk);
+			await Promise.resolve();
+		}
+
+		assert.deepEqual(await end, {kind: 'failed', failure: 'truncated'});
+		assert.isBelow(mostBuffered, 2 * 1024 * 1024);
+		assert.equal(buffered, 0);
+	});
+
+	it('takes a request for not run where the head says so, whatever follows it', async () => {
+		// Guards against a request that is not tried elsewhere because the endpoint's refusal has no end.
+		const refusal: Partial<ResponseFacts> = {...facts, provesNotRun: true};
+		const headers: Partial<CallHeaders> = {readResponse: () => refusal as ResponseFacts, forCaller: () => []};
+		const expected: AttemptEnd = {kind: 'notRun', status: 503};
+		const begin = (): void => {
+			start({headers: headers as CallHeaders, mayMoveAway: () => false});
+			events.head({status: 503, headers: []});
+		};
+
+		begin();
+		for (let count = 0; count < 3; count++) {
+			events.data(Buffer.alloc(30 * 1024, 'x'));
+		}
+
+		assert.deepEqual(await end, expected);
+		begin();
+		await clock.tickAsync(250);
+		assert.deepEqual(await end, expected);
+		begin();
+		events.failed('reset');
+		assert.deepEqual(await end, expected);
+	});
 });
