A reset by an endpoint no longer ends the daemon while its response is held back

What callers saw: all requests of a daemon could fail at once, since its process ended by an uncaught exception.

If the endpoint then resets a connection that ends with the response, the client finishes the paused parser, and its assertion `!this.paused` throws out of a socket's event.

Evidence: the new test, with a response with a length and `Connection: close`, ended with the uncaught AssertionError before.

Change: the parser is never paused. A response is held back by leaving its socket unread, in the module that reads sockets in batches; what was read before, two reads of a socket at most, is kept until the receiver resumes.

--- a/packages/router/src/lib/orders/read-batches.ts
+++ b/packages/router/src/lib/orders/read-batches.ts
@@ -1,5 +1,5 @@
 /**
- * Reads sockets in batches: instead of waking the process for each small write of an endpoint,
+ * Decides when sockets are read: not at all while a response is held back, and otherwise at once or in batches. Instead of waking the process for each small write of an endpoint,
  * a socket is left unread for an interval and then read once. Sockets with the same interval
  * are read in the same wake-up.
  */
@@ -16,6 +16,12 @@
 	start: (socket: Socket, everyMs: number) => void;
 	/** Reads a socket at once again. */
 	stop: (socket: Socket) => void;
+	/**
+	 * Leaves a socket unread until {@link ReadBatches.release}; a chunk that was read before may still arrive. Undici's
+	 * own pause fails an assertion, which ends the process, if a paused connection is reset.
+	 */
+	hold: (socket: Socket) => void;
+	release: (socket: Socket) => void;
 };
 
 /** Sockets whose next read is due at the same time. */
@@ -26,6 +32,8 @@
 	const intervals = new WeakMap<Socket, number>();
 	/** By interval. */
 	const batches = new Map<number, Batch>();
+	/** Sockets that are held back, with the read that is due. */
+	const held = new Map<Socket, (() => void) | undefined>();
 
 	const flush = (everyMs: number): void => {
 		const batch = batches.get(everyMs) ?? new Map<Socket, () => void>();
@@ -42,19 +50,41 @@
 		return batch;
 	};
 
+	const readInBatch = (socket: Socket, read: () => void): void => {
+		const everyMs = intervals.get(socket);
+		if (everyMs === undefined) {
+			read();
+		} else {
+			(batches.get(everyMs) ?? openBatch(everyMs)).set(socket, read);
+		}
+	};
+
+	const release = (socket: Socket): void => {
+		const read = held.get(socket);
+		held.delete(socket);
+		read?.();
+	};
+
 	return {
 		attach(socket) {
 			const read = socket._read.bind(socket);
 			socket._read = size => {
-				const everyMs = intervals.get(socket);
-				if (everyMs === undefined) {
+				const readNow = (): void => {
 					read(size);
-				} else {
-					(batches.get(everyMs) ?? openBatch(everyMs)).set(socket, () => {
-						read(size);
+				};
+
+				if (held.has(socket)) {
+					held.set(socket, () => {
+						readInBatch(socket, readNow);
 					});
+				} else {
+					readInBatch(socket, readNow);
 				}
 			};
+
+			socket.once('close', () => {
+				held.delete(socket);
+			});
 		},
 		start(socket, everyMs) {
 			intervals.set(socket, everyMs);
@@ -65,6 +95,13 @@
 			batch?.delete(socket);
 			intervals.delete(socket);
 			read?.();
+			release(socket);
+		},
+		hold(socket) {
+			if (!held.has(socket) && !socket.destroyed) {
+				held.set(socket, undefined);
+			}
 		},
+		release,
 	};
 }
--- a/packages/router/src/lib/orders/undici-transport.ts
+++ b/packages/router/src/lib/orders/undici-transport.ts
@@ -14,6 +14,7 @@
 import {type FailureClass} from './failure-classes.js';
 import {createConnectTimeout} from './connect-timeout.js';
 import {EndpointExchangeError} from './orders-errors.js';
+import {createHeldEvents} from './held-events.js';
 import {createProgressLimit} from './progress-limit.js';
 import {batchedHighWaterMark, createReadBatches} from './read-batches.js';
 
@@ -260,7 +261,8 @@
 		void client.destroy();
 	};
 
-	const send = (request: OutgoingRequest, events: ExchangeEvents): Exchange => {
+	const send = (request: OutgoingRequest, receiver: ExchangeEvents): Exchange => {
+		const {events, hold, release, drop} = createHeldEvents(receiver);
 		const {origin} = new URL(request.endpoint.address);
 		const pool = request.dedicatedConnection ? undefined : pools.get(origin);
 		const state: ExchangeState = {
@@ -301,10 +303,15 @@
 		(pool ?? client!).dispatch(dispatchOptions(request, state, events), handler);
 		return {
 			pause() {
-				state.controller?.pause();
+				hold();
+				if (state.socket !== undefined && !state.ended) {
+					readBatches.hold(state.socket);
+				}
 			},
 			resume() {
-				state.controller?.resume();
+				if (release() && state.socket !== undefined && !state.ended) {
+					readBatches.release(state.socket);
+				}
 			},
 			batchReads(everyMs) {
 				if (state.socket !== undefined && !state.ended) {
@@ -313,6 +320,7 @@
 			},
 			abort(reason, suspect) {
 				state.cancelled = true;
+				drop();
 				state.controller?.abort(reason);
 				finish();
 				if (suspect && pool !== undefined && pools.peek(origin) === pool) {
--- a/packages/router/src/test/orders/unframed-response.test.ts
+++ b/packages/router/src/test/orders/unframed-response.test.ts
@@ -5,6 +5,9 @@
 import {type ExchangeEvents} from '../../lib/orders/endpoint-transport.js';
 import {createUndiciTransport} from '../../lib/orders/undici-transport.js';
 
+const pauseMs = 20;
+const readAfterMs = 400;
+
 /** Serves the same raw response to every connection and then calls `end`. */
 async function serve(response: string, end: (socket: Socket) => void): Promise<{server: Server; address: string}> {
 	const server = createServer(socket => {
@@ -24,7 +27,19 @@
 	return {server, address: `http://127.0.0.1:${(server.address() as AddressInfo).port}`};
 }
 
-async function exchange(address: string): Promise<string> {
+/** Sends more of a response than what a connection that is held back may still take, and then calls `end`. */
+const sendMore = (end: (socket: Socket) => void) => (socket: Socket): void => {
+	for (const [index, text] of ['second, ', 'third, ', 'fourth'].entries()) {
+		setTimeout(() => {
+			socket.write(text);
+		}, index * pauseMs);
+	}
+
+	setTimeout(end, pauseMs * 4, socket);
+};
+
+/** Sends a request; the response is read only `readAfterMs` after its head. */
+async function exchange(address: string, readAfterMs = 0): Promise<string> {
 	const transport = createUndiciTransport();
 	const target = {name: 'desk-1', address};
 	transport.allowConnectionReuse(target);
@@ -33,14 +48,19 @@
 		const events: ExchangeEvents = {
 			beforeSend: () => true,
 			progress: nothing,
-			head: nothing,
+			head() {
+				if (readAfterMs > 0) {
+					sent.pause();
+					setTimeout(sent.resume, readAfterMs);
+				}
+			},
 			data: nothing,
 			end() {
 				resolve('whole');
 			},
 			failed: resolve,
 		};
-		transport.send({
+		const sent = transport.send({
 			endpoint: target, method: 'GET', path: '/', headers: [], dedicatedConnection: false,
 		}, events);
 	});
@@ -62,6 +82,23 @@
 		server.close();
 	});
 
+	it('fails if its connection is reset while it is not read', async () => {
+		// Guards against a reset that ends the process: a paused parser of the HTTP client fails an assertion.
+		const {server, address} = await serve(`${head}Content-Length: 100\r\nConnection: close\r\n\r\nfirst, `, socket => {
+			socket.resetAndDestroy();
+		});
+		assert.equal(await exchange(address, readAfterMs), 'reset');
+		server.close();
+	});
+
+	it('is complete if its connection is closed while it is not read', async () => {
+		const {server, address} = await serve(`${head}\r\nfirst, `, sendMore(socket => {
+			socket.end();
+		}));
+		assert.equal(await exchange(address, readAfterMs), 'whole');
+		server.close();
+	});
+
 	it('is complete if its connection is closed', async () => {
 		const {server, address} = await serve(`${head}\r\nthe whole answer`, socket => {
 			socket.end();
