A reset is no longer taken for the end of a response while its bytes are unread

Cause: libuv reports the end of a stream, and no error, if one poll of a socket finds both bytes that were not read yet and the hang-up that a reset leaves. A plain response often arrives together with the reset. Streams are read in batches, some 50 ms apart, and not at all while their caller reads slowly. The check for an error on the socket saw none. The same made a test client see an end where the daemon had sent a reset.

Evidence: the new test reads late, after bytes and reset have arrived: `whole` before, `truncated` after. The same with a connection that is closed is `whole` in both.

Change: where the end of the connection is the end of the response, the transport asks for the address of the other side. The kernel has none after a reset, and still has it after an ordinary end. Chunked responses no longer take part in the check: their last chunk shows their end.

--- a/packages/router/src/lib/orders/undici-transport.ts
+++ b/packages/router/src/lib/orders/undici-transport.ts
@@ -96,10 +96,18 @@
 	}
 });
 
-function controllerHasLength({rawHeaders}: Dispatcher.DispatchController): boolean {
-	return toStrings(rawHeaders).some((text, index) => index % 2 === 0 && text.toLowerCase() === 'content-length');
+const framingHeaders: ReadonlySet<string> = new Set(['content-length', 'transfer-encoding']);
+
+function controllerHasFraming({rawHeaders}: Dispatcher.DispatchController): boolean {
+	return toStrings(rawHeaders).some((text, index) => index % 2 === 0 && framingHeaders.has(text.toLowerCase()));
 }
 
+/**
+ * Whether a connection that has ended was reset. Libuv reports a reset as an ordinary end if it finds unread bytes
+ * at the same time; only the missing address of the other side, which nothing may have asked for before, shows it.
+ */
+const isReset = (socket: Socket): boolean => Boolean(socket.errored) || socket.remoteAddress === undefined;
+
 /** @internal */
 export type ExchangeState = {
 	/** The connection carries other requests before or after this one. */
@@ -112,8 +120,8 @@
 	callerBodyFailed: boolean;
 	/** Status of the response, once its head was received. */
 	status?: number;
-	/** The response has a `Content-Length`, so truncation is detected. */
-	hasLength?: boolean;
+	/** The response has neither a length nor chunks, so it ends with its connection. */
+	isUnframed?: boolean;
 	/** The connection that carries the exchange. */
 	socket?: Socket;
 	controller?: Dispatcher.DispatchController;
@@ -148,7 +156,7 @@
 		onResponseStart(controller, status) {
 			if (status >= firstFinalStatus) {
 				state.status = status;
-				state.hasLength = controllerHasLength(controller);
+				state.isUnframed = !controllerHasFraming(controller);
 				events.head({status, headers: toStrings(controller.rawHeaders)});
 			}
 		},
@@ -159,7 +167,7 @@
 			state.ended = true;
 			// A response without a length ends when its connection closes. Undici treats
 			// a reset as such an end, so a truncated response would pass as complete.
-			if (state.hasLength !== true && state.socket?.errored) {
+			if (state.isUnframed === true && state.socket !== undefined && isReset(state.socket)) {
 				events.failed('truncated', state.socket.errored);
 				finish();
 				return;
--- a/packages/router/src/test/orders/unframed-response.test.ts
+++ b/packages/router/src/test/orders/unframed-response.test.ts
@@ -91,6 +91,15 @@
 		server.close();
 	});
 
+	it('is truncated if its connection is reset while it is not read', async () => {
+		// Guards against a reset that libuv reports as an end, since it finds bytes and the end of the connection at once.
+		const {server, address} = await serve(`${head}\r\nfirst, `, sendMore(socket => {
+			socket.resetAndDestroy();
+		}));
+		assert.equal(await exchange(address, readAfterMs), 'truncated');
+		server.close();
+	});
+
 	it('is complete if its connection is closed while it is not read', async () => {
 		const {server, address} = await serve(`${head}\r\nfirst, `, sendMore(socket => {
 			socket.end();
