The end of a response also waits for bytes that were written before its last chunk

Read in the diff, not seen: a response that ends without a last chunk was ended at once, although earlier bytes could still be queued. Responses without a body (204, 304) don't take part in the check for resets, which would ask for the address of their connection before it ends. The comment on reads in batches is wrapped.

--- a/packages/router/src/lib/forwarding/caller-reply.ts
+++ b/packages/router/src/lib/forwarding/caller-reply.ts
@@ -87,7 +87,11 @@
 		},
 		end(chunk) {
 			isEnded = true;
-			if (chunk === undefined || res.write(chunk)) {
+			if (chunk !== undefined) {
+				res.write(chunk);
+			}
+
+			if (!res.writableNeedDrain) {
 				res.end();
 				return;
 			}
--- a/packages/router/src/lib/orders/read-batches.ts
+++ b/packages/router/src/lib/orders/read-batches.ts
@@ -1,7 +1,8 @@
 /**
- * Decides when sockets are read: not at all while a response is held back, and otherwise at once or in batches. Instead of waking the process for each small write of an endpoint,
- * a socket is left unread for an interval and then read once. Sockets with the same interval
- * are read in the same wake-up.
+ * Decides when sockets are read: not at all while a response is held back, and otherwise at once or
+ * in batches. Instead of waking the process for each small write of an endpoint, a socket is left
+ * unread for an interval and then read once. Sockets with the same interval are read in the same
+ * wake-up.
  */
 import {type Socket} from 'node:net';
 
--- a/packages/router/src/lib/orders/undici-transport.ts
+++ b/packages/router/src/lib/orders/undici-transport.ts
@@ -120,7 +120,7 @@
 	callerBodyFailed: boolean;
 	/** Status of the response, once its head was received. */
 	status?: number;
-	/** The response has neither a length nor chunks, so it ends with its connection. */
+	/** The response has a body with neither a length nor chunks, so it ends with its connection. */
 	isUnframed?: boolean;
 	/** The connection that carries the exchange. */
 	socket?: Socket;
@@ -156,7 +156,7 @@
 		onResponseStart(controller, status) {
 			if (status >= firstFinalStatus) {
 				state.status = status;
-				state.isUnframed = !controllerHasFraming(controller);
+				state.isUnframed = !isBodiless(status) && !controllerHasFraming(controller);
 				events.head({status, headers: toStrings(controller.rawHeaders)});
 			}
 		},
