Read-through: a response's headers are converted once, and state that nothing needs is gone

Found in reading the change again; behaviour is as before. - The transport converted each response's headers twice, to look for framing and to pass them on, with a search of its own.

--- a/packages/router/src/lib/forwarding/open-replies.ts
+++ b/packages/router/src/lib/forwarding/open-replies.ts
@@ -31,8 +31,9 @@
 			});
 		},
 		async breakOff(limitMs) {
-			const begun = unframed().filter(reply => !reply.isEnded());
-			const closed = unframed().map(async reply => new Promise<void>(resolve => {
+			const open = unframed();
+			const begun = open.filter(reply => !reply.isEnded());
+			const closed = open.map(async reply => new Promise<void>(resolve => {
 				reply.onClose(resolve);
 			}));
 			for (const reply of begun) {
--- a/packages/router/src/lib/orders/read-batches.ts
+++ b/packages/router/src/lib/orders/read-batches.ts
@@ -34,7 +34,7 @@
 	/** By interval. */
 	const batches = new Map<number, Batch>();
 	/** Sockets that are held back, with the read that is due. */
-	const held = new Map<Socket, (() => void) | undefined>();
+	const held = new WeakMap<Socket, (() => void) | undefined>();
 
 	const flush = (everyMs: number): void => {
 		const batch = batches.get(everyMs) ?? new Map<Socket, () => void>();
@@ -82,10 +82,6 @@
 					readInBatch(socket, readNow);
 				}
 			};
-
-			socket.once('close', () => {
-				held.delete(socket);
-			});
 		},
 		start(socket, everyMs) {
 			intervals.set(socket, everyMs);
@@ -99,7 +95,7 @@
 			release(socket);
 		},
 		hold(socket) {
-			if (!held.has(socket) && !socket.destroyed) {
+			if (!held.has(socket)) {
 				held.set(socket, undefined);
 			}
 		},
--- a/packages/router/src/lib/orders/undici-transport.ts
+++ b/packages/router/src/lib/orders/undici-transport.ts
@@ -10,7 +10,7 @@
 import {
 	type EndpointAddress, type EndpointTransport, type Exchange, type ExchangeEvents, type OutgoingRequest,
 } from './endpoint-transport.js';
-import {isBodiless} from './response-checks.js';
+import {headerValue, isBodiless} from './response-checks.js';
 import {type FailureClass} from './failure-classes.js';
 import {createConnectTimeout} from './connect-timeout.js';
 import {EndpointExchangeError} from './orders-errors.js';
@@ -96,12 +96,6 @@
 	}
 });
 
-const framingHeaders: ReadonlySet<string> = new Set(['content-length', 'transfer-encoding']);
-
-function controllerHasFraming({rawHeaders}: Dispatcher.DispatchController): boolean {
-	return toStrings(rawHeaders).some((text, index) => index % 2 === 0 && framingHeaders.has(text.toLowerCase()));
-}
-
 /**
  * Whether a connection that has ended was reset. Libuv reports a reset as an ordinary end if it finds unread bytes
  * at the same time; only the missing address of the other side, which nothing may have asked for before, shows it.
@@ -156,8 +150,9 @@
 		onResponseStart(controller, status) {
 			if (status >= firstFinalStatus) {
 				state.status = status;
-				state.isUnframed = !isBodiless(status) && !controllerHasFraming(controller);
-				events.head({status, headers: toStrings(controller.rawHeaders)});
+				const headers = toStrings(controller.rawHeaders);
+				state.isUnframed = !isBodiless(status) && headerValue(headers, 'content-length') === undefined && headerValue(headers, 'transfer-encoding') === undefined;
+				events.head({status, headers});
 			}
 		},
 		onResponseData(_controller, chunk) {
