Engines load beside requests that would outlast the bound on weights

What callers saw: nothing yet by this change alone.

Cause: an order to load always let running requests finish first, and an order that waits can't be replaced. So the only way to free an engine in time was to end its requests.

Change: an order says whether running requests finish before the load or continue after it. An engine is ordered to finish them if none is left, or if they would end in time even if it became eight times slower. Otherwise its order waits until they have ended, and from 1.05 of the bound on they continue on the new weights. The platform offers this (retain): "The runs continue under the new version", and "A run that goes on under retain breaks nothing".

Log lines of orders now tell the weights before, their age, the running requests and what becomes of them; the end of a change tells whether it was abandoned.

--- a/packages/router/src/lib/observability/log.ts
+++ b/packages/router/src/lib/observability/log.ts
@@ -40,6 +40,9 @@
 	/** Milliseconds for which a request waited until an endpoint could take it. */
 	'waitedMs',
 	'count',
+	/** Requests that an engine runs, and what becomes of them when it is ordered to load weights. */
+	'running',
+	'runs',
 	'bytes',
 	'tokens',
 	/** Units requested from a quota, and units remaining for the fleet and for this daemon. */
--- a/packages/router/src/lib/weights/weights-control.ts
+++ b/packages/router/src/lib/weights/weights-control.ts
@@ -7,6 +7,8 @@
 	weights: ReadonlyMap<string, number>;
 	/** Number of queued requests; the value lags behind. */
 	waiting: number;
+	/** Number of requests that are being run; the value lags behind. */
+	running: number;
 	/** An order is being carried out. */
 	isChanging: boolean;
 	/** Number of orders accepted since the engine's start. */
@@ -25,6 +27,12 @@
  */
 export type OrderResult = 'accepted' | 'done' | 'busy' | 'outranked' | 'misdirected' | 'refused';
 
+/**
+ * What becomes of the requests that an engine runs when it is ordered to load weights: they `finish` before the
+ * load, or `continue` after it on the new weights.
+ */
+export type RunPolicy = 'finish' | 'continue';
+
 /** An order to change weights. */
 export type WeightsOrder = {
 	model: string;
@@ -35,6 +43,7 @@
 	fencing: number;
 	/** `ordersTaken` of the state that was read; the engine rejects the order if it has accepted another one since. */
 	ordersTaken: number;
+	runs: RunPolicy;
 };
 
 /** Calls engines; both methods throw when there is no answer. */
--- a/packages/router/src/lib/weights/weights-rollout.ts
+++ b/packages/router/src/lib/weights/weights-rollout.ts
@@ -11,7 +11,9 @@
 import {type ChangeTask, createRolloutPlanner, type EngineUse} from './rollout-planner.js';
 import {createEngineDrains} from './engine-drains.js';
 import {type EngineVersions} from './engine-versions.js';
-import {type WeightsControl} from './weights-control.js';
+import {
+	type EngineState, type RunPolicy, type WeightsControl, type WeightsOrder,
+} from './weights-control.js';
 
 /** Options of {@link createWeightsRollout}; durations in milliseconds. */
 export type WeightsRolloutOptions = {
@@ -69,6 +71,12 @@
 /** Fraction of `weightsMs` up to which an unusable engine may wait for its last requests; daemons have withdrawn those that wait by then. */
 const maxWaitingAgeRatio = 0.9;
 
+/** Fraction of `weightsMs` up to which an engine may wait for its running requests; an engine that loads by then is done in time. */
+const maxRunAgeRatio = 1.05;
+
+/** Factor by which an engine may slow down after its order and still finish its running requests in time. */
+const slowdownReserve = 8;
+
 /**
  * Shortest limit of the wait for an engine's queue, which applies when a rollout is late. The engine
  * rejects what waits when it is ordered, so most queues should empty even then.
@@ -211,6 +219,55 @@
 		return Math.max(minQueueWaitLimitMs, limitMs);
 	};
 
+	/**
+	 * What becomes of the engine's running requests if it is ordered now; `undefined` if they should end first. An order
+	 * that waits for them can't be replaced by one that doesn't.
+	 */
+	const runsAtOrder = (task: ChangeTask, state: EngineState): RunPolicy | undefined => {
+		if (state.running === 0) {
+			return 'finish';
+		}
+
+		const leftMs = (options.weightsMs * maxRunAgeRatio) - outdatedMs(task);
+		if (leftMs <= 0) {
+			return 'continue';
+		}
+
+		// Requests that have outlasted their expected time may take any time.
+		const remainingMs = options.remainingMs(task.endpoint.id);
+		return remainingMs > 0 && remainingMs * slowdownReserve <= leftMs ? 'finish' : undefined;
+	};
+
+	const order = async (task: ChangeTask, state: EngineState, {fencing, runs}: Pick<WeightsOrder, 'fencing' | 'runs'>): Promise<void> => {
+		const {endpoint, model, version} = task;
+		ownOrders.set(endpoint.id, performance.now());
+		await announce();
+		const renewed = usableLease();
+		if (renewed?.fencing !== fencing || isOrderedByPeer(endpoint.id) || !isNeeded(task)) {
+			return;
+		}
+
+		const drainMs = drains.elapsedMs(endpoint.id) ?? 0;
+		ownOrders.set(endpoint.id, performance.now());
+		const result = await control.order(endpoint, {
+			model, version, holder: options.name, fencing, ordersTaken: state.ordersTaken, runs,
+		});
+		if (result === 'accepted') {
+			options.onDrained?.(endpoint.service, drainMs, state.waiting);
+			acceptedOrders.set(endpoint.id, {version, at: performance.now(), busyAt: Number.NEGATIVE_INFINITY});
+			versions.changing(endpoint.id, version);
+		}
+
+		if (result === 'misdirected') {
+			presence.replaced(endpoint);
+		}
+
+		log.info('Engine was ordered to change its weights.', {
+			endpoint: endpoint.id, version, weights: state.weights.get(model), weightsAgeMs: Math.round(outdatedMs(task)), result, order: fencing, ms: Math.round(drainMs),
+			count: state.waiting, running: state.running, runs,
+		});
+	};
+
 	const advance = async (task: ChangeTask): Promise<void> => {
 		const {endpoint, model, version} = task;
 		if (!drains.areLongRequestsDone(task, isUnusable(task))) {
@@ -243,31 +300,10 @@
 			return;
 		}
 
-		ownOrders.set(endpoint.id, performance.now());
-		await announce();
-		const renewed = usableLease();
-		if (renewed?.fencing !== held.fencing || isOrderedByPeer(endpoint.id) || !isNeeded(task)) {
-			return;
-		}
-
-		const drainMs = drains.elapsedMs(endpoint.id) ?? 0;
-		ownOrders.set(endpoint.id, performance.now());
-		const result = await control.order(endpoint, {
-			model, version, holder: options.name, fencing: held.fencing, ordersTaken: state.ordersTaken,
-		});
-		if (result === 'accepted') {
-			options.onDrained?.(endpoint.service, drainMs, state.waiting);
-			acceptedOrders.set(endpoint.id, {version, at: performance.now(), busyAt: Number.NEGATIVE_INFINITY});
-			versions.changing(endpoint.id, version);
-		}
-
-		if (result === 'misdirected') {
-			presence.replaced(endpoint);
+		const runs = runsAtOrder(task, state);
+		if (runs !== undefined) {
+			await order(task, state, {fencing: held.fencing, runs});
 		}
-
-		log.info('Engine was ordered to change its weights.', {
-			endpoint: endpoint.id, version, result, order: held.fencing, ms: Math.round(drainMs), count: state.waiting,
-		});
 	};
 
 	/** An engine that loads weights isn't polled until its load is expected to end. */
@@ -339,7 +375,7 @@
 
 			inProgress.delete(id);
 			log.info('Change of an engine\'s weights ended.', {
-				endpoint: id, version, ms: Math.round(performance.now() - startedMs),
+				endpoint: id, version, result: version >= task.version ? 'changed' : 'abandoned', ms: Math.round(performance.now() - startedMs),
 			});
 		})();
 	};
--- a/packages/router/src/test/weights/change-under-load.test.ts
+++ b/packages/router/src/test/weights/change-under-load.test.ts
@@ -64,7 +64,7 @@
 		}]));
 		const control: WeightsControl = {
 			state: async ({id}) => ({
-				weights: new Map([['m', engines.get(id)!.version]]), waiting: 0, isChanging: engines.get(id)!.orderedTo !== undefined, ordersTaken: 0,
+				weights: new Map([['m', engines.get(id)!.version]]), waiting: 0, running: engines.get(id)!.ends.size, isChanging: engines.get(id)!.orderedTo !== undefined, ordersTaken: 0,
 			}),
 			async order({id}, {version}) {
 				engines.get(id)!.orderedTo = version;
--- a/packages/router/src/test/weights/rollout-cost.test.ts
+++ b/packages/router/src/test/weights/rollout-cost.test.ts
@@ -47,7 +47,7 @@
 				cost.calls++;
 				failIfUnreachable(id);
 				return {
-					weights: new Map([['m', running.get(id)!]]), waiting: 0, isChanging: changing.has(id), ordersTaken: 0,
+					weights: new Map([['m', running.get(id)!]]), waiting: 0, running: 0, isChanging: changing.has(id), ordersTaken: 0,
 				};
 			},
 			async order({id}, {version}) {
--- a/packages/router/src/test/weights/rollout-histories.test.ts
+++ b/packages/router/src/test/weights/rollout-histories.test.ts
@@ -46,7 +46,7 @@
 		return (daemon: string): WeightsControl => ({
 			async state({id}) {
 				return {
-					weights: new Map([['m', versions.get(id)!]]), waiting: 0, isChanging: changing.has(id), ordersTaken: taken.get(id)!,
+					weights: new Map([['m', versions.get(id)!]]), waiting: 0, running: 0, isChanging: changing.has(id), ordersTaken: taken.get(id)!,
 				};
 			},
 			async order({id}, {version}) {
--- a/packages/router/src/test/weights/rollout-model.ts
+++ b/packages/router/src/test/weights/rollout-model.ts
@@ -97,12 +97,14 @@
 	computing: {request: Request; endsAt: number} | undefined;
 	runsUntil: number;
 	orderedTo: number | undefined;
+	/** It doesn't finish its running requests first. */
+	loadsAtOnce: boolean;
 	loadEndsAt: number | undefined;
 	ordersTaken: number;
 	closedAt: number | undefined;
 	loadedAt: number | undefined;
 	lastStateWaiting: number;
-	history: Array<{at: number; waiting: number; unstarted: number; version: number; isChanging: boolean; ordersTaken: number}>;
+	history: Array<{at: number; waiting: number; unstarted: number; running: number; version: number; isChanging: boolean; ordersTaken: number}>;
 };
 
 const defaults = {
@@ -142,7 +144,7 @@
 	}
 
 	const engines = new Map<string, Engine>(ids.map(id => [id, {
-		id, version: 1, queue: [], computing: undefined, runsUntil: 0, orderedTo: undefined, loadEndsAt: undefined, ordersTaken: 0,
+		id, version: 1, queue: [], computing: undefined, runsUntil: 0, orderedTo: undefined, loadsAtOnce: false, loadEndsAt: undefined, ordersTaken: 0,
 		closedAt: undefined, loadedAt: undefined, lastStateWaiting: 0, history: [],
 	}]));
 	const daemons = Array.from({length: model.daemons}, () => ({versions: createEngineVersions(), open: new Map<string, Set<Request>>()}));
@@ -280,14 +282,14 @@
 		async state({id}) {
 			const engine = engines.get(id)!;
 			await clockDelay(delayMs());
-			const {waiting, version, isChanging, ordersTaken} = engine.history.findLast(({at}) => performance.now() - at >= reportLagMs) ?? engine.history[0];
+			const {waiting, running, version, isChanging, ordersTaken} = engine.history.findLast(({at}) => performance.now() - at >= reportLagMs) ?? engine.history[0];
 			engine.lastStateWaiting = waiting;
 			await clockDelay(delayMs());
 			return {
-				weights: new Map([['m', version]]), waiting, isChanging, ordersTaken,
+				weights: new Map([['m', version]]), waiting, running, isChanging, ordersTaken,
 			};
 		},
-		async order({id}, {version}) {
+		async order({id}, {version, runs}) {
 			const engine = engines.get(id)!;
 			await clockDelay(delayMs());
 			if (engine.orderedTo !== undefined) {
@@ -295,6 +297,7 @@
 			}
 
 			engine.orderedTo = version;
+			engine.loadsAtOnce = runs === 'continue';
 			engine.ordersTaken++;
 			const rejected = engine.queue;
 			engine.queue = [];
@@ -341,7 +344,7 @@
 
 	const load = (engine: Engine): void => {
 		const now = performance.now();
-		if (engine.orderedTo === undefined || engine.computing !== undefined || now < engine.runsUntil) {
+		if (engine.orderedTo === undefined || (!engine.loadsAtOnce && (engine.computing !== undefined || now < engine.runsUntil))) {
 			return;
 		}
 
@@ -364,6 +367,7 @@
 			at: performance.now(),
 			waiting: engine.queue.length,
 			unstarted: engine.queue.length + (engine.computing === undefined ? 0 : 1),
+			running: Number(engine.computing !== undefined || performance.now() < engine.runsUntil),
 			version: engine.version,
 			isChanging: engine.orderedTo !== undefined,
 			ordersTaken: engine.ordersTaken,
--- a/packages/router/src/test/weights/weights-rollout.test.ts
+++ b/packages/router/src/test/weights/weights-rollout.test.ts
@@ -5,7 +5,7 @@
 } from '../../fleet.js';
 import {createSilentLog} from '../../observability.js';
 import {
-	createEngineVersions, createWeightsRollout, type EngineVersions, type WeightsControl, type WeightsRollout,
+	createEngineVersions, createWeightsRollout, type EngineVersions, type RunPolicy, type WeightsControl, type WeightsRollout,
 } from '../../weights.js';
 import {engineDocument} from './engine-document.js';
 
@@ -22,6 +22,8 @@
 	waiting: number;
 	/** Engines that don't answer. */
 	silent: Set<string>;
+	/** What becomes of each engine's running requests by its latest order. */
+	runsAtOrders: Map<string, RunPolicy>;
 	/** Engine of each call for the state, by arrival. */
 	stateCalls: string[];
 };
@@ -39,6 +41,7 @@
 		runsUntil: new Map(),
 		waiting: 0,
 		silent: new Set(),
+		runsAtOrders: new Map(),
 		stateCalls: [],
 		control: {
 			async state({id}) {
@@ -48,18 +51,20 @@
 				}
 
 				return {
-					weights: new Map([['m', versions.get(id)!]]), waiting: engines.waiting, isChanging: changing.has(id), ordersTaken: taken.get(id) ?? 0,
+					weights: new Map([['m', versions.get(id)!]]), waiting: engines.waiting, running: Number(performance.now() < (engines.runsUntil.get(id) ?? 0)),
+					isChanging: changing.has(id), ordersTaken: taken.get(id) ?? 0,
 				};
 			},
-			async order({id}, {version, fencing}) {
+			async order({id}, {version, fencing, runs}) {
 				engines.orders.push([Math.round(performance.now()), id, version, fencing]);
+				engines.runsAtOrders.set(id, runs);
 				changing.add(id);
 				taken.set(id, (taken.get(id) ?? 0) + 1);
 				engines.maxChanging = Math.max(engines.maxChanging, changing.size);
 				setTimeout(() => {
 					changing.delete(id);
 					versions.set(id, version);
-				}, loadMs + Math.max(0, (engines.runsUntil.get(id) ?? 0) - performance.now()));
+				}, loadMs + (runs === 'continue' ? 0 : Math.max(0, (engines.runsUntil.get(id) ?? 0) - performance.now())));
 				return 'accepted';
 			},
 		},
@@ -418,6 +423,46 @@
 		assert.deepEqual([...engines.versions.values()], ids.map(() => 2));
 	});
 
+	it('has engines load beside requests that would outlast the bound', async () => {
+		// Guards against engines that keep replaced weights because requests run on them for long, and against orders to finish those requests first.
+		for (const id of ids) {
+			engines.runsUntil.set(id, 60_000);
+			remainingMs.set(id, id === 'e0' ? 60_000 : 0);
+		}
+
+		view.acceptWeights('m', 2, 0);
+		await clock.tickAsync(8000);
+		assert.isEmpty(engines.orders);
+		await clock.tickAsync(3000);
+		assert.deepEqual([...engines.versions.values()], ids.map(() => 2));
+		assert.deepEqual(new Set(engines.runsAtOrders.values()), new Set(['continue']));
+	});
+
+	it('waits with the order for requests that have outlasted their expected time', async () => {
+		// Guards against an order that waits for requests of any length and can't be replaced any more.
+		engines.runsUntil.set('e0', 4000);
+		view.acceptWeights('m', 2, 0);
+		await clock.tickAsync(3900);
+		assert.notInclude(engines.orders.map(([, id]) => id), 'e0');
+		await clock.tickAsync(1500);
+		assert.equal(engines.versions.get('e0'), 2);
+		assert.equal(engines.runsAtOrders.get('e0'), 'finish');
+	});
+
+	it('has an engine finish requests that end soon, without a wait for its report', async () => {
+		// Guards against engines that idle between their last request and their order.
+		engines.runsUntil.set('e0', 600);
+		remainingMs.set('e0', 200);
+		for (const id of ids.slice(1)) {
+			versions.seen(id, 2);
+			engines.versions.set(id, 2);
+		}
+
+		view.acceptWeights('m', 2, 0);
+		await clock.tickAsync(500);
+		assert.equal(engines.runsAtOrders.get('e0'), 'finish');
+	});
+
 	it('limits the wait for long requests', async () => {
 		// A caller may read its response slowly, and the expected end of a request may be wrong.
 		remainingMs.set('e0', 60_000);
