Duties go to daemons that can act on them at once

What callers saw: during a rolling restart no engine was ordered to load for 5 to 7 s, until all had weights that were too old for requests, which then were refused.

Cause: daemons that are stopping stay in their peers' lists until they have stopped, and counted as candidates for the lease although they take none: their successors let up to three rounds pass for them. A process that had just started ranked like the others, took the lease and then waited 3.2 s before its first order, since it doesn't know the last ones.

Change: reports tell whether a daemon leaves duties to others. Such peers are no candidates, and such a daemon comes after all others; if none can act, all rank as before. A release is reported at once, like an attempt to renew. An older daemon's reports lack the field, so it counts as before.

--- a/packages/entry/src/lib/wiring/lease-wiring.ts
+++ b/packages/entry/src/lib/wiring/lease-wiring.ts
@@ -2,6 +2,7 @@
 import {
 	createDutyTimer, createLeaseHolder, type DutyTimer, type LeaseHolder,
 } from 'hickorywalk/leases.js';
+import {type PeerReport} from 'hickorywalk/peers.js';
 import {type EndpointLoad} from 'hickorywalk/placing.js';
 import {createNamingRecord, createWeightsRollout, type NamingRecord} from 'hickorywalk/weights.js';
 import {type EntryParts} from './parts.js';
@@ -18,14 +19,39 @@
 		view, storeMs: store.clockMs, generation: store.generation, feedAgeMs: operatorFeed.ageMs, log,
 	});
 
+/** Whether duties are left to other daemons: this one is stopping, or has just started and couldn't act yet. */
+export const leavesDuties = ({state, weightsRollout}: EntryParts): boolean => state.isStopping || !weightsRollout.isPastHandover();
+
+/** Daemons that may take a duty over. */
+export type DutyCandidates = {
+	/** Includes this daemon. */
+	names: string[];
+	/** This daemon comes after all others. */
+	isDeferred: boolean;
+};
+
+type DutyState = {name: string; leavesDuties: boolean};
+
+/** The candidates for a duty: daemons that can act on it, or all if there is none. */
+export function dutyCandidates(own: DutyState, peers: ReadonlyArray<Pick<PeerReport, 'daemon' | 'leavesDuties'>>): DutyCandidates {
+	const able = peers.filter(peer => !peer.leavesDuties);
+	const isDeferred = own.leavesDuties && able.length > 0;
+	const others = own.leavesDuties && !isDeferred ? peers : able;
+	return {names: [own.name, ...others.map(({daemon}) => daemon)], isDeferred};
+}
+
 /** Contends for the lease; peers' reports shorten a takeover. */
 export function wireLeases(parts: EntryParts): LeaseHolder {
 	const {settings, timings, incarnation, ownTable, peers, namingRecord, log} = parts;
+
+	const candidates = (): DutyCandidates => dutyCandidates({name: settings.name, leavesDuties: leavesDuties(parts)}, peers.live().map(({report}) => report));
+
 	const holder = createLeaseHolder({
 		name: settings.name,
 		incarnation: BigInt(incarnation),
 		table: ownTable,
-		candidates: () => [settings.name, ...peers.live().map(({report}) => report.daemon)],
+		candidates: () => candidates().names,
+		isDeferred: () => candidates().isDeferred,
 		isHeldElsewhere: () => peers.live().some(({report, heardAt}) => report.duty !== null && report.duty[1] > performance.now() - heardAt),
 		lastReport(name, incarnation) {
 			const peer = peers.known().get(name);
--- a/packages/router/src/lib/leases/lease-holder.ts
+++ b/packages/router/src/lib/leases/lease-holder.ts
@@ -30,6 +30,8 @@
 	table: TableClient;
 	/** Names of all daemons that could hold duties, including this one; decides who tries first. */
 	candidates?: () => string[];
+	/** Whether the other candidates try before this daemon, since it couldn't act on a duty yet. */
+	isDeferred?: () => boolean;
 	/** Whether a process is known to have ended, so that the end of its lease need not be awaited. */
 	hasEnded?: (name: string, incarnation: bigint) => boolean;
 	/**
@@ -42,7 +44,7 @@
 	/** Whether another daemon has recently reported that it holds a duty; the rows are not read then. */
 	isHeldElsewhere?: (duty: string) => boolean;
 	/**
-	 * Called before each attempt to acquire or renew a lease, so that peers learn of
+	 * Called before each attempt to acquire, renew or release a lease, so that peers learn of
 	 * the attempt first. Otherwise, if the holder is suspended before it receives
 	 * the response to a renewal, the row contains an attempt that no peer knows of,
 	 * and peers have to wait for a whole lease instead of its remaining time.
@@ -222,17 +224,22 @@
 			|| performance.now() >= known.unchangedSince + leaseMs + marginMs;
 	}
 
+	/** Position of this daemon among the candidates, counted from 0. */
+	function placeOf(duty: string): number {
+		const candidates = options.candidates?.() ?? [name];
+		return options.isDeferred?.() ? candidates.length - 1 : positionOf(duty, name, candidates);
+	}
+
 	/** Each daemon that ranks before this one gets one round to acquire the duty first, so that duties spread over daemons. */
 	function isOurTurn(duty: string): boolean {
 		const rounds = vacantRounds.get(duty) ?? 0;
 		vacantRounds.set(duty, rounds + 1);
-		const place = positionOf(duty, name, options.candidates?.() ?? [name]);
-		return rounds >= Math.min(place, roundsPerLease);
+		return rounds >= Math.min(placeOf(duty), roundsPerLease);
 	}
 
 	/** Only the first candidates read the rows in each round; the others do so once per lease, as a fallback. */
 	function isLeftToOthers(duty: string): boolean {
-		return positionOf(duty, name, options.candidates?.() ?? [name]) > roundsPerLease && performance.now() - readAt < leaseMs;
+		return placeOf(duty) > roundsPerLease && performance.now() - readAt < leaseMs;
 	}
 
 	/** Writes the row and resolves to whether it is in the table. If the response is lost, the row is read back. */
@@ -328,6 +335,7 @@
 		attempt += 1;
 		try {
 			attempts.set(duty, {attempt, end: performance.now()});
+			options.onAttempt?.();
 			await writeRow(duty, {
 				holder: '', incarnation, fencing: lease.fencing, attempt, note: options.note?.(duty),
 			});
--- a/packages/router/src/test/leases/lease-holder.test.ts
+++ b/packages/router/src/test/leases/lease-holder.test.ts
@@ -138,6 +138,40 @@
 		assert.isDefined(reachable.held(duty));
 	});
 
+	it('leaves a duty to a daemon that can act at once, but not for long', async () => {
+		// Guards against duties that stand still because a process that has just started takes them.
+		const create = (name: string, candidates: string[], isDeferred: boolean): LeaseHolder => {
+			const holder = createLeaseHolder({
+				name, incarnation: 1n, table, candidates: () => candidates, isDeferred: () => isDeferred,
+			});
+			holder.contend(duty);
+			return holder;
+		};
+
+		const fresh = create('fresh', ['fresh', 'settled'], true);
+		const settled = create('settled', ['settled'], false);
+		await run([fresh, settled], 2000);
+		assert.isUndefined(fresh.held(duty));
+		assert.isDefined(settled.held(duty));
+		await settled.release();
+		await run([fresh], 2000);
+		assert.isDefined(fresh.held(duty));
+	});
+
+	it('tells peers that it releases a duty before it writes so', async () => {
+		// Guards against a successor that waits for a report that the holder sends only with its next round.
+		const reports: Array<{msLeft: number} | undefined> = [];
+		const holder: LeaseHolder = createLeaseHolder({
+			name: 'a', incarnation: 1n, table, onAttempt() {
+				reports.push(holder.report(duty));
+			},
+		});
+		holder.contend(duty);
+		await holder.tick();
+		await holder.release();
+		assert.equal(reports.at(-1)?.msLeft, 0);
+	});
+
 	it('does not wait for a holder that has ended or has released the duty', async () => {
 		const [a, b] = [contender('a'), contender('b', ['a'])];
 		await a.tick();
