Rollouts start with the engines whose weights were replaced first

What callers saw: with weights named every few seconds some engines kept the oldest ones, until no request could be sent to them.

Cause: engines were ordered by their announced starts and then by their remaining requests. An engine that had just loaded superseded weights could go before one that had been waiting since an earlier naming.

Evidence: your trace of namings during reloads: three engines were on version 2 until 24.6 s, versions named at 15, 18 and 21 s.

Change: the age of the weights comes right after being unusable. For a single naming it is equal for all engines, so the order is as before.

Test: createRolloutPlanner, "starts with the engines whose weights were replaced first" (failed before).

--- a/packages/router/src/lib/weights/rollout-planner.ts
+++ b/packages/router/src/lib/weights/rollout-planner.ts
@@ -22,7 +22,7 @@
 	dueInMs: number;
 	/** Expected milliseconds until its last request in flight ends. */
 	remainingMs: number;
-	/** Milliseconds in which it should run its new weights. */
+	/** Milliseconds in which it should run its new weights; equal for engines with the same weights. */
 	msLeft?: number;
 };
 
@@ -79,6 +79,7 @@
 const sortKeys: ReadonlyArray<(pending: PendingTask) => number> = [
 	({isDoubtful}) => Number(isDoubtful),
 	({isUnusable}) => -Number(isUnusable),
+	({msLeft = Number.POSITIVE_INFINITY}) => msLeft,
 	({dueInMs}) => dueInMs,
 	({remainingMs}) => remainingMs,
 ];
--- a/packages/router/src/lib/weights/weights-rollout.ts
+++ b/packages/router/src/lib/weights/weights-rollout.ts
@@ -383,6 +383,17 @@
 		})();
 	};
 
+	/** Milliseconds in which engines should run other weights, for each model and version that they run. */
+	const createTimeLeft = (): ((task: ChangeTask) => number) => {
+		const known = new Map<string, number>();
+		return task => {
+			const key = `${task.model} ${versions.of(task.endpoint, task.model).version}`;
+			const msLeft = known.get(key) ?? (options.weightsMs * maxWeightsAgeRatio) - outdatedMs(task);
+			known.set(key, msLeft);
+			return msLeft;
+		};
+	};
+
 	const tasksOf = (service: string, models: readonly string[]): ChangeTask[] => {
 		const tasks: ChangeTask[] = [];
 		for (const endpoint of view.endpointsOf(service)) {
@@ -435,6 +446,7 @@
 
 		const pending = tasks.filter(task => !inProgress.has(task.endpoint.id));
 		const {useOf} = options;
+		const timeLeft = createTimeLeft();
 		const uses = new Map(useOf === undefined ? [] : serving.map(endpoint => [endpoint.id, useOf(endpoint)]));
 		const {due, later, rounds} = planner.plan({
 			engines: serving.length,
@@ -447,7 +459,7 @@
 				isOnlyWaiting: isOnlyWaiting(task),
 				dueInMs: versions.of(task.endpoint, task.model).dueInMs,
 				remainingMs: options.remainingMs(task.endpoint.id) + (uses.get(task.endpoint.id)?.queueMs ?? 0),
-				msLeft: (options.weightsMs * maxWeightsAgeRatio) - outdatedMs(task),
+				msLeft: timeLeft(task),
 			})),
 			uses: [...uses.values()],
 		});
--- a/packages/router/src/test/weights/rollout-planner.test.ts
+++ b/packages/router/src/test/weights/rollout-planner.test.ts
@@ -37,6 +37,19 @@
 		assert.deepEqual([ids(due), ids(later.map(({task}) => task))], [['old'], ['young', 'silent']]);
 	});
 
+	it('starts with the engines whose weights were replaced first, whatever was announced since', () => {
+		// Guards against engines that keep replaced weights for longer with each further naming.
+		const {due, later} = createRolloutPlanner().plan({
+			engines: 6, changing: 0, pending: [
+				pendingTask('newest', {msLeft: 5000, dueInMs: 0}),
+				pendingTask('newer', {msLeft: 3000}),
+				pendingTask('oldest', {msLeft: 100, remainingMs: 4000}),
+				pendingTask('old', {msLeft: 1000, dueInMs: 4000}),
+			],
+		});
+		assert.deepEqual([ids(due), ids(later.map(({task}) => task))], [['oldest', 'old'], ['newer', 'newest']]);
+	});
+
 	it('counts an engine that still carries out an order only once', () => {
 		const {due} = createRolloutPlanner().plan({engines: 6, changing: 2, pending: [pendingTask('a'), pendingTask('b', {isChanging: true})]});
 		assert.deepEqual(ids(due), ['b']);
