A response in progress only ends early if the request goes on elsewhere

Cause: daemons ended every request on weights that were replaced 1.05 x the bound ago, without knowing that another engine would take it; a relay did so without asking. The rule is about requests that begin late; nothing asks that a response in progress ends. Where a request was moved, whether it had a place elsewhere was a guess: admission, quarantine or a second choice could refuse it after its attempt had ended.

Change: a request that hasn't begun is withdrawn as before. One that has begun is moved only if it may run again, isn't suspected of crashes, and admission has an endpoint for it that responds soon; that endpoint is kept for the next attempt. This is asked again every 250 ms until it ends or its engine has loaded. A relay never ends a response that has begun. Moves from silent endpoints ask the same.

Tests: five of "a response in progress while its weights are replaced" (four failed before; "goes on where it is if it must not run twice" replaces a test that asserted that such a stream is broken off, which no rule asks for; what it guarded, engines that keep replaced weights, is now tested in createWeightsRollout), relay "goes on to its end once it has begun" and "goes on at a silent endpoint if its repeat is suspected" (both failed before). The test of deadlines that ended runs at 1.05 goes with them; the same bound, 1.375, is asserted for engines by "has engines load beside requests".

--- a/packages/router/src/lib/admission/admission.ts
+++ b/packages/router/src/lib/admission/admission.ts
@@ -56,8 +56,13 @@
 
 /** The admission of one request. */
 export type AdmissionTicket = {
-	/** Decides on the request now. A choice is to be sent at once, since the next decision rests on it. */
-	decide: (choiceRequest: ChoiceRequest, mayWait: boolean) => Admitted;
+	/**
+	 * Decides on the request now. A choice is to be sent at once, since the next decision rests on it. `place` is the
+	 * result of {@link placeFor} at this moment, if the request is certain to be sent there.
+	 */
+	decide: (choiceRequest: ChoiceRequest, mayWait: boolean, place?: Choice) => Admitted;
+	/** The endpoint that a request which may not wait would be sent to now; `undefined` if it would be refused. */
+	placeFor: (choiceRequest: ChoiceRequest) => Choice | undefined;
 	/** Ends the wait, so that the request is decided on again. */
 	wake: () => void;
 	/** The request has ended or is refused for another reason. */
@@ -436,6 +441,11 @@
 		return decision.kind === 'send' ? undefined : {expectedMs};
 	};
 
+	const placeFor = (entry: Entry, request: ChoiceRequest): Choice | undefined => {
+		const choice = choose(request);
+		return choice === undefined || refusalOf(entry, choice) === undefined ? choice : chooseIdle(request);
+	};
+
 	const decide = (entry: Entry, request: ChoiceRequest, mayBeHeld: boolean): Admitted => {
 		entry.choiceRequest = request;
 		// The gatekeepers of brittle endpoints decline what exceeds their room; callers that wait would add to each burst.
@@ -494,14 +504,15 @@
 				wake: () => undefined,
 			};
 			return {
-				decide(request, mayWait) {
+				placeFor: request => placeFor(entry, request),
+				decide(request, mayWait, place) {
 					if (!queue.has(entry)) {
 						// A request that only some endpoints may get must not hold up the others.
 						const isLimited = request.excluded.size > 0 || request.software !== undefined;
 						entry.lane = isLimited ? `${service} ${request.software ?? ''} ${[...request.excluded].join(' ')}` : service;
 					}
 
-					return decide(entry, request, mayWait);
+					return place === undefined ? decide(entry, request, mayWait) : send(entry, place);
 				},
 				wake() {
 					entry.wake();
--- a/packages/router/src/lib/forwarding/call.ts
+++ b/packages/router/src/lib/forwarding/call.ts
@@ -66,6 +66,10 @@
 	leavePath: (() => void) | undefined;
 	/** Cancels the current attempt unless its response has begun. */
 	cancel: (() => void) | undefined;
+	/** Finds the endpoint that the request would be sent to at once if its current attempt ended now. */
+	findPlace: (() => Choice | undefined) | undefined;
+	/** Where the next attempt goes, if the current one was ended for it. */
+	place: Choice | undefined;
 	/** Called when the response of the current attempt begins. */
 	onBegun: (() => void) | undefined;
 	/** It was refused, its term has ended, and this daemon may send it once. */
@@ -111,6 +115,8 @@
 		peer: undefined,
 		leavePath: undefined,
 		cancel: undefined,
+		findPlace: undefined,
+		place: undefined,
 		onBegun: undefined,
 		isClaimed: false,
 		isRetryGranted: false,
--- a/packages/router/src/lib/forwarding/forwarder.ts
+++ b/packages/router/src/lib/forwarding/forwarder.ts
@@ -66,7 +66,7 @@
 
 /** Creates the forwarder. */
 export function createForwarder(options: ForwarderOptions): Forwarder {
-	const {headers, quota, quarantine, choice, budgetOf} = options;
+	const {headers, quota, quarantine, budgetOf} = options;
 	/** Requests being sent to endpoints. */
 	const calls = new Set<Call>();
 	const openReplies = createOpenReplies();
@@ -102,8 +102,6 @@
 		}
 	};
 
-	const chooseFor = (call: Call): Choice | undefined => choice.choose(choiceRequestOf(call));
-
 	/** Whether another endpoint may get the request; withdraws from the retry budget once per attempt. */
 	const mayTryElsewhere = (call: Call): boolean => {
 		if (call.attempts >= call.route.maxEndpoints || performance.now() >= call.deadlineAt || call.reply.isDisconnected()) {
@@ -114,13 +112,22 @@
 		return call.isRetryGranted;
 	};
 
-	const mayMoveAway = (call: Call): boolean => respondsSoon(call, chooseFor(call)) && mayTryElsewhere(call);
-
-	const send = createEndpointSender({...options, mayMoveAway, mayTryElsewhere});
-
 	/** A request that was claimed when its term had ended is sent once, although it is refused again meanwhile. */
 	const isRefused = ({refusalKeys, isClaimed}: Call): boolean => !isClaimed && refusalOf(refusalKeys) === 'refused';
 
+	/** Whether nothing but the lack of an endpoint or of retries keeps the request from another attempt. */
+	const mayGoOn = (call: Call): boolean => mayRunAgain(call) && standingOf(call) === 'clear' && call.brokenConnections <= 1 && !isRefused(call);
+
+	/** Finds the endpoint that the request goes to if its attempt is ended now, and keeps it for the next attempt. */
+	const mayMoveAway = (call: Call): boolean => {
+		const place = mayGoOn(call) ? call.findPlace?.() : undefined;
+		const isFound = place !== undefined && respondsSoon(call, place) && mayTryElsewhere(call);
+		call.place = isFound ? place : undefined;
+		return isFound;
+	};
+
+	const send = createEndpointSender({...options, mayMoveAway, mayTryElsewhere});
+
 	const decisionOptions: DecisionOptions = {mayTryElsewhere, standingOf, capacityWait: options.capacityWait};
 
 	const refuseUnadmitted = (call: Call, {reason, expectedMs, retryAfterMs}: Extract<AdmissionResult, {kind: 'refuse'}>): Decision => {
@@ -158,7 +165,9 @@
 			}
 
 			// What may have run isn't held back: its response, or its failure, is due.
-			const admitted = ticket.decide(choiceRequestOf(call), !call.mayHaveRun);
+			const {place} = call;
+			call.place = undefined;
+			const admitted = ticket.decide(choiceRequestOf(call), !call.mayHaveRun, place);
 			if (admitted.kind === 'wait') {
 				if (!isWatchingCaller) {
 					isWatchingCaller = true;
@@ -218,6 +227,7 @@
 		const ticket = options.admission.ticketFor({
 			service, rank: rankOf(call), workspace: workspace?.name ?? '', deadlineAt, timeoutMs: route.timeoutMs, targetMs: route.targetMs, bytes: body?.length ?? 0,
 		});
+		call.findPlace = () => ticket.placeFor(choiceRequestOf(call));
 		calls.add(call);
 		try {
 			return await run(call, ticket);
--- a/packages/router/src/lib/forwarding/send-to-endpoint.ts
+++ b/packages/router/src/lib/forwarding/send-to-endpoint.ts
@@ -42,10 +42,10 @@
 	paths: EndpointPaths;
 	relay: Relay;
 	origins: Pick<StreamOrigins, 'began'>;
+	/** Whether another endpoint is certain to get the request, and expected to respond soon; its attempt is ended then. */
+	mayMoveAway: (call: Call) => boolean;
 	/** Whether another endpoint may get the request; withdraws from the retry budget. */
 	mayTryElsewhere: (call: Call) => boolean;
-	/** Whether a request may be moved from a silent endpoint to another one. */
-	mayMoveAway: (call: Call) => boolean;
 };
 
 /** Sends a request to the chosen endpoint; resolves when the attempt has ended, never rejects. */
@@ -94,9 +94,6 @@
 	const weightsAgeMs = ({prompt}: Call, {weights}: Choice): number | undefined =>
 		prompt === undefined || weights === undefined ? undefined : view.namedWeights(prompt.model)?.outdatedMs(weights);
 
-	/** Whether the attempt may end although its request is perhaps in the endpoint's queue. */
-	const mayWithdraw = (call: Call): boolean => mayRunAgain(call) && options.mayMoveAway(call);
-
 	/** Aborts the attempt if it still waits when its engine is about to be ordered to load weights, and another engine may get it. */
 	const watchOrder = (call: Call, {endpoint, weights}: Choice, abort: (failure: FailureClass) => void): () => void => {
 		if (call.prompt === undefined || weights === undefined) {
@@ -104,29 +101,30 @@
 		}
 
 		return versions.watchOrder(endpoint.id, () => {
-			if (call.progress.firstAt === undefined && mayWithdraw(call)) {
+			if (call.progress.firstAt === undefined && options.mayMoveAway(call)) {
 				abort('drained');
 			}
 		});
 	};
 
-	/** Aborts the attempt once its weights are too old; a stream that has begun goes on elsewhere if it may. */
-	const watchWeights = (call: Call, {weights}: Choice, abort: (failure: FailureClass) => void): () => void => {
+	/** Aborts the attempt if it hasn't begun once its weights are too old; a response in progress only ends if it goes on elsewhere. */
+	const watchWeights = (call: Call, {endpoint, weights}: Choice, abort: (failure: FailureClass) => void): () => void => {
 		if (call.prompt === undefined || weights === undefined) {
 			return () => undefined;
 		}
 
+		const {model} = call.prompt;
+		/** The engine has loaded newer weights while the request runs. */
+		const hasLoaded = (): boolean => versions.of(endpoint, model).version > weights;
+
 		return options.weightsDeadlines.watch({
-			model: call.prompt.model,
+			model,
 			weights,
-			onStartDeadline() {
-				if (call.progress.firstAt === undefined || mayWithdraw(call)) {
+			onOutdated() {
+				if (call.progress.firstAt === undefined || (!hasLoaded() && options.mayMoveAway(call))) {
 					abort('outdated');
 				}
 			},
-			onRunDeadline() {
-				abort('outdated');
-			},
 		});
 	};
 
--- a/packages/router/src/lib/relaying/relay-server.ts
+++ b/packages/router/src/lib/relaying/relay-server.ts
@@ -100,7 +100,7 @@
 		return endpoint?.startedAt === Number(req.headers[startedAtHeader]) ? endpoint : undefined;
 	};
 
-	/** Calls `abort` once the request's weights are too old, also where its sender is out of reach. */
+	/** Calls `abort` once the weights of a request that hasn't begun are too old, also where its sender is out of reach. */
 	const watchWeights = (req: IncomingMessage, hasBegun: () => boolean, abort: () => void): () => void => {
 		const {model} = headers.readCall(req.rawHeaders);
 		const weights = Number(req.headers[weightsHeader] ?? Number.NaN);
@@ -111,12 +111,11 @@
 		return options.weightsDeadlines.watch({
 			model,
 			weights,
-			onStartDeadline() {
+			onOutdated() {
 				if (!hasBegun()) {
 					abort();
 				}
 			},
-			onRunDeadline: abort,
 		});
 	};
 
--- a/packages/router/src/lib/weights/weights-deadlines.ts
+++ b/packages/router/src/lib/weights/weights-deadlines.ts
@@ -14,12 +14,13 @@
 /** Weights that a request is sent to. */
 export type RequestedWeights = {model: string; weights: number};
 
-/** A request at an engine. Each function is called once at most, from a timer or at once. */
+/** A request at an engine. */
 export type WatchedRequest = RequestedWeights & {
-	/** If the request hasn't begun, it must be withdrawn; if it has, its engine should be freed. */
-	onStartDeadline: () => void;
-	/** The request must end, so that its engine can load other weights. */
-	onRunDeadline: () => void;
+	/**
+	 * The weights are too old, or soon will be. If the request hasn't begun, it must be withdrawn; if it has, it may be
+	 * moved to another engine, but goes on where it is otherwise. Called again several times per second while it is watched.
+	 */
+	onOutdated: () => void;
 };
 
 /** The deadlines. */
@@ -30,23 +31,16 @@
 	watch: (request: WatchedRequest) => () => void;
 };
 
-/** Fractions of `weightsMs`. A request that waits is withdrawn early enough for the cancellation to arrive. */
+/** Fraction of `weightsMs` after which a request that waits is withdrawn, early enough for the cancellation to arrive. */
 const maxStartRatio = 0.9;
-const maxRunRatio = 1.05;
 
 /** Fraction of `weightsMs` by which a request is expected to begin before it would be withdrawn, since the estimate of its wait may be too low. */
 const sendReserveRatio = 0.1;
 
-/** Maximum milliseconds between two checks of a watched request, since ages of weights may be corrected. */
+/** Maximum milliseconds between two checks of a watched request: ages of weights may be corrected, and places become free. */
 const maxCheckMs = 250;
 
-/** The deadlines of a request, by time. */
-const stages: ReadonlyArray<{ratio: number; callback: 'onStartDeadline' | 'onRunDeadline'}> = [
-	{ratio: maxStartRatio, callback: 'onStartDeadline'},
-	{ratio: maxRunRatio, callback: 'onRunDeadline'},
-];
-
-type Watch = {request: WatchedRequest; stage: number; timer: NodeJS.Timeout | undefined};
+type Watch = {request: WatchedRequest; timer: NodeJS.Timeout | undefined};
 
 /** Creates deadlines that follow the namings in a view. */
 export function createWeightsDeadlines({view, weightsMs}: WeightsDeadlinesOptions): WeightsDeadlines {
@@ -62,16 +56,13 @@
 
 	const check = (watch: Watch): void => {
 		clearTimeout(watch.timer);
-		while (watches.has(watch) && watch.stage < stages.length) {
-			const {ratio, callback} = stages[watch.stage];
-			const leftMs = msLeft(watch.request, ratio);
-			if (leftMs > 0) {
-				watch.timer = Number.isFinite(leftMs) ? setTimeout(check, Math.min(leftMs, maxCheckMs), watch) : undefined;
-				return;
-			}
+		const leftMs = msLeft(watch.request, maxStartRatio);
+		if (leftMs <= 0) {
+			watch.request.onOutdated();
+		}
 
-			watch.stage++;
-			watch.request[callback]();
+		if (watches.has(watch) && Number.isFinite(leftMs)) {
+			watch.timer = setTimeout(check, leftMs > 0 ? Math.min(leftMs, maxCheckMs) : maxCheckMs, watch);
 		}
 	};
 
@@ -86,7 +77,7 @@
 	return {
 		maySend: (requested, waitMs) => msLeft(requested, maxStartRatio - sendReserveRatio) > waitMs,
 		watch(request) {
-			const watch: Watch = {request, stage: 0, timer: undefined};
+			const watch: Watch = {request, timer: undefined};
 			watches.add(watch);
 			check(watch);
 			return () => {
