A lost path ends a response in progress only if the request has a place elsewhere

What callers saw: a stream broken off because its endpoint paused for a moment while new connections to it were refused, with no other endpoint to go to.

An attempt was ended when its path was taken for lost if the request might be retried, whether or not an endpoint was there for it.

Change: a response in progress leaves a lost path only for an endpoint that admission has for it; otherwise it goes on until its endpoint is silent for too long or speaks again. Requests without a response leave at once, as before.

Test: "a stream whose endpoint pauses and refuses further connections, goes on if the request has no place elsewhere" (failed before).

--- a/packages/router/src/lib/forwarding/forwarder.ts
+++ b/packages/router/src/lib/forwarding/forwarder.ts
@@ -31,7 +31,7 @@
 } from './retry-decision.js';
 
 /** Options of {@link createForwarder}. */
-export type ForwarderOptions = Omit<EndpointSenderOptions, 'mayMoveAway' | 'mayTryElsewhere'> & {
+export type ForwarderOptions = Omit<EndpointSenderOptions, 'mayMoveAway' | 'mayLeavePath'> & {
 	/** The document to serve by. */
 	document: () => AcceptedDocument | undefined;
 	quota: FleetQuota;
@@ -119,14 +119,20 @@
 	const mayGoOn = (call: Call): boolean => mayRunAgain(call) && standingOf(call) === 'clear' && call.brokenConnections <= 1 && !isRefused(call);
 
 	/** Finds the endpoint that the request goes to if its attempt is ended now, and keeps it for the next attempt. */
-	const mayMoveAway = (call: Call): boolean => {
+	const reservePlace = (call: Call, isGoodEnough: (place: Choice) => boolean): boolean => {
 		const place = mayGoOn(call) ? call.findPlace?.() : undefined;
-		const isFound = place !== undefined && respondsSoon(call, place) && mayTryElsewhere(call);
+		const isFound = place !== undefined && isGoodEnough(place) && mayTryElsewhere(call);
 		call.place = isFound ? place : undefined;
 		return isFound;
 	};
 
-	const send = createEndpointSender({...options, mayMoveAway, mayTryElsewhere});
+	const mayMoveAway = (call: Call): boolean => reservePlace(call, place => respondsSoon(call, place));
+
+	/** A lost path may be found again, so a response in progress only ends if the request has a place elsewhere. */
+	const mayLeavePath = (call: Call): boolean =>
+		call.progress.firstAt === undefined ? mayRunAgain(call) && mayTryElsewhere(call) : reservePlace(call, () => true);
+
+	const send = createEndpointSender({...options, mayMoveAway, mayLeavePath});
 
 	const decisionOptions: DecisionOptions = {mayTryElsewhere, standingOf, capacityWait: options.capacityWait};
 
--- a/packages/router/src/lib/forwarding/send-to-endpoint.ts
+++ b/packages/router/src/lib/forwarding/send-to-endpoint.ts
@@ -44,8 +44,8 @@
 	origins: Pick<StreamOrigins, 'began'>;
 	/** Whether another endpoint is certain to get the request, and expected to respond soon; its attempt is ended then. */
 	mayMoveAway: (call: Call) => boolean;
-	/** Whether another endpoint may get the request; withdraws from the retry budget. */
-	mayTryElsewhere: (call: Call) => boolean;
+	/** Whether the request is sent elsewhere when the path to its endpoint is lost; its attempt is ended then. */
+	mayLeavePath: (call: Call) => boolean;
 };
 
 /** Sends a request to the chosen endpoint; resolves when the attempt has ended, never rejects. */
@@ -278,7 +278,7 @@
 			headTimeoutMs: headMs,
 			eventTimeoutMs: eventMs,
 			mayMoveAway: () => options.mayMoveAway(call),
-			mayLeavePath: () => !isOnce && options.mayTryElsewhere(call),
+			mayLeavePath: () => options.mayLeavePath(call),
 			deadlineAt: call.deadlineAt,
 			buffer: call.buffer,
 			onHead(facts) {
