A plain response isn't silent while its bytes arrive

What callers saw: 504 for a response that its endpoint was sending steadily, because it took longer as a whole than the timeout for silence.

Cause: only events of streams restarted that timer.

Change: bytes of a plain response do so too, unless its head proves that the request wasn't run.

Test: runAttempt, "waits for a plain response as long as its bytes arrive, and no longer" (failed before).

--- a/packages/router/src/lib/forwarding/attempt.ts
+++ b/packages/router/src/lib/forwarding/attempt.ts
@@ -58,7 +58,7 @@
 	eventBatchMs: number;
 	/** Time to the response head after which the endpoint counts as silent, in milliseconds. */
 	headTimeoutMs: number;
-	/** The same from the head or an event of a stream to its next event, and from another response's head to its end; in milliseconds. */
+	/** The same from the head or an event of a stream to its next event, and between the bytes of another response; in milliseconds. */
 	eventTimeoutMs: number;
 	/** Evaluated after such a timeout: whether to abort the attempt; if not, the timeout starts again. */
 	mayMoveAway: () => boolean;
@@ -325,6 +325,8 @@
 			if (bytes > (provesNotRun() ? maxNotRunBytes : maxBufferedBytes)) {
 				chunks = [];
 				failAttempt('truncated', false);
+			} else if (!provesNotRun()) {
+				silence.restart(options.eventTimeoutMs);
 			}
 		},
 		end() {
--- a/packages/router/src/test/forwarding/attempt.test.ts
+++ b/packages/router/src/test/forwarding/attempt.test.ts
@@ -196,6 +196,24 @@
 		assert.equal(buffered, 0);
 	});
 
+	it('waits for a plain response as long as its bytes arrive, and no longer', async () => {
+		// Guards against a response that is given up while its endpoint sends it, because it takes long as a whole.
+		start({isStream: false});
+		events.head({status: 200, headers: []});
+		for (let ms = 0; ms < 3000; ms += 500) {
+			events.data(Buffer.from('x'));
+			await clock.tickAsync(500);
+		}
+
+		events.end([]);
+		assert.deepEqual(await end, {kind: 'answered', status: 200});
+		start({isStream: false});
+		events.head({status: 200, headers: []});
+		events.data(Buffer.from('x'));
+		await clock.tickAsync(801);
+		assert.deepEqual(await end, {kind: 'failed', failure: 'silent'});
+	});
+
 	it('takes a request for not run where the head says so, whatever follows it', async () => {
 		// Guards against a request that is not tried elsewhere because the endpoint's refusal has no end.
 		const refusal: Partial<ResponseFacts> = {...facts, provesNotRun: true};
