Decisions on moves and on running requests have modules of their own

Whether an attempt is ended so that its request goes on elsewhere is in forwarding/attempt-moves, what becomes of an engine's running requests in weights/run-policy.

--- a/packages/router/src/lib/forwarding/forwarder.ts
+++ b/packages/router/src/lib/forwarding/forwarder.ts
@@ -7,7 +7,6 @@
 import {chooseService} from '../fleet/route-table.js';
 import {type CapacityWait} from '../placing/capacity-wait.js';
 import {type ChoiceRequest, type RequestDistance} from '../placing/choice-request.js';
-import {type Choice} from '../placing/endpoint-choice.js';
 import {sharedPartKeys} from '../quarantine/prompt-part-keys.js';
 import {type Quarantine, type Standing} from '../quarantine/quarantine.js';
 import {digestRequest} from '../quarantine/request-digest.js';
@@ -16,6 +15,7 @@
 import {type OriginFinder} from '../streams/origin-finder.js';
 import {type StreamOrigin, streamKey} from '../streams/stream-origin.js';
 import {type AttemptEnd} from './attempt.js';
+import {type AttemptMoves, createAttemptMoves} from './attempt-moves.js';
 import {type BufferAccount} from './buffer-account.js';
 import {
 	type Call, createCall, findRoute, mayRunAgain, rankOf, type RequestBody, unitsOf,
@@ -25,13 +25,12 @@
 import {createOpenReplies, type OpenReplies} from './open-replies.js';
 import {finishResponse, type RefusalResponse, sendRefusal} from './router-response.js';
 import {createEndpointSender, type EndpointSenderOptions} from './send-to-endpoint.js';
-import {respondsSoon} from './silence-timeouts.js';
 import {
 	decideNext, reasonOf, refuseForCrashes, refuseOverloaded, type Decision, type DecisionOptions, decideWithoutEndpoint,
 } from './retry-decision.js';
 
 /** Options of {@link createForwarder}. */
-export type ForwarderOptions = Omit<EndpointSenderOptions, 'mayMoveAway' | 'mayLeavePath'> & {
+export type ForwarderOptions = Omit<EndpointSenderOptions, keyof AttemptMoves> & {
 	/** The document to serve by. */
 	document: () => AcceptedDocument | undefined;
 	quota: FleetQuota;
@@ -115,24 +114,7 @@
 	/** A request that was claimed when its term had ended is sent once, although it is refused again meanwhile. */
 	const isRefused = ({refusalKeys, isClaimed}: Call): boolean => !isClaimed && refusalOf(refusalKeys) === 'refused';
 
-	/** Whether nothing but the lack of an endpoint or of retries keeps the request from another attempt. */
-	const mayGoOn = (call: Call): boolean => mayRunAgain(call) && standingOf(call) === 'clear' && call.brokenConnections <= 1 && !isRefused(call);
-
-	/** Finds the endpoint that the request goes to if its attempt is ended now, and keeps it for the next attempt. */
-	const reservePlace = (call: Call, isGoodEnough: (place: Choice) => boolean): boolean => {
-		const place = mayGoOn(call) ? call.findPlace?.() : undefined;
-		const isFound = place !== undefined && isGoodEnough(place) && mayTryElsewhere(call);
-		call.place = isFound ? place : undefined;
-		return isFound;
-	};
-
-	const mayMoveAway = (call: Call): boolean => reservePlace(call, place => respondsSoon(call, place));
-
-	/** A lost path may be found again, so a response in progress only ends if the request has a place elsewhere. */
-	const mayLeavePath = (call: Call): boolean =>
-		call.progress.firstAt === undefined ? mayRunAgain(call) && mayTryElsewhere(call) : reservePlace(call, () => true);
-
-	const send = createEndpointSender({...options, mayMoveAway, mayLeavePath});
+	const send = createEndpointSender({...options, ...createAttemptMoves({mayTryElsewhere, standingOf, isRefused})});
 
 	const decisionOptions: DecisionOptions = {mayTryElsewhere, standingOf, capacityWait: options.capacityWait};
 
--- a/packages/router/src/lib/forwarding/send-to-endpoint.ts
+++ b/packages/router/src/lib/forwarding/send-to-endpoint.ts
@@ -19,13 +19,14 @@
 import {type EngineVersions} from '../weights/engine-versions.js';
 import {type WeightsDeadlines} from '../weights/weights-deadlines.js';
 import {type AttemptEnd, runAttempt} from './attempt.js';
+import {type AttemptMoves} from './attempt-moves.js';
 import {createAttemptPaths} from './attempt-path.js';
 import {type Call, mayRunAgain, rankOf} from './call.js';
 import {createNoticeRecorder, isOwnResponse} from './endpoint-notices.js';
 import {silenceTimeouts} from './silence-timeouts.js';
 
 /** Options of {@link createEndpointSender}. */
-export type EndpointSenderOptions = {
+export type EndpointSenderOptions = AttemptMoves & {
 	view: FleetView;
 	headers: CallHeaders;
 	choice: EndpointChoice;
@@ -42,10 +43,6 @@
 	paths: EndpointPaths;
 	relay: Relay;
 	origins: Pick<StreamOrigins, 'began'>;
-	/** Whether another endpoint is certain to get the request, and expected to respond soon; its attempt is ended then. */
-	mayMoveAway: (call: Call) => boolean;
-	/** Whether the request is sent elsewhere when the path to its endpoint is lost; its attempt is ended then. */
-	mayLeavePath: (call: Call) => boolean;
 };
 
 /** Sends a request to the chosen endpoint; resolves when the attempt has ended, never rejects. */
--- a/packages/router/src/lib/weights/weights-deadlines.ts
+++ b/packages/router/src/lib/weights/weights-deadlines.ts
@@ -1,6 +1,6 @@
 /**
- * Bounds how long requests may wait and run on weights that have been replaced. The bounds hold from
- * the choice of an engine to the end of the answer, also for weights that are replaced meanwhile.
+ * Bounds how long requests may wait for weights that have been replaced, and tells those in progress when their
+ * engine should load. Holds from the choice of an engine to the end of the answer, also for weights that are replaced meanwhile.
  */
 import {type FleetView} from '../fleet/fleet-view.js';
 
--- a/packages/router/src/lib/weights/weights-rollout.ts
+++ b/packages/router/src/lib/weights/weights-rollout.ts
@@ -11,8 +11,9 @@
 import {type ChangeTask, createRolloutPlanner, type EngineUse} from './rollout-planner.js';
 import {createEngineDrains} from './engine-drains.js';
 import {type EngineVersions} from './engine-versions.js';
+import {runPolicyFor} from './run-policy.js';
 import {
-	type EngineState, type RunPolicy, type WeightsControl, type WeightsOrder,
+	type EngineState, type WeightsControl, type WeightsOrder,
 } from './weights-control.js';
 
 /** Options of {@link createWeightsRollout}; durations in milliseconds. */
@@ -76,9 +77,6 @@
 /** Fraction of `weightsMs` up to which an engine may wait for its running requests; an engine that loads by then is done in time. */
 const maxRunAgeRatio = 1.05;
 
-/** Factor by which an engine may slow down after its order and still finish its running requests in time. */
-const slowdownReserve = 8;
-
 /**
  * Shortest limit of the wait for an engine's queue, which applies when a rollout is late. The engine
  * rejects what waits when it is ordered, so most queues should empty even then.
@@ -222,25 +220,6 @@
 		return Math.max(minQueueWaitLimitMs, limitMs);
 	};
 
-	/**
-	 * What becomes of the engine's running requests if it is ordered now; `undefined` if they should end first. An order
-	 * that waits for them can't be replaced by one that doesn't.
-	 */
-	const runsAtOrder = (task: ChangeTask, state: EngineState): RunPolicy | undefined => {
-		if (state.running === 0) {
-			return 'finish';
-		}
-
-		const leftMs = (options.weightsMs * maxRunAgeRatio) - outdatedMs(task);
-		if (leftMs <= 0) {
-			return 'continue';
-		}
-
-		// Requests that have outlasted their expected time may take any time.
-		const remainingMs = options.remainingMs(task.endpoint.id);
-		return remainingMs > 0 && remainingMs * slowdownReserve <= leftMs ? 'finish' : undefined;
-	};
-
 	const order = async (task: ChangeTask, state: EngineState, {fencing, runs}: Pick<WeightsOrder, 'fencing' | 'runs'>): Promise<void> => {
 		const {endpoint, model, version} = task;
 		ownOrders.set(endpoint.id, performance.now());
@@ -303,7 +282,9 @@
 			return;
 		}
 
-		const runs = runsAtOrder(task, state);
+		const runs = runPolicyFor({
+			running: state.running, remainingMs: options.remainingMs(endpoint.id), leftMs: (options.weightsMs * maxRunAgeRatio) - outdatedMs(task),
+		});
 		if (runs !== undefined) {
 			await order(task, state, {fencing: held.fencing, runs});
 		}
