Of daemons that have just started, the one that can act first takes a duty

What callers saw: late in a rolling restart, when all daemons are stopping or have just started, no engine was ordered for some seconds more than necessary.

Cause: reports told only that a daemon leaves duties to others, so those that had just started ranked alike, and stopping ones among them.

Change: reports tell how long a daemon can't act yet, in steps of 400 ms, or that it is stopping. The candidates are those that can act first; stopping daemons are none.

--- a/packages/entry/src/lib/wiring/lease-wiring.ts
+++ b/packages/entry/src/lib/wiring/lease-wiring.ts
@@ -19,8 +19,12 @@
 		view, storeMs: store.clockMs, generation: store.generation, feedAgeMs: operatorFeed.ageMs, log,
 	});
 
-/** Whether duties are left to other daemons: this one is stopping, or has just started and couldn't act yet. */
-export const leavesDuties = ({state, weightsRollout}: EntryParts): boolean => state.isStopping || !weightsRollout.isPastHandover();
+/** Step of the reported delay in milliseconds, so that reports of a daemon that starts seldom differ. */
+const dutyDelayStepMs = 400;
+
+/** Milliseconds until this daemon could act on a duty; -1 once it is stopping. */
+export const dutyDelayMs = ({state, weightsRollout}: EntryParts): number =>
+	state.isStopping ? -1 : Math.ceil(weightsRollout.handoverLeftMs() / dutyDelayStepMs) * dutyDelayStepMs;
 
 /** Daemons that may take a duty over. */
 export type DutyCandidates = {
@@ -30,13 +34,11 @@
 	isDeferred: boolean;
 };
 
-type DutyState = {name: string; leavesDuties: boolean};
-
-/** The candidates for a duty: daemons that can act on it, or all if there is none. */
-export function dutyCandidates(own: DutyState, peers: ReadonlyArray<Pick<PeerReport, 'daemon' | 'leavesDuties'>>): DutyCandidates {
-	const able = peers.filter(peer => !peer.leavesDuties);
-	const isDeferred = own.leavesDuties && able.length > 0;
-	const others = own.leavesDuties && !isDeferred ? peers : able;
+/** The candidates for a duty: the daemons that can act on it first, at once if there are any. */
+export function dutyCandidates(own: {name: string; delayMs: number}, peers: ReadonlyArray<Pick<PeerReport, 'daemon' | 'dutyDelayMs'>>): DutyCandidates {
+	const earlier = peers.filter(peer => peer.dutyDelayMs >= 0 && peer.dutyDelayMs < own.delayMs);
+	const isDeferred = earlier.length > 0;
+	const others = isDeferred ? earlier : peers.filter(peer => peer.dutyDelayMs === own.delayMs);
 	return {names: [own.name, ...others.map(({daemon}) => daemon)], isDeferred};
 }
 
@@ -44,7 +46,7 @@
 export function wireLeases(parts: EntryParts): LeaseHolder {
 	const {settings, timings, incarnation, ownTable, peers, namingRecord, log} = parts;
 
-	const candidates = (): DutyCandidates => dutyCandidates({name: settings.name, leavesDuties: leavesDuties(parts)}, peers.live().map(({report}) => report));
+	const candidates = (): DutyCandidates => dutyCandidates({name: settings.name, delayMs: dutyDelayMs(parts)}, peers.live().map(({report}) => report));
 
 	const holder = createLeaseHolder({
 		name: settings.name,
--- a/packages/entry/src/lib/wiring/peer-wiring.ts
+++ b/packages/entry/src/lib/wiring/peer-wiring.ts
@@ -3,7 +3,7 @@
 import {
 	createPeerDirectory, createPeerExchange, maxReportedLeaving, type OpenDatagramTransport, type PeerExchange, type PeerReport,
 } from 'hickorywalk/peers.js';
-import {leavesDuties, weightsLease} from './lease-wiring.js';
+import {dutyDelayMs, weightsLease} from './lease-wiring.js';
 import {type EntryParts} from './parts.js';
 
 /** Bandwidth of a link that doesn't limit a collector; 48 members in a fleet of 650 take up to 16 Mbit/s. */
@@ -102,7 +102,7 @@
 			...parts.quarantine.report(),
 			limits: parts.limits.report(),
 			brittle: parts.brittle.report(),
-			leavesDuties: leavesDuties(parts),
+			dutyDelayMs: dutyDelayMs(parts),
 			leaving: parts.view.unlistedLeaving().slice(-maxReportedLeaving).map(({id, startedAt}) => [id, startedAt]),
 		}),
 		takeStreams: peer => parts.origins.takeUnreported(peer),
--- a/packages/entry/src/test/peer-wiring.test.ts
+++ b/packages/entry/src/test/peer-wiring.test.ts
@@ -135,7 +135,7 @@
 	const reportOf = (daemon: string, more: Partial<PeerReport>): PeerReport => ({
 		daemon, incarnation: 1, number: 1, isLeaving: false, address: `${daemon}:1`, heard: {}, usage: [], loads: [], named: [], duty: null, engines: [],
 		ended: [], crashes: [], completed: [], refused: [], limits: [], leaving: [], brittle: [],
-		kept: [], placed: [], dataCentre: 'a', relays: [], streams: [], paces: [], collectorWeight: 0, leavesDuties: false, ...more,
+		kept: [], placed: [], dataCentre: 'a', relays: [], streams: [], paces: [], collectorWeight: 0, dutyDelayMs: 0, ...more,
 	});
 
 	it('holds a reported load for three refresh intervals, and a planned change for the duration of a lease', () => {
--- a/packages/router/src/lib/peers/peer-report.ts
+++ b/packages/router/src/lib/peers/peer-report.ts
@@ -79,8 +79,8 @@
 	paces: z.array(z.tuple([z.string(), z.number(), z.number()])).default([]),
 	/** Preference for this daemon as a collector of reports; 0 if it doesn't understand bundles, or its fleet is too small for them. */
 	collectorWeight: z.number().default(0),
-	/** This daemon leaves duties to others, since it is stopping or has just started. */
-	leavesDuties: z.boolean().default(false),
+	/** Milliseconds until this daemon could act on a duty: above 0 after its start, -1 once it is stopping. */
+	dutyDelayMs: z.number().default(0),
 });
 
 /** A decoded report. */
--- a/packages/router/src/lib/peers/report-codec.ts
+++ b/packages/router/src/lib/peers/report-codec.ts
@@ -32,7 +32,7 @@
 const fieldNames = Object.keys(peerReportSchema.shape) as FieldName[];
 
 /** Whether a value is left out of encoded reports, since decoding restores it. */
-export const isEmpty = (value: unknown): boolean => value === null || value === '' || value === 0 || value === false || (Array.isArray(value) && value.length === 0);
+export const isEmpty = (value: unknown): boolean => value === null || value === '' || value === 0 || (Array.isArray(value) && value.length === 0);
 
 function encodeText(report: PeerReport): string {
 	const values: unknown[] = fieldNames.map(name => report[name]);
--- a/packages/router/src/lib/weights/weights-rollout.ts
+++ b/packages/router/src/lib/weights/weights-rollout.ts
@@ -58,8 +58,8 @@
 /** The rollout; `tick` is called several times per second. */
 export type WeightsRollout = {
 	tick: () => void;
-	/** Whether orders of this process's predecessor were long enough ago for this one to give orders. */
-	isPastHandover: () => boolean;
+	/** Milliseconds until this process may give orders, since it doesn't know those from before its start. */
+	handoverLeftMs: () => number;
 	/** Milliseconds since this daemon's last order to an engine; infinite if none. */
 	sinceOrderMs: (id: string) => number;
 	/** Number of engines that wait for their turn, and of those that are being drained or load. */
@@ -149,7 +149,7 @@
 	});
 	const planner = createRolloutPlanner();
 
-	const isPastHandover = (): boolean => performance.now() - startedAt >= options.handoverMs;
+	const handoverLeftMs = (): number => Math.max(0, startedAt + options.handoverMs - performance.now());
 
 	const usableLease = (): HeldLease | undefined => {
 		const held = options.held();
@@ -165,7 +165,7 @@
 
 		// A restarted process doesn't know its predecessor's last orders, so it waits out the
 		// handover time.
-		return (held.fencing === 1 || isPastHandover()) && held.msLeft >= minLeaseMs ? held : undefined;
+		return (held.fencing === 1 || handoverLeftMs() === 0) && held.msLeft >= minLeaseMs ? held : undefined;
 	};
 
 	/** Whether another daemon ordered the engine within the handover time. */
@@ -463,7 +463,7 @@
 
 			return {waiting: [...waitingEngines.values()].reduce((sum, count) => sum + count, 0), changing: inProgress.size};
 		},
-		isPastHandover,
+		handoverLeftMs,
 		sinceOrderMs: id => performance.now() - (ownOrders.get(id) ?? Number.NEGATIVE_INFINITY),
 		recordPeerOrder(id, sinceMs) {
 			peerOrders.set(id, Math.max(peerOrders.get(id) ?? 0, performance.now() - sinceMs));
--- a/packages/router/src/test/peers/empty-report.ts
+++ b/packages/router/src/test/peers/empty-report.ts
@@ -3,7 +3,7 @@
 /** Contents of an empty report. */
 export const emptyContents: OwnReport = {
 	heard: {}, usage: [], loads: [], named: [], duty: null, engines: [], ended: [], kept: [], placed: [], crashes: [], completed: [], refused: [], limits: [], leaving: [], brittle: [], paces: [],
-	leavesDuties: false,
+	dutyDelayMs: 0,
 };
 
 /** An empty report, with `more` set on top. */
--- a/packages/router/src/test/peers/report-codec.test.ts
+++ b/packages/router/src/test/peers/report-codec.test.ts
@@ -31,7 +31,7 @@
 	streams: [['engines', 'v1.1', ['Wd1jGqGhbOQh', 'Xe1jGqGhbOQh']]],
 	paces: [['i-5d4fb03dc1', 250, 120]],
 	collectorWeight: 0.675,
-	leavesDuties: true,
+	dutyDelayMs: 400,
 };
 
 describe('report codec', () => {
