Logs and metrics tell how late a daemon read and sent a request

They couldn't tell a close that is in the VM and unread from a request that waited in the daemon or a deadline that is counted from too late: means of turns and busy time don't show one turn, and sentMs is the dispatch, not the first byte. New: writtenMs and lagMs of a request, and hickorywalk_request_lag_seconds, hickorywalk_request_write_seconds and hickorywalk_callers_left_total.

--- a/packages/entry/src/lib/daemon-metrics.ts
+++ b/packages/entry/src/lib/daemon-metrics.ts
@@ -10,6 +10,9 @@
 	hickorywalk_requests_total: 'Requests that ended, by service and result; results are the reasons in the log.',
 	hickorywalk_request_first_seconds: 'Time from a whole request to the first byte of its answer.',
 	hickorywalk_begun_weights_age_seconds: 'Time since the weights were replaced on which an answer began, for answers on replaced weights.',
+	hickorywalk_request_lag_seconds: 'Upper bound of the age of socket events that were unread when a request was handled; also long after a pause without traffic.',
+	hickorywalk_request_write_seconds: 'Time from the latest dispatch of a request to its first byte on a connection, by service.',
+	hickorywalk_callers_left_total: 'Requests whose callers left before their answer, by whether an endpoint may have got the request (sent) or not (unsent).',
 	hickorywalk_request_seconds: 'Time from a whole request to the end of its answer.',
 	hickorywalk_attempts_failed_total: 'Attempts at endpoints that failed, by service and reason.',
 	hickorywalk_requests_left_data_centre_total: 'Requests whose latest attempt went to another data centre, by service and reason.',
@@ -101,6 +104,9 @@
 	const droppedLineCounter = new Counter(describe('hickorywalk_log_lines_left_out_total'));
 	const firstByteSeconds = new Histogram({...describe('hickorywalk_request_first_seconds'), labelNames: ['service'], buckets: secondsBuckets});
 	const totalSeconds = new Histogram({...describe('hickorywalk_request_seconds'), labelNames: ['service'], buckets: secondsBuckets});
+	const lagSeconds = new Histogram({...describe('hickorywalk_request_lag_seconds'), buckets: secondsBuckets});
+	const writeSeconds = new Histogram({...describe('hickorywalk_request_write_seconds'), labelNames: ['service'], buckets: secondsBuckets});
+	const leftCallerCounter = new Counter({...describe('hickorywalk_callers_left_total'), labelNames: ['when']});
 	const begunWeightsAgeSeconds = new Histogram({...describe('hickorywalk_begun_weights_age_seconds'), labelNames: ['service'], buckets: secondsBuckets});
 	const waitSeconds = new Histogram({...describe('hickorywalk_request_wait_seconds'), labelNames: ['service', 'rank'], buckets: secondsBuckets});
 	const overloadExpectedSeconds = new Histogram({...describe('hickorywalk_overload_expected_seconds'), labelNames: ['service', 'rank'], buckets: secondsBuckets});
@@ -117,7 +123,19 @@
 	}
 
 	return {
-		requestEnded({service = 'none', reason, leaveReason, peer, resumes, ms, firstMs, expectedMs, waitedMs, rank = 0, begunWeightsAgeMs = 0}) {
+		requestEnded({
+			service = 'none', reason, leaveReason, peer, resumes, ms, firstMs, sentMs, writtenMs, lagMs, expectedMs, waitedMs, rank = 0, begunWeightsAgeMs = 0,
+		}) {
+			lagSeconds.observe(lagMs / msPerSecond);
+			if (sentMs !== undefined && writtenMs !== undefined && writtenMs >= sentMs) {
+				writeSeconds.observe({service}, (writtenMs - sentMs) / msPerSecond);
+			}
+
+			if (reason === 'caller_left') {
+				leftCallerCounter.inc({when: writtenMs === undefined ? 'unsent' : 'sent'});
+			}
+
+
 			if (waitedMs > 0) {
 				waitSeconds.observe({service, rank}, waitedMs / msPerSecond);
 			}
--- a/packages/entry/src/lib/entry-parts.ts
+++ b/packages/entry/src/lib/entry-parts.ts
@@ -14,6 +14,7 @@
 import {createEndpointLoadTracker, createStoredParts, createResidentParts} from 'hickorywalk/placing.js';
 import {createUnprovenVersions} from 'hickorywalk/releases.js';
 import {createHealthTracker} from 'hickorywalk/routing.js';
+import {createEventLoopLag} from 'hickorywalk/time.js';
 import {createEngineVersions, createWeightsDeadlines} from 'hickorywalk/weights.js';
 import {createDaemonMetrics} from './daemon-metrics.js';
 import {timingsFor} from './timings.js';
@@ -117,6 +118,7 @@
 		metrics: asFunction(() => createDaemonMetrics()).singleton(),
 		logLineBudget: asFunction(() => createLineBudget({perSecond: logLinesPerSecond})).singleton(),
 		bufferAccount: asFunction(wireBufferAccount).singleton(),
+		eventLoopLag: asFunction(() => createEventLoopLag()).singleton(),
 		forwarder: asFunction((parts: EntryParts) => createForwarder({
 			view: parts.view,
 			document: parts.documentGuard.current,
@@ -141,6 +143,7 @@
 			weightsDeadlines: parts.weightsDeadlines,
 			transport: parts.transport,
 			bufferAccount: parts.bufferAccount,
+			eventLoopLag: parts.eventLoopLag,
 			isClosed: () => parts.state.isClosed,
 			budgetOf: parts.budgetOf,
 			random: Math.random,
--- a/packages/entry/src/lib/wiring/parts.ts
+++ b/packages/entry/src/lib/wiring/parts.ts
@@ -22,6 +22,7 @@
 import {type FleetQuota} from 'hickorywalk/quotas.js';
 import {type UnprovenVersions} from 'hickorywalk/releases.js';
 import {type AttemptBudget, type createHealthTracker} from 'hickorywalk/routing.js';
+import {type EventLoopLag} from 'hickorywalk/time.js';
 import {type OriginFinder, type SoftwareHistory, type StreamOrigins} from 'hickorywalk/streams.js';
 import {
 	type createWeightsRollout, type EngineVersions, type NamingRecord, type WeightsDeadlines,
@@ -75,6 +76,7 @@
 	brittle: BrittleEndpoints;
 	capacityWait: CapacityWait;
 	bufferAccount: BufferAccount;
+	eventLoopLag: EventLoopLag;
 	connectionShares: ConnectionShares;
 	choice: ReturnType<typeof createEndpointChoice>;
 	admission: Admission;
--- a/packages/router/src/lib/forwarding/attempt.ts
+++ b/packages/router/src/lib/forwarding/attempt.ts
@@ -66,6 +66,8 @@
 	mayLeavePath: () => boolean;
 	/** `performance.now()` at which the request times out. */
 	deadlineAt: number;
+	/** Called when the request is handed to a connection. */
+	onWritten: () => void;
 	/** Called with the facts of a response head that belongs to this request. */
 	onHead: (facts: ResponseFacts) => void;
 	/** Accounts for the bytes of the response that are buffered. */
@@ -281,6 +283,7 @@
 				return false;
 			}
 
+			options.onWritten();
 			return true;
 		},
 		progress() {
--- a/packages/router/src/lib/forwarding/call.ts
+++ b/packages/router/src/lib/forwarding/call.ts
@@ -85,6 +85,8 @@
 	refusedExpectedMs: number | undefined;
 	/** `performance.now()` of the latest dispatch. */
 	sentAt: number | undefined;
+	/** `performance.now()` at which the latest attempt was handed to a connection. */
+	writtenAt: number | undefined;
 	/** Milliseconds since the weights version of the latest attempt was replaced, at dispatch and when its response began. */
 	weightsAgeMs: number | undefined;
 	begunWeightsAgeMs: number | undefined;
@@ -125,6 +127,7 @@
 		waitedMs: 0,
 		refusedExpectedMs: undefined,
 		sentAt: undefined,
+		writtenAt: undefined,
 		weightsAgeMs: undefined,
 		begunWeightsAgeMs: undefined,
 		errorResponse: undefined,
--- a/packages/router/src/lib/forwarding/forwarder.ts
+++ b/packages/router/src/lib/forwarding/forwarder.ts
@@ -14,6 +14,7 @@
 import {type AttemptBudget} from '../routing/attempt-budget.js';
 import {type OriginFinder} from '../streams/origin-finder.js';
 import {type StreamOrigin, streamKey} from '../streams/stream-origin.js';
+import {type EventLoopLag} from '../time/event-loop-lag.js';
 import {type AttemptEnd} from './attempt.js';
 import {type AttemptMoves, createAttemptMoves} from './attempt-moves.js';
 import {type BufferAccount} from './buffer-account.js';
@@ -39,6 +40,7 @@
 	admission: Admission;
 	originFinder: Pick<OriginFinder, 'locate'>;
 	bufferAccount: BufferAccount;
+	eventLoopLag: EventLoopLag;
 	/** The process is about to exit and rejects new requests. */
 	isClosed: () => boolean;
 	/** The retry budget of a service. */
@@ -283,13 +285,15 @@
 	};
 
 	const handle = async (req: IncomingMessage, body: RequestBody | undefined, res: ServerResponse): Promise<void> => {
+		options.eventLoopLag.recordTurn();
+		const lagMs = options.eventLoopLag.lagMs();
 		const startedAt = performance.now();
 		const facts = headers.readCall(req.rawHeaders);
 		const reply = createCallerReply(res);
 		openReplies.add(reply);
 		const reportEnd = (reason: string, more: EndDetails): void => {
 			options.events.ended(describeEnd({
-				...more, reason, reply, facts, startedAt,
+				...more, reason, reply, facts, startedAt, lagMs,
 			}));
 		};
 
@@ -406,6 +410,7 @@
 	reply: CallerReply;
 	facts: CallFacts;
 	startedAt: number;
+	lagMs: number;
 };
 
 const waitOf = (call: Call | undefined): Pick<RequestEnd, 'waitedMs' | 'rank'> =>
@@ -434,6 +439,8 @@
 		ms: performance.now() - end.startedAt,
 		firstMs: elapsedMs(call?.progress.firstAt),
 		sentMs: elapsedMs(call?.sentAt),
+		writtenMs: elapsedMs(call?.writtenAt),
+		lagMs: end.lagMs,
 		...waitOf(call),
 		expectedMs: expectedMsOf(call),
 		leaveReason: choice?.leaves,
--- a/packages/router/src/lib/forwarding/forwarding-events.ts
+++ b/packages/router/src/lib/forwarding/forwarding-events.ts
@@ -26,6 +26,10 @@
 	firstMs: number | undefined;
 	/** Milliseconds to the latest dispatch; `undefined` if there was none. */
 	sentMs: number | undefined;
+	/** Milliseconds to the first byte of the latest attempt that was handed to a connection; `undefined` if there was none. */
+	writtenMs: number | undefined;
+	/** Upper bound in milliseconds of the age of socket events that were unread when the request was handled. */
+	lagMs: number;
 	/** Milliseconds for which the request waited until an endpoint could take it. */
 	waitedMs: number;
 	/** Rank of the workspace, or else of the route; `undefined` if no endpoint was chosen or waited for. */
--- a/packages/router/src/lib/forwarding/send-to-endpoint.ts
+++ b/packages/router/src/lib/forwarding/send-to-endpoint.ts
@@ -278,6 +278,9 @@
 			mayLeavePath: () => options.mayLeavePath(call),
 			deadlineAt: call.deadlineAt,
 			buffer: call.buffer,
+			onWritten() {
+				call.writtenAt = performance.now();
+			},
 			onHead(facts) {
 				recordNotices(endpoint, facts);
 				if (facts.load?.paceRatio !== undefined && isOwnResponse(endpoint, facts)) {
--- a/packages/router/src/lib/observability/log.ts
+++ b/packages/router/src/lib/observability/log.ts
@@ -37,6 +37,9 @@
 	'leaveReason',
 	/** Milliseconds to the latest dispatch of a request to an endpoint. */
 	'sentMs',
+	/** Milliseconds to its first byte on a connection, and how old socket events may have been that were unread when it was handled. */
+	'writtenMs',
+	'lagMs',
 	/** Milliseconds for which a request waited until an endpoint could take it. */
 	'waitedMs',
 	'count',
--- /dev/null
+++ b/packages/router/src/time.ts
@@ -0,0 +1,2 @@
+/** The process's event loop. */
+export * from './lib/time/event-loop-lag.js';
