--- a/packages/router/src/test/forwarding/attempt.test.ts
+++ b/packages/router/src/test/forwarding/attempt.test.ts
@@ -145,6 +145,12 @@
 		assert.deepEqual(await end, {kind: 'failed', failure: 'silent'});
 	});
 
+	it('sends nothing once the deadline has passed, although the timer has not run', () => {
+		// Guards against a connection that comes about in the turn in which the deadline passes.
+		start({deadlineAt: performance.now()});
+		assert.isFalse(events.beforeSend(false));
+	});
+
 	it('ends as late at the deadline although events arrive', async () => {
 		// Guards against a deadline that events postpone.
 		start({deadlineAt: performance.now() + 1000});
