Requests of callers that have left are no longer sent by a late daemon

A request and the end of its connection lie in one socket buffer: libuv hands over the request in one turn of the event loop and reads the end in the next, and the request was sent within the first. Connections that wait to be accepted are taken one a turn, so the last of a queue may be as old as the whole queue. A close that arrives while the connection to the endpoint is opened was read after the write, too.

Decisions are now judged by how old unread events may be. Each recorded turn's end bounds that age at no cost but an immediate in a turn that goes on anyway. Beyond 100 ms a request waits for one more poll of the sockets before anything is decided for it, again before each further attempt, and a connection that took longer than that before it carries a request. Requests that wait so go on in slices of 50 ms with a poll in between. The wait is one poll without sleep; at most 20 of them a second can occur, since each needs 100 ms without three turns.

--- a/packages/entry/src/lib/daemon-metrics.ts
+++ b/packages/entry/src/lib/daemon-metrics.ts
@@ -12,6 +12,7 @@
 	hickorywalk_begun_weights_age_seconds: 'Time since the weights were replaced on which an answer began, for answers on replaced weights.',
 	hickorywalk_request_lag_seconds: 'Upper bound of the age of socket events that were unread when a request was handled; also long after a pause without traffic.',
 	hickorywalk_request_write_seconds: 'Time from the latest dispatch of a request to its first byte on a connection, by service.',
+	hickorywalk_request_catch_ups_total: 'Times that a request waited until the daemon, which was late, had read what had arrived.',
 	hickorywalk_callers_left_total: 'Requests whose callers left before their answer, by whether an endpoint may have got the request (sent) or not (unsent).',
 	hickorywalk_request_seconds: 'Time from a whole request to the end of its answer.',
 	hickorywalk_attempts_failed_total: 'Attempts at endpoints that failed, by service and reason.',
@@ -106,6 +107,7 @@
 	const totalSeconds = new Histogram({...describe('hickorywalk_request_seconds'), labelNames: ['service'], buckets: secondsBuckets});
 	const lagSeconds = new Histogram({...describe('hickorywalk_request_lag_seconds'), buckets: secondsBuckets});
 	const writeSeconds = new Histogram({...describe('hickorywalk_request_write_seconds'), labelNames: ['service'], buckets: secondsBuckets});
+	const catchUpCounter = new Counter(describe('hickorywalk_request_catch_ups_total'));
 	const leftCallerCounter = new Counter({...describe('hickorywalk_callers_left_total'), labelNames: ['when']});
 	const begunWeightsAgeSeconds = new Histogram({...describe('hickorywalk_begun_weights_age_seconds'), labelNames: ['service'], buckets: secondsBuckets});
 	const waitSeconds = new Histogram({...describe('hickorywalk_request_wait_seconds'), labelNames: ['service', 'rank'], buckets: secondsBuckets});
@@ -124,9 +126,10 @@
 
 	return {
 		requestEnded({
-			service = 'none', reason, leaveReason, peer, resumes, ms, firstMs, sentMs, writtenMs, lagMs, expectedMs, waitedMs, rank = 0, begunWeightsAgeMs = 0,
+			service = 'none', reason, leaveReason, peer, resumes, ms, firstMs, sentMs, writtenMs, lagMs, catchUps, expectedMs, waitedMs, rank = 0, begunWeightsAgeMs = 0,
 		}) {
 			lagSeconds.observe(lagMs / msPerSecond);
+			catchUpCounter.inc(catchUps);
 			if (sentMs !== undefined && writtenMs !== undefined && writtenMs >= sentMs) {
 				writeSeconds.observe({service}, (writtenMs - sentMs) / msPerSecond);
 			}
@@ -135,7 +138,6 @@
 				leftCallerCounter.inc({when: writtenMs === undefined ? 'unsent' : 'sent'});
 			}
 
-
 			if (waitedMs > 0) {
 				waitSeconds.observe({service, rank}, waitedMs / msPerSecond);
 			}
--- a/packages/entry/src/lib/entry-parts.ts
+++ b/packages/entry/src/lib/entry-parts.ts
@@ -112,7 +112,9 @@
 		weightsRollout: asFunction(wireWeightsRollout).singleton(),
 		rolloutTimer: asFunction(wireRolloutTimer).singleton(),
 		namingRecord: asFunction(wireNamingRecord).singleton(),
-		transport: asFunction(() => createUndiciTransport({connectMs: connectTimeoutMs, connectionsPerPool: maxConnectionsPerEndpoint})).singleton(),
+		transport: asFunction(({eventLoopLag}: EntryParts) => createUndiciTransport({
+			connectMs: connectTimeoutMs, connectionsPerPool: maxConnectionsPerEndpoint, eventLoopLag,
+		})).singleton(),
 		budgetOf: asFunction(wireBudgets).singleton(),
 		events: asFunction(wireEvents).singleton(),
 		metrics: asFunction(() => createDaemonMetrics()).singleton(),
@@ -150,9 +152,9 @@
 			events: parts.events,
 		})).singleton(),
 		server: asFunction(({
-			forwarder, state, bufferAccount, log,
+			forwarder, state, bufferAccount, eventLoopLag, log,
 		}: EntryParts) => createEntryServer({
-			forwarder, isStopping: () => state.isStopping, bufferAccount, log,
+			forwarder, isStopping: () => state.isStopping, bufferAccount, eventLoopLag, log,
 		})).singleton(),
 	});
 	return container;
--- a/packages/entry/src/test/metrics.test.ts
+++ b/packages/entry/src/test/metrics.test.ts
@@ -27,7 +27,7 @@
 		});
 		metrics.requestEnded({
 			requestId: 'r', digest: 'd', route: 'a', workspace: 'school', service: 'desk', endpoint: 'e', software: 'v1', resumes: 'q', peer: undefined,
-			status: 200, attempts: 1, ms: 40, firstMs: 30, sentMs: 1, writtenMs: 3, lagMs: 900, waitedMs: 0, rank: 2, expectedMs: 20, leaveReason: 'slower',
+			status: 200, attempts: 1, ms: 40, firstMs: 30, sentMs: 1, writtenMs: 3, lagMs: 900, catchUps: 1, waitedMs: 0, rank: 2, expectedMs: 20, leaveReason: 'slower',
 			weights: 2, weightsAgeMs: 5800, begunWeightsAgeMs: 6100, isLeaving: false, reason: 'answered',
 		});
 		const text = await metrics.text();
@@ -40,6 +40,7 @@
 		assert.include(text, 'hickorywalk_requests_total{service="desk",result="answered"} 1');
 		assert.include(text, 'hickorywalk_request_lag_seconds_bucket{le="0.8"} 0');
 		assert.include(text, 'hickorywalk_request_lag_seconds_bucket{le="1.2"} 1');
+		assert.include(text, 'hickorywalk_request_catch_ups_total 1');
 		assert.include(text, 'hickorywalk_request_write_seconds_bucket{le="0.01",service="desk"} 1');
 		assert.include(text, 'hickorywalk_begun_weights_age_seconds_bucket{le="4",service="desk"} 0');
 		assert.include(text, 'hickorywalk_begun_weights_age_seconds_bucket{le="8",service="desk"} 1');
--- a/packages/router/src/lib/forwarding/call.ts
+++ b/packages/router/src/lib/forwarding/call.ts
@@ -11,6 +11,7 @@
 import {type PathKind} from './attempt-path.js';
 import {type RequestBuffer} from './buffer-account.js';
 import {type CallerReply} from './caller-reply.js';
+import {type ReadState} from './read-state.js';
 import {type RefusalName} from './refusals.js';
 
 /** A request's complete body. */
@@ -79,6 +80,7 @@
 	progress: AttemptProgress;
 	/** The endpoint of the latest attempt. */
 	choice: Choice | undefined;
+	readState: ReadState;
 	/** Milliseconds for which the request has waited until an endpoint could take it. */
 	waitedMs: number;
 	/** Expected milliseconds to the first event for which the request was refused as `overloaded`. */
@@ -95,7 +97,7 @@
 };
 
 /** Arguments of {@link createCall}. */
-export type CallOrigin = Pick<Call, 'req' | 'body' | 'buffer' | 'digest' | 'parts' | 'facts' | 'reply' | 'route' | 'workspace' | 'service' | 'origin'> & {startedAt: number};
+export type CallOrigin = Pick<Call, 'req' | 'body' | 'buffer' | 'digest' | 'parts' | 'facts' | 'reply' | 'route' | 'workspace' | 'service' | 'origin' | 'readState'> & {startedAt: number};
 
 /** Creates a call without attempts. */
 export function createCall({startedAt, ...origin}: CallOrigin): Call {
--- a/packages/router/src/lib/forwarding/caller-reply.ts
+++ b/packages/router/src/lib/forwarding/caller-reply.ts
@@ -61,7 +61,8 @@
 		isStarted: () => res.headersSent,
 		isUnframed: () => isUnframedReply,
 		isEnded: () => isEnded,
-		isDisconnected: () => isDisconnected,
+		// The end of the connection is read before `close` is emitted.
+		isDisconnected: () => isDisconnected || res.socket?.readableEnded === true,
 		status: () => status,
 		head(code, headers, keepsUnframed = false) {
 			status = code;
--- a/packages/router/src/lib/forwarding/entry-server.ts
+++ b/packages/router/src/lib/forwarding/entry-server.ts
@@ -2,10 +2,12 @@
 import {Buffer} from 'node:buffer';
 import {createHash, type Hash} from 'node:crypto';
 import {type IncomingMessage} from 'node:http';
+import {type Socket} from 'node:net';
 import fastify, {type FastifyInstance} from 'fastify';
 import {type CallerLimits} from '../fleet/fleet-document.js';
 import {type BindAddress, closeServer, listenServer} from '../http/http-server.js';
 import {type Log} from '../observability/log.js';
+import {type EventLoopLag} from '../time/event-loop-lag.js';
 import {type BufferAccount} from './buffer-account.js';
 import {type Forwarder} from './forwarder.js';
 
@@ -15,6 +17,7 @@
 	/** Whether the process is shutting down: responses then close their connections, so that callers reconnect elsewhere. */
 	isStopping: () => boolean;
 	bufferAccount: BufferAccount;
+	eventLoopLag: EventLoopLag;
 	log: Log;
 };
 
@@ -36,7 +39,9 @@
 const headerCheckMs = 2000;
 
 /** Creates a server that doesn't listen yet. */
-export function createEntryServer({forwarder, isStopping, bufferAccount, log}: EntryServerOptions): EntryServer {
+export function createEntryServer({
+	forwarder, isStopping, bufferAccount, eventLoopLag, log,
+}: EntryServerOptions): EntryServer {
 	const app = fastify({
 		bodyLimit: initialLimits.bodyBytes,
 		exposeHeadRoutes: false,
@@ -51,6 +56,22 @@
 	app.addContentTypeParser('*', {parseAs: 'buffer'}, (_req, body, done) => {
 		done(null, body);
 	});
+	/** When connections on which no request was handled yet arrived at the earliest. */
+	const arrivedSince = new WeakMap<Socket, number>();
+	const recordAccept = eventLoopLag.watchAccepts();
+	app.server.on('connection', (socket: Socket) => {
+		eventLoopLag.recordTurn();
+		arrivedSince.set(socket, recordAccept());
+	});
+
+	/** How long a request may have been unread, and the end of its connection be so still. */
+	const takeLag = (socket: Socket): number => {
+		eventLoopLag.recordTurn();
+		const since = arrivedSince.get(socket) ?? Number.POSITIVE_INFINITY;
+		arrivedSince.delete(socket);
+		return Math.max(eventLoopLag.lagMs(), performance.now() - since);
+	};
+
 	/** Updated with each chunk, so that hashing a long body doesn't block the process at its end. */
 	const bodyHashes = new WeakMap<IncomingMessage, Hash>();
 	app.addHook('preParsing', (req, _reply, payload, done) => {
@@ -88,7 +109,7 @@
 
 		try {
 			const body = Buffer.isBuffer(req.body) ? {content: req.body, hash: bodyHashes.get(req.raw)!.digest()} : undefined;
-			await forwarder.handle(req.raw, body, reply.raw);
+			await forwarder.handle(req.raw, body, reply.raw, takeLag(req.raw.socket));
 		} catch (error) {
 			log.error('Request handler threw an error.', {err: error});
 			reply.raw.destroy();
--- a/packages/router/src/lib/forwarding/forwarder.ts
+++ b/packages/router/src/lib/forwarding/forwarder.ts
@@ -14,7 +14,7 @@
 import {type AttemptBudget} from '../routing/attempt-budget.js';
 import {type OriginFinder} from '../streams/origin-finder.js';
 import {type StreamOrigin, streamKey} from '../streams/stream-origin.js';
-import {type EventLoopLag} from '../time/event-loop-lag.js';
+import {type EventLoopLag, maxLagMs} from '../time/event-loop-lag.js';
 import {type AttemptEnd} from './attempt.js';
 import {type AttemptMoves, createAttemptMoves} from './attempt-moves.js';
 import {type BufferAccount} from './buffer-account.js';
@@ -24,6 +24,7 @@
 import {type CallerReply, createCallerReply} from './caller-reply.js';
 import {type ForwardingEvents, type RequestEnd} from './forwarding-events.js';
 import {createOpenReplies, type OpenReplies} from './open-replies.js';
+import {createReadStates, type ReadState} from './read-state.js';
 import {finishResponse, type RefusalResponse, sendRefusal} from './router-response.js';
 import {createEndpointSender, type EndpointSenderOptions} from './send-to-endpoint.js';
 import {
@@ -52,8 +53,8 @@
 
 /** The forwarder. */
 export type Forwarder = {
-	/** Handles one request whose body has been read; resolves when it has ended. */
-	handle: (req: IncomingMessage, body: RequestBody | undefined, res: ServerResponse) => Promise<void>;
+	/** Handles one request whose body has been read; resolves when it has ended. The end of its connection may be unread for `lagMs` milliseconds. */
+	handle: (req: IncomingMessage, body: RequestBody | undefined, res: ServerResponse, lagMs: number) => Promise<void>;
 	/** Number of requests in flight. */
 	inFlight: () => number;
 	/** Responses that the process must not leave behind when it exits. */
@@ -68,6 +69,7 @@
 /** Creates the forwarder. */
 export function createForwarder(options: ForwarderOptions): Forwarder {
 	const {headers, quota, quarantine, budgetOf} = options;
+	const readStates = createReadStates(options.eventLoopLag);
 	/** Requests being sent to endpoints. */
 	const calls = new Set<Call>();
 	const openReplies = createOpenReplies();
@@ -150,6 +152,14 @@
 	const run = async (call: Call, ticket: AdmissionTicket): Promise<Decision> => {
 		let isWatchingCaller = false;
 		for (;;) {
+			if (readStates.isStale(call.readState)) {
+				await readStates.catchUp(call.readState);
+				const decision = endWait(call);
+				if (decision !== undefined) {
+					return decision;
+				}
+			}
+
 			if (isRefused(call)) {
 				return refuseForCrashes(call);
 			}
@@ -284,16 +294,15 @@
 		return true;
 	};
 
-	const handle = async (req: IncomingMessage, body: RequestBody | undefined, res: ServerResponse): Promise<void> => {
-		options.eventLoopLag.recordTurn();
-		const lagMs = options.eventLoopLag.lagMs();
+	const handle: Forwarder['handle'] = async (req, body, res, lagMs) => {
 		const startedAt = performance.now();
 		const facts = headers.readCall(req.rawHeaders);
 		const reply = createCallerReply(res);
+		const readState = readStates.open(lagMs);
 		openReplies.add(reply);
 		const reportEnd = (reason: string, more: EndDetails): void => {
 			options.events.ended(describeEnd({
-				...more, reason, reply, facts, startedAt, lagMs,
+				...more, reason, reply, facts, startedAt, lagMs, readState,
 			}));
 		};
 
@@ -302,6 +311,14 @@
 			reportEnd(refusal.name, details);
 		};
 
+		if (lagMs > maxLagMs) {
+			await readStates.catchUp(readState);
+			if (reply.isDisconnected()) {
+				reportEnd('caller_left', {});
+				return;
+			}
+		}
+
 		const result = admit(req, body, facts);
 		if ('refusal' in result) {
 			refuseCaller(result);
@@ -331,7 +348,7 @@
 			abort: reply.abort,
 		});
 		const call = createCall({
-			req, body: body?.content, buffer, digest, parts, facts, reply, route, workspace, service, origin, startedAt,
+			req, body: body?.content, buffer, digest, parts, facts, reply, route, workspace, service, origin, startedAt, readState,
 		});
 		call.isClaimed = dueKeys.length > 0;
 		reply.onClose(buffer.close);
@@ -349,10 +366,10 @@
 	};
 
 	return {
-		async handle(req, body, res) {
+		async handle(req, body, res, lagMs) {
 			inFlight++;
 			try {
-				await handle(req, body, res);
+				await handle(req, body, res, lagMs);
 			} finally {
 				inFlight--;
 			}
@@ -411,6 +428,7 @@
 	facts: CallFacts;
 	startedAt: number;
 	lagMs: number;
+	readState: ReadState;
 };
 
 const waitOf = (call: Call | undefined): Pick<RequestEnd, 'waitedMs' | 'rank'> =>
@@ -441,6 +459,7 @@
 		sentMs: elapsedMs(call?.sentAt),
 		writtenMs: elapsedMs(call?.writtenAt),
 		lagMs: end.lagMs,
+		catchUps: end.readState.catchUps,
 		...waitOf(call),
 		expectedMs: expectedMsOf(call),
 		leaveReason: choice?.leaves,
--- a/packages/router/src/lib/forwarding/forwarding-events.ts
+++ b/packages/router/src/lib/forwarding/forwarding-events.ts
@@ -30,6 +30,8 @@
 	writtenMs: number | undefined;
 	/** Upper bound in milliseconds of the age of socket events that were unread when the request was handled. */
 	lagMs: number;
+	/** Times that the request waited until the process had caught up. */
+	catchUps: number;
 	/** Milliseconds for which the request waited until an endpoint could take it. */
 	waitedMs: number;
 	/** Rank of the workspace, or else of the route; `undefined` if no endpoint was chosen or waited for. */
--- a/packages/router/src/lib/orders/undici-transport.ts
+++ b/packages/router/src/lib/orders/undici-transport.ts
@@ -7,6 +7,7 @@
 import {
 	buildConnector, Client, Pool, type Dispatcher,
 } from 'undici';
+import {createEventLoopLag, type EventLoopLag, maxLagMs} from '../time/event-loop-lag.js';
 import {
 	type EndpointAddress, type EndpointTransport, type Exchange, type ExchangeEvents, type OutgoingRequest,
 } from './endpoint-transport.js';
@@ -26,6 +27,7 @@
 	maxPools?: number;
 	/** Maximum number of reused connections to one endpoint; 32 by default. */
 	connectionsPerPool?: number;
+	eventLoopLag?: EventLoopLag;
 };
 
 const defaultConnectMs = 1000;
@@ -223,15 +225,31 @@
 	const progressLimit = createProgressLimit();
 	const connectMs = options.connectMs ?? defaultConnectMs;
 	const connectTimeout = createConnectTimeout(connectMs);
+	const {eventLoopLag = createEventLoopLag()} = options;
 	// Without undici's own timeout, whose coarse timer wakes the process twice a second after a connection was opened.
 	const socketOptions = {timeout: 0, highWaterMark: batchedHighWaterMark};
 	// Undici returns the socket, contrary to its types.
 	const openConnection = buildConnector(socketOptions) as (...parameters: Parameters<buildConnector.connector>) => Socket;
+	const runCaughtUp = async (run: () => void): Promise<void> => {
+		await eventLoopLag.catchUp();
+		run();
+	};
+
 	const connect: buildConnector.connector = (connectOptions, callback) => {
 		const attempt = connectTimeout.start();
+		const startedAt = performance.now();
 		const socket = openConnection(connectOptions, (...result) => {
 			attempt.ended(result[0] === null);
-			callback(...result);
+			const goOn = (): void => {
+				callback(...result);
+			};
+
+			if (performance.now() - startedAt > maxLagMs) {
+				// The request's caller may have left meanwhile.
+				void runCaughtUp(goOn);
+			} else {
+				goOn();
+			}
 		});
 		attempt.destroyIfLate(socket);
 		readBatches.attach(socket);
