A request isn't sent once its deadline has passed, whatever the timer says

A deadline that passes within a long turn was noticed by its timer in the next one, after the request had been written to a connection that came about in this turn: libuv runs timers after sockets. The last check before the first byte now reads the clock; the request ends as not run, which is true. The test failed before (beforeSend allowed it).

--- a/packages/router/src/lib/forwarding/attempt.ts
+++ b/packages/router/src/lib/forwarding/attempt.ts
@@ -279,7 +279,8 @@
 
 	const exchange = options.send({
 		beforeSend() {
-			if (reply.isDisconnected() || isSettled) {
+			// A late process runs its timers after its sockets, and the timer of the deadline too late.
+			if (reply.isDisconnected() || isSettled || performance.now() >= options.deadlineAt) {
 				return false;
 			}
 
