--- a/packages/router/src/lib/forwarding/call.ts
+++ b/packages/router/src/lib/forwarding/call.ts
@@ -97,17 +97,17 @@
 };
 
 /** Arguments of {@link createCall}. */
-export type CallOrigin = Pick<Call, 'req' | 'body' | 'buffer' | 'digest' | 'parts' | 'facts' | 'reply' | 'route' | 'workspace' | 'service' | 'origin' | 'readState'> & {startedAt: number};
+export type CallOrigin = Pick<Call, 'req' | 'body' | 'buffer' | 'digest' | 'parts' | 'facts' | 'reply' | 'route' | 'workspace' | 'service' | 'origin' | 'readState'> & {readAt: number};
 
 /** Creates a call without attempts. */
-export function createCall({startedAt, ...origin}: CallOrigin): Call {
+export function createCall({readAt, ...origin}: CallOrigin): Call {
 	const {facts, route, workspace} = origin;
 	return {
 		...origin,
 		refusalKeys: [origin.digest, ...origin.parts],
 		prompt: promptOf(facts, workspace),
-		deadlineAt: startedAt + Math.min(facts.remainingMs ?? route.timeoutMs, route.timeoutMs),
-		targetAt: startedAt + route.targetMs,
+		deadlineAt: readAt + Math.min(facts.remainingMs ?? route.timeoutMs, route.timeoutMs),
+		targetAt: readAt + route.targetMs,
 		hasEvents: false,
 		excluded: new Set(),
 		attempts: 0,
--- a/packages/router/src/lib/forwarding/entry-server.ts
+++ b/packages/router/src/lib/forwarding/entry-server.ts
@@ -2,10 +2,10 @@
 import {Buffer} from 'node:buffer';
 import {createHash, type Hash} from 'node:crypto';
 import {type IncomingMessage} from 'node:http';
-import {type Socket} from 'node:net';
 import fastify, {type FastifyInstance} from 'fastify';
 import {type CallerLimits} from '../fleet/fleet-document.js';
 import {type BindAddress, closeServer, listenServer} from '../http/http-server.js';
+import {recordArrivals} from '../http/request-arrivals.js';
 import {type Log} from '../observability/log.js';
 import {type EventLoopLag} from '../time/event-loop-lag.js';
 import {type BufferAccount} from './buffer-account.js';
@@ -56,22 +56,7 @@
 	app.addContentTypeParser('*', {parseAs: 'buffer'}, (_req, body, done) => {
 		done(null, body);
 	});
-	/** When connections on which no request was handled yet arrived at the earliest. */
-	const arrivedSince = new WeakMap<Socket, number>();
-	const recordAccept = eventLoopLag.watchAccepts();
-	app.server.on('connection', (socket: Socket) => {
-		eventLoopLag.recordTurn();
-		arrivedSince.set(socket, recordAccept());
-	});
-
-	/** How long a request may have been unread, and the end of its connection be so still. */
-	const takeLag = (socket: Socket): number => {
-		eventLoopLag.recordTurn();
-		const since = arrivedSince.get(socket) ?? Number.POSITIVE_INFINITY;
-		arrivedSince.delete(socket);
-		return Math.max(eventLoopLag.lagMs(), performance.now() - since);
-	};
-
+	const takeArrival = recordArrivals(app, eventLoopLag);
 	/** Updated with each chunk, so that hashing a long body doesn't block the process at its end. */
 	const bodyHashes = new WeakMap<IncomingMessage, Hash>();
 	app.addHook('preParsing', (req, _reply, payload, done) => {
@@ -109,7 +94,7 @@
 
 		try {
 			const body = Buffer.isBuffer(req.body) ? {content: req.body, hash: bodyHashes.get(req.raw)!.digest()} : undefined;
-			await forwarder.handle(req.raw, body, reply.raw, takeLag(req.raw.socket));
+			await forwarder.handle(req.raw, body, reply.raw, takeArrival(req.raw));
 		} catch (error) {
 			log.error('Request handler threw an error.', {err: error});
 			reply.raw.destroy();
--- a/packages/router/src/lib/forwarding/forwarder.ts
+++ b/packages/router/src/lib/forwarding/forwarder.ts
@@ -5,6 +5,7 @@
 import {type Route, type Workspace} from '../fleet/fleet-document.js';
 import {type AcceptedDocument} from '../fleet/fleet-view.js';
 import {chooseService} from '../fleet/route-table.js';
+import {type RequestArrival} from '../http/request-arrivals.js';
 import {type CapacityWait} from '../placing/capacity-wait.js';
 import {type ChoiceRequest, type RequestDistance} from '../placing/choice-request.js';
 import {sharedPartKeys} from '../quarantine/prompt-part-keys.js';
@@ -53,8 +54,8 @@
 
 /** The forwarder. */
 export type Forwarder = {
-	/** Handles one request whose body has been read; resolves when it has ended. The end of its connection may be unread for `lagMs` milliseconds. */
-	handle: (req: IncomingMessage, body: RequestBody | undefined, res: ServerResponse, lagMs: number) => Promise<void>;
+	/** Handles one request whose body has been read; resolves when it has ended. */
+	handle: (req: IncomingMessage, body: RequestBody | undefined, res: ServerResponse, arrival: RequestArrival) => Promise<void>;
 	/** Number of requests in flight. */
 	inFlight: () => number;
 	/** Responses that the process must not leave behind when it exits. */
@@ -294,7 +295,7 @@
 		return true;
 	};
 
-	const handle: Forwarder['handle'] = async (req, body, res, lagMs) => {
+	const handle: Forwarder['handle'] = async (req, body, res, {readAt, lagMs}) => {
 		const startedAt = performance.now();
 		const facts = headers.readCall(req.rawHeaders);
 		const reply = createCallerReply(res);
@@ -348,7 +349,7 @@
 			abort: reply.abort,
 		});
 		const call = createCall({
-			req, body: body?.content, buffer, digest, parts, facts, reply, route, workspace, service, origin, startedAt, readState,
+			req, body: body?.content, buffer, digest, parts, facts, reply, route, workspace, service, origin, readAt, readState,
 		});
 		call.isClaimed = dueKeys.length > 0;
 		reply.onClose(buffer.close);
@@ -366,10 +367,10 @@
 	};
 
 	return {
-		async handle(req, body, res, lagMs) {
+		async handle(req, body, res, arrival) {
 			inFlight++;
 			try {
-				await handle(req, body, res, lagMs);
+				await handle(req, body, res, arrival);
 			} finally {
 				inFlight--;
 			}
