A peer that relays a request passes on only the time that is left of it

The time now counts from the head of the request at the peer, and a request whose time is over, or whose daemon has left, is declined or dropped before it is sent; a late peer catches up first, as the daemon that has the caller does.

--- a/packages/entry/src/lib/wiring/path-wiring.ts
+++ b/packages/entry/src/lib/wiring/path-wiring.ts
@@ -50,12 +50,13 @@
 
 /** Creates the server for requests that peers can't send themselves. */
 export const wireRelayServer = ({
-	view, presence, paths, transport, weightsDeadlines, limits, backoff, brittle, opinionOn, originFinder, fleetKey, state, metrics, log,
+	view, presence, paths, transport, eventLoopLag, weightsDeadlines, limits, backoff, brittle, opinionOn, originFinder, fleetKey, state, metrics, log,
 }: EntryParts): RelayServer => createRelayServer({
 	view,
 	paths,
 	transport,
 	headers: createCallHeaders(),
+	eventLoopLag,
 	weightsDeadlines,
 	brittle,
 	mayGetRequests: endpoint => !endpoint.isLeaving && !presence.hasEnded(endpoint) && backoff.roomOf(endpoint) > 0,
--- a/packages/router/src/lib/fleet/call-headers.ts
+++ b/packages/router/src/lib/fleet/call-headers.ts
@@ -97,6 +97,8 @@
 	readCall: (rawHeaders: readonly string[]) => CallFacts;
 	/** Headers for the endpoint: the caller's without hop-by-hop headers and those that the router sets. */
 	forEndpoint: (rawHeaders: readonly string[], dispatch: Dispatch) => string[];
+	/** The same headers, with this many milliseconds left instead of those stated, if there are any. */
+	withRemaining: (rawHeaders: readonly string[], remainingMs: number) => string[];
 	readResponse: (rawHeaders: readonly string[], status: number) => ResponseFacts;
 	/** Headers for the caller: the endpoint's without hop-by-hop headers. */
 	forCaller: (rawHeaders: readonly string[]) => string[];
--- a/packages/router/src/lib/paths/relay-protocol.ts
+++ b/packages/router/src/lib/paths/relay-protocol.ts
@@ -33,6 +33,8 @@
 export const noPathReason = 'no_path';
 /** Reason with which a gatekeeper declines if the endpoint has no room. */
 export const noRoomReason = 'no_room';
+/** Reason with which a peer declines a request whose time was over when it could have sent it. */
+export const tooLateReason = 'too_late';
 /** Reason with which a peer declines a wrong key. */
 export const wrongKeyReason = 'wrong_key';
 
--- a/packages/router/src/lib/relaying/relay-server.ts
+++ b/packages/router/src/lib/relaying/relay-server.ts
@@ -11,6 +11,7 @@
 import {type LiveEndpoint} from '../fleet/live-endpoint.js';
 import {type CallerReply, createCallerReply} from '../forwarding/caller-reply.js';
 import {type BindAddress, closeServer, listenServer} from '../http/http-server.js';
+import {recordArrivals} from '../http/request-arrivals.js';
 import {type Log} from '../observability/log.js';
 import {type EndpointTransport} from '../orders/endpoint-transport.js';
 import {failureClasses} from '../orders/failure-classes.js';
@@ -20,10 +21,11 @@
 import {type BrittleEndpoints} from '../placing/brittle-endpoints.js';
 import {type OriginQuestion} from '../streams/origin-finder.js';
 import {type OriginAnswer} from '../streams/stream-origin.js';
+import {type EventLoopLag, maxLagMs} from '../time/event-loop-lag.js';
 import {type WeightsDeadlines} from '../weights/weights-deadlines.js';
 import {
 	endpointHeader, keyHeader, noPathReason, noRoomReason, outcomeHeader, purposeHeader, reasonHeader, type RelayOutcome, serviceHeader, softwareHeader,
-	startedAtHeader, streamHeader, unframedHeader, weightsHeader, withoutRelayHeaders, wrongKeyReason,
+	startedAtHeader, streamHeader, tooLateReason, unframedHeader, weightsHeader, withoutRelayHeaders, wrongKeyReason,
 } from '../paths/relay-protocol.js';
 
 /** Options of {@link createRelayServer}. */
@@ -32,6 +34,7 @@
 	paths: EndpointPaths;
 	transport: EndpointTransport;
 	headers: CallHeaders;
+	eventLoopLag: EventLoopLag;
 	weightsDeadlines: WeightsDeadlines;
 	/** Counts the requests at brittle endpoints. */
 	brittle: BrittleEndpoints;
@@ -60,6 +63,9 @@
 	inFlight: () => number;
 };
 
+/** A peer's request for an endpoint; `deadlineAt` is by `performance.now()`. */
+type RelayedCall = {req: IncomingMessage; body: unknown; reply: CallerReply; endpoint: LiveEndpoint; deadlineAt: number};
+
 /** Upper bound on requests in flight, which protects the callers of this daemon. */
 const maxInFlight = 256;
 
@@ -74,7 +80,9 @@
 
 /** Creates a server that doesn't listen yet. */
 export function createRelayServer(options: RelayServerOptions): RelayServer {
-	const {view, paths, transport, headers, brittle, log} = options;
+	const {
+		view, paths, transport, headers, eventLoopLag, brittle, log,
+	} = options;
 	let inFlight = 0;
 
 	const respond = (res: ServerResponse, status: number, outcome: RelayOutcome, reason: string): void => {
@@ -119,8 +127,11 @@
 		});
 	};
 
+	/** `performance.now()` at which the time of a request is over. */
+	const deadlineOf = (req: IncomingMessage, readAt: number): number => readAt + (headers.readCall(req.rawHeaders).remainingMs ?? Number.POSITIVE_INFINITY);
+
 	/** Sends the request over the own path and resolves when the response has ended. */
-	const passOn = async (req: IncomingMessage, body: unknown, reply: CallerReply, endpoint: LiveEndpoint): Promise<'passed' | {outcome: RelayOutcome; reason: string}> => new Promise(resolve => {
+	const passOn = async ({req, body, reply, endpoint, deadlineAt}: RelayedCall): Promise<'passed' | {outcome: RelayOutcome; reason: string}> => new Promise(resolve => {
 		const watch = paths.watch(endpoint);
 		let hasBegun = false;
 		let endWeightsWatch = (): void => undefined;
@@ -130,11 +141,11 @@
 			endpoint: target,
 			method: req.method ?? 'GET',
 			path: req.url ?? '/',
-			headers: withoutRelayHeaders(req.rawHeaders),
+			headers: headers.withRemaining(withoutRelayHeaders(req.rawHeaders), deadlineAt - performance.now()),
 			...(Buffer.isBuffer(body) && body.length > 0 && {body: {kind: 'whole', content: body}}),
 			dedicatedConnection: paths.isUnproven(endpoint),
 		}, {
-			beforeSend: () => !reply.isDisconnected(),
+			beforeSend: () => !reply.isDisconnected() && performance.now() < deadlineAt,
 			progress: () => undefined,
 			head(head) {
 				watch.heard();
@@ -167,7 +178,9 @@
 					paths.connectFailed(endpoint);
 				}
 
-				resolve(failureClasses[failure].reach === 'nothing' ? {outcome: 'declined', reason: noPathReason} : {outcome: 'failed', reason: failure});
+				resolve(failureClasses[failure].reach === 'nothing'
+					? {outcome: 'declined', reason: failure === 'withdrawn' ? tooLateReason : noPathReason}
+					: {outcome: 'failed', reason: failure});
 			},
 		});
 		endWeightsWatch = watchWeights(req, () => hasBegun, () => {
@@ -185,6 +198,22 @@
 	});
 
 	const handleSend = async (req: IncomingMessage, body: unknown, res: ServerResponse, endpoint: LiveEndpoint): Promise<void> => {
+		const {readAt, lagMs} = takeArrival(req);
+		const deadlineAt = deadlineOf(req, readAt);
+		const reply = createCallerReply(res);
+		if (lagMs > maxLagMs) {
+			await eventLoopLag.catchUp();
+		}
+
+		if (reply.isDisconnected()) {
+			return;
+		}
+
+		if (performance.now() >= deadlineAt) {
+			decline(res, tooLateReason);
+			return;
+		}
+
 		if (paths.isLost(endpoint)) {
 			decline(res, noPathReason);
 			return;
@@ -203,8 +232,9 @@
 		const ended = brittle.started(endpoint);
 		inFlight++;
 		try {
-			const reply = createCallerReply(res);
-			const result = await passOn(req, body, reply, endpoint);
+			const result = await passOn({
+				req, body, reply, endpoint, deadlineAt,
+			});
 			if (result === 'passed' || reply.isDisconnected()) {
 				return;
 			}
@@ -254,6 +284,7 @@
 	const app = fastify({
 		bodyLimit: maxBodyBytes, exposeHeadRoutes: false, forceCloseConnections: 'idle', return503OnClosing: false, http: {maxHeaderSize: maxHeaderBytes, requestTimeout: 0, noDelay: true},
 	});
+	const takeArrival = recordArrivals(app, eventLoopLag);
 	app.removeAllContentTypeParsers();
 	app.addContentTypeParser('*', {parseAs: 'buffer'}, (_req, body, done) => {
 		done(null, body);
