A late daemon reads what has arrived before it takes an endpoint for silent, or a deadline for passed

The timeout is now reported after one more poll. A poll for each timeout that runs out, none for those that don't. The tests failed before: silent and late were reported with the response in the socket.

--- a/packages/router/src/lib/forwarding/silence-timer.ts
+++ b/packages/router/src/lib/forwarding/silence-timer.ts
@@ -26,13 +26,16 @@
  */
 export function createSilenceTimer({deadlineAt, onDeadline, onSilent}: SilenceTimerOptions): SilenceTimer {
 	let timer: NodeJS.Timeout | undefined;
+	let reading: NodeJS.Immediate | undefined;
 	let timerAt = 0;
 	let dueAt = 0;
 	let limitMs = 0;
 
 	const stop = (): void => {
 		clearTimeout(timer);
+		clearImmediate(reading);
 		timer = undefined;
+		reading = undefined;
 	};
 
 	const arm = (now: number): void => {
@@ -41,12 +44,22 @@
 		timer = setTimeout(check, Math.max(0, dueAt - now));
 	};
 
+	const isDue = (now: number): boolean => dueAt - now < timerToleranceMs;
+
 	const check = (): void => {
 		const now = performance.now();
 		timer = undefined;
-		if (dueAt - now >= timerToleranceMs) {
+		if (isDue(now)) {
+			// After a long turn the runtime runs timers before it reads what has arrived meanwhile.
+			reading = setImmediate(report);
+		} else {
 			arm(now);
-		} else if (dueAt === deadlineAt) {
+		}
+	};
+
+	const report = (): void => {
+		reading = undefined;
+		if (dueAt === deadlineAt) {
 			onDeadline();
 		} else {
 			onSilent(limitMs);
--- a/packages/router/src/lib/orders/exchange.ts
+++ b/packages/router/src/lib/orders/exchange.ts
@@ -213,14 +213,21 @@
 }
 
 function createSilenceTimer() {
-	let timer: ReturnType<typeof setTimeout> | undefined;
+	let timer: NodeJS.Timeout | undefined;
+	let reading: NodeJS.Immediate | undefined;
+	const stop = (): void => {
+		clearTimeout(timer);
+		clearImmediate(reading);
+	};
+
 	return {
 		start(delayMs: number, onSilence: () => void) {
-			clearTimeout(timer);
-			timer = setTimeout(onSilence, Math.max(0, delayMs));
-		},
-		stop() {
-			clearTimeout(timer);
+			stop();
+			timer = setTimeout(() => {
+				// After a long turn the runtime runs timers before it reads what has arrived meanwhile.
+				reading = setImmediate(onSilence);
+			}, Math.max(0, delayMs));
 		},
+		stop,
 	};
 }
--- /dev/null
+++ b/packages/router/src/test/forwarding/silence-timer.test.ts
@@ -0,0 +1,74 @@
+import {once} from 'node:events';
+import {
+	type AddressInfo, connect, createServer, type Server, type Socket,
+} from 'node:net';
+import {assert} from 'chai';
+import {createSilenceTimer, type SilenceTimer} from '../../lib/forwarding/silence-timer.js';
+
+const limitMs = 50;
+
+describe('createSilenceTimer in a process that was busy until after its timeout', () => {
+	let server: Server;
+	let endpoint: Socket;
+	let socket: Socket;
+	let timer: SilenceTimer;
+	let ends: string[];
+	let ended: Promise<void>;
+
+	const start = (deadlineMs: number): void => {
+		ended = new Promise(resolve => {
+			const end = (kind: string) => (): void => {
+				ends.push(kind);
+				resolve();
+			};
+
+			timer = createSilenceTimer({deadlineAt: performance.now() + deadlineMs, onDeadline: end('deadline'), onSilent: end('silent')});
+		});
+		socket.on('data', () => {
+			ends.push('data');
+			timer.stop();
+		});
+		timer.restart(limitMs);
+	};
+
+	const blockPastTimeout = (): void => {
+		const endsAt = performance.now() + (limitMs * 3);
+		while (performance.now() < endsAt) {
+			// Keeps the event loop busy.
+		}
+	};
+
+	beforeEach(async () => {
+		ends = [];
+		server = createServer();
+		server.listen(0, '127.0.0.1');
+		await once(server, 'listening');
+		socket = connect((server.address() as AddressInfo).port, '127.0.0.1');
+		[endpoint] = await once(server, 'connection') as [Socket];
+	});
+
+	afterEach(() => {
+		timer.stop();
+		socket.destroy();
+		endpoint.destroy();
+		server.close();
+	});
+
+	for (const [name, deadlineMs] of Object.entries({silence: 10_000, deadline: limitMs})) {
+		it(`reads what has arrived before it reports the ${name}`, async () => {
+			// Guards against a late process that aborts a request although its response has arrived.
+			start(deadlineMs);
+			endpoint.write('response');
+			blockPastTimeout();
+			await once(socket, 'data');
+			assert.deepEqual(ends, ['data']);
+		});
+
+		it(`reports the ${name} if nothing has arrived`, async () => {
+			start(deadlineMs);
+			blockPastTimeout();
+			await ended;
+			assert.deepEqual(ends, [name === 'silence' ? 'silent' : 'deadline']);
+		});
+	}
+});
