--- a/packages/router/src/test/streams/stream-histories.test.ts
+++ b/packages/router/src/test/streams/stream-histories.test.ts
@@ -37,7 +37,7 @@
 		clock.uninstall();
 	});
 
-	const play = async (size: number, seed: number): Promise<{resumed: number; goOn: number; mixed: number}> => {
+	const play = async (size: number, seed: number, killsAll: boolean): Promise<{resumed: number; goOn: number; mixed: number}> => {
 		const generator = xoroshiro128plus(seed);
 		const random = (): number => (generator.next() >>> 0) / (2 ** 32); // eslint-disable-line no-bitwise
 		const draw = (limit: number): number => Math.floor(random() * limit);
@@ -231,7 +231,7 @@
 			}],
 			[0.02, () => {
 				const up = daemons.flatMap((daemon, index) => daemon.isUp ? [index] : []);
-				for (const index of up.slice(0, Math.ceil(up.length / 2))) {
+				for (const index of up.slice(0, killsAll ? up.length : Math.ceil(up.length / 2))) {
 					kill(index);
 				}
 			}],
@@ -265,7 +265,7 @@
 			// Guards against streams whose version is guessed, or lost with the daemons that knew it.
 			const sum = {resumed: 0, goOn: 0};
 			for (let seed = firstSeed; seed < firstSeed + histories; seed++) {
-				const {resumed, goOn, mixed} = await play(size, seed);
+				const {resumed, goOn, mixed} = await play(size, seed, false);
 				assert.equal(mixed, 0, `seed ${seed}`);
 				sum.resumed += resumed;
 				sum.goOn += goOn;
@@ -274,5 +274,17 @@
 			assert.isAbove(sum.resumed, histories * 20);
 			assert.isAtLeast(sum.goOn, sum.resumed / 2, `${sum.goOn} of ${sum.resumed}`);
 		}).timeout(120_000);
+
+		it(`hold events of one version although all of ${size} daemons are killed at once`, async () => {
+			// Guards against daemons that take the version which they find after a loss of all for the only one there was.
+			let resumed = 0;
+			for (let seed = firstSeed; seed < firstSeed + histories; seed++) {
+				const result = await play(size, seed, true);
+				assert.equal(result.mixed, 0, `seed ${seed}`);
+				resumed += result.resumed;
+			}
+
+			assert.isAbove(resumed, histories * 10);
+		}).timeout(120_000);
 	}
 });
