--- a/packages/router/src/lib/forwarding/attempt.ts
+++ b/packages/router/src/lib/forwarding/attempt.ts
@@ -279,7 +279,7 @@
 
 	const exchange = options.send({
 		beforeSend() {
-			// A late process runs its timers after its sockets, and the timer of the deadline too late.
+			// In a long turn, connections come about before the timer of the deadline runs.
 			if (reply.isDisconnected() || isSettled || performance.now() >= options.deadlineAt) {
 				return false;
 			}
