--- a/packages/router/src/lib/forwarding/forwarder.ts
+++ b/packages/router/src/lib/forwarding/forwarder.ts
@@ -155,9 +155,8 @@
 		for (;;) {
 			if (readStates.isStale(call.readState)) {
 				await readStates.catchUp(call.readState);
-				const decision = endWait(call);
-				if (decision !== undefined) {
-					return decision;
+				if (call.reply.isDisconnected()) {
+					return {kind: 'done', reason: 'caller_left'};
 				}
 			}
 
