--- a/packages/router/src/test/forwarding/silence-timer.test.ts
+++ b/packages/router/src/test/forwarding/silence-timer.test.ts
@@ -4,6 +4,7 @@
 } from 'node:net';
 import {assert} from 'chai';
 import {createSilenceTimer, type SilenceTimer} from '../../lib/forwarding/silence-timer.js';
+import {block} from '../block.js';
 
 const limitMs = 50;
 
@@ -31,13 +32,6 @@
 		timer.restart(limitMs);
 	};
 
-	const blockPastTimeout = (): void => {
-		const endsAt = performance.now() + (limitMs * 3);
-		while (performance.now() < endsAt) {
-			// Keeps the event loop busy.
-		}
-	};
-
 	beforeEach(async () => {
 		ends = [];
 		server = createServer();
@@ -57,14 +51,14 @@
 	const checkReading = async (deadlineMs: number): Promise<void> => {
 		start(deadlineMs);
 		endpoint.write('response');
-		blockPastTimeout();
+		block(limitMs * 3);
 		await once(socket, 'data');
 		assert.deepEqual(ends, ['data']);
 	};
 
 	const checkReport = async (deadlineMs: number, kind: string): Promise<void> => {
 		start(deadlineMs);
-		blockPastTimeout();
+		block(limitMs * 3);
 		await ended;
 		assert.deepEqual(ends, [kind]);
 	};
--- a/packages/router/src/test/gateway/gateway-server.test.ts
+++ b/packages/router/src/test/gateway/gateway-server.test.ts
@@ -4,6 +4,7 @@
 import {assert} from 'chai';
 import {createGatewayServer, type GatewayServer} from '../../gateway.js';
 import {maxLagMs} from '../../time.js';
+import {block} from '../block.js';
 
 const request = 'POST /v1/completions HTTP/1.1\r\nhost: a\r\ncontent-type: application/json\r\ncontent-length: 2\r\n\r\n{}';
 
@@ -41,25 +42,18 @@
 		await server.close();
 	});
 
-	const blockPastLag = (): void => {
-		const endsAt = performance.now() + (maxLagMs * 2);
-		while (performance.now() < endsAt) {
-			// Keeps the event loop busy.
-		}
-	};
-
 	it('handles no request whose caller has left', async () => {
 		// Guards against work that begins since the end of a connection is read later than its request.
 		caller.write(request);
 		caller.destroy();
-		blockPastLag();
+		block(maxLagMs * 2);
 		await sleep(50);
 		assert.equal(handled, 1);
 	});
 
 	it('handles the request of a caller that is still there', async () => {
 		caller.write(request);
-		blockPastLag();
+		block(maxLagMs * 2);
 		await once(caller, 'data');
 		assert.equal(handled, 2);
 	});
--- a/packages/router/src/test/orders/slow-connection.test.ts
+++ b/packages/router/src/test/orders/slow-connection.test.ts
@@ -5,6 +5,7 @@
 import {assert} from 'chai';
 import {createUndiciTransport} from '../../orders.js';
 import {maxLagMs} from '../../time.js';
+import {block} from '../block.js';
 
 async function listen(): Promise<{server: Server; port: number}> {
 	const server = createServer();
@@ -13,13 +14,6 @@
 	return {server, port: (server.address() as AddressInfo).port};
 }
 
-const blockPastLag = (): void => {
-	const endsAt = performance.now() + (maxLagMs * 2);
-	while (performance.now() < endsAt) {
-		// Keeps the event loop busy.
-	}
-};
-
 describe('a connection to an endpoint that comes about after a long turn', () => {
 	it('carries its request once the end of the caller\'s connection would have been read', async () => {
 		// Guards against requests whose callers leave while a late process connects to the endpoint.
@@ -50,7 +44,7 @@
 		});
 		caller.write('bytes before the end');
 		caller.destroy();
-		blockPastLag();
+		block(maxLagMs * 2);
 		assert.isTrue(await hasLeft);
 		await transport.close();
 		entry.server.close();
--- a/packages/router/src/test/time/event-loop-lag.test.ts
+++ b/packages/router/src/test/time/event-loop-lag.test.ts
@@ -5,13 +5,7 @@
 import FakeTimers from '@sinonjs/fake-timers';
 import {assert} from 'chai';
 import {createEventLoopLag, type EventLoopLag, maxLagMs} from '../../time.js';
-
-const block = (ms: number): void => {
-	const endsAt = performance.now() + ms;
-	while (performance.now() < endsAt) {
-		// Keeps the event loop busy.
-	}
-};
+import {block} from '../block.js';
 
 const turn = async (): Promise<void> => new Promise(resolve => {
 	setImmediate(resolve);
