One constant says from when on a daemon is late, and the gateway has no option that nobody sets

The limit above which lagMs is logged repeated the limit above which a request waits, 100 ms; the log now uses that one, as the operations page says. createGatewayServer's eventLoopLag was never given. Behaviour is as before.

--- a/packages/entry/src/lib/wiring/request-wiring.ts
+++ b/packages/entry/src/lib/wiring/request-wiring.ts
@@ -7,6 +7,7 @@
 } from 'hickorywalk/placing.js';
 import {createFleetQuota, type FleetQuota} from 'hickorywalk/quotas.js';
 import {type AttemptBudget, createRetryBudget} from 'hickorywalk/routing.js';
+import {maxLagMs} from 'hickorywalk/time.js';
 import {type EntryParts} from './parts.js';
 
 /** Fraction of the platform's retry budget that is used; the rest is a safety margin. */
@@ -30,9 +31,6 @@
 /** Prompt parts in one log line. */
 const maxLoggedParts = 8;
 
-/** A lag below this is usual and isn't logged, in milliseconds. */
-const minLoggedLagMs = 100;
-
 /** Known daemons, including this one. */
 const countDaemons = (parts: EntryParts): number => parts.peers.known().size + 1;
 
@@ -170,7 +168,7 @@
 			} = end;
 			log.info('Request ended.', {
 				requestId, digest, workspace, service, endpoint, software: software === '' ? undefined : software, resumes, peer, status, result: reason, attempt: end.attempts, path: end.route,
-				ms: Math.round(end.ms), sentMs: rounded(end.sentMs), writtenMs: rounded(end.writtenMs), lagMs: end.lagMs > minLoggedLagMs ? Math.round(end.lagMs) : undefined, waitedMs: end.waitedMs > 0 ? Math.round(end.waitedMs) : undefined,
+				ms: Math.round(end.ms), sentMs: rounded(end.sentMs), writtenMs: rounded(end.writtenMs), lagMs: end.lagMs > maxLagMs ? Math.round(end.lagMs) : undefined, waitedMs: end.waitedMs > 0 ? Math.round(end.waitedMs) : undefined,
 				firstMs: rounded(end.firstMs), expectedMs: rounded(end.expectedMs), leaveReason: end.leaveReason,
 				weights: end.weights, weightsAgeMs: ageForLog(end.weightsAgeMs), begunWeightsAgeMs: ageForLog(end.begunWeightsAgeMs),
 				isLeaving: end.isLeaving || undefined, units: end.quota?.units, level: rounded(end.quota?.level), own: rounded(end.quota?.own),
--- a/packages/router/src/lib/gateway/gateway-server.ts
+++ b/packages/router/src/lib/gateway/gateway-server.ts
@@ -7,7 +7,7 @@
 import {type BindAddress, closeServer, listenServer} from '../http/http-server.js';
 import {skipLeftCallers} from '../http/request-arrivals.js';
 import {type KeyRing} from '../configuration/key-ring.js';
-import {createEventLoopLag, type EventLoopLag} from '../time/event-loop-lag.js';
+import {createEventLoopLag} from '../time/event-loop-lag.js';
 import {authenticate, requireConfiguration} from './admission.js';
 import {
 	errorBody, errorHeaders, GatewayError, refusals,
@@ -31,8 +31,6 @@
 	extend?: (app: FastifyInstance) => void;
 	/** Called for internal errors of the router. */
 	onFault: (error: unknown) => void;
-	/** Default: its own. */
-	eventLoopLag?: EventLoopLag;
 };
 
 /** The HTTP server of the gateway. */
@@ -71,7 +69,7 @@
 		}
 	});
 
-	skipLeftCallers(app, options.eventLoopLag ?? createEventLoopLag());
+	skipLeftCallers(app, createEventLoopLag());
 	for (const [form, path] of Object.entries(modelForms) as Array<[ModelForm, string]>) {
 		app.post(path, async (req, reply) => serveModel(options, form, req, reply));
 	}
