After a loss of all daemons, streams of a service with one version go on

Callers whose streams broke off when all daemons were lost at once were refused (503 cannot_resume) until none of their streams could be taken up any more, 30 s and longer, also where one software version alone had ever served.

Cause: a daemon that starts again doesn't know what served before, its peers don't either, and nothing that lasted told them.

Change: one daemon writes to the store, each 5 s, which services one version alone has served, with a digest of the listed processes and the version of the store as of which that holds. Two daemons read it when they start, and the others ask them with the question that they ask anyway. The record is believed only if the same processes (id and start) are still listed and the store's history since shows no removed row, so a version that came, served and left in between, also under an id that was used before, refutes it. A dropped history or a store from an older copy proves nothing.

Price: a write each 5 s for the whole fleet, none where no route has streams that may be taken up; nothing for a request.

--- a/packages/entry/src/lib/entry-daemon.ts
+++ b/packages/entry/src/lib/entry-daemon.ts
@@ -60,6 +60,7 @@
 	parts.fleetKey.refresh();
 	parts.directory.start();
 	parts.refusalRows.start();
+	parts.softwareRecord.start();
 	wireRestore(parts);
 	void parts.leases.start();
 	const droppedLinesTimer = setInterval(() => {
@@ -81,6 +82,7 @@
 		parts.rolloutTimer.close();
 		clearInterval(droppedLinesTimer);
 		parts.refusalRows.close();
+		parts.softwareRecord.close();
 		parts.fleetKey.close();
 		await parts.leases.release();
 		parts.leases.close();
--- a/packages/entry/src/lib/entry-parts.ts
+++ b/packages/entry/src/lib/entry-parts.ts
@@ -32,7 +32,7 @@
 	wireAdmission, wireBackoff, wireBrittle, wireBudgets, wireBufferAccount, wireCapacityWait, wireChoice, wireConnectionShares, wireEvents, wireLimits, wireQuota,
 } from './wiring/request-wiring.js';
 import {
-	wireOriginFinder, wireSoftwareHistory, wireStreamOrigins, wireStreamRoutes,
+	wireOriginFinder, wireSoftwareHistory, wireSoftwareRecord, wireStreamOrigins, wireStreamRoutes,
 } from './wiring/stream-wiring.js';
 
 const connectTimeoutMs = 300;
@@ -85,6 +85,7 @@
 		relayServer: asFunction(wireRelayServer).singleton(),
 		streamRoutes: asFunction(wireStreamRoutes).singleton(),
 		softwareHistory: asFunction(wireSoftwareHistory).singleton(),
+		softwareRecord: asFunction(wireSoftwareRecord).singleton(),
 		origins: asFunction(wireStreamOrigins).singleton(),
 		originFinder: asFunction(wireOriginFinder).singleton(),
 		limits: asFunction(wireLimits).singleton(),
--- a/packages/entry/src/lib/wiring/parts.ts
+++ b/packages/entry/src/lib/wiring/parts.ts
@@ -23,7 +23,9 @@
 import {type UnprovenVersions} from 'hickorywalk/releases.js';
 import {type AttemptBudget, type createHealthTracker} from 'hickorywalk/routing.js';
 import {type EventLoopLag} from 'hickorywalk/time.js';
-import {type OriginFinder, type SoftwareHistory, type StreamOrigins} from 'hickorywalk/streams.js';
+import {
+	type OriginFinder, type SoftwareHistory, type SoftwareRecord, type StreamOrigins,
+} from 'hickorywalk/streams.js';
 import {
 	type createWeightsRollout, type EngineVersions, type NamingRecord, type WeightsDeadlines,
 } from 'hickorywalk/weights.js';
@@ -69,6 +71,7 @@
 	relayServer: RelayServer;
 	streamRoutes: () => StreamRoutes;
 	softwareHistory: SoftwareHistory;
+	softwareRecord: SoftwareRecord;
 	origins: StreamOrigins;
 	originFinder: OriginFinder;
 	limits: EndpointLimits;
--- a/packages/entry/src/lib/wiring/stream-wiring.ts
+++ b/packages/entry/src/lib/wiring/stream-wiring.ts
@@ -1,7 +1,9 @@
 /** Wires the record of where streams began. */
+import {createEndpointSource} from '@hickorywalk/platform';
 import {type Route} from 'hickorywalk/fleet.js';
 import {
-	createOriginFinder, createSoftwareHistory, createStreamOrigins, type OriginFinder, type SoftwareHistory, type StreamOrigins,
+	createOriginFinder, createSoftwareHistory, createSoftwareRecord, createStreamOrigins, type OriginFinder, recordKeepersOf,
+	type SoftwareHistory, type SoftwareRecord, type StreamOrigins,
 } from 'hickorywalk/streams.js';
 import {type EntryParts} from './parts.js';
 
@@ -20,6 +22,8 @@
 	streamMs: number;
 	/** Services that share the streams of a route with others. */
 	splitServices: ReadonlySet<string>;
+	/** Services whose streams may be taken up again. */
+	resumableServices: readonly string[];
 };
 
 function describeStreams(routes: readonly Route[]): StreamRoutes {
@@ -27,6 +31,7 @@
 	return {
 		streamMs: Math.max(0, ...streams.map(({timeoutMs}) => timeoutMs)) * maxTries,
 		splitServices: new Set(streams.filter(({targets}) => targets.length > 1).flatMap(({targets}) => targets.map(({service}) => service))),
+		resumableServices: [...new Set(streams.filter(({isResumable}) => isResumable).flatMap(({targets}) => targets.map(({service}) => service)))],
 	};
 }
 
@@ -69,7 +74,27 @@
 	return origins;
 }
 
+/** Names of the daemons that report, and of this one. */
+const liveNames = ({settings, peers}: EntryParts): string[] => [settings.name, ...peers.live().map(({report}) => report.daemon)];
+
+/** Creates the record of versions that have served alone. */
+export const wireSoftwareRecord = (parts: EntryParts): SoftwareRecord => createSoftwareRecord({
+	table: parts.ownTable,
+	view: parts.view,
+	source: createEndpointSource(parts.store, parts.log),
+	history: parts.softwareHistory,
+	services: () => parts.streamRoutes().resumableServices,
+	listedAt: parts.endpointFeed.position,
+	name: parts.settings.name,
+	names: () => liveNames(parts),
+	timeoutMs: parts.timings.storeTimeoutMs * 2,
+	log: parts.log,
+});
+
 /** Creates the finder of origins. */
-export const wireOriginFinder = ({origins, softwareHistory, relay}: EntryParts): OriginFinder => createOriginFinder({
-	origins, history: softwareHistory, ask: relay.askOrigin,
+export const wireOriginFinder = (parts: EntryParts): OriginFinder => createOriginFinder({
+	origins: parts.origins,
+	history: parts.softwareHistory,
+	recordKeepers: () => recordKeepersOf(liveNames(parts)).filter(name => name !== parts.settings.name),
+	ask: parts.relay.askOrigin,
 });
--- a/packages/router/src/lib/fleet/change-feed.ts
+++ b/packages/router/src/lib/fleet/change-feed.ts
@@ -57,6 +57,8 @@
 	ageMs: () => number;
 	/** Newest change of this table seen so far; 0 before the first listing. */
 	newestChange: () => number;
+	/** Version of the store as of which the table is known; 0 before the first listing. */
+	position: () => number;
 	/**
 	 * A peer has seen this change. Unless it arrives within `coalesceMs`, the feed polls the store
 	 * without waiting.
@@ -332,6 +334,7 @@
 	return {
 		ageMs,
 		newestChange: () => newestChange,
+		position: () => version ?? 0,
 		hint(known) {
 			schedulePoll(options.coalesceMs + sharing.relayDelayMs, () => known > Math.max(version!, newestChange));
 		},
--- a/packages/router/src/lib/streams/origin-finder.ts
+++ b/packages/router/src/lib/streams/origin-finder.ts
@@ -9,7 +9,9 @@
 /** Options of {@link createOriginFinder}. */
 export type OriginFinderOptions = {
 	origins: StreamOrigins;
-	history: SoftwareHistory;
+	history: Pick<SoftwareHistory, 'soleSoftware'>;
+	/** Daemons that may know the version of all streams of a service. */
+	recordKeepers: () => readonly string[];
 	/** Asks peers by name. Each promise resolves within a fraction of a second. */
 	ask: (peers: readonly string[], question: OriginQuestion) => Array<Promise<OriginAnswer>>;
 };
@@ -40,14 +42,16 @@
 }
 
 /** Creates a finder. */
-export function createOriginFinder({origins, history, ask}: OriginFinderOptions): OriginFinder {
+export function createOriginFinder({
+	origins, history, recordKeepers, ask,
+}: OriginFinderOptions): OriginFinder {
 	const inferOrigin = (service: string): StreamOrigin | undefined => {
 		const software = history.soleSoftware(service);
 		return software === undefined ? undefined : {service, software};
 	};
 
 	const askPeers = async (question: OriginQuestion): Promise<StreamOrigin | undefined> => {
-		const asked = ask(origins.keepersOf(question.key), question);
+		const asked = ask([...new Set([...origins.keepersOf(question.key), ...recordKeepers()])], question);
 		try {
 			return await Promise.any(asked.map(async answer => originIfTold(answer)));
 		} catch {
--- a/packages/router/src/lib/streams/software-history.ts
+++ b/packages/router/src/lib/streams/software-history.ts
@@ -18,6 +18,10 @@
 	soleSoftware: (service: string) => string | undefined;
 	/** Whether streams under way may have begun at several versions, by the list as this daemon last saw it. */
 	isMixed: (service: string) => boolean;
+	/** Whether all streams under way began while this daemon knew the endpoint list. */
+	isComplete: () => boolean;
+	/** Records that streams from before this process knew the endpoint list began at this version only. */
+	restore: (service: string, software: string) => void;
 	/** Called when a service gets endpoints of one more version. */
 	onVersionAdded: (listener: (service: string) => void) => void;
 };
@@ -29,6 +33,8 @@
 	/** By service, then by version. */
 	const versions = new Map<string, Map<string, Listed>>();
 	const listeners: Array<(service: string) => void> = [];
+	/** Services whose versions are known from before `knownSince`. */
+	const restored = new Set<string>();
 	let knownSince = startsEmpty ? Number.NEGATIVE_INFINITY : Number.POSITIVE_INFINITY;
 
 	const listedOf = (service: string, software: string): Listed => {
@@ -77,19 +83,23 @@
 		}
 	});
 
-	const lastSeenSole = (service: string): string | undefined => {
-		if (performance.now() - knownSince < streamMs()) {
-			return undefined;
-		}
+	const isComplete = (): boolean => performance.now() - knownSince >= streamMs();
 
+	const soleListed = (service: string): string | undefined => {
 		const ofService = removeExpired(service);
 		const [software] = ofService.keys();
 		return ofService.size === 1 ? software : undefined;
 	};
 
 	return {
-		soleSoftware: service => isCurrent() ? lastSeenSole(service) : undefined,
-		isMixed: service => lastSeenSole(service) === undefined,
+		soleSoftware: service => isCurrent() && (isComplete() || restored.has(service)) ? soleListed(service) : undefined,
+		// Restored knowledge could be lost with this daemon, so its streams are reported nevertheless.
+		isMixed: service => !isComplete() || soleListed(service) === undefined,
+		isComplete,
+		restore(service, software) {
+			listedOf(service, software).lastListedAt = performance.now();
+			restored.add(service);
+		},
 		onVersionAdded(listener) {
 			listeners.push(listener);
 		},
--- a/packages/router/src/test/streams/origin-finder.test.ts
+++ b/packages/router/src/test/streams/origin-finder.test.ts
@@ -6,8 +6,9 @@
 		const origins = createStreamOrigins({
 			peers: () => [], mustReport: () => true, onUnreported: () => undefined, streamMs: () => 1000,
 		});
-		const history = {soleSoftware: () => sole, isMixed: () => sole === undefined, onVersionAdded: () => undefined};
-		return createOriginFinder({origins, history, ask: () => answers.map(async answer => answer)});
+		return createOriginFinder({
+			origins, history: {soleSoftware: () => sole}, recordKeepers: () => [], ask: () => answers.map(async answer => answer),
+		});
 	};
 
 	const answer = (kind: 'began' | 'sole', software: string, service = 'engines'): OriginAnswer => ({kind, origin: {service, software}});
--- a/packages/router/src/test/streams/stream-histories.test.ts
+++ b/packages/router/src/test/streams/stream-histories.test.ts
@@ -76,7 +76,9 @@
 				},
 			});
 			const daemon: Daemon = {
-				view, origins, exchange, incarnation, finder: createOriginFinder({origins, history, ask}), isUp: true, isCutOff: false,
+				view, origins, exchange, incarnation, finder: createOriginFinder({
+					origins, history, recordKeepers: () => [], ask,
+				}), isUp: true, isCutOff: false,
 			};
 			return daemon;
 		};
