After a loss of all daemons, streams of a service with two versions go on at the one that began them

Callers whose streams broke off when all daemons were lost were refused (503 cannot_resume) in a service with two versions: who knew where a stream began was lost too.

Change: while others can't tell a stream's version by its service, each daemon writes its latest streams to a row of its own, at most 20 rows a second in the whole fleet. Daemons that start without knowing what served before read all rows 150 ms after they listen; in a fleet of over 100 two of them do, and the others ask these. The record of sole versions is read in the same way, and proves nothing once a document allows streams to be taken up for longer than it speaks of.

First tries asked peers only: a late daemon's answers took longer than the 250 ms that a question waits, so small fleets read for themselves.

--- a/packages/entry/src/lib/entry-daemon.ts
+++ b/packages/entry/src/lib/entry-daemon.ts
@@ -61,6 +61,7 @@
 	parts.directory.start();
 	parts.refusalRows.start();
 	parts.softwareRecord.start();
+	parts.streamRows.start();
 	wireRestore(parts);
 	void parts.leases.start();
 	const droppedLinesTimer = setInterval(() => {
@@ -83,6 +84,7 @@
 		clearInterval(droppedLinesTimer);
 		parts.refusalRows.close();
 		parts.softwareRecord.close();
+		parts.streamRows.close();
 		parts.fleetKey.close();
 		await parts.leases.release();
 		parts.leases.close();
--- a/packages/entry/src/lib/entry-parts.ts
+++ b/packages/entry/src/lib/entry-parts.ts
@@ -32,7 +32,7 @@
 	wireAdmission, wireBackoff, wireBrittle, wireBudgets, wireBufferAccount, wireCapacityWait, wireChoice, wireConnectionShares, wireEvents, wireLimits, wireQuota,
 } from './wiring/request-wiring.js';
 import {
-	wireOriginFinder, wireSoftwareHistory, wireSoftwareRecord, wireStreamOrigins, wireStreamRoutes,
+	wireOriginFinder, wireSoftwareHistory, wireSoftwareRecord, wireStreamOrigins, wireStreamRoutes, wireStreamRows,
 } from './wiring/stream-wiring.js';
 
 const connectTimeoutMs = 300;
@@ -87,6 +87,7 @@
 		softwareHistory: asFunction(wireSoftwareHistory).singleton(),
 		softwareRecord: asFunction(wireSoftwareRecord).singleton(),
 		origins: asFunction(wireStreamOrigins).singleton(),
+		streamRows: asFunction(wireStreamRows).singleton(),
 		originFinder: asFunction(wireOriginFinder).singleton(),
 		limits: asFunction(wireLimits).singleton(),
 		backoff: asFunction(wireBackoff).singleton(),
--- a/packages/entry/src/lib/wiring/parts.ts
+++ b/packages/entry/src/lib/wiring/parts.ts
@@ -22,10 +22,8 @@
 import {type FleetQuota} from 'hickorywalk/quotas.js';
 import {type UnprovenVersions} from 'hickorywalk/releases.js';
 import {type AttemptBudget, type createHealthTracker} from 'hickorywalk/routing.js';
-import {type EventLoopLag} from 'hickorywalk/time.js';
-import {
-	type OriginFinder, type SoftwareHistory, type SoftwareRecord, type StreamOrigins,
-} from 'hickorywalk/streams.js';
+import {type EventLoopLag, type PeriodicTask} from 'hickorywalk/time.js';
+import {type OriginFinder, type SoftwareHistory, type StreamOrigins} from 'hickorywalk/streams.js';
 import {
 	type createWeightsRollout, type EngineVersions, type NamingRecord, type WeightsDeadlines,
 } from 'hickorywalk/weights.js';
@@ -71,8 +69,9 @@
 	relayServer: RelayServer;
 	streamRoutes: () => StreamRoutes;
 	softwareHistory: SoftwareHistory;
-	softwareRecord: SoftwareRecord;
+	softwareRecord: PeriodicTask;
 	origins: StreamOrigins;
+	streamRows: PeriodicTask;
 	originFinder: OriginFinder;
 	limits: EndpointLimits;
 	backoff: EndpointBackoff;
--- a/packages/entry/src/lib/wiring/stream-wiring.ts
+++ b/packages/entry/src/lib/wiring/stream-wiring.ts
@@ -2,9 +2,10 @@
 import {createEndpointSource} from '@hickorywalk/platform';
 import {type Route} from 'hickorywalk/fleet.js';
 import {
-	createOriginFinder, createSoftwareHistory, createSoftwareRecord, createStreamOrigins, type OriginFinder, recordKeepersOf,
-	type SoftwareHistory, type SoftwareRecord, type StreamOrigins,
+	createOriginFinder, createSoftwareHistory, createSoftwareRecord, createStreamOrigins, createStreamRows, type OriginFinder, recordKeepersOf,
+	type SoftwareHistory, type StreamOrigins,
 } from 'hickorywalk/streams.js';
+import {type PeriodicTask} from 'hickorywalk/time.js';
 import {type EntryParts} from './parts.js';
 
 /** A stream may be taken up again at most this many times the longest timeout of a stream's route after it began: a caller has two tries. */
@@ -78,7 +79,7 @@
 const liveNames = ({settings, peers}: EntryParts): string[] => [settings.name, ...peers.live().map(({report}) => report.daemon)];
 
 /** Creates the record of versions that have served alone. */
-export const wireSoftwareRecord = (parts: EntryParts): SoftwareRecord => createSoftwareRecord({
+export const wireSoftwareRecord = (parts: EntryParts): PeriodicTask => createSoftwareRecord({
 	table: parts.ownTable,
 	view: parts.view,
 	source: createEndpointSource(parts.store, parts.log),
@@ -87,10 +88,25 @@
 	listedAt: parts.endpointFeed.position,
 	name: parts.settings.name,
 	names: () => liveNames(parts),
+	fleetSize: parts.peers.fleetSize,
+	streamMs: () => parts.streamRoutes().streamMs,
 	timeoutMs: parts.timings.storeTimeoutMs * 2,
 	log: parts.log,
 });
 
+/** Creates the rows that tell where streams began. */
+export const wireStreamRows = (parts: EntryParts): PeriodicTask => createStreamRows({
+	table: parts.ownTable,
+	name: parts.settings.name,
+	origins: parts.origins,
+	history: parts.softwareHistory,
+	isKeeper: () => recordKeepersOf(liveNames(parts)).includes(parts.settings.name),
+	fleetSize: parts.peers.fleetSize,
+	streamMs: () => parts.streamRoutes().streamMs,
+	storeMs: parts.store.clockMs,
+	log: parts.log,
+});
+
 /** Creates the finder of origins. */
 export const wireOriginFinder = (parts: EntryParts): OriginFinder => createOriginFinder({
 	origins: parts.origins,
--- a/packages/router/src/lib/streams/origin-finder.ts
+++ b/packages/router/src/lib/streams/origin-finder.ts
@@ -76,7 +76,8 @@
 
 			// A stream of a split route may have begun at another service than the one that is asked about.
 			const inferred = services.length === 1 ? inferOrigin(services[0]) : undefined;
-			return inferred ?? askPeers({key, service: services.length === 1 ? services[0] : ''});
+			// This daemon may have learned of it meanwhile.
+			return inferred ?? await askPeers({key, service: services.length === 1 ? services[0] : ''}) ?? origins.originOf(key);
 		},
 		answer({key, service}) {
 			const origin = origins.originOf(key);
--- a/packages/router/src/lib/streams/software-record.ts
+++ b/packages/router/src/lib/streams/software-record.ts
@@ -11,6 +11,7 @@
 import {type Log} from '../observability/log.js';
 import {type TableClient} from '../platform/platform.js';
 import {orderedBy} from '../routing/rendezvous.js';
+import {createPeriodicTask, type PeriodicTask} from '../time/periodic-task.js';
 import {type SoftwareHistory} from './software-history.js';
 
 /** Options of {@link createSoftwareRecord}. */
@@ -28,25 +29,26 @@
 	name: string;
 	/** Names of the daemons that could keep the record, including this one. */
 	names: () => readonly string[];
+	/** Number of daemons, including silent ones. */
+	fleetSize: () => number;
+	/** Longest time in milliseconds for which a caller may take up a stream again. */
+	streamMs: () => number;
 	/** Timeout of a read of the store's history, in milliseconds. */
 	timeoutMs: number;
 	log: Log;
 };
 
-/** The record of one daemon. */
-export type SoftwareRecord = {
-	/** Writes and reads the record when that is due, until closed. */
-	start: () => void;
-	close: () => void;
-};
-
-/** Daemons that read the record after a loss of all, and answer the others. The first of them writes it. */
+/** Daemons that read the records of a large fleet after a loss of all, and answer the others. The first of them writes this record. */
 const keeperCount = 2;
 
+/** Size of a fleet up to which each daemon reads the records itself; answers of late peers take too long. */
+const maxReaders = 100;
+
 /** Key of the row. */
 const recordKey = 'software';
 
-const checkMs = 500;
+/** Times of the task in milliseconds; by the first one, a daemon knows the size of its fleet. */
+export const recordTimes = {firstMs: 150, everyMs: 500};
 
 /** Interval of writing an unchanged record in milliseconds; far shorter than the history of a store. */
 const renewMs = 5000;
@@ -54,20 +56,23 @@
 const recordSchema = z.object({
 	/** Version of the store as of which the record holds. */
 	position: z.number(),
+	/** Milliseconds for which it has been so. */
+	forMs: z.number(),
 	/** Service, the version that has served it alone, digest of its processes. */
 	sole: z.array(z.tuple([z.string(), z.string(), z.string()])),
 });
 
 type RecordRow = z.infer<typeof recordSchema>;
 
-/** The keepers of the record among these daemons. */
+/** The keepers of the records among these daemons. */
 export const recordKeepersOf = (names: readonly string[]): string[] => orderedBy(recordKey, names).slice(0, keeperCount);
 
-/** Creates a record; it makes no calls until started. */
-export function createSoftwareRecord(options: SoftwareRecordOptions): SoftwareRecord {
+/** Whether a daemon reads the records itself. */
+export const readsRecords = (fleetSize: number, isKeeper: boolean): boolean => isKeeper || fleetSize <= maxReaders;
+
+/** Creates the task that writes and reads the record when that is due. */
+export function createSoftwareRecord(options: SoftwareRecordOptions): PeriodicTask {
 	const {table, view, source, history, services, listedAt, log} = options;
-	let timer: NodeJS.Timeout | undefined;
-	let isBusy = false;
 	let isRead = false;
 	let written: {sole: string; at: number} | undefined;
 
@@ -97,7 +102,7 @@
 			return;
 		}
 
-		const row: RecordRow = {position: listedAt(), sole: sole.map(([service, software]) => [service, software, digestProcesses(service)])};
+		const row: RecordRow = {position: listedAt(), forMs: options.streamMs(), sole: sole.map(([service, software]) => [service, software, digestProcesses(service)])};
 		await table.transact([{key: recordKey, value: JSON.stringify(row)}]);
 		written = {sole: text, at: performance.now()};
 	};
@@ -126,9 +131,9 @@
 		return false;
 	};
 
-	const restoreFrom = async ({position, sole}: RecordRow): Promise<void> => {
+	const restoreFrom = async ({position, forMs, sole}: RecordRow): Promise<void> => {
 		// A removed endpoint may have been of any version.
-		const isUnproven = await hasRemovals(position);
+		const isUnproven = forMs < options.streamMs() || await hasRemovals(position);
 		for (const [service, software, digest] of sole) {
 			const isProven = !isUnproven && digest === digestProcesses(service);
 			if (isProven) {
@@ -157,36 +162,26 @@
 		isRead = true;
 	};
 
-	const check = async (): Promise<void> => {
-		const place = recordKeepersOf(options.names()).indexOf(options.name);
-		if (isBusy || listedAt() === 0 || place === -1) {
+	const readOrWrite = async (): Promise<void> => {
+		if (listedAt() === 0) {
 			return;
 		}
 
-		isBusy = true;
-		try {
-			if (!history.isComplete() && !isRead) {
-				await read();
-			}
+		const keepers = recordKeepersOf(options.names());
+		if (!isRead && !history.isComplete() && readsRecords(options.fleetSize(), keepers.includes(options.name))) {
+			await read();
+		}
 
-			if (place === 0) {
-				await writeIfDue();
-			}
-		} catch (error) {
-			log.debug('Record of software versions could not be read or written.', {err: error});
-		} finally {
-			isBusy = false;
+		if (keepers[0] === options.name) {
+			await writeIfDue();
 		}
 	};
 
-	return {
-		start() {
-			timer = setInterval(() => {
-				void check();
-			}, checkMs);
+	return createPeriodicTask({
+		...recordTimes,
+		run: readOrWrite,
+		onError(err) {
+			log.debug('Record of software versions could not be read or written.', {err});
 		},
-		close() {
-			clearInterval(timer);
-		},
-	};
+	});
 }
--- a/packages/router/src/lib/streams/stream-origins.ts
+++ b/packages/router/src/lib/streams/stream-origins.ts
@@ -33,6 +33,8 @@
 	originOf: (key: string) => StreamOrigin | undefined;
 	/** Reports the service's streams that began while that wasn't needed. */
 	reportAll: (service: string) => void;
+	/** This daemon's latest streams whose version others can't tell; `count` grows with each stream of this daemon. */
+	reportable: () => {count: number; reports: StreamReport[]};
 	/** Peers that may have been told of a stream. */
 	keepersOf: (key: string) => string[];
 	/** Takes what a peer has to be told. */
@@ -49,6 +51,9 @@
 /** Keys in one report, which keep it within one datagram. */
 const maxReportedKeys = 512;
 
+/** Streams in one report of all; the newest, which are the likeliest to be taken up again. */
+const maxReportable = 2000;
+
 type Recorded = {origin: StreamOrigin; at: number; isOwn: boolean};
 
 /** Creates an empty record. */
@@ -56,6 +61,7 @@
 	const recorded = new LRUCache<string, Recorded>({max: maxStreams});
 	/** Keys by peer. */
 	const unreported = new Map<string, Set<string>>();
+	let ownCount = 0;
 
 	const rank = (key: string): string[] => orderedBy(`stream ${key}`, options.peers());
 
@@ -78,8 +84,26 @@
 		return known === undefined || performance.now() - known.at > options.streamMs() ? undefined : known;
 	};
 
+	/** Groups these streams by their origins. */
+	const reportsOf = (keys: Iterable<string>): StreamReport[] => {
+		const reports = new Map<string, StreamReport>();
+		for (const key of keys) {
+			const origin = currentOf(key)?.origin;
+			if (origin !== undefined) {
+				const {service, software} = origin;
+				const name = JSON.stringify([service, software]);
+				const known = reports.get(name) ?? [service, software, []];
+				known[2].push(key);
+				reports.set(name, known);
+			}
+		}
+
+		return [...reports.values()];
+	};
+
 	return {
 		began(key, origin) {
+			ownCount++;
 			recorded.set(key, {origin, at: performance.now(), isOwn: true});
 			if (options.mustReport(origin.service)) {
 				report([key]);
@@ -96,6 +120,20 @@
 
 			report(keys);
 		},
+		reportable() {
+			const keys: string[] = [];
+			for (const [key, {origin, isOwn}] of recorded.entries()) {
+				if (keys.length === maxReportable) {
+					break;
+				}
+
+				if (isOwn && options.mustReport(origin.service)) {
+					keys.push(key);
+				}
+			}
+
+			return {count: ownCount, reports: reportsOf(keys)};
+		},
 		// One more than are told: a daemon that tells isn't among its own keepers.
 		keepersOf: key => rank(key).slice(0, keeperCount + 1),
 		takeUnreported(peer) {
@@ -106,19 +144,7 @@
 				options.onUnreported([peer]);
 			}
 
-			const reports = new Map<string, StreamReport>();
-			for (const key of keys) {
-				const origin = currentOf(key)?.origin;
-				if (origin !== undefined) {
-					const {service, software} = origin;
-					const name = JSON.stringify([service, software]);
-					const known = reports.get(name) ?? [service, software, []];
-					known[2].push(key);
-					reports.set(name, known);
-				}
-			}
-
-			return [...reports.values()];
+			return reportsOf(keys);
 		},
 		applyPeerReport(reports) {
 			for (const [service, software, keys] of reports) {
--- a/packages/router/src/streams.ts
+++ b/packages/router/src/streams.ts
@@ -4,3 +4,4 @@
 export * from './lib/streams/software-record.js';
 export * from './lib/streams/stream-origin.js';
 export * from './lib/streams/stream-origins.js';
+export * from './lib/streams/stream-rows.js';
--- a/packages/router/src/time.ts
+++ b/packages/router/src/time.ts
@@ -1,2 +1,3 @@
-/** The process's event loop. */
+/** The process's event loop, and tasks that are repeated. */
 export * from './lib/time/event-loop-lag.js';
+export * from './lib/time/periodic-task.js';
