--- a/packages/router/src/test/streams/origin-finder.test.ts
+++ b/packages/router/src/test/streams/origin-finder.test.ts
@@ -24,6 +24,24 @@
 		assert.deepEqual(await finder.locate('key', ['engines']), {service: 'engines', software: 'v2'});
 	});
 
+	it('asks the keepers of the records, too, and takes what it learns itself meanwhile', async () => {
+		// Guards against refusals of streams whose origin was read from the store while peers were asked.
+		const origins = createStreamOrigins({
+			peers: () => ['vm-2'], mustReport: () => true, onUnreported: () => undefined, streamMs: () => 1000,
+		});
+		const finder = createOriginFinder({
+			origins,
+			history: {soleSoftware: () => undefined},
+			recordKeepers: () => ['vm-2', 'vm-3'],
+			ask(names) {
+				assert.sameMembers([...names], ['vm-2', 'vm-3']);
+				origins.applyPeerReport([['engines', 'v1', ['key']]]);
+				return [];
+			},
+		});
+		assert.deepEqual(await finder.locate('key', ['engines']), {service: 'engines', software: 'v1'});
+	});
+
 	it('finds nothing where nobody knows, and nothing by the service alone where a route divides its streams', async () => {
 		// Guards against a stream that goes on at another service than the one that began it.
 		assert.isUndefined(await finderWith(undefined, [{kind: 'unknown'}]).locate('key', ['engines']));
