Streams are gathered for the store only once one has to be reported

Each daemon walked all its recorded streams, 32,768 at most, twice a second and asked for each whether others can tell its version, also in services with one version, where nothing is ever written. The count of streams that had to be reported, which the reports to peers know anyway, now comes first. No figure was measured: the work at rest is gone by the code.

--- a/packages/router/src/lib/streams/stream-origins.ts
+++ b/packages/router/src/lib/streams/stream-origins.ts
@@ -33,8 +33,10 @@
 	originOf: (key: string) => StreamOrigin | undefined;
 	/** Reports the service's streams that began while that wasn't needed. */
 	reportAll: (service: string) => void;
-	/** This daemon's latest streams whose version others can't tell; `count` grows with each stream of this daemon. */
-	reportable: () => {count: number; reports: StreamReport[]};
+	/** Streams of this daemon that had to be reported so far. */
+	reportedCount: () => number;
+	/** This daemon's latest streams whose version others can't tell. */
+	latestReports: () => StreamReport[];
 	/** Peers that may have been told of a stream. */
 	keepersOf: (key: string) => string[];
 	/** Takes what a peer has to be told. */
@@ -52,7 +54,7 @@
 const maxReportedKeys = 512;
 
 /** Streams in one report of all; the newest, which are the likeliest to be taken up again. */
-const maxReportable = 2000;
+const maxLatest = 2000;
 
 type Recorded = {origin: StreamOrigin; at: number; isOwn: boolean};
 
@@ -61,11 +63,12 @@
 	const recorded = new LRUCache<string, Recorded>({max: maxStreams});
 	/** Keys by peer. */
 	const unreported = new Map<string, Set<string>>();
-	let ownCount = 0;
+	let reportedCount = 0;
 
 	const rank = (key: string): string[] => orderedBy(`stream ${key}`, options.peers());
 
 	const report = (keys: readonly string[]): void => {
+		reportedCount += keys.length;
 		const recipients = new Set<string>();
 		for (const key of keys) {
 			for (const peer of rank(key).slice(0, keeperCount)) {
@@ -103,7 +106,6 @@
 
 	return {
 		began(key, origin) {
-			ownCount++;
 			recorded.set(key, {origin, at: performance.now(), isOwn: true});
 			if (options.mustReport(origin.service)) {
 				report([key]);
@@ -120,10 +122,11 @@
 
 			report(keys);
 		},
-		reportable() {
+		reportedCount: () => reportedCount,
+		latestReports() {
 			const keys: string[] = [];
 			for (const [key, {origin, isOwn}] of recorded.entries()) {
-				if (keys.length === maxReportable) {
+				if (keys.length === maxLatest) {
 					break;
 				}
 
@@ -132,7 +135,7 @@
 				}
 			}
 
-			return {count: ownCount, reports: reportsOf(keys)};
+			return reportsOf(keys);
 		},
 		// One more than are told: a daemon that tells isn't among its own keepers.
 		keepersOf: key => rank(key).slice(0, keeperCount + 1),
--- a/packages/router/src/lib/streams/stream-rows.ts
+++ b/packages/router/src/lib/streams/stream-rows.ts
@@ -16,7 +16,7 @@
 	table: TableClient;
 	/** Name of this daemon. */
 	name: string;
-	origins: Pick<StreamOrigins, 'reportable' | 'applyPeerReport'>;
+	origins: Pick<StreamOrigins, 'reportedCount' | 'latestReports' | 'applyPeerReport'>;
 	history: Pick<SoftwareHistory, 'isComplete'>;
 	/** Whether this daemon reads the rows of a large fleet. */
 	isKeeper: () => boolean;
@@ -51,12 +51,13 @@
 
 	const writeIfDue = async (): Promise<void> => {
 		const at = options.storeMs();
-		if (at === undefined || performance.now() - writtenAt < options.fleetSize() * writeMsPerDaemon) {
+		const count = origins.reportedCount();
+		if (at === undefined || count === writtenCount || performance.now() - writtenAt < options.fleetSize() * writeMsPerDaemon) {
 			return;
 		}
 
-		const {count, reports} = origins.reportable();
-		if (count === writtenCount || reports.length === 0) {
+		const reports = origins.latestReports();
+		if (reports.length === 0) {
 			return;
 		}
 
