Builds in one folder at once no longer share temporary files

Cause: deploy/bundle.js wrote each file to a temporary name that all builds of a folder share, and renamed it. The one that renames first takes away the file that the other still writes; the other then fails with ENOENT. The class: a folder is taken for one's own. A second effect: the compiled code was removed at the beginning of a build and came back 1.5 s later, so that daemons that started meanwhile compiled the source.

The test pauses one build before its first rename and runs another one; before the change it fails with exit code 1 and ENOENT.

Now each build writes and runs its program in a folder of its own within the target folder, and installs the three files at its end by renames.

The test of compiled code that can't be written occupied the shared temporary name, which no longer exists. In its place stand two cases, each of which also starts what was built: the place of the compiled code is occupied, and the run of the program fails.

--- a/deploy/bundle.js
+++ b/deploy/bundle.js
@@ -4,7 +4,7 @@
  */
 import {execFileSync} from 'node:child_process';
 import {
-	copyFileSync, mkdirSync, renameSync, rmSync, writeFileSync,
+	copyFileSync, mkdirSync, mkdtempSync, renameSync, rmSync, writeFileSync,
 } from 'node:fs';
 import path from 'node:path';
 import process from 'node:process';
@@ -19,20 +19,13 @@
 const runtimeOptions = ['--max-old-space-size=120', '--liftoff-only', '--interrupt-budget=1000000'];
 
 const folder = process.argv[2] ?? 'target';
-const program = path.join(folder, 'hickorywalk-entry.cjs');
-const launcher = path.join(folder, 'launch.cjs');
-const sampleSettings = path.join(folder, 'sample-settings.json');
+const program = 'hickorywalk-entry.cjs';
+const launcher = 'launch.cjs';
+const compiledCode = `${program}.code`;
 
 /** After this time the program that should write its compiled code is ended, in milliseconds. */
 const buildTimeoutMs = 60_000;
 
-/** Replaces a file as a whole, so that a build which is interrupted leaves the earlier one. */
-function replaceFile(file, write) {
-	const temporaryFile = `${file}.next`;
-	write(temporaryFile);
-	renameSync(temporaryFile, file);
-}
-
 const slimUndici = {
 	name: 'slim-undici',
 	setup(hooks) {
@@ -43,7 +36,7 @@
 
 const {outputFiles: [bundle]} = await build({
 	entryPoints: ['packages/entry/src/hickorywalk-entry.ts'],
-	outfile: program,
+	outfile: path.join(folder, program),
 	write: false,
 	bundle: true,
 	minifySyntax: true,
@@ -58,37 +51,57 @@
 	plugins: [slimUndici],
 });
 mkdirSync(folder, {recursive: true});
-rmSync(`${program}.code`, {force: true});
-replaceFile(program, file => {
-	writeFileSync(file, bundle.contents);
-});
-replaceFile(launcher, file => {
-	copyFileSync('deploy/launch.cjs', file);
-});
+// Of this build alone: others may run in the same folder, and a daemon may start meanwhile.
+const buildFolder = mkdtempSync(path.join(folder, 'build-'));
 
-// The program starts before a store that is not there, and ends by itself; what it compiled is kept.
-writeFileSync(sampleSettings, JSON.stringify({
-	node: 'sample',
-	role: 'entry',
-	ip: '127.0.0.1',
-	zone: 'a',
-	listen: {front: '127.0.0.1:0', ready: '127.0.0.1:0'},
-	port_range: [0, 0],
-	limits: {memory_mb: 1, max_fds: 1},
-	heartbeat_ms: 1,
-	bounds: {
-		stable_window_ms: 1, drain_ms: 1, grace_s: 1, config_ms: 1,
-	},
-	platform: {address: '127.0.0.1:1'},
-}));
-try {
-	execFileSync(process.execPath, [...runtimeOptions, launcher], {
+/** Replaces the installed file as a whole. */
+function install(name) {
+	renameSync(path.join(buildFolder, name), path.join(folder, name));
+}
+
+/** Runs the program before a store that is not there; it ends by itself, and what it compiled is kept. */
+function compileProgram() {
+	const sampleSettings = path.join(buildFolder, 'sample-settings.json');
+	writeFileSync(sampleSettings, JSON.stringify({
+		node: 'sample',
+		role: 'entry',
+		ip: '127.0.0.1',
+		zone: 'a',
+		listen: {front: '127.0.0.1:0', ready: '127.0.0.1:0'},
+		port_range: [0, 0],
+		limits: {memory_mb: 1, max_fds: 1},
+		heartbeat_ms: 1,
+		bounds: {
+			stable_window_ms: 1, drain_ms: 1, grace_s: 1, config_ms: 1,
+		},
+		platform: {address: '127.0.0.1:1'},
+	}));
+	execFileSync(process.execPath, [...runtimeOptions, path.join(buildFolder, launcher)], {
 		env: {...process.env, HICKORYWALK_BOOT: sampleSettings, HICKORYWALK_WRITE_CODE: '1'},
 		stdio: ['ignore', 'ignore', 'inherit'],
 		timeout: buildTimeoutMs,
 		killSignal: 'SIGKILL',
 	});
-} catch (error) {
-	// The launcher compiles what is missing.
-	process.stderr.write(`Compiled code is missing or incomplete: ${error.message}\n`);
+}
+
+/** Runs steps without which the program starts as well, since the launcher compiles what is missing. */
+function attempt(step) {
+	try {
+		step();
+	} catch (error) {
+		process.stderr.write(`Compiled code is missing or incomplete: ${error.message}\n`);
+	}
+}
+
+try {
+	writeFileSync(path.join(buildFolder, program), bundle.contents);
+	copyFileSync('deploy/launch.cjs', path.join(buildFolder, launcher));
+	attempt(compileProgram);
+	install(program);
+	install(launcher);
+	attempt(() => {
+		install(compiledCode);
+	});
+} finally {
+	rmSync(buildFolder, {recursive: true});
 }
--- a/packages/entry/src/test/deployed-program.test.ts
+++ b/packages/entry/src/test/deployed-program.test.ts
@@ -2,7 +2,7 @@
 import {type ChildProcess, execFileSync, spawn} from 'node:child_process';
 import {once} from 'node:events';
 import {
-	mkdirSync, mkdtempSync, readFileSync, rmSync, writeFileSync,
+	existsSync, mkdirSync, mkdtempSync, readFileSync, rmSync, writeFileSync,
 } from 'node:fs';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
@@ -22,6 +22,25 @@
 const startMs = 15_000;
 const settings = fileSettingsAt('127.0.3.2');
 
+/** A module for `--import` that pauses the process before it first renames a file, until the file `resumed` exists. */
+const pausedRename = (paused: string, resumed: string): string => `data:text/javascript,${encodeURIComponent(`
+import fs from 'node:fs';
+import {syncBuiltinESMExports} from 'node:module';
+const {renameSync} = fs;
+fs.renameSync = (...files) => {
+	if (!fs.existsSync(${JSON.stringify(paused)})) {
+		fs.writeFileSync(${JSON.stringify(paused)}, '');
+	}
+
+	while (!fs.existsSync(${JSON.stringify(resumed)})) {
+		Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 10);
+	}
+
+	renameSync(...files);
+};
+syncBuiltinESMExports();
+`)}`;
+
 describe('the deployed program', () => {
 	let folder: string;
 	let program: string;
@@ -36,9 +55,9 @@
 		output += chunk.toString('utf8');
 	};
 
-	const start = (options = deployedOptions): void => {
+	const start = (options = deployedOptions, programFolder = folder): void => {
 		output = '';
-		daemon = spawn(process.execPath, [...options, path.join(folder, 'launch.cjs')], {
+		daemon = spawn(process.execPath, [...options, path.join(programFolder, 'launch.cjs')], {
 			env: {...process.env, [settingsVariable]: path.join(folder, 'boot.json')}, stdio: ['ignore', 'pipe', 'pipe'],
 		});
 		for (const stream of [daemon.stdout!, daemon.stderr!]) {
@@ -172,17 +191,46 @@
 		assert.isFalse(usesCode(), output);
 	});
 
-	it('starts if the build can\'t write compiled code', async () => {
-		// Guards against a build that leaves no program since a file of little use is missing.
-		const other = path.join(folder, 'without-code');
-		mkdirSync(path.join(other, 'hickorywalk-entry.cjs.code.next'), {recursive: true});
-		execFileSync(process.execPath, ['deploy/bundle.js', other], {cwd: root, stdio: 'ignore'});
+	it('is built whole by two builds of one folder at once', async () => {
+		// Guards against a build that fails, or installs half a file, since another one writes the same temporary files.
+		const shared = path.join(folder, 'shared');
+		const paused = path.join(folder, 'paused');
+		const resumed = path.join(folder, 'resumed');
+		const first = spawn(process.execPath, ['--import', pausedRename(paused, resumed), 'deploy/bundle.js', shared], {cwd: root, stdio: ['ignore', 'ignore', 'inherit']});
+		while (!existsSync(paused) && first.exitCode === null) {
+			await sleep(10);
+		}
+
+		execFileSync(process.execPath, ['deploy/bundle.js', shared], {cwd: root, stdio: ['ignore', 'ignore', 'inherit']});
+		assert.isNull(first.exitCode);
+		writeFileSync(resumed, '');
+		assert.deepEqual(await once(first, 'exit'), [0, null]);
 		for (const name of ['launch.cjs', 'hickorywalk-entry.cjs']) {
-			assert.deepEqual(readFileSync(path.join(other, name)), readFileSync(path.join(folder, name)));
+			assert.deepEqual(readFileSync(path.join(shared, name)), readFileSync(path.join(folder, name)));
 		}
 
-		rmSync(codeFile);
-		start();
+		start(deployedOptions, shared);
 		assert.isTrue(await listens(), output);
+		assert.isTrue(usesCode(), output);
+	});
+
+	it('starts if the build can\'t install compiled code, or can\'t run the program', async () => {
+		// Guards against a build that leaves no program since a file of little use is missing.
+		const occupied = path.join(folder, 'occupied');
+		mkdirSync(path.join(occupied, 'hickorywalk-entry.cjs.code', 'any'), {recursive: true});
+		execFileSync(process.execPath, ['deploy/bundle.js', occupied], {cwd: root, stdio: 'ignore'});
+		const notRun = path.join(folder, 'not-run');
+		const nodeOptions = '--import=data:text/javascript,if(process.env.HICKORYWALK_WRITE_CODE)process.exit(1)';
+		execFileSync(process.execPath, ['deploy/bundle.js', notRun], {cwd: root, stdio: 'ignore', env: {...process.env, NODE_OPTIONS: nodeOptions}});
+		for (const other of [occupied, notRun]) {
+			for (const name of ['launch.cjs', 'hickorywalk-entry.cjs']) {
+				assert.deepEqual(readFileSync(path.join(other, name)), readFileSync(path.join(folder, name)));
+			}
+
+			start(deployedOptions, other);
+			assert.isTrue(await listens(), output);
+			assert.isFalse(usesCode(), output);
+			await kill();
+		}
 	});
 });
