A report that can't be applied costs that report, not the daemon

Callers saw: nothing that is traced to it; any exception in the handler of a report that came directly, not in a bundle, ended the daemon, and each daemon that got it.

Cause: only decoding was inside try; applying a report ran as the handler of a datagram. Class: words of another process raise in a handler that nothing encloses.

Evidence: 'goes on after a report that can't be applied' ended in an uncaught TypeError before.

Change: applying is enclosed too, as for reports in bundles, and logged as an error. Lines about invalid and unapplied reports have a budget a second, since a sender may repeat them without end.

--- a/packages/router/src/lib/peers/peer-exchange.ts
+++ b/packages/router/src/lib/peers/peer-exchange.ts
@@ -12,6 +12,7 @@
  */
 import {type Buffer} from 'node:buffer';
 import {type FeedRelay} from '../fleet/feed-relay.js';
+import {createLineBudget} from '../observability/line-budget.js';
 import {type Log} from '../observability/log.js';
 import {orderedBy} from '../routing/rendezvous.js';
 import {type BundleEntry, isBundle} from './bundle-codec.js';
@@ -135,6 +136,9 @@
 /** If more peers than this become silent in one round, they share one log line. */
 const maxSilentLogLines = 8;
 
+/** Log lines of each kind for reports that are invalid or can't be applied. */
+const faultLinesPerSecond = 2;
+
 /** Creates an exchange; it sends nothing until started. */
 export function createPeerExchange(options: PeerExchangeOptions): PeerExchange {
 	const {name, incarnation, log} = options;
@@ -162,6 +166,7 @@
 	/** Peers that announced their stop: their incarnation, and when. */
 	const departures = new Map<string, {incarnation: number; at: number}>();
 	const ownUpdates = createOwnUpdates();
+	const lineBudget = createLineBudget({perSecond: {other: faultLinesPerSecond}});
 	const entryDecoder = createEntryDecoder();
 	/** Numbers of the latest reports in bundles. */
 	let bundledNumbers: number[] = [];
@@ -225,12 +230,23 @@
 		try {
 			report = decodeReport(content);
 		} catch (error) {
-			log.warn('Datagram is not a valid report and is dropped.', {bytes: content.length, err: error});
+			if (lineBudget.take('invalid')) {
+				log.warn('Datagram is not a valid report and is dropped.', {bytes: content.length, err: error});
+			}
+
+			return;
+		}
+
+		if (!isCurrent(report)) {
 			return;
 		}
 
-		if (isCurrent(report)) {
+		try {
 			accept(report, performance.now());
+		} catch (error) {
+			if (lineBudget.take('unapplied')) {
+				log.error('Report could not be applied.', {peer: report.daemon, err: error});
+			}
 		}
 	};
 
@@ -243,7 +259,10 @@
 			accept(entryDecoder.decode(entry), heardAt);
 			return true;
 		} catch (error) {
-			log.warn('Report in a bundle is not valid and is dropped.', {peer: entry.daemon, err: error});
+			if (lineBudget.take('entry')) {
+				log.warn('Report in a bundle is not valid and is dropped.', {peer: entry.daemon, err: error});
+			}
+
 			return false;
 		}
 	};
--- a/packages/router/src/test/peers/peer-exchange.test.ts
+++ b/packages/router/src/test/peers/peer-exchange.test.ts
@@ -25,7 +25,7 @@
 	const open: PeerExchange[] = [];
 
 	/** Starts a daemon whose reports carry `store()` as the newest version seen. */
-	const start = async (name: string, incarnation: number, store: () => number) => {
+	const start = async (name: string, incarnation: number, store: () => number, apply: () => void = () => undefined) => {
 		const port = await freePort();
 		const heard: PeerReport[] = [];
 		let wake: () => void = () => undefined;
@@ -38,6 +38,7 @@
 			minSilenceMs: neverMs,
 			compose: () => ({...emptyContents, heard: {operator: store()}}),
 			onReport(report) {
+				apply();
 				heard.push(report);
 				wake();
 			},
@@ -66,6 +67,23 @@
 		await Promise.all(open.splice(0).map(async exchange => exchange.leave()));
 	});
 
+	it('goes on after a report that can\'t be applied', async () => {
+		// Guards against daemons that end one after another because of one report.
+		let isFirst = true;
+		const faulty = await start('vm-1', 1, () => 0, () => {
+			if (isFirst) {
+				isFirst = false;
+				throw new TypeError('odd');
+			}
+		});
+		const sender = await start('vm-2', 1, () => 7);
+		sender.exchange.learn('vm-1', `${host}:${faulty.port}`);
+		await sender.exchange.sendNow();
+		await sender.exchange.sendNow();
+		await faulty.until(1);
+		assert.deepEqual(faulty.heard.map(report => report.daemon), ['vm-2']);
+	});
+
 	it('sends reports to peers from the directory, and learns the senders of received reports', async () => {
 		const one = await start('vm-1', 1, () => 7);
 		const two = await start('vm-2', 1, () => 9);
