Parts of prompts may state counts of tokens that are no whole numbers

Callers saw: a request whose Prompt-Prefix states a part of 50.5 tokens (fractions above 1) got no answer, its connection was closed, and it stayed in the load of its engine. A datagram of a peer with such a count ended the daemon that got it.

Cause: counts are the sizes of entries in an LRU cache, which throws for a size that isn't a positive whole number. The call is in the path of the request and in the handler of reports.

Change: sizes are rounded up and bounded where they are given to the cache, for callers' and peers' counts alike.

--- a/packages/router/src/lib/placing/resident-parts.ts
+++ b/packages/router/src/lib/placing/resident-parts.ts
@@ -41,6 +41,9 @@
 
 type Memory = LRUCache<string, number>;
 
+/** Size of an entry, which the cache takes only as a positive whole number. */
+const sizeOf = (tokens: number): number => Math.max(1, Math.ceil(Math.min(tokens, Number.MAX_SAFE_INTEGER)));
+
 /** Creates an empty record. */
 export function createResidentParts({memoryTokens}: ResidentPartsOptions): ResidentParts {
 	const memories = new Map<string, Memory>();
@@ -85,7 +88,7 @@
 
 		for (const [part, tokens] of parts) {
 			const key = partKey(scope, part);
-			memory.set(key, Math.max(1, tokens));
+			memory.set(key, sizeOf(tokens));
 			if (memory.has(key)) {
 				holdersByKey.set(key, (holdersByKey.get(key) ?? new Set()).add(id));
 			}
@@ -93,7 +96,7 @@
 
 		// The unshared part is never reused, but it occupies memory.
 		promptCount++;
-		memory.set(`own ${promptCount}`, Math.max(1, ownTokens));
+		memory.set(`own ${promptCount}`, sizeOf(ownTokens));
 	};
 
 	return {
--- a/packages/router/src/test/placing/resident-parts.test.ts
+++ b/packages/router/src/test/placing/resident-parts.test.ts
@@ -54,6 +54,17 @@
 		assert.equal(two.tokens(engine('e1'), prompt('s1')), 6300);
 	});
 
+	it('takes counts of tokens that are no whole numbers', () => {
+		// Guards against daemons that end because a caller states half a token.
+		const [one, two] = [createResidentParts({memoryTokens: () => memoryTokens}), createResidentParts({memoryTokens: () => memoryTokens})];
+		const odd = prompt('s1', {parts: [{id: 'top', tokens: 50.5}, {id: 's1', tokens: 1e308}, {id: 'own', tokens: 0}], promptTokens: 1e308, outputTokens: 1e308});
+		one.sent(engine('e1'), odd);
+		two.applyPeerReport(one.takeUnreported());
+		two.applyPeerReport([['e1', ':1', 1.5, [['top', 50.5], ['s2', -1]]]]);
+		two.sent(engine('e1'), prompt('s1'));
+		assert.equal(two.tokens(engine('e1'), prompt('s1')), 6300);
+	});
+
 	it('removes the parts of an engine that is gone', () => {
 		const parts = createResidentParts({memoryTokens: () => memoryTokens});
 		parts.sent(engine('e1'), prompt('s1'));
