An unreadable row costs its duty one lease, not all duties for good

Callers saw: with one odd row in the daemons' own table, whatever its duty, no daemon takes over the ordering of weights once its holder ends, so that engines stay on replaced weights.

Cause: each round reads all rows of leases, and one that isn't JSON, is nested deeply, lacks fields or has an incarnation that is no number threw before any duty was looked at. A token near the largest safe integer made the next holder write a row that no daemon could read.

Change: an unreadable row counts as held by an unknown daemon until a whole lease has passed without a change. The next token is above all that may have been given out: each takes a write of the row, so none exceeds the row's version; a larger one is odd too. By reading: a peer's incarnation that is no whole number threw in the same rounds, and is now compared as text.

--- a/packages/entry/src/lib/wiring/lease-wiring.ts
+++ b/packages/entry/src/lib/wiring/lease-wiring.ts
@@ -57,7 +57,7 @@
 		isHeldElsewhere: () => peers.live().some(({report, heardAt}) => report.duty !== null && report.duty[1] > performance.now() - heardAt),
 		lastReport(name, incarnation) {
 			const peer = peers.known().get(name);
-			return peer?.report.duty && BigInt(peer.report.incarnation) === incarnation
+			return peer?.report.duty && String(peer.report.incarnation) === String(incarnation)
 				? {attempt: peer.report.duty[0], heardAt: peer.heardAt, msLeft: peer.report.duty[1]}
 				: undefined;
 		},
--- a/packages/router/src/lib/leases/lease-holder.ts
+++ b/packages/router/src/lib/leases/lease-holder.ts
@@ -106,7 +106,8 @@
 	close: () => void;
 };
 
-type ObservedRow = {row: LeaseRow; version: number; unchangedSince: number};
+/** `row` is `undefined` if the row is unreadable; any daemon may hold the lease then. */
+type ObservedRow = {row: LeaseRow | undefined; version: number; unchangedSince: number};
 type Held = {fencing: number; end: number; clockOffset: number};
 
 const defaultLeaseMs = 30_000;
@@ -181,19 +182,34 @@
 
 	const isSettled = () => performance.now() >= settledAt;
 
-	function observe(duty: string, found: TableRow): LeaseRow {
+	/** The largest fencing token that may have been given out by this version of a row, since each one takes a write. */
+	const maxFencingAt = (version: number): number => (generation * fencingPerGeneration) + (version % fencingPerGeneration);
+
+	function parse(found: TableRow): LeaseRow | undefined {
+		try {
+			return parseLeaseRow(found, maxFencingAt(found.version));
+		} catch (error) {
+			if (observed.get(dutyOf(found.key))?.version !== found.version) {
+				options.onError?.(new LeaseTableError(`The row ${found.key} is invalid. Its duty is free once a lease of this version has ended.`, {cause: error}));
+			}
+
+			return undefined;
+		}
+	}
+
+	function observe(duty: string, found: TableRow): LeaseRow | undefined {
 		checkGeneration();
-		const row = parseLeaseRow(found);
+		const row = parse(found);
 		if (observed.get(duty)?.version !== found.version) {
 			observed.set(duty, {row, version: found.version, unchangedSince: performance.now()});
 		}
 
-		if (!isOurs(row)) {
+		if (row === undefined || !isOurs(row)) {
 			if (isSettled()) {
 				held.delete(duty);
 			}
 
-			if (row.note !== undefined) {
+			if (row?.note !== undefined) {
 				options.onNote?.(duty, row.note);
 			}
 		}
@@ -207,21 +223,36 @@
 		}
 
 		const known = observed.get(duty);
-		if (!known || known.row.holder === '') {
+		if (known === undefined || performance.now() >= known.unchangedSince + leaseMs + marginMs) {
 			return true;
 		}
 
-		if (isOurs(known.row)) {
+		return known.row !== undefined && isFree(duty, known.row);
+	}
+
+	/** Whether the lease in this row is known to have ended. */
+	function isFree(duty: string, row: LeaseRow): boolean {
+		if (row.holder === '') {
+			return true;
+		}
+
+		if (isOurs(row)) {
 			return !held.has(duty);
 		}
 
-		const report = options.lastReport?.(known.row.holder, BigInt(known.row.incarnation));
-		if (report !== undefined && known.row.attempt <= report.attempt && hasEndedByReport(report)) {
+		const report = options.lastReport?.(row.holder, BigInt(row.incarnation));
+		if (report !== undefined && row.attempt <= report.attempt && hasEndedByReport(report)) {
 			return true;
 		}
 
-		return (options.hasEnded?.(known.row.holder, BigInt(known.row.incarnation)) ?? false)
-			|| performance.now() >= known.unchangedSince + leaseMs + marginMs;
+		return options.hasEnded?.(row.holder, BigInt(row.incarnation)) ?? false;
+	}
+
+	/** A token above all that were given out. */
+	function nextFencing(duty: string): number {
+		const known = observed.get(duty);
+		const latest = known === undefined ? 0 : known.row?.fencing ?? maxFencingAt(known.version);
+		return Math.max(latest, generation * fencingPerGeneration) + 1;
 	}
 
 	/** Position of this daemon among the candidates, counted from 0. */
@@ -300,7 +331,7 @@
 			if (!isVacant(duty)) {
 				vacantRounds.delete(duty);
 			} else if (performance.now() >= (pausedUntil.get(duty) ?? 0) && isOurTurn(duty)) {
-				await acquireOrRenew(duty, Math.max(observed.get(duty)?.row.fencing ?? 0, generation * fencingPerGeneration) + 1);
+				await acquireOrRenew(duty, nextFencing(duty));
 			}
 		}
 	}
--- a/packages/router/src/lib/leases/lease-row.ts
+++ b/packages/router/src/lib/leases/lease-row.ts
@@ -1,6 +1,7 @@
 /** The table row of a duty's lease. */
 import {z} from 'zod';
 import {type TableRow} from '../platform/platform.js';
+import {LeaseTableError} from './lease-errors.js';
 
 const prefix = 'leases/';
 
@@ -8,7 +9,7 @@
 	/** Daemon that holds the duty; empty when it was released. */
 	holder: z.string(),
 	/** Incarnation of its process, in decimal. */
-	incarnation: z.string(),
+	incarnation: z.string().regex(/^\d{1,20}$/v),
 	/** Fencing token. Increases with each acquisition and never restarts, because rows are not deleted. */
 	fencing: z.number().int(),
 	/** Number of the write attempt of that process; never used twice. */
@@ -29,7 +30,12 @@
 /** The duty that a key belongs to. */
 export const dutyOf = (key: string) => key.slice(prefix.length);
 
-/** Parses a row; throws when its value does not match the schema. */
-export function parseLeaseRow(row: TableRow): LeaseRow {
-	return leaseSchema.parse(JSON.parse(row.value));
+/** Parses a row. @throws when its value doesn't match the schema, or its fencing token is above `maxFencing`. */
+export function parseLeaseRow(row: TableRow, maxFencing: number): LeaseRow {
+	const lease = leaseSchema.parse(JSON.parse(row.value));
+	if (lease.fencing > maxFencing) {
+		throw new LeaseTableError(`The row ${row.key} has the fencing token ${lease.fencing}, which no daemon has given out.`);
+	}
+
+	return lease;
 }
--- a/packages/router/src/test/leases/lease-holder.test.ts
+++ b/packages/router/src/test/leases/lease-holder.test.ts
@@ -84,6 +84,35 @@
 		assert.isDefined(b.held(duty));
 	});
 
+	const checkTakeover = async (value: string): Promise<void> => {
+		const [a, b] = [contender('a'), contender('b')];
+		await a.tick();
+		const before = a.held(duty)!.fencing;
+		await table.transact([{key: `leases/${duty}`, value}, {key: 'leases/other', value}]);
+		await run([a, b], (leaseMs + marginMs) * 2);
+		const successor = a.held(duty) === undefined ? b : a;
+		const {fencing} = successor.held(duty)!;
+		assert.isAbove(fencing, before);
+		const other = successor === a ? b : a;
+		await run([other], (leaseMs + marginMs) * 2);
+		assert.isAbove(other.held(duty)!.fencing, fencing);
+	};
+
+	for (const [name, value] of Object.entries({
+		'is not JSON': '\u0000',
+		'is nested deeply': '['.repeat(100_000),
+		'lacks its fields': '{}',
+		'has an incarnation that is no number': JSON.stringify({
+			holder: 'x', incarnation: 'first', fencing: 1, attempt: 1,
+		}),
+		'has a fencing token that is too large': JSON.stringify({
+			holder: '', incarnation: '1', fencing: Number.MAX_SAFE_INTEGER, attempt: 1,
+		}),
+	})) {
+		// Guards against duties that no daemon ever takes over again because of one row of another writer.
+		it(`assigns a duty although a row ${name}, with a higher fencing token than before`, async () => checkTakeover(value));
+	}
+
 	it('reads its own row back when the response to a write is lost', async () => {
 		// The write took effect but its response was lost. The holder finds its own
 		// attempt in the row; the lease counts from before the write.
