An odd entry among those of the endpoints isn't an endpoint that came and went

Callers saw: each odd entry under a new id, and its removal, made every daemon forget which software versions streams may have begun at; streams that callers took up again were refused until the longest stream had passed, if their daemon was lost too.

Cause: a row without a decoded item counted as the removal of an endpoint never seen, which may have been of any version.

Evidence: 'takes an entry that can't be decoded, and its removal, for no endpoint that has come and gone' counted 2 such endpoints before.

Change: only a row without text is a removal. No request was sent to an endpoint whose row can't be decoded, so no stream began there; the id is remembered, and its removal is no news. An odd row under the id of a listed endpoint still drops it until its next row.

--- a/packages/router/src/lib/fleet/endpoint-tracker.ts
+++ b/packages/router/src/lib/fleet/endpoint-tracker.ts
@@ -86,9 +86,11 @@
 
 	const update = (rows: ReadonlyArray<Change<LiveEndpoint>>): void => {
 		let hasMissed = false;
-		for (const {key, item} of rows) {
+		for (const {key, item, text} of rows) {
 			if (item === undefined) {
-				hasMissed = isUnseen(key) || hasMissed;
+				// A row that can't be decoded names no endpoint that requests were sent to.
+				const isRemoval = text === undefined;
+				hasMissed = (isUnseen(key) && isRemoval) || hasMissed;
 				copiedRows.cancel(key);
 				drop(key);
 			} else if (!copiedRows.holds(item)) {
--- a/packages/router/src/test/fleet/endpoint-tracker.test.ts
+++ b/packages/router/src/test/fleet/endpoint-tracker.test.ts
@@ -54,6 +54,16 @@
 		assert.equal(missed, 1);
 	});
 
+	it('takes an entry that can\'t be decoded, and its removal, for no endpoint that has come and gone', () => {
+		// Guards against streams that are refused at every daemon because of one entry of another writer.
+		tracker.update([{...deleted('odd'), text: '{}'}], 0);
+		tracker.update([{...deleted('odd'), text: '[]'}, row('e3')], 0);
+		tracker.update([deleted('odd')], 0);
+		tracker.replace([row('e1'), row('e2'), row('e3'), {...deleted('odd-2'), text: ''}], 0);
+		assert.equal(missed, 0);
+		assert.isDefined(view.endpoint('e3'));
+	});
+
 	it('takes the removal of a large service that is read twice for no news', () => {
 		// Guards against streams that are refused because removals of listed endpoints were forgotten meanwhile.
 		const ids = Array.from({length: 12_000}, (_item, index) => `r${index}`);
