Recorded software versions are proven beside odd entries

Callers saw: after a loss of all daemons, streams were refused although one version had served alone, because another writer had left an odd entry since the record was written.

Cause: a row that can't be decoded counted as a removed endpoint of unknown version.

Evidence: 'proves what it says beside entries that can't be decoded' failed before (undefined in place of v1).

Change: only removals refute a record. No stream begins at an endpoint whose entry can't be decoded, and one whose entry was replaced is missing from the digest of processes, which has a test of its own.

--- a/packages/router/src/lib/streams/software-record.ts
+++ b/packages/router/src/lib/streams/software-record.ts
@@ -116,8 +116,8 @@
 		let readUpTo = position;
 		do {
 			const {changes, version} = await source.changes(readUpTo, 0, options.timeoutMs);
-			// A row that can't be decoded counts as removed.
-			if (changes.some(({item}) => item === undefined)) {
+			// A row that can't be decoded names no endpoint that streams began at; one that replaced an endpoint's changes the digest.
+			if (changes.some(({item, text}) => item === undefined && text === undefined)) {
 				return true;
 			}
 
--- a/packages/router/src/test/streams/software-record.test.ts
+++ b/packages/router/src/test/streams/software-record.test.ts
@@ -241,6 +241,26 @@
 		assert.isUndefined(await soleAfterLoss());
 	});
 
+	it('proves what it says beside entries that can\'t be decoded', async () => {
+		// Guards against refusals of all such streams because of one entry of another writer.
+		loseAll();
+		version++;
+		rows.set('odd', {
+			key: 'odd', version, item: undefined, text: '{}',
+		});
+		assert.equal(await soleAfterLoss(), 'v1');
+	});
+
+	it('proves nothing once an entry that can\'t be decoded has replaced that of an endpoint', async () => {
+		// Guards against streams of an endpoint that left while its entry was unreadable.
+		loseAll();
+		version++;
+		rows.set('e1', {
+			key: 'e1', version, item: undefined, text: '{}',
+		});
+		assert.isUndefined(await soleAfterLoss());
+	});
+
 	for (const [condition, error] of [
 		['the store no longer has the changes since', new HistoryGoneError('The store no longer has the requested changes.')],
 		['the store has come back from an older copy', new StoreRestoredError('The store has come back from an older copy.', 0)],
