An endpoint's own rows prevail over one with a number too large

Callers saw: an entry under the id of a living endpoint whose `sequence` or `born` is too large outranked all that the endpoint wrote afterwards, for as long as it was listed: its address, its weights and its leaving were those of the odd entry.

Cause: any finite number was a valid one, and rows are ordered by these two.

A process that itself was seen leaving doesn't come back.

--- a/packages/router/src/lib/fleet/endpoint-tracker.ts
+++ b/packages/router/src/lib/fleet/endpoint-tracker.ts
@@ -6,7 +6,8 @@
 import {type Change, type ChangeHandler} from './change-source.js';
 import {createCopiedRows} from './copied-rows.js';
 import {type FleetView} from './fleet-view.js';
-import {type LiveEndpoint} from './live-endpoint.js';
+import {isNewer, type LiveEndpoint} from './live-endpoint.js';
+import {createOvertakenRows} from './overtaken-rows.js';
 
 /** Options of {@link createEndpointTracker}; durations in milliseconds. */
 export type EndpointTrackerOptions = {
@@ -41,10 +42,23 @@
 	/** Until then, endpoints that a copy lacks may write their rows again. */
 	let rewriteUntil = Number.NEGATIVE_INFINITY;
 
+	const overtakenRows = createOvertakenRows({minMs: expiryMs / 2});
 	const copiedRows = createCopiedRows({expiryMs, onConfirmed: view.acceptEndpoint});
 
+	const accept = (endpoint: LiveEndpoint): void => {
+		const known = view.endpoint(endpoint.id);
+		if (known === undefined || isNewer(endpoint, known)) {
+			overtakenRows.forget(endpoint.id);
+			view.acceptEndpoint(endpoint);
+		} else if (overtakenRows.refutes(endpoint, known)) {
+			overtakenRows.forget(endpoint.id);
+			view.correctEndpoint(endpoint);
+		}
+	};
+
 	const dropNow = (id: string): void => {
 		const endpoint = view.endpoint(id);
+		overtakenRows.forget(id);
 		if (endpoint !== undefined) {
 			copiedRows.left(endpoint);
 			view.dropEndpoint(id);
@@ -95,7 +109,7 @@
 				drop(key);
 			} else if (!copiedRows.holds(item)) {
 				cancelDrop(key);
-				view.acceptEndpoint(item);
+				accept(item);
 			}
 		}
 
--- a/packages/router/src/lib/fleet/fleet-view.ts
+++ b/packages/router/src/lib/fleet/fleet-view.ts
@@ -49,6 +49,8 @@
 	maxConnections: (service: string) => number;
 	/** Ignores state that is not newer than what is known. */
 	acceptEndpoint: (endpoint: LiveEndpoint) => void;
+	/** Replaces what is known of an endpoint, which came from another writer. */
+	correctEndpoint: (endpoint: LiveEndpoint) => void;
 	/** An endpoint process is leaving, whether or not the list says so. */
 	markLeaving: (process: EndpointProcess, source: LeavingSource) => void;
 	/** Listed endpoints that are leaving although the list does not say so, latest last. */
@@ -164,6 +166,39 @@
 		notify(endpoint.id, endpoint, known);
 	};
 
+	const acceptEndpoint = (endpoint: LiveEndpoint): void => {
+		const known = endpoints.get(endpoint.id);
+		if (known !== undefined && !isNewer(endpoint, known)) {
+			return;
+		}
+
+		if (endpoint.isLeaving) {
+			leaving.add(endpoint);
+		}
+
+		const isUnlisted = !endpoint.isLeaving && leaving.has(endpoint);
+		if (isUnlisted) {
+			unlistedLeaving.add(endpoint.id);
+		} else {
+			unlistedLeaving.delete(endpoint.id);
+		}
+
+		put(isUnlisted ? {...endpoint, isLeaving: true} : endpoint, known, 'list');
+	};
+
+	const dropEndpoint = (id: string): void => {
+		const known = endpoints.get(id);
+		if (known === undefined) {
+			return;
+		}
+
+		endpoints.delete(id);
+		unlistedLeaving.delete(id);
+		byService.delete(known.service);
+		log.info('Endpoint is no longer listed.', {endpoint: id, service: known.service});
+		notify(id, undefined, known);
+	};
+
 	return {
 		current: () => accepted,
 		acceptDocument(document) {
@@ -182,24 +217,12 @@
 		endpoint: id => endpoints.get(id),
 		maxConnections: service => accepted?.document.services.get(service)?.maxConnections ?? Number.POSITIVE_INFINITY,
 		memoryTokens: id => accepted?.document.services.get(endpoints.get(id)?.service ?? '')?.engine?.memoryTokens,
-		acceptEndpoint(endpoint) {
-			const known = endpoints.get(endpoint.id);
-			if (known !== undefined && !isNewer(endpoint, known)) {
-				return;
-			}
-
-			if (endpoint.isLeaving) {
-				leaving.add(endpoint);
-			}
-
-			const isUnlisted = !endpoint.isLeaving && leaving.has(endpoint);
-			if (isUnlisted) {
-				unlistedLeaving.add(endpoint.id);
-			} else {
-				unlistedLeaving.delete(endpoint.id);
-			}
-
-			put(isUnlisted ? {...endpoint, isLeaving: true} : endpoint, known, 'list');
+		acceptEndpoint,
+		correctEndpoint(endpoint) {
+			log.warn('Endpoint\'s rows go on after one of another writer, which is dropped.', {endpoint: endpoint.id, service: endpoint.service});
+			dropEndpoint(endpoint.id);
+			leaving.remove(endpoint.id);
+			acceptEndpoint(endpoint);
 		},
 		markLeaving(process, source) {
 			const known = endpoints.get(process.id);
@@ -209,18 +232,7 @@
 			}
 		},
 		unlistedLeaving: () => Array.from(unlistedLeaving, id => endpoints.get(id)!),
-		dropEndpoint(id) {
-			const known = endpoints.get(id);
-			if (known === undefined) {
-				return;
-			}
-
-			endpoints.delete(id);
-			unlistedLeaving.delete(id);
-			byService.delete(known.service);
-			log.info('Endpoint is no longer listed.', {endpoint: id, service: known.service});
-			notify(id, undefined, known);
-		},
+		dropEndpoint,
 		endpointIds: () => endpoints.keys(),
 		namedWeights(model) {
 			const history = named.get(model);
--- a/packages/router/src/lib/fleet/leaving-record.ts
+++ b/packages/router/src/lib/fleet/leaving-record.ts
@@ -15,6 +15,8 @@
 	add: (process: EndpointProcess) => boolean;
 	/** Whether the process is leaving, or a later one under its id is. */
 	has: (process: EndpointProcess) => boolean;
+	/** Forgets the processes under this id. */
+	remove: (id: string) => void;
 };
 
 /** Exceeds the endpoints of a large fleet, all of which may be replaced by a release. */
@@ -36,5 +38,8 @@
 			return true;
 		},
 		has,
+		remove(id) {
+			startOf.delete(id);
+		},
 	};
 }
--- a/packages/router/src/test/fleet/endpoint-tracker.test.ts
+++ b/packages/router/src/test/fleet/endpoint-tracker.test.ts
@@ -13,6 +13,8 @@
 	},
 });
 
+const heartbeatMs = 1200;
+
 const deleted = (id: string) => ({key: id, version: 2, item: undefined});
 
 describe('createEndpointTracker', () => {
@@ -64,6 +66,49 @@
 		assert.isDefined(view.endpoint('e3'));
 	});
 
+	const checkBelievedAgain = (more: Partial<LiveEndpoint>): void => {
+		tracker.update([row('e1', more)], 0);
+		for (let reportNumber = 6; reportNumber < 10; reportNumber++) {
+			clock.tick(heartbeatMs);
+			tracker.update([row('e1', {reportNumber})], 0);
+		}
+
+		assert.deepInclude(view.endpoint('e1'), {
+			startedAt: 100, reportNumber: 9, isLeaving: false, address: '10.0.0.1:80',
+		});
+	};
+
+	for (const more of [{startedAt: 9e12}, {reportNumber: 1e15}, {startedAt: 9e12, isLeaving: true, address: '10.0.0.9:80'}]) {
+		// Guards against endpoints that are lost for good because of one row with a number too large.
+		it(`believes an endpoint again whose rows go on after one that another writer left with ${JSON.stringify(more)}`, () => {
+			checkBelievedAgain(more);
+		});
+	}
+
+	it('takes late rows of a former process for no sign of life', () => {
+		// Guards against requests to a process that has ended because the store performed its last writes late.
+		tracker.update([row('e1', {startedAt: 200, reportNumber: 1})], 0);
+		for (const reportNumber of [6, 7, 8, 9, 8, 8]) {
+			tracker.update([row('e1', {reportNumber})], 0);
+		}
+
+		clock.tick(heartbeatMs);
+		tracker.update([row('e1', {startedAt: 200, reportNumber: 2})], 0);
+		tracker.update([row('e1', {reportNumber: 8})], 0);
+		assert.deepInclude(view.endpoint('e1'), {startedAt: 200, reportNumber: 2});
+	});
+
+	it('takes late rows of a process that is leaving for no sign of life', () => {
+		// Guards against requests to a leaving endpoint because the store performed its earlier writes late.
+		tracker.update([row('e1', {reportNumber: 20, isLeaving: true})], 0);
+		for (let reportNumber = 6; reportNumber < 20; reportNumber++) {
+			clock.tick(heartbeatMs);
+			tracker.update([row('e1', {reportNumber})], 0);
+		}
+
+		assert.isTrue(view.endpoint('e1')?.isLeaving);
+	});
+
 	it('takes the removal of a large service that is read twice for no news', () => {
 		// Guards against streams that are refused because removals of listed endpoints were forgotten meanwhile.
 		const ids = Array.from({length: 12_000}, (_item, index) => `r${index}`);
