--- a/packages/router/src/lib/fleet/endpoint-tracker.ts
+++ b/packages/router/src/lib/fleet/endpoint-tracker.ts
@@ -6,7 +6,8 @@
 import {type Change, type ChangeHandler} from './change-source.js';
 import {createCopiedRows} from './copied-rows.js';
 import {type FleetView} from './fleet-view.js';
-import {type LiveEndpoint} from './live-endpoint.js';
+import {isNewer, type LiveEndpoint} from './live-endpoint.js';
+import {createOvertakenRows} from './overtaken-rows.js';
 
 /** Options of {@link createEndpointTracker}; durations in milliseconds. */
 export type EndpointTrackerOptions = {
@@ -41,10 +42,23 @@
 	/** Until then, endpoints that a copy lacks may write their rows again. */
 	let rewriteUntil = Number.NEGATIVE_INFINITY;
 
+	const overtakenRows = createOvertakenRows({minMs: expiryMs / 2});
 	const copiedRows = createCopiedRows({expiryMs, onConfirmed: view.acceptEndpoint});
 
+	const accept = (endpoint: LiveEndpoint): void => {
+		const known = view.endpoint(endpoint.id);
+		if (known === undefined || isNewer(endpoint, known)) {
+			overtakenRows.forget(endpoint.id);
+			view.acceptEndpoint(endpoint);
+		} else if (overtakenRows.refutes(endpoint, known)) {
+			overtakenRows.forget(endpoint.id);
+			view.correctEndpoint(endpoint);
+		}
+	};
+
 	const dropNow = (id: string): void => {
 		const endpoint = view.endpoint(id);
+		overtakenRows.forget(id);
 		if (endpoint !== undefined) {
 			copiedRows.left(endpoint);
 			view.dropEndpoint(id);
@@ -86,14 +100,16 @@
 
 	const update = (rows: ReadonlyArray<Change<LiveEndpoint>>): void => {
 		let hasMissed = false;
-		for (const {key, item} of rows) {
+		for (const {key, item, text} of rows) {
 			if (item === undefined) {
-				hasMissed = isUnseen(key) || hasMissed;
+				// A row that can't be decoded names no endpoint that requests were sent to.
+				const isRemoval = text === undefined;
+				hasMissed = (isUnseen(key) && isRemoval) || hasMissed;
 				copiedRows.cancel(key);
 				drop(key);
 			} else if (!copiedRows.holds(item)) {
 				cancelDrop(key);
-				view.acceptEndpoint(item);
+				accept(item);
 			}
 		}
 
