A response with a transfer coding other than chunks no longer passes as complete

Callers could get a 200 with part of a body, framed as whole: with a length that the router had set, or with a last chunk.

Cause: a response counted as framed if it had any Transfer-Encoding. The parser ends a body at its last chunk only if it takes "chunked" for the last coding; after "identity", an empty value, "chunked, x-odd" or "chunked" with a tab behind, the body ends with its connection, and a reset is an end like any other. For such responses the transport didn't look for a reset, the attempt didn't look for an end inside an event, and the reply was framed anew. Bodies with a coding that nobody had asked for, also before chunks ("gzip, chunked"), were passed on as they were, without the header that names the coding.

Change: a response counts as chunked only if "chunked" is all that its Transfer-Encoding says; "identity" and an empty value end with the connection; any other coding fails the exchange, as a response that the parser rejects does. It is decided where responses arrive, so that it holds for callers, peers that relay and orders alike.

--- a/packages/router/src/lib/orders/response-checks.ts
+++ b/packages/router/src/lib/orders/response-checks.ts
@@ -45,19 +45,38 @@
 	return identity;
 }
 
+/** The values of all `Transfer-Encoding` headers in lower case; `undefined` if there is none. */
+function transferCoding(headers: readonly string[]): string | undefined {
+	let coding: string | undefined;
+	for (const {name, value} of headerPairs(headers)) {
+		if (name === 'transfer-encoding') {
+			coding = coding === undefined ? value.toLowerCase() : `${coding}, ${value.toLowerCase()}`;
+		}
+	}
+
+	return coding;
+}
+
+/** Whether a response with these headers has neither a length nor chunks, so that a body ends with its connection. */
+export function isUnframed(headers: readonly string[]): boolean {
+	const coding = transferCoding(headers);
+	return coding === undefined ? headerValue(headers, 'content-length') === undefined : coding !== 'chunked';
+}
+
+/** Codings that leave a body as it is. */
+const plainCodings: ReadonlySet<string | undefined> = new Set([undefined, 'chunked', 'identity', '']);
+
+/**
+ * Whether a body has a transfer coding other than chunks. No request asks for one, and parsers differ on which
+ * lists of codings end in chunks.
+ */
+export const hasOtherCoding = (headers: readonly string[]): boolean => !plainCodings.has(transferCoding(headers));
+
 /**
  * Whether truncation of a response can be detected: it has a length, is chunked,
  * or has no body. A response that ends when its connection closes looks the same
  * if the endpoint crashed half-way.
  */
 export function isSelfDelimiting(head: ResponseHead, method: string): boolean {
-	if (method === 'HEAD' || isBodiless(head.status)) {
-		return true;
-	}
-
-	if (headerValue(head.headers, 'content-length') !== undefined) {
-		return true;
-	}
-
-	return headerValue(head.headers, 'transfer-encoding')?.toLowerCase() === 'chunked';
+	return method === 'HEAD' || isBodiless(head.status) || !isUnframed(head.headers);
 }
--- a/packages/router/src/lib/orders/undici-transport.ts
+++ b/packages/router/src/lib/orders/undici-transport.ts
@@ -11,7 +11,7 @@
 import {
 	type EndpointAddress, type EndpointTransport, type Exchange, type ExchangeEvents, type OutgoingRequest,
 } from './endpoint-transport.js';
-import {headerValue, isBodiless} from './response-checks.js';
+import {hasOtherCoding, isBodiless, isUnframed} from './response-checks.js';
 import {type FailureClass} from './failure-classes.js';
 import {createConnectTimeout} from './connect-timeout.js';
 import {EndpointExchangeError} from './orders-errors.js';
@@ -119,7 +119,7 @@
 	callerBodyFailed: boolean;
 	/** Status of the response, once its head was received. */
 	status?: number;
-	/** The response has a body with neither a length nor chunks, so it ends with its connection. */
+	/** The response has a body that ends with its connection. */
 	isUnframed?: boolean;
 	/** The connection that carries the exchange. */
 	socket?: Socket;
@@ -154,9 +154,14 @@
 		},
 		onResponseStart(controller, status) {
 			if (status >= firstFinalStatus) {
-				state.status = status;
 				const headers = toStrings(controller.rawHeaders);
-				state.isUnframed = !isBodiless(status) && headerValue(headers, 'content-length') === undefined && headerValue(headers, 'transfer-encoding') === undefined;
+				if (hasOtherCoding(headers)) {
+					controller.abort(new EndpointExchangeError('The response has a transfer coding that was not asked for.'));
+					return;
+				}
+
+				state.status = status;
+				state.isUnframed = !isBodiless(status) && isUnframed(headers);
 				events.head({status, headers});
 			}
 		},
--- a/packages/router/src/orders.ts
+++ b/packages/router/src/orders.ts
@@ -7,6 +7,7 @@
 export * from './lib/orders/limited-connector.js';
 export * from './lib/orders/orders-errors.js';
 export * from './lib/orders/request-checks.js';
+export {isUnframed} from './lib/orders/response-checks.js';
 export * from './lib/orders/route-idempotency.js';
 export * from './lib/orders/service-calls.js';
 export * from './lib/orders/service-options.js';
