A broken stream is reset for callers by any version without chunks

Callers whose request line says HTTP/0.9 or HTTP/2.0, which the parser accepts, got a broken stream whose connection was closed as that of a complete one; the exit of a daemon closed it the same way.

Cause: whether a reply has chunks was asked of the text of the request's version, "1.0" only, while the server writes chunks for 1.1 alone.

Change: the reply asks the server whether it writes chunks, which holds for every version.

--- a/packages/router/src/lib/forwarding/caller-reply.ts
+++ b/packages/router/src/lib/forwarding/caller-reply.ts
@@ -5,7 +5,7 @@
 export type CallerReply = {
 	/** Whether the head has been sent. */
 	isStarted: () => boolean;
-	/** The response has neither a length nor chunks, which HTTP/1.0 doesn't know. */
+	/** The response has neither a length nor chunks, which callers by other versions than HTTP/1.1 don't know. */
 	isUnframed: () => boolean;
 	/** All of the response has been written, though perhaps not sent. */
 	isEnded: () => boolean;
@@ -75,7 +75,7 @@
 				res.appendHeader(headers[index], headers[index + 1]);
 			}
 
-			isUnframedReply = keepsUnframed || (res.req.httpVersion === '1.0' && !res.hasHeader('content-length'));
+			isUnframedReply = !res.useChunkedEncodingByDefault && !res.hasHeader('content-length');
 			res.writeHead(code);
 		},
 		write: chunk => res.write(chunk),
