A daemon goes on after an exception that nothing has caught

What callers saw: an uncaught exception or an unhandled rejection ended the daemon at once and cut all requests under way.

Decision: go on. A planned stop would cut streams that are longer than the stop timeout, and would end one daemon after the other where all get the same input. Before the start is complete an exception still exits with 1, since the process might never listen.

Change: the handler logs and counts (hickorywalk_uncaught_exceptions_total), two lines a second at most, with the position that threw but not the message, which may quote a request. Errors of standard error have a listener, since on a full disk its report would be the next exception. An exit waits for the log.

The tests of responses that an exit breaks off used an exception as one way to exit, which is none any more. They now exit the process directly, with the same checks, and an exception is tested to leave streams whole.

--- a/packages/entry/src/hickorywalk-entry.ts
+++ b/packages/entry/src/hickorywalk-entry.ts
@@ -10,7 +10,9 @@
 import {startEntryDaemon} from './lib/entry-daemon.js';
 import {createLogOutput} from './lib/log-output.js';
 import {installSignalHandlers} from './lib/signal-handlers.js';
-import {describeStartFailure, exitCodeInvalidSettings} from './lib/start-failure.js';
+import {writeError} from './lib/standard-error.js';
+import {describeStartFailure} from './lib/start-failure.js';
+import {handleUncaughtExceptions} from './lib/uncaught-exceptions.js';
 
 /** Upper bound on log bytes queued for a slow reader; further lines are dropped. */
 const maxQueuedLogBytes = 256 * 1024;
@@ -20,7 +22,6 @@
 const maxPort = 65_535;
 /** Far above what the platform writes. */
 const maxSettingsBytes = 1024 * 1024;
-const exitCodeUncaughtException = 1;
 
 const output = createLogOutput({fd: 1, maxQueuedBytes: maxQueuedLogBytes});
 const logBatch = createLineBatch({
@@ -30,27 +31,27 @@
 });
 setLogWriter(logBatch.add);
 
-/** Writes all buffered log lines before the process exits. */
-function flushLog(): void {
-	logBatch.flush();
-	output.flush();
-}
-
 const log = createLog('program');
+let isExiting = false;
+let hasStarted = false;
 
-const settingsPath = process.env[settingsVariable];
-if (settingsPath === undefined) {
-	log.error('Start failed.', {reason: `${settingsVariable} isn't set.`, status: exitCodeInvalidSettings});
-	process.stderr.write(`Set ${settingsVariable} to the path of the settings file.\n`);
-	flushLog();
-	process.exit(exitCodeInvalidSettings);
+/** Ends the process once all buffered log lines are written, as far as that takes no longer than {@link flushLimitMs}. */
+async function exit(code: number): Promise<void> {
+	if (!isExiting) {
+		isExiting = true;
+		logBatch.flush();
+		await output.flush();
+		process.exit(code);
+	}
 }
 
-process.on('uncaughtException', err => {
-	log.error('Uncaught exception.', {err});
-	process.stderr.write(`${err.stack ?? String(err)}\n`);
-	flushLog();
-	process.exit(exitCodeUncaughtException);
+const uncaughtExceptions = handleUncaughtExceptions({
+	log,
+	hasStarted: () => hasStarted,
+	writeError,
+	exit(code) {
+		void exit(code);
+	},
 });
 
 /** Validates the settings file and logs the result; the running daemon keeps its settings. */
@@ -93,25 +94,33 @@
 	return {check: values.check, metricsPort};
 }
 
-async function main(path: string): Promise<void> {
+async function main(path: string | undefined): Promise<void> {
+	if (path === undefined) {
+		throw new BootSettingsError(`Set ${settingsVariable} to the path of the settings file.`);
+	}
+
 	const {check, metricsPort} = readOptions();
 	if (check) {
 		process.stdout.write(`The settings of ${readBootSettings(path).name} are valid.\n`);
 		process.exit(0);
 	}
 
-	signalHandlers.watch(await startEntryDaemon(await waitForBootSettings(path, {log}), {metricsPort}));
+	signalHandlers.watch(await startEntryDaemon(await waitForBootSettings(path, {log}), {metricsPort, uncaughtExceptions}));
+	hasStarted = true;
 }
 
+const settingsPath = process.env[settingsVariable];
+
 // The platform also sends SIGHUP and SIGTERM while a daemon starts.
 const signalHandlers = installSignalHandlers({
 	log,
 	validateSettings() {
-		void validateSettings(settingsPath);
+		if (settingsPath !== undefined) {
+			void validateSettings(settingsPath);
+		}
 	},
 	exit(code) {
-		flushLog();
-		process.exit(code);
+		void exit(code);
 	},
 });
 
@@ -119,7 +128,6 @@
 	const {exitCode, text} = describeStartFailure(error);
 	// Texts of foreign errors may quote what must not be logged.
 	log.error('Start failed.', {err: error, reason: error instanceof LayerError ? text : undefined, status: exitCode});
-	process.stderr.write(`${text}\n`);
-	flushLog();
-	process.exit(exitCode);
+	writeError(text);
+	void exit(exitCode);
 });
--- a/packages/entry/src/lib/daemon-metrics.ts
+++ b/packages/entry/src/lib/daemon-metrics.ts
@@ -43,6 +43,7 @@
 	hickorywalk_peers_heard: 'Daemons whose reports arrive.',
 	hickorywalk_event_loop_turns_total: 'Turns of the event loop; each wake-up of the process takes at least one.',
 	hickorywalk_event_loop_busy_seconds_total: 'Time that the event loop did not spend waiting.',
+	hickorywalk_uncaught_exceptions_total: 'Exceptions that nothing caught; the daemon goes on after each.',
 	hickorywalk_log_lines_left_out_total: 'Log lines left out because their kind was over its budget, or the reader too slow.',
 } as const;
 
@@ -59,6 +60,7 @@
 	waiting: () => WaitingCount[];
 	enginesWaiting: () => number;
 	enginesChanging: () => number;
+	uncaughtExceptions: () => number;
 };
 
 /** Records and serves the metrics. */
@@ -204,7 +206,8 @@
 			droppedLineCounter.inc(count);
 		},
 		registerGauges({
-			requestsInFlight, livePeers, lostPaths, bufferedBytes, bufferAborts, requestHeapBytes, requestHeapLimitBytes, memoryLimitBytes, waiting, enginesWaiting, enginesChanging,
+			requestsInFlight, livePeers, lostPaths, bufferedBytes, bufferAborts, requestHeapBytes, requestHeapLimitBytes, memoryLimitBytes, waiting,
+			enginesWaiting, enginesChanging, uncaughtExceptions,
 		}) {
 			const registerGauge = (name: keyof typeof metricHelp, read: () => number) => new Gauge({
 				...describe(name),
@@ -235,6 +238,7 @@
 			registerGauge('hickorywalk_heap_limit_bytes', () => getHeapStatistics().heap_size_limit);
 			registerGauge('hickorywalk_engines_waiting', enginesWaiting);
 			registerGauge('hickorywalk_engines_changing', enginesChanging);
+			registerTotal('hickorywalk_uncaught_exceptions_total', uncaughtExceptions);
 		},
 		text: async () => registry.metrics(),
 	};
--- a/packages/entry/src/lib/entry-daemon.ts
+++ b/packages/entry/src/lib/entry-daemon.ts
@@ -22,10 +22,12 @@
 export type EntryOptions = {
 	/** Port at which metrics are served, in addition to the readiness address. */
 	metricsPort?: number | undefined;
+	/** Number of exceptions that nothing has caught. */
+	uncaughtExceptions?: () => number;
 };
 
 /** Starts the daemon. */
-export async function startEntryDaemon(settings: BootSettings, {metricsPort}: EntryOptions = {}): Promise<EntryDaemon> {
+export async function startEntryDaemon(settings: BootSettings, {metricsPort, uncaughtExceptions = () => 0}: EntryOptions = {}): Promise<EntryDaemon> {
 	const {cradle: parts} = createEntryParts(settings);
 	const {
 		state, log, view, server, operatorFeed, endpointFeed, metrics, logLineBudget,
@@ -48,6 +50,7 @@
 		waiting: parts.admission.waiting,
 		enginesWaiting: () => parts.weightsRollout.counts().waiting,
 		enginesChanging: () => parts.weightsRollout.counts().changing,
+		uncaughtExceptions,
 	});
 	view.onDocument(({document}) => {
 		server.setLimits(document.limits);
