The flush of the log at an exit is bounded in time

What was seen: a disk that fills after the last successful write hung the exit for good: the library's synchronous flush repeats a failing write without end, and the check for an earlier failure doesn't know of this one.

Evidence: a process that writes to a full device and flushes in the same turn hangs for the 5 s of the test on the code before, and exits with 0 now.

Change: the flush is asynchronous and waits for what is queued, a failed write, or 250 ms, whichever comes first. For a pipe it now waits for the reader too, within the same limit; until now what the pipe had no room for was lost.

--- a/packages/entry/src/lib/log-output.ts
+++ b/packages/entry/src/lib/log-output.ts
@@ -2,6 +2,7 @@
 import {Buffer} from 'node:buffer';
 import {fstatSync} from 'node:fs';
 import {Socket} from 'node:net';
+import {setTimeout as pause} from 'node:timers/promises';
 import sonicBoom from 'sonic-boom';
 
 /** Options of {@link createLogOutput}. */
@@ -14,10 +15,18 @@
 /** Destination of log lines. */
 export type LogOutput = {
 	write: (text: string) => void;
-	/** Writes what is queued as far as that is possible without waiting for a reader. */
-	flush: () => void;
+	/** Resolves once all that is queued is written, the destination has failed, or {@link flushLimitMs} have passed. */
+	flush: () => Promise<void>;
 };
 
+/** Longest time for which an exit waits for a slow reader or disk, in milliseconds. */
+export const flushLimitMs = 250;
+
+/** Resolves once `run` has called back, or after `limitMs` milliseconds. */
+async function within(limitMs: number, run: (resolve: () => void) => void): Promise<void> {
+	await Promise.race([new Promise<void>(run), pause(limitMs)]);
+}
+
 /**
  * A pipe whose reader has stopped would block the process in a synchronous write. The event loop writes
  * pipes and sockets at once where they have room and queues the rest, without the thread pool: each
@@ -26,25 +35,20 @@
 export function createLogOutput({fd, maxQueuedBytes}: LogOutputOptions): LogOutput {
 	const stat = fstatSync(fd);
 	if (!stat.isFIFO() && !stat.isSocket()) {
-		const file = new sonicBoom.SonicBoom({fd, sync: false, maxLength: maxQueuedBytes});
-		let hasFailed = false;
-		// On a full disk, the daemon goes on; each later write tries again.
-		file.on('error', () => {
-			hasFailed = true;
-		});
-		file.on('write', () => {
-			hasFailed = false;
+		// Without a minimum length, the library's flush waits for nothing.
+		const file = new sonicBoom.SonicBoom({
+			fd, sync: false, minLength: 1, maxLength: maxQueuedBytes,
 		});
+		// On a full disk, the daemon goes on; each later write tries again.
+		file.on('error', () => undefined);
 		return {
 			write(text) {
 				file.write(text);
 			},
-			flush() {
-				// A synchronous flush repeats a write that fails for ever.
-				if (!hasFailed) {
-					file.flushSync();
-				}
-			},
+			// A synchronous flush would repeat a write that fails for ever.
+			flush: async () => within(flushLimitMs, resolve => {
+				file.flush(resolve);
+			}),
 		};
 	}
 
@@ -57,8 +61,12 @@
 				socket.write(text);
 			}
 		},
-		flush() {
-			// The event loop has written all that the reader has room for.
+		async flush() {
+			if (!socket.destroyed && socket.writableLength > 0) {
+				await within(flushLimitMs, resolve => {
+					socket.write('', resolve);
+				});
+			}
 		},
 	};
 }
--- a/packages/entry/src/test/log-output.test.ts
+++ b/packages/entry/src/test/log-output.test.ts
@@ -1,7 +1,11 @@
 import {type Buffer} from 'node:buffer';
 import {type ChildProcess, spawn} from 'node:child_process';
 import {once} from 'node:events';
-import {closeSync, openSync} from 'node:fs';
+import {
+	closeSync, mkdtempSync, openSync, readFileSync, rmSync,
+} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
 import process from 'node:process';
 import {createInterface} from 'node:readline';
 import {setTimeout as sleep} from 'node:timers/promises';
@@ -52,6 +56,27 @@
 	process.stdin.unref();
 `;
 
+/** Writes more than a pipe holds and exits. */
+const fullPipeProgram = String.raw`
+	import {createLogOutput} from '${moduleUrl}';
+	const output = createLogOutput({fd: 1, maxQueuedBytes: ${batches * batchChars}});
+	output.write('.'.repeat(${maxQueuedBytes * 2}));
+	output.write('last\n');
+	process.stderr.write('written');
+	await output.flush();
+	process.exit(0);
+`;
+
+/** Writes two lines and exits. */
+const lateProgram = String.raw`
+	import {createLogOutput} from '${moduleUrl}';
+	const output = createLogOutput({fd: 1, maxQueuedBytes: ${maxQueuedBytes}});
+	output.write('first\n');
+	output.write('second\n');
+	await output.flush();
+	process.exit(0);
+`;
+
 const start = (pauseMs: number): ChildProcess => spawn(process.execPath, ['--input-type=module', '--eval', program, String(pauseMs)], {stdio: 'pipe'});
 
 const textOf = (stream: NonNullable<ChildProcess['stdout']>): (() => string) => {
@@ -88,6 +113,17 @@
 	});
 });
 
+describe('createLogOutput on a pipe that is full', () => {
+	it('has written all lines once it is flushed, if its reader goes on soon', async () => {
+		// Guards against the loss of the last lines, which say how a process ended.
+		const child = spawn(process.execPath, ['--input-type=module', '--eval', fullPipeProgram], {stdio: ['ignore', 'pipe', 'pipe']});
+		await once(child.stderr, 'data');
+		const text = textOf(child.stdout);
+		await once(child, 'close');
+		assert.isTrue(text().endsWith('last\n'));
+	});
+});
+
 describe('createLogOutput on a file', () => {
 	it('goes on and can be flushed while the disk is full', async () => {
 		// Guards against a process that ends by the error of a write, or hangs when it flushes its log at its end.
@@ -100,4 +136,27 @@
 		child.kill('SIGKILL');
 		assert.deepEqual([String(first), code], ['written', 0]);
 	});
+
+	it('can be flushed if the disk has been full since the last lines', async () => {
+		// Guards against an exit that hangs, since no write has failed yet when it flushes the log.
+		const fd = openSync('/dev/full', 'w');
+		const child = spawn(process.execPath, ['--input-type=module', '--eval', lateProgram], {stdio: ['ignore', fd, 'inherit']});
+		closeSync(fd);
+		const [code] = await Promise.race([once(child, 'exit'), sleep(5000, ['hangs'])]) as [unknown];
+		child.kill('SIGKILL');
+		assert.equal(code, 0);
+	});
+
+	it('has written all lines once it is flushed', async () => {
+		// Guards against the loss of the last lines, which say how a process ended.
+		const folder = mkdtempSync(path.join(tmpdir(), 'hickorywalk-log-'));
+		const file = path.join(folder, 'log');
+		const fd = openSync(file, 'w');
+		const child = spawn(process.execPath, ['--input-type=module', '--eval', lateProgram], {stdio: ['ignore', fd, 'inherit']});
+		closeSync(fd);
+		await once(child, 'exit');
+		const lines = readFileSync(file, 'utf8');
+		rmSync(folder, {recursive: true});
+		assert.equal(lines, 'first\nsecond\n');
+	});
 });
