hickorywalk serve stops once, and within a limit of time

What was seen by reading: the second SIGTERM or SIGINT ended the process at once, since each handler was removed by its first call, and a stop had no limit, so that one response without end kept the process alive for good. A stop that failed was an unhandled rejection.

Change: one handler for both signals stays installed and stops once; the setting stopMs (30 s) limits the stop, which then exits with 1.

--- a/packages/daemon/src/lib/commands/serve.ts
+++ b/packages/daemon/src/lib/commands/serve.ts
@@ -22,22 +22,16 @@
 			return;
 		}
 
-		const {setLogWriter} = await import('hickorywalk/observability.js');
+		const {createLog, setLogWriter} = await import('hickorywalk/observability.js');
+		const {stopAtSignals} = await import('../stop-signals.js');
 		setLogWriter(line => {
 			process.stderr.write(`${line}\n`);
 		}, settings.logLevel);
 		const {startDaemon} = await import('../daemon.js');
 		const daemon = await startDaemon(settings);
 		console.log(JSON.stringify({listening: daemon.callersUrl, administration: daemon.administrationUrl, peers: daemon.peerAddress}));
-		const stop = () => {
-			void (async () => {
-				await daemon.stop();
-				process.exit(0);
-			})();
-		};
-
-		for (const name of ['SIGTERM', 'SIGINT'] as const) {
-			process.once(name, stop);
-		}
+		stopAtSignals({
+			stop: daemon.stop, limitMs: settings.stopMs, exit: process.exit, log: createLog('daemon'),
+		});
 	},
 };
--- a/packages/daemon/src/lib/settings.ts
+++ b/packages/daemon/src/lib/settings.ts
@@ -62,6 +62,7 @@
 		loadTimeoutMs: ms('How long an endpoint may take to load weights.', 120_000),
 	}).prefault({}).describe('Duties that one daemon holds at a time.'),
 	drainMs: ms('How long a stopping daemon stays reachable after it reports unready.', 200),
+	stopMs: ms('How long a stop may take; requests that are still under way then are cut.', 30_000),
 	metrics: z.strictObject({
 		host: z.string().describe('Host of the statsd service.'),
 		port: z.number().int().min(1).max(65_535).default(8125).describe('Port of the statsd service.'),
