--- a/packages/router/src/lib/peers/datagram-transport.ts
+++ b/packages/router/src/lib/peers/datagram-transport.ts
@@ -2,6 +2,7 @@
 import {type Buffer} from 'node:buffer';
 import {createSocket, type Socket} from 'node:dgram';
 import {bindAddress, type BindAddress} from '../sockets/bind-address.js';
+import {createLineBudget} from '../observability/line-budget.js';
 import {type Log} from '../observability/log.js';
 
 /** An open transport. */
@@ -21,6 +22,8 @@
 /** Binds a transport. */
 export type OpenDatagramTransport = (options: DatagramTransportOptions) => Promise<DatagramTransport>;
 
+const faultLinesPerSecond = 2;
+
 /** Binds one socket; a socket whose binding failed can't be bound again. */
 async function bindSocket({host, port}: BindAddress): Promise<Socket> {
 	const socket = createSocket('udp4');
@@ -42,7 +45,16 @@
 	socket.on('error', error => {
 		log.warn('UDP socket for peer reports failed.', {err: error});
 	});
-	socket.on('message', onDatagram);
+	const lineBudget = createLineBudget({perSecond: {other: faultLinesPerSecond}});
+	socket.on('message', content => {
+		try {
+			onDatagram(content);
+		} catch (error) {
+			if (lineBudget.take('handler')) {
+				log.error('Handler of a datagram threw an error.', {bytes: content.length, err: error});
+			}
+		}
+	});
 
 	return {
 		async send(content, address) {
