An endpoint's response can't make a relayed request look declined

A request that may run once could run at two peers' hands: its endpoint answered a peer with the header by which peers decline.

Cause: a peer passed the endpoint's headers on and put its own outcome behind them, and the sender reads the first one. The headers between daemons were removed from requests, not from responses.

Evidence: an endpoint that answers an order with "Hickorywalk-Outcome: declined" got it twice in the new test on the code before, and gets it once now.

Change: the peer removes these headers from the endpoint's response as well, before it adds its own.

--- a/packages/router/src/lib/paths/relay-protocol.ts
+++ b/packages/router/src/lib/paths/relay-protocol.ts
@@ -52,10 +52,10 @@
  */
 export type RelayOutcome = 'passed' | 'declined' | 'failed';
 
-/** Headers of the request to the peer that don't belong to the endpoint's request. */
+/** Headers between daemons that belong neither to the endpoint's request nor to its response. */
 const droppedHeaders: ReadonlySet<string> = new Set([...relayHeaders, ...connectionHeaders, 'content-length', 'expect']);
 
-/** Headers for the endpoint, from those of the request that a peer received. */
+/** The headers of a request or response without those between daemons. */
 export function withoutRelayHeaders(rawHeaders: readonly string[]): string[] {
 	const headers: string[] = [];
 	for (const {name, sentName, value} of headerPairs(rawHeaders)) {
--- a/packages/router/src/lib/relaying/relay-server.ts
+++ b/packages/router/src/lib/relaying/relay-server.ts
@@ -164,7 +164,7 @@
 					brittle.turnedAway(endpoint);
 				}
 
-				reply.head(head.status, [...headers.forCaller(head.headers), outcomeHeader, 'passed', ...(facts.isUnframed ? [unframedHeader, '1'] : [])]);
+				reply.head(head.status, [...withoutRelayHeaders(headers.forCaller(head.headers)), outcomeHeader, 'passed', ...(facts.isUnframed ? [unframedHeader, '1'] : [])]);
 			},
 			data(chunk) {
 				hasBegun = true;
