An exchange no longer holds the chunk that was read with its response's head

What callers saw: the platform ends a daemon beside callers that read their streams slowly or not at all. Cause: undici's controller keeps the raw headers of a response until the exchange ends. They are views of the chunk that the socket read, so each open exchange holds up to 64 KB that no account knows of. Change: the views are dropped once they are copied to strings. Nothing else reads them.

--- a/packages/router/src/lib/orders/undici-transport.ts
+++ b/packages/router/src/lib/orders/undici-transport.ts
@@ -156,6 +156,8 @@
 			if (status >= firstFinalStatus) {
 				state.status = status;
 				const headers = toStrings(controller.rawHeaders);
+				// Views of the chunk that was read with the head, which they would keep until the exchange ends.
+				controller.rawHeaders = null;
 				state.isUnframed = !isBodiless(status) && headerValue(headers, 'content-length') === undefined && headerValue(headers, 'transfer-encoding') === undefined;
 				events.head({status, headers});
 			}
