A stream's splitter holds the memory of the incomplete event alone

Cause: the bytes after the last complete event were a view, which kept the memory of the events before it until the next one was complete; an empty view did as well. Each chunk was also copied once before it was searched, and that garbage fragments the allocator's memory. The new test failed before: 102,416 bytes held for 8. Change: the bytes of the incomplete event are copied, and a chunk isn't.

--- a/packages/router/src/lib/forwarding/event-splitter.ts
+++ b/packages/router/src/lib/forwarding/event-splitter.ts
@@ -61,14 +61,15 @@
 
 	return {
 		push(chunk) {
-			pending = pending.length === 0 ? Buffer.from(chunk) : Buffer.concat([pending, chunk]);
+			pending = pending.length === 0 ? Buffer.from(chunk.buffer, chunk.byteOffset, chunk.byteLength) : Buffer.concat([pending, chunk]);
 			const end = endOfLastEvent(pending, 0);
 			if (end === -1) {
 				return undefined;
 			}
 
 			const bytes = pending.subarray(0, end);
-			pending = pending.subarray(end);
+			// A view would keep the memory of the complete events.
+			pending = Buffer.from(pending.subarray(end));
 			return {bytes, lastId: lastIdOf(bytes.toString('latin1'))};
 		},
 		remainder: () => pending,
--- a/packages/router/src/test/forwarding/event-splitter.test.ts
+++ b/packages/router/src/test/forwarding/event-splitter.test.ts
@@ -3,6 +3,8 @@
 import fc from 'fast-check';
 import {createEventSplitter} from '../../lib/forwarding/event-splitter.js';
 
+const largeEventBytes = 100 * 1024;
+
 describe('createEventSplitter', () => {
 	it('returns only complete events, and all bytes in order, however the stream is chunked', () => {
 		const event = fc.tuple(fc.nat(999), fc.string({maxLength: 12}).map(text => text.replaceAll(/[\r\n]/gv, ' ')), fc.constantFrom('\n', '\r\n'))
@@ -31,4 +33,15 @@
 		assert.equal(splitter.push(Buffer.from('id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda'))?.lastId, '2');
 		assert.equal(splitter.remainder().toString(), 'id: 3\nda');
 	});
+
+	it('holds the memory of the incomplete event alone', () => {
+		// Guards against memory that no account knows of, held by each open stream until its next event.
+		const splitter = createEventSplitter();
+		for (const text of [`data: ${'x'.repeat(largeEventBytes)}`, '\n\nid: 2\nda']) {
+			splitter.push(Buffer.from(text));
+		}
+
+		assert.equal(splitter.remainder().toString(), 'id: 2\nda');
+		assert.isBelow(splitter.remainder().buffer.byteLength, largeEventBytes / 2);
+	});
 });
