--- a/packages/router/src/lib/orders/undici-transport.ts
+++ b/packages/router/src/lib/orders/undici-transport.ts
@@ -155,6 +155,8 @@
 		onResponseStart(controller, status) {
 			if (status >= firstFinalStatus) {
 				const headers = toStrings(controller.rawHeaders);
+				// Views of the chunk that was read with the head, which they would keep until the exchange ends.
+				controller.rawHeaders = null;
 				if (hasOtherCoding(headers)) {
 					controller.abort(new EndpointExchangeError('The response has a transfer coding that was not asked for.'));
 					return;
