A listing of many endpoints costs time that grows with their number only

Callers saw: a daemon that starts beside 12,000 endpoints of one service answers neither them nor the readiness check for many seconds, and doesn't get ready.

Cause: each endpoint that came or went set the health of its whole service anew, so a listing took time by the square of its length, in one turn of the event loop.

Change: health takes one endpoint in or out; whole services are set with a document only.

--- a/packages/entry/src/lib/wiring/feed-wiring.ts
+++ b/packages/entry/src/lib/wiring/feed-wiring.ts
@@ -81,15 +81,11 @@
 			log.info('An endpoint may have come and gone unseen.');
 		},
 	});
-	const updateHealth = (service: string | undefined): void => {
-		if (service !== undefined && view.current()?.document.services.has(service)) {
-			health.setEndpoints(service, view.endpointsOf(service).map(item => item.id));
-		}
-	};
+	const isInDocument = (service: string): boolean => view.current()?.document.services.has(service) === true;
 
 	view.onDocument(({document}) => {
 		for (const service of document.services.keys()) {
-			updateHealth(service);
+			health.setEndpoints(service, view.endpointsOf(service).map(item => item.id));
 		}
 	});
 	view.onEndpoint((id, endpoint, before) => {
@@ -108,9 +104,16 @@
 		}
 
 		// Most changes are heartbeats, which do not change the membership of services.
-		if (before?.service !== endpoint?.service) {
-			updateHealth(before?.service);
-			updateHealth(endpoint?.service);
+		if (before?.service === endpoint?.service) {
+			return;
+		}
+
+		if (before !== undefined) {
+			health.removeEndpoint(before.service, id);
+		}
+
+		if (endpoint !== undefined && isInDocument(endpoint.service)) {
+			health.addEndpoint(endpoint.service, id);
 		}
 	});
 	return followChanges<LiveEndpoint>({
--- a/packages/entry/src/test/feed-wiring.test.ts
+++ b/packages/entry/src/test/feed-wiring.test.ts
@@ -63,6 +63,19 @@
 		assert.equal(parts.health.healthOf('e1'), 'healthy');
 	});
 
+	it('takes a listing of 12,000 endpoints of one service before two readiness checks are missed', () => {
+		// Guards against a daemon that answers nobody for many seconds at its start, since each endpoint costs time for all others.
+		parts.view.acceptDocument(document(1, ['desk']));
+		const startedAt = performance.now();
+		for (let index = 0; index < 12_000; index++) {
+			parts.view.acceptEndpoint(endpoint(`e${index}`));
+		}
+
+		assert.isBelow(performance.now() - startedAt, 2000);
+		fail('e0');
+		assert.deepEqual(parts.health.ejectedOf('desk'), ['e0']);
+	});
+
 	it('knows no weights of a process from the one before it under its id', () => {
 		// Guards against an engine that gets no requests, and no order, because its former process ran newer weights.
 		const engine = (startedAt: number, version: number) => endpoint('e1', {startedAt, weights: new Map([['m', version]])});
--- a/packages/router/src/lib/routing/health.ts
+++ b/packages/router/src/lib/routing/health.ts
@@ -34,6 +34,10 @@
 export type HealthTracker = {
 	/** Sets the endpoints of a service; state of endpoints that are not listed is dropped. */
 	setEndpoints: (service: string, endpoints: readonly string[]) => void;
+	/** Adds one endpoint to a service; the time for it doesn't grow with the service. */
+	addEndpoint: (service: string, endpoint: string) => void;
+	/** Removes an endpoint, if it belongs to the service. */
+	removeEndpoint: (service: string, endpoint: string) => void;
 	/** Records an answered request. */
 	succeeded: (endpoint: string) => void;
 	/** Records a failure that the endpoint caused. */
@@ -79,13 +83,13 @@
 		longestEjectionMs = 60_000, maxEjectedShare = 0.34, returnMs = 10_000,
 	} = options;
 	const entries = new Map<string, Entry>();
-	const services = new Map<string, readonly string[]>();
+	const services = new Map<string, Set<string>>();
 
 	const ejectedOf = (service: string, now: number): string[] =>
-		(services.get(service) ?? []).filter(name => entries.get(name)!.ejectedUntil > now);
+		[...services.get(service) ?? []].filter(name => entries.get(name)!.ejectedUntil > now);
 
 	const mayEject = (service: string, now: number): boolean => {
-		const total = services.get(service)?.length ?? 0;
+		const total = services.get(service)?.size ?? 0;
 		const most = total > 1 ? Math.max(1, Math.floor(total * maxEjectedShare)) : 0;
 		return ejectedOf(service, now).length < most;
 	};
@@ -139,13 +143,25 @@
 				}
 			}
 
-			services.set(service, [...endpoints]);
+			services.set(service, kept);
 			for (const name of endpoints) {
 				if (!entries.has(name)) {
 					entries.set(name, newEntry(service));
 				}
 			}
 		},
+		addEndpoint(service, endpoint) {
+			const names = services.get(service) ?? new Set();
+			services.set(service, names.add(endpoint));
+			if (!entries.has(endpoint)) {
+				entries.set(endpoint, newEntry(service));
+			}
+		},
+		removeEndpoint(service, endpoint) {
+			if (services.get(service)?.delete(endpoint) === true) {
+				entries.delete(endpoint);
+			}
+		},
 		succeeded(endpoint) {
 			const entry = entries.get(endpoint);
 			if (entry === undefined) {
