--- a/packages/entry/src/lib/wiring/feed-wiring.ts
+++ b/packages/entry/src/lib/wiring/feed-wiring.ts
@@ -25,7 +25,7 @@
 
 /** Follows the fleet document, the named weights and the ordered releases. */
 export function wireOperatorFeed(parts: EntryParts): ChangeFeed {
-	const {store, view, timings, clock, log} = parts;
+	const {store, view, timings, clock, metrics, log} = parts;
 	const apply = ({item, version}: Change<OperatorRow>, unseenMs: number, answeredMs: number): void => {
 		if (item === undefined) {
 			return;
@@ -58,7 +58,7 @@
 
 	return followChanges({
 		name: 'operator',
-		source: createOperatorSource(store, log),
+		source: createOperatorSource(store, log, metrics.rowSkipped),
 		handler: {update, replace: update},
 		waitMs: () => timings.feedWaitMs,
 		timeoutMs: timings.storeTimeoutMs,
@@ -72,7 +72,7 @@
 /** Follows the endpoint list and drops local state of removed endpoints. */
 export function wireEndpointFeed(parts: EntryParts): ChangeFeed {
 	const {
-		store, view, timings, clock, health, loadTracker, presence, versions, limits, paths, residentParts, log,
+		store, view, timings, clock, health, loadTracker, presence, versions, limits, paths, residentParts, metrics, log,
 	} = parts;
 	const tracker = createEndpointTracker({
 		view, graceMs: timings.expiredGraceMs, graceWindowMs: timings.graceWindowMs, expiryMs: timings.rowExpiryMs,
@@ -118,7 +118,7 @@
 	});
 	return followChanges<LiveEndpoint>({
 		name: 'endpoints',
-		source: createEndpointSource(store, log),
+		source: createEndpointSource(store, log, metrics.rowSkipped),
 		handler: tracker,
 		waitMs: () => timings.feedWaitMs,
 		timeoutMs: timings.storeTimeoutMs,
