The young generation is bounded, and unread streams with large events keep to the memory limit

What callers saw: the platform ends a daemon beside callers that don't read streams with large events. Cause: V8's young generation may grow to three semi-spaces of 16 MB beside the old space's limit, and it does under any load of some seconds. That memory is in no account, and the buffers that young garbage holds stay for longer. The heap's limit falls with it, and so does the account of open requests on VMs whose memory doesn't bind it first.

--- a/deploy/bundle.js
+++ b/deploy/bundle.js
@@ -14,9 +14,10 @@
  * The runtime's options in deploy/system.toml. V8 discards code that was compiled under others.
  *
  * A daemon on a small share of a core runs too little code for optimizing compilers to pay: the HTTP parser's
- * WebAssembly alone took 0.2 s of each start, on threads that compete with the requests.
+ * WebAssembly alone took 0.2 s of each start, on threads that compete with the requests. Bounding the young
+ * generation leaves memory for what callers and endpoints make the process hold.
  */
-const runtimeOptions = ['--max-old-space-size=120', '--liftoff-only', '--interrupt-budget=1000000'];
+const runtimeOptions = ['--max-old-space-size=120', '--max-semi-space-size=4', '--liftoff-only', '--interrupt-budget=1000000'];
 
 const folder = process.argv[2] ?? 'target';
 const program = path.join(folder, 'hickorywalk-entry.cjs');
