An exit ends although a write of the log is blocked

What was seen: with a terminal as standard output that nobody reads, the process was alive 8 s after process.exit. The runtime joins its thread pool at its exit, and a write of the log is blocked there; a disk that hangs would do the same.

Change: the flush tells whether a write is stuck. If so, the process ends by SIGKILL after all other listeners of the exit, which reset connections. Pipes aren't written through the pool and keep the planned exit code.

--- a/packages/entry/src/hickorywalk-entry.ts
+++ b/packages/entry/src/hickorywalk-entry.ts
@@ -8,6 +8,7 @@
 import {LayerError} from 'hickorywalk/fleet.js';
 import {createLineBatch, createLog, setLogWriter} from 'hickorywalk/observability.js';
 import {startEntryDaemon} from './lib/entry-daemon.js';
+import {exitAfterFlush} from './lib/exit-after-flush.js';
 import {createLogOutput} from './lib/log-output.js';
 import {installSignalHandlers} from './lib/signal-handlers.js';
 import {writeError} from './lib/standard-error.js';
@@ -35,13 +36,12 @@
 let isExiting = false;
 let hasStarted = false;
 
-/** Ends the process once all buffered log lines are written, as far as that takes no longer than {@link flushLimitMs}. */
+/** Ends the process once all buffered log lines are written, as far as that is possible in a short time. */
 async function exit(code: number): Promise<void> {
 	if (!isExiting) {
 		isExiting = true;
 		logBatch.flush();
-		await output.flush();
-		process.exit(code);
+		await exitAfterFlush(output, code);
 	}
 }
 
--- a/packages/entry/src/lib/log-output.ts
+++ b/packages/entry/src/lib/log-output.ts
@@ -15,16 +15,24 @@
 /** Destination of log lines. */
 export type LogOutput = {
 	write: (text: string) => void;
-	/** Resolves once all that is queued is written, the destination has failed, or {@link flushLimitMs} have passed. */
-	flush: () => Promise<void>;
+	/**
+	 * Resolves once all that is queued is written, the destination has failed, or {@link flushLimitMs} have passed;
+	 * to whether a write is stuck in the thread pool, for which the runtime would wait at its exit.
+	 */
+	flush: () => Promise<boolean>;
 };
 
 /** Longest time for which an exit waits for a slow reader or disk, in milliseconds. */
 export const flushLimitMs = 250;
 
-/** Resolves once `run` has called back, or after `limitMs` milliseconds. */
-async function within(limitMs: number, run: (resolve: () => void) => void): Promise<void> {
-	await Promise.race([new Promise<void>(run), pause(limitMs)]);
+/** Resolves once `run` has called back, or after `limitMs` milliseconds; to whether it was too late. */
+async function isLate(limitMs: number, run: (done: () => void) => void): Promise<boolean> {
+	const called = new Promise<boolean>(resolve => {
+		run(() => {
+			resolve(false);
+		});
+	});
+	return Promise.race([called, pause(limitMs, true)]);
 }
 
 /**
@@ -46,8 +54,8 @@
 				file.write(text);
 			},
 			// A synchronous flush would repeat a write that fails for ever.
-			flush: async () => within(flushLimitMs, resolve => {
-				file.flush(resolve);
+			flush: async () => isLate(flushLimitMs, done => {
+				file.flush(done);
 			}),
 		};
 	}
@@ -63,10 +71,12 @@
 		},
 		async flush() {
 			if (!socket.destroyed && socket.writableLength > 0) {
-				await within(flushLimitMs, resolve => {
-					socket.write('', resolve);
+				await isLate(flushLimitMs, done => {
+					socket.write('', done);
 				});
 			}
+
+			return false;
 		},
 	};
 }
--- a/packages/entry/src/test/log-output.test.ts
+++ b/packages/entry/src/test/log-output.test.ts
@@ -12,6 +12,7 @@
 import {assert} from 'chai';
 
 const moduleUrl = new URL('../lib/log-output.js', import.meta.url).href;
+const exitUrl = new URL('../lib/exit-after-flush.js', import.meta.url).href;
 const batches = 100;
 const batchChars = 16 * 1024;
 const maxQueuedBytes = 64 * 1024;
@@ -113,6 +114,27 @@
 	});
 });
 
+/** Writes more than a terminal holds and exits. */
+const blockedProgram = String.raw`
+	import {createLogOutput} from '${moduleUrl}';
+	import {exitAfterFlush} from '${exitUrl}';
+	const output = createLogOutput({fd: 1, maxQueuedBytes: ${batches * batchChars}});
+	output.write('.\n'.repeat(${maxQueuedBytes * 2}));
+	await exitAfterFlush(output, 0);
+`;
+
+describe('exitAfterFlush', () => {
+	it('ends a process whose write to a terminal is blocked', async () => {
+		// Guards against an exit that waits for a write without end: the runtime joins its thread pool.
+		const terminal = openSync('/dev/ptmx', 'r+');
+		const child = spawn(process.execPath, ['--input-type=module', '--eval', blockedProgram], {stdio: ['ignore', terminal, 'inherit']});
+		const end = await Promise.race([once(child, 'exit'), sleep(10_000, 'hangs')]);
+		child.kill('SIGKILL');
+		closeSync(terminal);
+		assert.deepEqual(end, [null, 'SIGKILL']);
+	});
+});
+
 describe('createLogOutput on a pipe that is full', () => {
 	it('has written all lines once it is flushed, if its reader goes on soon', async () => {
 		// Guards against the loss of the last lines, which say how a process ended.
