Open requests may take as much of the old generation as before the young one was bounded

Callers would be refused earlier: the account of open requests is a part of the runtime's heap limit, which a smaller young generation lowers from 168 to 132 MB, though the old one, which holds open requests, has its 120 MB as before.

--- a/packages/entry/src/lib/wiring/memory-wiring.ts
+++ b/packages/entry/src/lib/wiring/memory-wiring.ts
@@ -23,7 +23,7 @@
 
 /** Fraction of the remaining memory for the heap of open requests, and of the runtime's heap; the rest is for garbage. */
 const requestRatio = 0.5;
-const requestHeapRatio = 0.3;
+const requestHeapRatio = 0.38;
 const minRequestBytes = 12 * bytesPerMegabyte;
 
 /** Fraction of the remaining memory for heads that are not complete. */
