A response without an id answers no request on a connection that has brought another response

Callers could get a 503 "not run" for an order that its endpoint had got, or a 500 that was no answer to it: an endpoint that sends an extra response without an id after a complete one was believed for the next request on that connection.

Cause: the id of a response was compared only if it has one. Endpoints echo it, and an extra response may come late.

Change: the transport says whether a connection has brought a response before; there, a response without an id counts as crossed, at daemons that pass requests on for peers as well. On a new connection it is believed as before.

--- a/packages/router/src/lib/forwarding/attempt.ts
+++ b/packages/router/src/lib/forwarding/attempt.ts
@@ -5,7 +5,7 @@
  */
 import {Buffer} from 'node:buffer';
 import {type ResponseFacts, type CallHeaders} from '../fleet/call-headers.js';
-import {type Exchange, type ExchangeEvents} from '../orders/endpoint-transport.js';
+import {type Exchange, type ExchangeEvents, type ResponseHead} from '../orders/endpoint-transport.js';
 import {EndpointExchangeError} from '../orders/orders-errors.js';
 import {failureClasses, type FailureClass} from '../orders/failure-classes.js';
 import {type RequestBuffer} from './buffer-account.js';
@@ -100,6 +100,13 @@
 
 const isSuccess = (status: number): boolean => status >= statusOk && status < statusMultipleChoices;
 
+/**
+ * Whether a response with this id may belong to the request. Without an id, it may be what an endpoint sent after its
+ * previous response on the connection.
+ */
+export const mayAnswer = (requestId: string, answeredId: string | undefined, isOnUsedConnection = false): boolean =>
+	answeredId === undefined ? !isOnUsedConnection : answeredId === requestId;
+
 /** Runs one attempt; never rejects. */
 export async function runAttempt(options: AttemptOptions): Promise<AttemptEnd> {
 	return new Promise(resolve => {
@@ -161,8 +168,8 @@
 	};
 
 	/** Whether the response belongs to this request and, if it is a success, is signed by the endpoint and unaltered. */
-	const isTrusted = (facts: ResponseFacts, status: number): boolean => {
-		if (facts.requestId !== undefined && options.requestId !== undefined && facts.requestId !== options.requestId) {
+	const isTrusted = (facts: ResponseFacts, {status, isOnUsedConnection}: ResponseHead): boolean => {
+		if (options.requestId !== undefined && !mayAnswer(options.requestId, facts.requestId, isOnUsedConnection)) {
 			return false;
 		}
 
@@ -299,7 +306,7 @@
 			}
 
 			const facts = headers.readResponse(received.headers, received.status);
-			if (!isTrusted(facts, received.status)) {
+			if (!isTrusted(facts, received)) {
 				failAttempt('crossed', true);
 				return;
 			}
--- a/packages/router/src/lib/orders/endpoint-transport.ts
+++ b/packages/router/src/lib/orders/endpoint-transport.ts
@@ -10,6 +10,8 @@
 	status: number;
 	/** Flat list of names and values, as received. */
 	headers: readonly string[];
+	/** Its connection has brought a response before. */
+	isOnUsedConnection?: boolean;
 };
 
 /** Body of a request: the whole content, or a stream that is opened for this attempt. */
--- a/packages/router/src/lib/orders/undici-transport.ts
+++ b/packages/router/src/lib/orders/undici-transport.ts
@@ -107,6 +107,19 @@
  */
 const isReset = (socket: Socket): boolean => Boolean(socket.errored) || socket.remoteAddress === undefined;
 
+const usedSockets = new WeakSet<Socket>();
+
+/** Whether the connection has brought a response before this one. */
+function recordResponse(socket: Socket | undefined): boolean {
+	if (socket === undefined) {
+		return false;
+	}
+
+	const isUsed = usedSockets.has(socket);
+	usedSockets.add(socket);
+	return isUsed;
+}
+
 /** @internal */
 export type ExchangeState = {
 	/** The connection carries other requests before or after this one. */
@@ -164,7 +177,7 @@
 
 				state.status = status;
 				state.isUnframed = !isBodiless(status) && isUnframed(headers);
-				events.head({status, headers});
+				events.head({status, headers, isOnUsedConnection: recordResponse(state.socket)});
 			}
 		},
 		onResponseData(_controller, chunk) {
--- a/packages/router/src/lib/relaying/relay-server.ts
+++ b/packages/router/src/lib/relaying/relay-server.ts
@@ -9,6 +9,7 @@
 import {type CallHeaders, type ResponseFacts} from '../fleet/call-headers.js';
 import {type FleetView} from '../fleet/fleet-view.js';
 import {type LiveEndpoint} from '../fleet/live-endpoint.js';
+import {mayAnswer} from '../forwarding/attempt.js';
 import {type BufferAccount, type RequestBuffer} from '../forwarding/buffer-account.js';
 import {type CallerReply, createCallerReply} from '../forwarding/caller-reply.js';
 import {
@@ -145,6 +146,7 @@
 		let heldBytes = 0;
 		let endWeightsWatch = (): void => undefined;
 		const target = {name: endpoint.id, address: `http://${endpoint.address}`};
+		const {requestId} = headers.readCall(req.rawHeaders);
 		transport.allowConnectionReuse(target);
 		const exchange = transport.send({
 			endpoint: target,
@@ -159,6 +161,15 @@
 			head(head) {
 				watch.heard();
 				const facts = headers.readResponse(head.headers, head.status);
+				if (requestId !== undefined && !mayAnswer(requestId, facts.requestId, head.isOnUsedConnection)) {
+					endWeightsWatch();
+					watch.ended();
+					// First, since the abort reports a reset.
+					resolve({outcome: 'failed', reason: 'crossed'});
+					exchange.abort(new EndpointExchangeError('The response belongs to another request.'), true);
+					return;
+				}
+
 				options.onNotices(endpoint, facts);
 				if (facts.provesNotRun && head.status === statusUnavailable) {
 					brittle.turnedAway(endpoint);
