Signals without a meaning here no longer end a daemon, and SIGQUIT stops it

What callers saw: SIGQUIT, SIGUSR2, SIGALRM, SIGVTALRM, SIGIO and SIGPWR ended a daemon at once and cut all that was under way, by their default action.

Change: SIGQUIT stops as planned, as SIGTERM does; the others are logged and ignored; the launcher installs the same list.

--- a/deploy/launch.cjs
+++ b/deploy/launch.cjs
@@ -18,7 +18,7 @@
  * The program's own handlers get these signals once it is loaded; without a listener they would end the process.
  * Modules that take time to load are required later.
  */
-for (const signal of ['SIGHUP', 'SIGINT', 'SIGTERM']) {
+for (const signal of ['SIGHUP', 'SIGINT', 'SIGTERM', 'SIGQUIT', 'SIGUSR2', 'SIGALRM', 'SIGVTALRM', 'SIGIO', 'SIGPWR']) {
 	process.on(signal, () => undefined);
 }
 
--- a/packages/entry/src/lib/signal-handlers.ts
+++ b/packages/entry/src/lib/signal-handlers.ts
@@ -48,10 +48,21 @@
 		}
 	};
 
+	const ignore = (signal: NodeJS.Signals): void => {
+		log.info('Signal is ignored, since it has no meaning here.', {reason: signal});
+	};
+
+	// The default action of each of these ends the process.
 	const handlers = {
 		SIGTERM: stop,
 		SIGINT: stop,
+		SIGQUIT: stop,
 		SIGHUP: validateSettings,
+		SIGUSR2: ignore,
+		SIGALRM: ignore,
+		SIGVTALRM: ignore,
+		SIGIO: ignore,
+		SIGPWR: ignore,
 	};
 	for (const [signal, handler] of Object.entries(handlers)) {
 		process.on(signal, () => {
--- a/packages/entry/src/test/signals.test.ts
+++ b/packages/entry/src/test/signals.test.ts
@@ -103,7 +103,21 @@
 		assert.lengthOf(output.split('"[entry] Daemon stops."'), 2);
 	};
 
-	for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+	it('without a meaning here, goes on to serve', async () => {
+		// Guards against signals whose default action ends the process.
+		writeFileSync(path.join(folder, 'boot.json'), JSON.stringify(settings));
+		start([program], {[settingsVariable]: path.join(folder, 'boot.json')});
+		await hasWritten('Daemon listens.');
+		for (const signal of ['SIGUSR2', 'SIGALRM', 'SIGVTALRM', 'SIGIO', 'SIGPWR', 'SIGPIPE', 'SIGWINCH', 'SIGCONT'] as const) {
+			daemon.kill(signal);
+		}
+
+		await Promise.race([hasWritten('SIGPWR'), sleep(5000)]);
+		assert.include(output, 'SIGPWR');
+		assert.deepEqual([daemon.exitCode, daemon.signalCode], [null, null]);
+	});
+
+	for (const signal of ['SIGTERM', 'SIGINT', 'SIGQUIT'] as const) {
 		// Guards against responses that are cut because a repeated signal ends the process at once.
 		it(`${signal} several times, stops once and as planned`, async () => stopsOnce(signal));
 	}
