A fleet key that another writer has left is replaced

Callers saw: nothing that is traced to it. With an odd text in the row, daemons send a header that can't be sent when they pass requests on for each other; with an empty one, all know the key.

Cause: the row was taken as it is.

Evidence: 'replaces a row that holds ...', 5 of 5 fail on the code before.

Change: only texts that a daemon may have written count; any other is replaced by a conditional write, as a missing row is.

--- a/packages/router/src/lib/peers/fleet-key.ts
+++ b/packages/router/src/lib/peers/fleet-key.ts
@@ -25,29 +25,32 @@
 const rowKey = 'fleet-key';
 const retryMs = 1000;
 
+/** Secrets are sent in a header; any other text in the row was written by another program. */
+const keyPattern = /^[\w\-]{1,64}$/v;
+
 /** Creates the secret; it makes no calls until it is refreshed. */
 export function createFleetKey({table, generate, log}: FleetKeyOptions): FleetKey {
 	let key: string | undefined;
 	let timer: NodeJS.Timeout | undefined;
 	let isReading = false;
 
-	/** After a restore of the store from an older copy, a daemon that knows the secret writes it again. */
+	/** After a restore of the store from an older copy, or a write of another program, a daemon that knows the secret writes it again. */
 	const readOrWrite = async (): Promise<void> => {
 		const row = await table.get(rowKey);
-		if (row !== undefined) {
+		if (row !== undefined && keyPattern.test(row.value)) {
 			key = row.value;
 			return;
 		}
 
 		const value = key ?? generate();
-		const result = await table.transact([{key: rowKey, value, ifVersion: 0}]);
+		const result = await table.transact([{key: rowKey, value, ifVersion: row?.version ?? 0}]);
 		if (result.committed) {
 			key = value;
 			return;
 		}
 
 		const other = await table.get(rowKey);
-		key = other?.value;
+		key = other !== undefined && keyPattern.test(other.value) ? other.value : undefined;
 	};
 
 	const run = async (): Promise<void> => {
--- a/packages/router/src/test/peers/fleet-key.test.ts
+++ b/packages/router/src/test/peers/fleet-key.test.ts
@@ -56,6 +56,23 @@
 		assert.deepEqual([key.current(), later.current()], [before, before]);
 	});
 
+	const checkReplaced = async (odd: string): Promise<void> => {
+		const table = createFakeTable(() => fault);
+		await table.transact([{key: 'fleet-key', value: odd}]);
+		const keys = [keyIn(table), keyIn(table)];
+		for (const key of keys) {
+			key.refresh();
+		}
+
+		await clock.tickAsync(10);
+		assert.deepEqual(keys.map(key => key.current()), ['key-1', 'key-1']);
+	};
+
+	for (const odd of ['', 'a\u0000b', 'a\r\nb: c', '\u00FF', 'x'.repeat(60_000)]) {
+		// Guards against daemons that can't pass on requests, or take anyone's, because of one row of another writer.
+		it(`replaces a row that holds ${JSON.stringify(odd.slice(0, 10))}, of ${odd.length} characters`, async () => checkReplaced(odd));
+	}
+
 	it('is read as soon as the store responds again', async () => {
 		// Guards against a daemon that can't pass on requests because it started during an outage.
 		fault = 'down';
