A request that can't be sent no longer takes a connection out of its pool

Callers of a sound endpoint got 504 for all requests until the endpoint's pool was renewed, once as many unsendable requests as the pool has connections had been made.

Cause: undici validates a request when a client takes it. A rejected request makes Client.dispatch return false, which Pool reads as "busy until drain". The client never was busy, so that no drain event follows, and the client is lost to the pool.

Change: the clients of a pool are created by a factory.

--- a/packages/router/src/lib/orders/undici-transport.ts
+++ b/packages/router/src/lib/orders/undici-transport.ts
@@ -16,6 +16,7 @@
 import {createConnectTimeout} from './connect-timeout.js';
 import {EndpointExchangeError} from './orders-errors.js';
 import {createHeldEvents} from './held-events.js';
+import {PoolClient} from './pool-client.js';
 import {createProgressLimit} from './progress-limit.js';
 import {batchedHighWaterMark, createReadBatches} from './read-batches.js';
 
@@ -399,7 +400,10 @@
 			const {origin} = new URL(endpoint.address);
 			if (!pools.has(origin)) {
 				pools.set(origin, new Pool(origin, {
-					connect, pipelining: 1, connections: options.connectionsPerPool ?? defaultConnectionsPerPool,
+					connect,
+					pipelining: 1,
+					connections: options.connectionsPerPool ?? defaultConnectionsPerPool,
+					factory: (url, clientOptions) => new PoolClient(url, clientOptions),
 				}));
 			}
 		},
--- a/packages/router/src/test/orders/undici-transport.test.ts
+++ b/packages/router/src/test/orders/undici-transport.test.ts
@@ -1,4 +1,7 @@
 import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import {createServer} from 'node:http';
+import {setTimeout as delay} from 'node:timers/promises';
 import {assert} from 'chai';
 import {createHandler, createUndiciTransport, type ExchangeState} from '../../lib/orders/undici-transport.js';
 
@@ -80,4 +83,50 @@
 
 		await transport.close();
 	});
+
+	it('keeps serving from a pool after more invalid requests than it has connections', async () => {
+		// Guards against a sound endpoint whose pool waits forever for clients that rejected a request.
+		const server = createServer((_request, response) => {
+			response.end('ok');
+		});
+		server.listen(0, '127.0.70.1');
+		await once(server, 'listening');
+		const {port} = server.address() as {port: number};
+		const connectionsPerPool = 2;
+		const transport = createUndiciTransport({connectionsPerPool});
+		const target = {name: 'e1', address: `http://127.0.70.1:${port}`};
+		const send = async (value: string) => new Promise<string>(resolve => {
+			transport.send({
+				endpoint: target, method: 'GET', path: '/', headers: ['x-name', value], dedicatedConnection: false,
+			}, {
+				beforeSend: () => true,
+				progress: () => undefined,
+				head: () => undefined,
+				data: () => undefined,
+				end() {
+					resolve('answered');
+				},
+				failed: resolve,
+			});
+		});
+		const waitMs = 2000;
+		const outcomeOf = async (value: string) => Promise.race([send(value), delay(waitMs, 'timed out')]);
+		try {
+			transport.allowConnectionReuse(target);
+			for (const value of ['a\nb', 'a\u0000b', 'a\u0100b', 'a\nb']) {
+				assert.equal(await outcomeOf(value), 'unsendable');
+			}
+
+			// Invalid requests also reach clients from the pool's queue.
+			const values = ['a', 'b', 'c', 'a\nb', 'a\nb', 'a\nb', 'd', 'e'];
+			assert.deepEqual(
+				await Promise.all(values.map(async value => outcomeOf(value))),
+				values.map(value => value.includes('\n') ? 'unsendable' : 'answered'),
+			);
+		} finally {
+			// A pool with waiting requests would never close.
+			void transport.close();
+			server.close();
+		}
+	});
 });
