Fail an attempt as truncated when passing on its response throws

A caller of a stream could get a gap in an answer that ended as complete: the events of a read are taken from the list and then passed on in a microtask, and the process goes on after an uncaught exception. A throw in failed() left the attempt open, and one in head() or data() was left to the transport, which may go on.

The callbacks of the exchange, the microtask and the drain callback now fail the attempt as truncated and raise the error as an uncaught exception, so that it is logged and doesn't disturb the transport. beforeSend is not guarded, since nothing has been sent by then. The id of the last event is recorded after its write: otherwise a throw in between would make the next endpoint continue after an event that the caller doesn't have.

A request at rest costs nothing more; each attempt has a few more closures.

--- a/packages/router/src/lib/forwarding/attempt.ts
+++ b/packages/router/src/lib/forwarding/attempt.ts
@@ -5,6 +5,7 @@
  */
 import {Buffer} from 'node:buffer';
 import {type ResponseFacts, type CallHeaders} from '../fleet/call-headers.js';
+import {raiseFault} from '../observability/raise-fault.js';
 import {type Exchange, type ExchangeEvents} from '../orders/endpoint-transport.js';
 import {EndpointExchangeError} from '../orders/orders-errors.js';
 import {failureClasses, type FailureClass} from '../orders/failure-classes.js';
@@ -84,6 +85,8 @@
 	onAbortable: (abort: (failure: FailureClass) => void) => void;
 };
 
+type ReceivedHead = {status: number; headers: readonly string[]};
+
 const statusOk = 200;
 const statusMultipleChoices = 300;
 const statusServerError = 500;
@@ -111,7 +114,7 @@
 	const {reply, progress, headers} = options;
 	const splitter = createEventSplitter();
 	let isSettled = false;
-	let head: {status: number; headers: readonly string[]} | undefined;
+	let head: ReceivedHead | undefined;
 	let chunks: Uint8Array[] = [];
 	let bytes = 0;
 	const silence = createSilenceTimer({
@@ -160,6 +163,16 @@
 		}
 	};
 
+	/** Fails the attempt if the callback throws: a response with a dropped part must not end as complete. */
+	const guard = <Parameters extends unknown[]>(callback: (...parameters: Parameters) => void) => (...parameters: Parameters): void => {
+		try {
+			callback(...parameters);
+		} catch (error) {
+			raiseFault(error);
+			failAttempt('truncated', false);
+		}
+	};
+
 	/** Whether the response belongs to this request and, if it is a success, is signed by the endpoint and unaltered. */
 	const isTrusted = (facts: ResponseFacts, status: number): boolean => {
 		if (facts.requestId !== undefined && options.requestId !== undefined && facts.requestId !== options.requestId) {
@@ -199,30 +212,32 @@
 		silence.restart(options.eventTimeoutMs);
 		hasEvents = true;
 		options.onEvents();
-		progress.lastEventId = events.lastId ?? progress.lastEventId;
 		startReply();
-		if (!reply.write(events.bytes)) {
+		const acceptsMore = reply.write(events.bytes);
+		// Only now, since another endpoint would continue after this event.
+		progress.lastEventId = events.lastId ?? progress.lastEventId;
+		if (!acceptsMore) {
 			const unsentBytes = reply.unsentBytes();
 			options.buffer.add(unsentBytes);
 			exchange.pause();
 			silence.stop();
-			reply.onDrain(() => {
+			reply.onDrain(guard(() => {
 				options.buffer.add(-unsentBytes - heldBytes);
 				heldBytes = 0;
 				exchange.resume();
 				silence.restart(options.eventTimeoutMs);
-			});
+			}));
 		}
 	};
 
-	const forwardRead = (): void => {
+	const forwardRead = guard(() => {
 		if (readChunks.length > 0 && !isSettled) {
 			const [first] = readChunks;
 			const whole = readChunks.length === 1 ? first : Buffer.concat(readChunks);
 			readChunks = [];
 			forwardChunk(whole);
 		}
-	};
+	});
 
 	/**
 	 * Passes on a chunk together with the others of the same read of the socket: an endpoint sends
@@ -293,7 +308,7 @@
 		progress() {
 			// Request bodies are buffered, so there is nothing to track.
 		},
-		head(received) {
+		head: guard((received: ReceivedHead) => {
 			if (isSettled) {
 				return;
 			}
@@ -314,8 +329,8 @@
 			}
 
 			silence.restart(provesNotRun() ? Math.min(options.eventTimeoutMs, notRunTimeoutMs) : options.eventTimeoutMs);
-		},
-		data(chunk) {
+		}),
+		data: guard((chunk: Uint8Array) => {
 			if (isSettled) {
 				return;
 			}
@@ -335,25 +350,28 @@
 			} else if (!provesNotRun()) {
 				silence.restart(options.eventTimeoutMs);
 			}
-		},
-		held(bytes) {
+		}),
+		held: guard((bytes: number) => {
 			if (!isSettled) {
 				heldBytes += bytes;
 				options.buffer.add(bytes);
 			}
-		},
-		end() {
+		}),
+		end: guard(() => {
 			if (isSettled || head === undefined) {
 				return;
 			}
 
-			if (isPassedThrough()) {
-				forwardRead();
-				endStream();
-			} else {
+			if (!isPassedThrough()) {
 				endBuffered();
+				return;
 			}
-		},
+
+			forwardRead();
+			if (!isSettled) {
+				endStream();
+			}
+		}),
 		failed(failure) {
 			forwardRead();
 			finish(endOf(head === undefined || failureClasses[failure].reach === 'nothing' ? failure : 'truncated'));
--- a/packages/router/src/test/forwarding/attempt.test.ts
+++ b/packages/router/src/test/forwarding/attempt.test.ts
@@ -1,4 +1,5 @@
 import {Buffer} from 'node:buffer';
+import process from 'node:process';
 import FakeTimers from '@sinonjs/fake-timers';
 import {assert} from 'chai';
 import {type CallHeaders, type ResponseFacts} from '../../lib/fleet/call-headers.js';
@@ -133,6 +134,104 @@
 		assert.lengthOf(writes, 2);
 	});
 
+	describe('and a fault in its own code', () => {
+		const fault = new Error('fault');
+		let faults: unknown[];
+		let restore: () => void;
+
+		/** Throws when the given event is passed on. */
+		const failAt = (count: number) => {
+			let calls = 0;
+			return () => {
+				if (++calls === count) {
+					throw fault;
+				}
+			};
+		};
+
+		beforeEach(() => {
+			const listeners = process.listeners('uncaughtException');
+			faults = [];
+			process.removeAllListeners('uncaughtException');
+			process.on('uncaughtException', error => faults.push(error));
+			restore = () => {
+				process.removeAllListeners('uncaughtException');
+				for (const listener of listeners) {
+					process.on('uncaughtException', listener);
+				}
+			};
+		});
+
+		afterEach(() => {
+			restore();
+		});
+
+		const settleTurn = async (): Promise<void> => {
+			await new Promise(resolve => {
+				setImmediate(resolve);
+			});
+		};
+
+		it('fails as truncated if the events of a read can\'t be passed on', async () => {
+			// Guards against an answer that ends as complete although events are missing from it.
+			start({onEvents: failAt(2)});
+			events.head({status: 200, headers: []});
+			receive(1);
+			receive(2);
+			await settleTurn();
+			receive(3);
+			events.end([]);
+			assert.deepEqual(await end, {kind: 'failed', failure: 'truncated'});
+			assert.deepEqual(writes, ['id: 1\n\n']);
+			assert.deepEqual(faults, [fault]);
+		});
+
+		const checkFirst = async (options: Partial<AttemptOptions>): Promise<void> => {
+			start(options);
+			events.head({status: 200, headers: []});
+			receive(1);
+			events.end([]);
+			assert.deepEqual(await end, {kind: 'failed', failure: 'truncated'});
+			await settleTurn();
+			assert.deepEqual(writes, []);
+			assert.deepEqual(faults, [fault]);
+		};
+
+		// Both guard against an attempt that goes on after a part of its response was dropped.
+		it('fails as truncated if the head can\'t be processed', async () => checkFirst({onHead: failAt(1)}));
+
+		it('fails as truncated if the first event can\'t be passed on', async () => checkFirst({onEvents: failAt(1)}));
+
+		it('ends if the events that arrived with a failure can\'t be passed on', async () => {
+			// Guards against an attempt that holds its place at the endpoint after its connection has failed.
+			start({onEvents: failAt(2)});
+			events.head({status: 200, headers: []});
+			receive(1, 2);
+			events.failed('reset');
+			assert.deepEqual(await end, {kind: 'failed', failure: 'truncated'});
+			await settleTurn();
+			assert.deepEqual(writes, ['id: 1\n\n']);
+			assert.deepEqual(faults, [fault]);
+		});
+
+		it('resumes after the last event that was written', async () => {
+			// Guards against a gap at the next endpoint, which continues after the last event id.
+			const progress = {firstAt: undefined, lastEventId: undefined, facts: undefined};
+			const headers: Partial<CallHeaders> = {
+				readResponse: () => facts as ResponseFacts,
+				forCaller() {
+					throw fault;
+				},
+			};
+			start({progress, headers: headers as CallHeaders});
+			events.head({status: 200, headers: []});
+			receive(1);
+			assert.deepEqual(await end, {kind: 'failed', failure: 'truncated'});
+			assert.isUndefined(progress.lastEventId);
+			await settleTurn();
+		});
+	});
+
 	it('stops reading while the caller does not read', async () => {
 		// Guards against a buffer that grows without bound.
 		start({}, false);
