Keep the deadline of a request whose silence callback throws

The timer was unset while onSilent ran, which decides on a placement. After a throw the deadline never fired, and the attempt and its place at the endpoint remained until the caller or the endpoint ended the exchange.

The new test fails on the previous code: 0 deadlines reported instead of 1.

The timer is now armed for the deadline before the callback, which may restart or stop it as before. This costs one timer per report of silence.

--- a/packages/router/src/lib/forwarding/silence-timer.ts
+++ b/packages/router/src/lib/forwarding/silence-timer.ts
@@ -5,7 +5,7 @@
 	/** `performance.now()` at which the request times out. */
 	deadlineAt: number;
 	onDeadline: () => void;
-	/** Called after `limitMs` of silence; the timer has stopped. */
+	/** Called after `limitMs` of silence; without a restart, only the deadline remains. */
 	onSilent: (limitMs: number) => void;
 };
 
@@ -62,6 +62,9 @@
 		if (dueAt === deadlineAt) {
 			onDeadline();
 		} else {
+			// Armed first, since the callback may throw.
+			dueAt = deadlineAt;
+			arm(performance.now());
 			onSilent(limitMs);
 		}
 	};
--- a/packages/router/src/test/forwarding/silence-timer.test.ts
+++ b/packages/router/src/test/forwarding/silence-timer.test.ts
@@ -2,6 +2,7 @@
 import {
 	type AddressInfo, connect, createServer, type Server, type Socket,
 } from 'node:net';
+import FakeTimers from '@sinonjs/fake-timers';
 import {assert} from 'chai';
 import {createSilenceTimer, type SilenceTimer} from '../../lib/forwarding/silence-timer.js';
 import {block} from '../block.js';
@@ -70,3 +71,28 @@
 		it(`reports "${kind}" if nothing has arrived`, async () => checkReport(deadlineMs, kind));
 	}
 });
+
+describe('createSilenceTimer whose callback throws', () => {
+	it('still reports the deadline', () => {
+		// Guards against a request that holds its place at an endpoint without a deadline.
+		const clock = FakeTimers.install({toFake: ['setTimeout', 'clearTimeout', 'setImmediate', 'clearImmediate', 'performance']});
+		try {
+			let deadlines = 0;
+			const timer = createSilenceTimer({
+				deadlineAt: performance.now() + 1000,
+				onDeadline() {
+					deadlines++;
+				},
+				onSilent() {
+					throw new Error('fault');
+				},
+			});
+			timer.restart(limitMs);
+			assert.throws(() => clock.tick(limitMs * 2), 'fault');
+			clock.tick(2000);
+			assert.equal(deadlines, 1);
+		} finally {
+			clock.uninstall();
+		}
+	});
+});
