Go on to notify requests of replaced weights after a callback throws

A throw in onOutdated skipped the next timer of its request and the checks of all requests behind it, some of which have no timer of their own. They waited for replaced weights until their own deadlines.

The new test fails on the previous code with the callback's error. The error is now raised as an uncaught exception, and the check goes on. The tests share what collects uncaught errors.

--- a/packages/router/src/lib/weights/weights-deadlines.ts
+++ b/packages/router/src/lib/weights/weights-deadlines.ts
@@ -3,6 +3,7 @@
  * engine should load. Holds from the choice of an engine to the end of the answer, also for weights that are replaced meanwhile.
  */
 import {type FleetView} from '../fleet/fleet-view.js';
+import {raiseFault} from '../observability/raise-fault.js';
 
 /** Options of {@link createWeightsDeadlines}. */
 export type WeightsDeadlinesOptions = {
@@ -58,7 +59,11 @@
 		clearTimeout(watch.timer);
 		const leftMs = msLeft(watch.request, maxStartRatio);
 		if (leftMs <= 0) {
-			watch.request.onOutdated();
+			try {
+				watch.request.onOutdated();
+			} catch (error) {
+				raiseFault(error);
+			}
 		}
 
 		if (watches.has(watch) && Number.isFinite(leftMs)) {
--- a/packages/router/src/test/forwarding/attempt.test.ts
+++ b/packages/router/src/test/forwarding/attempt.test.ts
@@ -1,11 +1,12 @@
 import {Buffer} from 'node:buffer';
-import process from 'node:process';
+import {setImmediate} from 'node:timers/promises';
 import FakeTimers from '@sinonjs/fake-timers';
 import {assert} from 'chai';
 import {type CallHeaders, type ResponseFacts} from '../../lib/fleet/call-headers.js';
 import {type AttemptEnd, type AttemptOptions, runAttempt} from '../../lib/forwarding/attempt.js';
 import {type CallerReply} from '../../lib/forwarding/caller-reply.js';
 import {type ExchangeEvents} from '../../lib/orders/endpoint-transport.js';
+import {collectUncaught} from '../collect-uncaught.js';
 
 describe('runAttempt with a stream', () => {
 	let clock: FakeTimers.Clock;
@@ -136,8 +137,7 @@
 
 	describe('and a fault in its own code', () => {
 		const fault = new Error('fault');
-		let faults: unknown[];
-		let restore: () => void;
+		let uncaught: ReturnType<typeof collectUncaught>;
 
 		/** Throws when the given event is passed on. */
 		const failAt = (count: number) => {
@@ -150,27 +150,10 @@
 		};
 
 		beforeEach(() => {
-			const listeners = process.listeners('uncaughtException');
-			faults = [];
-			process.removeAllListeners('uncaughtException');
-			process.on('uncaughtException', error => faults.push(error));
-			restore = () => {
-				process.removeAllListeners('uncaughtException');
-				for (const listener of listeners) {
-					process.on('uncaughtException', listener);
-				}
-			};
+			uncaught = collectUncaught();
 		});
 
-		afterEach(() => {
-			restore();
-		});
-
-		const settleTurn = async (): Promise<void> => {
-			await new Promise(resolve => {
-				setImmediate(resolve);
-			});
-		};
+		afterEach(async () => uncaught.restore());
 
 		it('fails as truncated if the events of a read can\'t be passed on', async () => {
 			// Guards against an answer that ends as complete although events are missing from it.
@@ -178,12 +161,12 @@
 			events.head({status: 200, headers: []});
 			receive(1);
 			receive(2);
-			await settleTurn();
+			await setImmediate();
 			receive(3);
 			events.end([]);
 			assert.deepEqual(await end, {kind: 'failed', failure: 'truncated'});
 			assert.deepEqual(writes, ['id: 1\n\n']);
-			assert.deepEqual(faults, [fault]);
+			assert.deepEqual(uncaught.errors, [fault]);
 		});
 
 		const checkFirst = async (options: Partial<AttemptOptions>): Promise<void> => {
@@ -192,9 +175,9 @@
 			receive(1);
 			events.end([]);
 			assert.deepEqual(await end, {kind: 'failed', failure: 'truncated'});
-			await settleTurn();
+			await setImmediate();
 			assert.deepEqual(writes, []);
-			assert.deepEqual(faults, [fault]);
+			assert.deepEqual(uncaught.errors, [fault]);
 		};
 
 		// Both guard against an attempt that goes on after a part of its response was dropped.
@@ -209,9 +192,9 @@
 			receive(1, 2);
 			events.failed('reset');
 			assert.deepEqual(await end, {kind: 'failed', failure: 'truncated'});
-			await settleTurn();
+			await setImmediate();
 			assert.deepEqual(writes, ['id: 1\n\n']);
-			assert.deepEqual(faults, [fault]);
+			assert.deepEqual(uncaught.errors, [fault]);
 		});
 
 		it('resumes after the last event that was written', async () => {
@@ -228,7 +211,7 @@
 			receive(1);
 			assert.deepEqual(await end, {kind: 'failed', failure: 'truncated'});
 			assert.isUndefined(progress.lastEventId);
-			await settleTurn();
+			await setImmediate();
 		});
 	});
 
--- a/packages/router/src/test/weights/weights-deadlines.test.ts
+++ b/packages/router/src/test/weights/weights-deadlines.test.ts
@@ -2,6 +2,7 @@
 import {assert} from 'chai';
 import {createFleetView, type FleetView} from '../../fleet.js';
 import {createSilentLog} from '../../observability.js';
+import {collectUncaught} from '../collect-uncaught.js';
 import {createWeightsDeadlines, type WeightsDeadlines} from '../../weights.js';
 
 const weightsMs = 8000;
@@ -67,6 +68,31 @@
 		assert.lengthOf(notices, 1);
 	});
 
+	it('goes on to notify requests after the callback of one threw an error', async () => {
+		// Guards against requests that are never told again that their weights were replaced.
+		const uncaught = collectUncaught();
+		let calls = 0;
+		try {
+			deadlines.watch({
+				...requested,
+				onOutdated() {
+					calls++;
+					throw new Error('Thrown by a test.');
+				},
+			});
+			watch();
+			view.acceptWeights('m', 2, 0);
+			clock.tick(weightsMs * 2);
+			view.acceptWeights('m', 3, 0);
+		} finally {
+			await uncaught.restore();
+		}
+
+		assert.isAbove(calls, 4);
+		assert.lengthOf(notices, calls);
+		assert.lengthOf(uncaught.errors, calls);
+	});
+
 	it('leaves requests alone that have ended, and those on the newest weights', () => {
 		watch()();
 		watch(2);
