End an engine's change of weights also if it throws

The engine remained in the list of changes in progress, so that no further change was started: it kept its weights, and counted as changing, as long as this daemon had the duty. The new test fails on the previous code: after errors in three changes, some engines still had version 1 after 8 s.

--- a/packages/router/src/lib/weights/weights-rollout.ts
+++ b/packages/router/src/lib/weights/weights-rollout.ts
@@ -346,21 +346,25 @@
 
 		inProgress.set(id, first);
 		void (async () => {
-			const task = await runTask(first);
-			const downtimeMs = drains.finish(id);
-			const {version} = versions.of(endpoint, model);
-			if (downtimeMs !== undefined && version >= task.version) {
-				// In a large fleet, peers would leave the engine idle until the next round of reports.
-				void announce();
-				planner.recordDowntime(downtimeMs);
-				planner.recordTurn(performance.now() - startedMs);
-				updateAverageLoad(task);
-			}
+			try {
+				const task = await runTask(first);
+				const downtimeMs = drains.finish(id);
+				const {version} = versions.of(endpoint, model);
+				if (downtimeMs !== undefined && version >= task.version) {
+					// In a large fleet, peers would leave the engine idle until the next round of reports.
+					void announce();
+					planner.recordDowntime(downtimeMs);
+					planner.recordTurn(performance.now() - startedMs);
+					updateAverageLoad(task);
+				}
 
-			inProgress.delete(id);
-			log.info('Change of an engine\'s weights ended.', {
-				endpoint: id, version, result: version >= task.version ? 'changed' : 'abandoned', ms: Math.round(performance.now() - startedMs),
-			});
+				log.info('Change of an engine\'s weights ended.', {
+					endpoint: id, version, result: version >= task.version ? 'changed' : 'abandoned', ms: Math.round(performance.now() - startedMs),
+				});
+			} finally {
+				drains.finish(id);
+				inProgress.delete(id);
+			}
 		})();
 	};
 
--- a/packages/router/src/test/weights/weights-rollout.test.ts
+++ b/packages/router/src/test/weights/weights-rollout.test.ts
@@ -7,6 +7,7 @@
 import {
 	createEngineVersions, createWeightsRollout, type EngineVersions, type RunPolicy, type WeightsControl, type WeightsRollout,
 } from '../../weights.js';
+import {collectUncaught} from '../collect-uncaught.js';
 import {engineDocument} from './engine-document.js';
 
 /** Simulated engines that accept every order and then load weights. */
@@ -189,6 +190,28 @@
 		assert.equal(engines.versions.get('e0'), 2);
 	});
 
+	it('starts the change of an engine again after it ended with an error', async () => {
+		// Guards against engines that keep their weights, and count as changing, until another daemon has the duty.
+		const uncaught = collectUncaught();
+		const get = minRequestIntervalMs.get.bind(minRequestIntervalMs);
+		let failures = 3;
+		minRequestIntervalMs.get = id => {
+			if (failures > 0) {
+				failures--;
+				throw new Error('Thrown by a test.');
+			}
+
+			return get(id);
+		};
+
+		view.acceptWeights('m', 2, 0);
+		await clock.tickAsync(8000);
+		clock.uninstall();
+		await uncaught.restore();
+		assert.lengthOf(uncaught.errors, 3);
+		assert.deepEqual(new Set(engines.versions.values()), new Set([2]));
+	});
+
 	it('orders an engine only once its queue is empty, or the wait for it is over', async () => {
 		// An engine rejects all queued requests when it is ordered, and some of them may
 		// not be sent to a second engine. So it first gets no new requests until its queue
