Settle a drain whose announcement fails

Without an end of the announcement, the engine's report of an empty queue was never trusted, and the engine stood idle for the longest drain. The new test fails on the previous code.

--- a/packages/router/src/lib/weights/engine-drains.ts
+++ b/packages/router/src/lib/weights/engine-drains.ts
@@ -91,11 +91,14 @@
 		const announced = announce();
 		if (!isAlone) {
 			void (async () => {
-				await announced;
-				// Repeated for daemons that the first datagram didn't reach.
-				void announce();
-				// A daemon may have sent a request just before the announcement arrived.
-				drain.settledAt = performance.now() + (maxDeliveryMs * 2) + reportLagMs;
+				try {
+					await announced;
+				} finally {
+					// A daemon may have sent a request just before the announcement arrived.
+					drain.settledAt = performance.now() + (maxDeliveryMs * 2) + reportLagMs;
+					// Repeated for daemons that the first datagram didn't reach.
+					void announce();
+				}
 			})();
 		}
 
