Release the check of a path that throws

The endpoint counted as being checked for the rest of the process's life, and the place among the simultaneous checks remained taken: the path stayed lost, or its silence was never found. The new test fails on the previous code.

--- a/packages/router/src/lib/paths/endpoint-paths.ts
+++ b/packages/router/src/lib/paths/endpoint-paths.ts
@@ -195,9 +195,14 @@
 	const checkLost = async (endpoint: LiveEndpoint, path: Path & {lostAt: number}): Promise<void> => {
 		path.isChecking = true;
 		checks++;
-		const state = await checkConnection(endpoint.address);
-		checks--;
-		path.isChecking = false;
+		let state: ConnectionState;
+		try {
+			state = await checkConnection(endpoint.address);
+		} finally {
+			checks--;
+			path.isChecking = false;
+		}
+
 		if (paths.get(endpoint.id) !== path) {
 			return;
 		}
@@ -218,8 +223,13 @@
 		const path = pathOf(endpoint);
 		silenceCheckedAt = performance.now();
 		path.isChecking = true;
-		const state = await checkConnection(endpoint.address);
-		path.isChecking = false;
+		let state: ConnectionState;
+		try {
+			state = await checkConnection(endpoint.address);
+		} finally {
+			path.isChecking = false;
+		}
+
 		if (state === 'accepted') {
 			path.acceptedAt = performance.now();
 		} else if (paths.get(endpoint.id) === path) {
--- a/packages/router/src/test/paths/endpoint-paths.test.ts
+++ b/packages/router/src/test/paths/endpoint-paths.test.ts
@@ -2,6 +2,7 @@
 import {assert} from 'chai';
 import {createSilentLog} from '../../observability.js';
 import {type ConnectionState, createEndpointPaths, type EndpointPaths} from '../../paths.js';
+import {collectUncaught} from '../collect-uncaught.js';
 import {endpointNamed} from './endpoint-named.js';
 
 const e1 = endpointNamed('e1');
@@ -12,6 +13,8 @@
 	let states: Map<string, ConnectionState>;
 	let checks: string[];
 	let lost: string[];
+	/** Number of checks that fail next. */
+	let failures: number;
 	let paths: EndpointPaths;
 
 	beforeEach(() => {
@@ -19,9 +22,15 @@
 		states = new Map();
 		checks = [];
 		lost = [];
+		failures = 0;
 		paths = createEndpointPaths({
 			async checkConnection(address) {
 				checks.push(address);
+				if (failures > 0) {
+					failures--;
+					throw new Error('Thrown by a test.');
+				}
+
 				return states.get(address) ?? 'accepted';
 			},
 			onLost({id}) {
@@ -101,6 +110,28 @@
 		assert.isFalse(paths.isLost(e2));
 	});
 
+	it('checks paths again after checks that threw an error', async () => {
+		// Guards against an endpoint that counts as being checked, and places for checks that are taken, for the rest of the process's life.
+		const uncaught = collectUncaught();
+		states.set(e1.address, 'refused');
+		paths.connectFailed(e1);
+		failures = 20;
+		await useFor(30_000);
+		states.set(e1.address, 'accepted');
+		await useFor(30_000);
+		assert.isFalse(paths.isLost(e1));
+
+		failures = 1;
+		states.set(e2.address, 'silent');
+		const open = paths.watch(e2);
+		await clock.tickAsync(10_000);
+		assert.isTrue(paths.isLost(e2));
+		open.ended();
+		clock.uninstall();
+		await uncaught.restore();
+		assert.lengthOf(uncaught.errors, 21);
+	});
+
 	it('starts no check while nobody uses a lost path, and holds no timer at rest', async () => {
 		// Guards against wake-ups of an idle process.
 		states.set(e1.address, 'refused');
