--- a/packages/entry/src/lib/uncaught-exceptions.ts
+++ b/packages/entry/src/lib/uncaught-exceptions.ts
@@ -34,6 +34,10 @@
 }: UncaughtExceptionsOptions): () => number {
 	const budget = createLineBudget({perSecond: {other: linesPerSecond}});
 	let count = 0;
+	let isExiting = false;
+	process.prependListener('exit', () => {
+		isExiting = true;
+	});
 	process.on('uncaughtException', (err: unknown) => {
 		count++;
 		if (budget.take('exception')) {
@@ -41,6 +45,11 @@
 			writeError(err instanceof Error ? err.stack ?? err.name : `Uncaught exception of type ${typeof err}.`);
 		}
 
+		if (isExiting) {
+			// A listener of the exit threw, which would stop the exit halfway.
+			process.exit(exitCodeUncaughtException);
+		}
+
 		if (!hasStarted()) {
 			exit(exitCodeUncaughtException);
 		}
