Go on to wake waiting requests after an error in the admission

A throw in the choice of the next request left the round of its service open: later events only marked it for repetition, so that free capacity woke nobody of that service. A throw in the callback of the timer left no timer, and requests waited past the time at which they would be refused early.

A failed round is now removed, and the timer is set again in any case.

--- a/packages/router/src/lib/admission/admission.ts
+++ b/packages/router/src/lib/admission/admission.ts
@@ -183,7 +183,14 @@
 			return;
 		}
 
-		round.current = nextOf(service, round.blocked);
+		try {
+			round.current = nextOf(service, round.blocked);
+		} catch (error) {
+			// A round that stays would keep later events from starting one.
+			rounds.delete(service);
+			throw error;
+		}
+
 		if (round.current !== undefined) {
 			round.current.wake();
 			return;
@@ -245,24 +252,26 @@
 		timerAt = Number.POSITIVE_INFINITY;
 		const now = performance.now();
 		const services = new Set<string>();
-		for (const entry of queue.all()) {
-			if (entry.checkAt > now) {
-				continue;
+		try {
+			for (const entry of queue.all()) {
+				if (entry.checkAt > now) {
+					continue;
+				}
+
+				services.add(entry.service);
+				const endsAt = entry.deadlineAt - entry.serviceMs;
+				entry.checkAt = Math.max(endsAt, now + minCheckMs);
+				if (endsAt <= now || (!entry.isPastTarget && entry.passesTargetAt <= now)) {
+					entry.wake();
+				}
 			}
 
-			services.add(entry.service);
-			const endsAt = entry.deadlineAt - entry.serviceMs;
-			entry.checkAt = Math.max(endsAt, now + minCheckMs);
-			if (endsAt <= now || (!entry.isPastTarget && entry.passesTargetAt <= now)) {
-				entry.wake();
+			for (const service of services) {
+				startRound(service);
 			}
+		} finally {
+			setTimer();
 		}
-
-		for (const service of services) {
-			startRound(service);
-		}
-
-		setTimer();
 	};
 
 	const setTimer = (): void => {
--- a/packages/router/src/test/admission/load-model.ts
+++ b/packages/router/src/test/admission/load-model.ts
@@ -174,7 +174,7 @@
 });
 
 /** Creates a daemon that knows the engines. */
-function createDaemon(name: string, options: LoadModelOptions, random: () => number) {
+export function createDaemon(name: string, options: LoadModelOptions, random: () => number) {
 	const log = createSilentLog();
 	const view = createFleetView(log);
 	view.acceptDocument(documentFor(options));
@@ -196,7 +196,7 @@
 		dataCentre: 'a', connectionShare: () => 0.9 / options.daemons, daemons: () => 1, random,
 	});
 	return {
-		name, loadTracker, choice, admission: createAdmission({
+		name, view, loadTracker, versions: shared.versions, choice, admission: createAdmission({
 			...shared, choose: choice.choose, random, log,
 		}),
 	};
