A duty is held again after another writer removed or replaced its lease row

Callers saw rollouts and releases stop: after another writer removed a lease row, every write of the daemons still required its old version and conflicted, so that no running daemon held the duty again. After a row with a lower fencing token, the next holder got a token that endpoints refuse.

Cause: the holder kept the version of a row that was gone, and counted tokens from whatever the row said.

A removed row now counts like an unreadable one: others wait for a whole lease, while its holder writes it again. A new token is above all that may have been given out by the row's version, and above all that this process has seen; a process that creates the row takes its token from the version of that write. Negative tokens are invalid.

Tokens no longer rise by one, only upwards.

--- a/packages/router/src/lib/leases/lease-holder.ts
+++ b/packages/router/src/lib/leases/lease-holder.ts
@@ -106,7 +106,7 @@
 	close: () => void;
 };
 
-/** `row` is `undefined` if the row is unreadable; any daemon may hold the lease then. */
+/** `row` is `undefined` if the row is unreadable or was removed (version 0); any daemon may hold the lease then. */
 type ObservedRow = {row: LeaseRow | undefined; version: number; unchangedSince: number};
 type Held = {fencing: number; end: number; clockOffset: number};
 
@@ -146,6 +146,8 @@
 	const duties = new Set<string>();
 	const observed = new Map<string, ObservedRow>();
 	const held = new Map<string, Held>();
+	/** Largest fencing token seen of each duty. */
+	const maxFencing = new Map<string, number>();
 	const vacantRounds = new Map<string, number>();
 	/** `performance.now()` until which this daemon doesn't acquire a duty that it handed over. */
 	const pausedUntil = new Map<string, number>();
@@ -197,6 +199,17 @@
 		}
 	}
 
+	function noteFencing(duty: string, fencing: number): void {
+		maxFencing.set(duty, Math.max(maxFencing.get(duty) ?? 0, fencing));
+	}
+
+	/** Another writer removed a known row. Its holder may act until its lease has ended. */
+	function observeRemoval(duty: string): void {
+		if ((observed.get(duty)?.version ?? 0) > 0) {
+			observed.set(duty, {row: undefined, version: 0, unchangedSince: performance.now()});
+		}
+	}
+
 	function observe(duty: string, found: TableRow): LeaseRow | undefined {
 		checkGeneration();
 		const row = parse(found);
@@ -204,6 +217,10 @@
 			observed.set(duty, {row, version: found.version, unchangedSince: performance.now()});
 		}
 
+		if (row !== undefined) {
+			noteFencing(duty, row.fencing);
+		}
+
 		if (row === undefined || !isOurs(row)) {
 			if (isSettled()) {
 				held.delete(duty);
@@ -250,9 +267,7 @@
 
 	/** A token above all that were given out. */
 	function nextFencing(duty: string): number {
-		const known = observed.get(duty);
-		const latest = known === undefined ? 0 : known.row?.fencing ?? maxFencingAt(known.version);
-		return Math.max(latest, generation * fencingPerGeneration) + 1;
+		return Math.max(maxFencing.get(duty) ?? 0, maxFencingAt(observed.get(duty)?.version ?? 0)) + 1;
 	}
 
 	/** Position of this daemon among the candidates, counted from 0. */
@@ -289,7 +304,13 @@
 		}
 
 		const found = await table.get(key);
-		const now = found && observe(duty, found);
+		checkGeneration();
+		if (found === undefined) {
+			observeRemoval(duty);
+			return false;
+		}
+
+		const now = observe(duty, found);
 		return generation === before && now !== undefined && isOurs(now) && now.attempt === row.attempt;
 	}
 
@@ -302,8 +323,12 @@
 		const row = {
 			holder: name, incarnation, fencing, attempt, note: options.note?.(duty),
 		};
+		const isRenewal = held.has(duty);
 		if (await writeRow(duty, row) && !released) {
-			held.set(duty, {fencing, end, clockOffset});
+			// A process that never saw the row learns only from the version how many tokens may have been given out.
+			const granted = isRenewal ? fencing : Math.max(fencing, maxFencingAt(observed.get(duty)?.version ?? 0));
+			noteFencing(duty, granted);
+			held.set(duty, {fencing: granted, end, clockOffset});
 			options.onHeld?.(duty);
 		}
 	}
@@ -318,6 +343,13 @@
 			for (const row of rows) {
 				observe(dutyOf(row.key), row);
 			}
+
+			const listed = new Set(rows.map(({key}) => dutyOf(key)));
+			for (const duty of observed.keys()) {
+				if (!listed.has(duty)) {
+					observeRemoval(duty);
+				}
+			}
 		}
 
 		for (const duty of duties) {
--- a/packages/router/src/lib/leases/lease-row.ts
+++ b/packages/router/src/lib/leases/lease-row.ts
@@ -10,8 +10,8 @@
 	holder: z.string(),
 	/** Incarnation of its process, in decimal. */
 	incarnation: z.string().regex(/^\d{1,20}$/v),
-	/** Fencing token. Increases with each acquisition and never restarts, because rows are not deleted. */
-	fencing: z.number().int(),
+	/** Fencing token. Increases with each acquisition. */
+	fencing: z.number().int().nonnegative(),
 	/** Number of the write attempt of that process; never used twice. */
 	attempt: z.number().int(),
 	/** Text that the holder stores for its successors. */
