A wrong number in a peer's report no longer cuts a daemon off from the store

Callers lost a daemon: after one report with a relay of position 9e15, it refused every answer of the store until it restarted ("The store answered in era 1, after era 8185"). A relayed time of 1e15 would have moved its clock for good, and a start of 1e300 would have outranked every later process of a daemon or an endpoint.

Cause: positions, store times, sequence numbers and process starts only ever rise in a daemon's state, but the schemas of reports had no bounds.

Reports and bundles with such numbers are invalid now, like any other that doesn't match the schema; process starts have the bound that the rows of endpoints have.

Still open: a position above the real one but within the bound is accepted. The bounds in bundles have no test of their own.

--- a/packages/router/src/lib/fleet/feed-relay.ts
+++ b/packages/router/src/lib/fleet/feed-relay.ts
@@ -1,20 +1,21 @@
 /** Relays of a table's changes, through which one daemon polls the store for its peers. */
 import {z} from 'zod';
+import {positionSchema, unixMsSchema} from './report-numbers.js';
 
 /** A relayed row: key, store version that wrote it, content or null if it was deleted. */
-const relayedRowSchema = z.tuple([z.string(), z.number(), z.string().nullable()]);
+const relayedRowSchema = z.tuple([z.string(), positionSchema, z.string().nullable()]);
 
 /** Schema of a relay. */
 export const feedRelaySchema = z.object({
 	/** Store version after which the rows are complete. */
-	since: z.number(),
+	since: positionSchema,
 	/** Store version up to which they are complete. */
-	version: z.number(),
+	version: positionSchema,
 	rows: z.array(relayedRowSchema),
 	/** The reader saw each of the changes without delay, in the answer that the relay passes on. */
 	isPrompt: z.boolean(),
 	/** The store's clock when it gave that answer, in milliseconds; null if unknown. */
-	storeMs: z.number().nullable().default(null),
+	storeMs: unixMsSchema.nullable().default(null),
 	/** Latest outage that the reader saw: its length, and milliseconds since its end. */
 	outage: z.tuple([z.number(), z.number()]).nullable(),
 	/** Milliseconds since the reader learned that the store came back from an older copy; null if that is long ago. */
--- a/packages/router/src/lib/peers/bundle-codec.ts
+++ b/packages/router/src/lib/peers/bundle-codec.ts
@@ -6,6 +6,7 @@
 import {Buffer} from 'node:buffer';
 import {deflateRawSync, inflateRawSync} from 'node:zlib';
 import {z} from 'zod';
+import {countSchema, unixMsSchema} from '../fleet/report-numbers.js';
 import {dictionary} from './report-codec.js';
 
 /** First byte of a bundle, and of one that was forwarded within its receiver's data centre. Reports begin otherwise. */
@@ -28,7 +29,7 @@
 
 const headSchema = z.tuple([z.number(), z.string(), z.string(), z.string()]);
 
-const originSchema = z.tuple([z.string(), z.number(), z.number(), z.number(), z.number()]);
+const originSchema = z.tuple([z.string(), unixMsSchema, countSchema, z.number(), countSchema]);
 
 /** One report of a bundle. */
 export type BundleEntry = {
--- a/packages/router/src/lib/peers/peer-report.ts
+++ b/packages/router/src/lib/peers/peer-report.ts
@@ -1,6 +1,7 @@
 /** Schema of the state reports between daemons. */
 import {z} from 'zod';
 import {feedRelaySchema} from '../fleet/feed-relay.js';
+import {countSchema, unixMsSchema} from '../fleet/report-numbers.js';
 import {quarantineReportSchema} from '../quarantine/quarantine-report.js';
 import {streamReportSchema} from '../streams/stream-origins.js';
 
@@ -21,9 +22,9 @@
 export const peerReportSchema = z.object({
 	daemon: z.string(),
 	/** Unix milliseconds at process start. */
-	incarnation: z.number(),
+	incarnation: unixMsSchema,
 	/** Sequence number, from 1. */
-	number: z.number(),
+	number: countSchema,
 	/** The process is stopping and sends no further reports. */
 	isLeaving: z.boolean(),
 	/** IP:PORT that receives reports for this daemon. */
@@ -56,7 +57,7 @@
 	 */
 	engines: z.array(z.tuple([z.string(), z.number(), z.number(), z.number(), z.number().default(-1)])).default([]),
 	/** Listed endpoints whose process has ended, with its start time. */
-	ended: z.array(z.tuple([z.string(), z.number()])).default([]),
+	ended: z.array(z.tuple([z.string(), unixMsSchema])).default([]),
 	/** Keys of prompt parts sent to the cache store since the previous report to this peer. */
 	kept: z.array(z.string()).default([]),
 	/**
@@ -68,9 +69,9 @@
 	relays: z.array(z.tuple([z.string(), feedRelaySchema])).default([]),
 	...quarantineReportSchema.shape,
 	/** Endpoint, start time of its process, requests per second that it accepts from all daemons together or null, milliseconds since it stated this limit. */
-	limits: z.array(z.tuple([z.string(), z.number(), z.number().nullable(), z.number()])).default([]),
+	limits: z.array(z.tuple([z.string(), unixMsSchema, z.number().nullable(), z.number()])).default([]),
 	/** Endpoints that are leaving although the store's list doesn't say so, with the start time of their process. */
-	leaving: z.array(z.tuple([z.string(), z.number()])).default([]),
+	leaving: z.array(z.tuple([z.string(), unixMsSchema])).default([]),
 	/** Service, requests that each of its endpoints can turn away in a second or null once there is no such number, milliseconds since an endpoint stated it. */
 	brittle: z.array(z.tuple([z.string(), z.number().nullable(), z.number()])).default([]),
 	/** Streams that this peer keeps the origins of, if they began since the previous report to it. */
--- a/packages/router/src/test/peers/report-codec.test.ts
+++ b/packages/router/src/test/peers/report-codec.test.ts
@@ -60,6 +60,29 @@
 		assert.deepEqual(decodeReport(Buffer.from(JSON.stringify(values))), report);
 	});
 
+	it('rejects numbers that no fleet reaches', () => {
+		// Guards against one wrong number of a peer that cuts a daemon off from the store, or moves its clock, until it restarts.
+		const relay = {
+			since: 1, version: 2, rows: [], isPrompt: true, storeMs: 1_783_535_000_000, outage: null, restoredMs: null,
+		};
+		const relayed = (more: object): Partial<PeerReport> => ({relays: [['endpoints', {...relay, ...more}]]});
+		assert.doesNotThrow(() => decodeReport(encodeReport({...report, ...relayed({})})));
+		for (const more of [
+			{incarnation: 1e300},
+			{number: 1e300},
+			{leaving: [['i-1', 1e300]]},
+			{ended: [['i-1', 1e300]]},
+			{limits: [['i-1', 1e300, null, 0]]},
+			relayed({version: 9e15}),
+			relayed({version: -1}),
+			relayed({since: 9e15}),
+			relayed({rows: [['i-1', 9e15, null]]}),
+			relayed({storeMs: 1e15}),
+		] as Array<Partial<PeerReport>>) {
+			assert.throws(() => decodeReport(encodeReport({...report, ...more})));
+		}
+	});
+
 	it('rejects invalid datagrams and decompression bombs', () => {
 		const mark = Buffer.from([1]);
 		const bomb = deflateRawSync(Buffer.alloc(64 * 1024 * 1024, 32));
