A leaving endpoint stays so when a row of another writer is corrected

Callers' requests went to an endpoint that had said that it is leaving: after a row of another writer with a later start, the endpoint's own rows prevailed, and the correction forgot every notice under its id.

The correction forgets a notice only if it is of a process that started later than the corrected one; a notice of the same or an earlier process stays, since a process never takes it back.

Evidence: the new test failed before (isLeaving false); 34 tests of the tracker, the leaving endpoints and the view pass.

--- a/packages/router/src/lib/fleet/fleet-view.ts
+++ b/packages/router/src/lib/fleet/fleet-view.ts
@@ -221,7 +221,7 @@
 		correctEndpoint(endpoint) {
 			log.warn('Endpoint\'s rows go on after one of another writer, which is dropped.', {endpoint: endpoint.id, service: endpoint.service});
 			dropEndpoint(endpoint.id);
-			leaving.remove(endpoint.id);
+			leaving.removeLater(endpoint);
 			acceptEndpoint(endpoint);
 		},
 		markLeaving(process, source) {
--- a/packages/router/src/lib/fleet/leaving-record.ts
+++ b/packages/router/src/lib/fleet/leaving-record.ts
@@ -15,8 +15,8 @@
 	add: (process: EndpointProcess) => boolean;
 	/** Whether the process is leaving, or a later one under its id is. */
 	has: (process: EndpointProcess) => boolean;
-	/** Forgets the processes under this id. */
-	remove: (id: string) => void;
+	/** Forgets a process under this id that started after `process`, because it never existed. */
+	removeLater: (process: EndpointProcess) => void;
 };
 
 /** Exceeds the endpoints of a large fleet, all of which may be replaced by a release. */
@@ -38,8 +38,10 @@
 			return true;
 		},
 		has,
-		remove(id) {
-			startOf.delete(id);
+		removeLater({id, startedAt}) {
+			if ((startOf.peek(id) ?? Number.NEGATIVE_INFINITY) > startedAt) {
+				startOf.delete(id);
+			}
 		},
 	};
 }
--- a/packages/router/src/test/fleet/endpoint-tracker.test.ts
+++ b/packages/router/src/test/fleet/endpoint-tracker.test.ts
@@ -85,6 +85,18 @@
 		});
 	}
 
+	it('keeps the notice of a leaving endpoint whose rows go on after one of another writer', () => {
+		// Guards against requests to an endpoint that is stopping, because of one row with a number too large.
+		view.markLeaving({id: 'e1', startedAt: 100}, 'answer');
+		tracker.update([row('e1', {startedAt: 9e12})], 0);
+		for (let reportNumber = 6; reportNumber < 10; reportNumber++) {
+			clock.tick(heartbeatMs);
+			tracker.update([row('e1', {reportNumber})], 0);
+		}
+
+		assert.deepInclude(view.endpoint('e1'), {startedAt: 100, reportNumber: 9, isLeaving: true});
+	});
+
 	it('takes late rows of a former process for no sign of life', () => {
 		// Guards against requests to a process that has ended because the store performed its last writes late.
 		tracker.update([row('e1', {startedAt: 200, reportNumber: 1})], 0);
