A table is listed anew after its handler failed on a batch of changes

Callers could be routed by outdated rows: when the handler of a feed threw, the feed had already moved past the batch, whose rows were never delivered again.

The feed forgets its position then, so that the next poll lists the table. A listing that fails still counts as read: otherwise one row on which a handler always fails would keep all later changes back.

--- a/packages/router/src/lib/fleet/change-feed.ts
+++ b/packages/router/src/lib/fleet/change-feed.ts
@@ -181,7 +181,13 @@
 		version = update.version;
 		if (update.changes.length > 0) {
 			trackNewest(update.changes);
-			handler.update(update.changes, unseenMs, clock.sinceMs(update.storeMs));
+			try {
+				handler.update(update.changes, unseenMs, clock.sinceMs(update.storeMs));
+			} catch (error) {
+				// The rows may be missing in the handler's state, so that the table is listed anew.
+				version = undefined;
+				throw error;
+			}
 		}
 
 		return true;
--- a/packages/router/src/test/fleet/change-feed.test.ts
+++ b/packages/router/src/test/fleet/change-feed.test.ts
@@ -51,6 +51,43 @@
 		log: createSilentLog(),
 	});
 
+	it('lists the table anew after its handler threw an error', async () => {
+		// Guards against changes that are lost because the feed goes on after them.
+		let lists = 0;
+		let updates = 0;
+		feed = followChanges({
+			name: 'test',
+			source: {
+				decode,
+				async list() {
+					lists++;
+					return {changes: [], version: 5};
+				},
+				async changes() {
+					await new Promise(resolve => {
+						setTimeout(resolve, 100);
+					});
+					return {changes: [change('a', 6)], version: 6};
+				},
+			},
+			handler: {
+				replace: () => undefined,
+				update() {
+					updates++;
+					if (updates === 1) {
+						throw new Error('failed');
+					}
+				},
+			},
+			waitMs: () => 800,
+			timeoutMs: 400,
+			coalesceMs: 0,
+			log: createSilentLog(),
+		});
+		await clock.tickAsync(1000);
+		assert.equal(lists, 2);
+	});
+
 	it('goes on after its schedule threw an error', async () => {
 		// Guards against a table that is never read again, with keys that the operator has removed.
 		let throwsLeft = 3;
