Limits of calls to the store follow an answer that is late

Callers saw: a system that didn't start (FAULT). Beside a store whose answers take longer than a fixed limit, a daemon never became ready, and one that ran never followed the store again.

Cause: a call was given up after 0.4 or 0.8 s and begun anew with the same limit, and nothing was learned from it. A limit is needed, since an open connection may be silent for good.

Change: a read that is late goes on in the background, and its answer sets the limit of later calls (and extends those under way), so that silence alone doesn't. Writes that are late are aborted, and the next may take longer.

--- a/packages/entry/src/lib/daemon-metrics.ts
+++ b/packages/entry/src/lib/daemon-metrics.ts
@@ -30,6 +30,7 @@
 	hickorywalk_engines_waiting: 'Engines that wait for their turn to load weights, at the daemon that gives the orders.',
 	hickorywalk_engines_changing: 'Engines that are drained or load weights, at the daemon that gives the orders.',
 	hickorywalk_store_calls_total: 'Calls to the platform\'s store, by call.',
+	hickorywalk_store_late_calls_total: 'Calls to the platform\'s store that were not answered within their limit, by call; limits follow a store that is late.',
 	hickorywalk_store_rows_skipped_total: 'Rows of the platform\'s store that could not be decoded, by table; each time that one is read counts.',
 	hickorywalk_requests_waiting: 'Requests that wait until an endpoint can take them, by service and rank.',
 	hickorywalk_request_wait_seconds: 'Time for which a request waited until an endpoint could take it, by service and rank; of those that waited.',
@@ -74,6 +75,7 @@
 	crashRefused: (kind: 'request' | 'part') => void;
 	relayDeclined: (reason: string) => void;
 	storeCalled: (call: string) => void;
+	storeLate: (call: string) => void;
 	rowSkipped: (table: string) => void;
 	logLinesDropped: (count: number) => void;
 	/** Registers the gauges; called once their sources exist. */
@@ -114,6 +116,7 @@
 	const crashCounter = new Counter(describe('hickorywalk_endpoint_crashes_total'));
 	const crashRefusalCounter = new Counter({...describe('hickorywalk_crash_refusals_total'), labelNames: ['kind']});
 	const storeCallCounter = new Counter({...describe('hickorywalk_store_calls_total'), labelNames: ['call']});
+	const lateCallCounter = new Counter({...describe('hickorywalk_store_late_calls_total'), labelNames: ['call']});
 	const skippedRowCounter = new Counter({...describe('hickorywalk_store_rows_skipped_total'), labelNames: ['table']});
 	const droppedLineCounter = new Counter(describe('hickorywalk_log_lines_left_out_total'));
 	const firstByteSeconds = new Histogram({...describe('hickorywalk_request_first_seconds'), labelNames: ['service'], buckets: secondsBuckets});
@@ -205,6 +208,9 @@
 		storeCalled(call) {
 			storeCallCounter.inc({call});
 		},
+		storeLate(call) {
+			lateCallCounter.inc({call});
+		},
 		rowSkipped(table) {
 			skippedRowCounter.inc({table});
 		},
--- a/packages/router/src/lib/platform/http-platform.ts
+++ b/packages/router/src/lib/platform/http-platform.ts
@@ -4,6 +4,7 @@
 import {Buffer} from 'node:buffer';
 import {Agent, request} from 'undici';
 import {z} from 'zod';
+import {createAnswerLimits} from '../time/answer-limits.js';
 import {PlatformProtocolError, PlatformRequestError, PlatformUnavailableError} from './platform-errors.js';
 import {
 	type ObjectClient, type Platform, type TableClient, type VmListClient, type WeightClient,
@@ -39,7 +40,7 @@
 export type HttpPlatformOptions = {
 	/** URL of the service, such as `http://10.0.0.5:7000`. */
 	baseUrl: string;
-	/** Timeout of a call in milliseconds; 2,000 by default. */
+	/** Timeout of a call in milliseconds, unless the platform usually takes longer; 2,000 by default. */
 	timeoutMs?: number;
 };
 
@@ -73,9 +74,8 @@
  */
 export function createHttpPlatform(options: HttpPlatformOptions): Platform & {close: () => Promise<void>} {
 	const timeoutMs = options.timeoutMs ?? defaultTimeoutMs;
-	const agent = new Agent({
-		connect: {timeout: timeoutMs}, headersTimeout: timeoutMs, bodyTimeout: timeoutMs,
-	});
+	const agent = new Agent({connect: {timeout: timeoutMs}, headersTimeout: 0, bodyTimeout: 0});
+	const limits = createAnswerLimits();
 	const send: Transport = async call => {
 		const url = new URL(call.path, options.baseUrl);
 		for (const [name, value] of Object.entries(call.query ?? {})) {
@@ -84,14 +84,16 @@
 
 		let answer: Answer;
 		try {
-			const res = await request(url, {
-				method: call.method,
-				headers: call.headers ?? {},
-				body: call.body ?? null,
-				dispatcher: agent,
-				signal: AbortSignal.timeout(timeoutMs),
+			answer = await limits.call(kindOf(call), {answerMs: timeoutMs, mayEndLate: !call.writes}, async ({signal}) => {
+				const res = await request(url, {
+					method: call.method,
+					headers: call.headers ?? {},
+					body: call.body ?? null,
+					dispatcher: agent,
+					signal,
+				});
+				return {status: res.statusCode, body: Buffer.from(await res.body.arrayBuffer())};
 			});
-			answer = {status: res.statusCode, body: Buffer.from(await res.body.arrayBuffer())};
 		} catch (error) {
 			// A write may have been applied before its answer was lost.
 			throw new PlatformUnavailableError(
@@ -115,6 +117,9 @@
 	};
 }
 
+/** Calls of one method and service usually take as long. */
+const kindOf = ({method, path}: Call): string => `${method} ${path.split('/', 2)[1]}`;
+
 function checkStatus(call: Call, answer: Answer): Answer {
 	if (answer.status >= statusServerError) {
 		throw new PlatformUnavailableError(
--- /dev/null
+++ b/packages/router/src/lib/time/answer-limits.ts
@@ -0,0 +1,162 @@
+/**
+ * Time limits of calls to a service that may answer late. An open connection may stay silent for good, so that a
+ * call without an answer has to be given up; with a fixed limit, a service that always takes longer would never be heard.
+ */
+
+/** Limits of one call, in milliseconds. */
+export type CallLimits = {
+	/** Time within which an answer usually arrives. */
+	answerMs: number;
+	/** Time for which the service may hold the call on purpose, such as a long poll. */
+	waitMs?: number;
+	/** Whether the call may go on after its limit. A write that takes effect after it was given up could revert a later one. */
+	mayEndLate: boolean;
+};
+
+/** A call in progress. */
+export type LimitedCall = {
+	/** Aborts the call. */
+	signal: AbortSignal;
+	/** Part of the answer has arrived; the limit counts from the latest one. */
+	progressed: () => void;
+};
+
+/** The limits of all calls to one service. */
+export type AnswerLimits = {
+	/**
+	 * Makes a call of a kind.
+	 * @throws {LateAnswerError} if there is no answer within the limit; a call that may end late is then timed on.
+	 */
+	call: <T>(kind: string, limits: CallLimits, start: (call: LimitedCall) => Promise<T>) => Promise<T>;
+};
+
+/** Options of {@link createAnswerLimits}. */
+export type AnswerLimitsOptions = {
+	/** A call was answered after its limit, or given up without an answer. */
+	onLate?: (kind: string, ms: number, isAnswered: boolean) => void;
+};
+
+/** There was no answer within the limit. */
+export class LateAnswerError extends Error {
+	override readonly name = 'LateAnswerError';
+}
+
+/** Times by which an answer may take longer than usual. */
+const headroom = 2;
+
+/** Part of the usual time that is kept after a faster answer, so that the limit is soon short again after an outage. */
+const keptRatio = 0.5;
+
+/** Time in milliseconds after which a call is aborted that may end late. */
+const maxAnswerMs = 30_000;
+
+/** Longest time in milliseconds that is learned from silence alone: the connection may have died. */
+const maxSilentMs = 4000;
+
+/** Calls of one kind that may be late at a time. */
+const maxLateCalls = 4;
+
+/** Creates limits that follow the times which answers of each kind of call take. */
+export function createAnswerLimits({onLate = () => undefined}: AnswerLimitsOptions = {}): AnswerLimits {
+	/** Usual times of answers, in milliseconds. */
+	const usualMs = new Map<string, number>();
+	const lateCalls = new Map<string, number>();
+	const lateCallsOf = (name: string): number => lateCalls.get(name) ?? 0;
+
+	/** Only times of kinds whose answers take longer than `answerMs` are kept. */
+	const learn = (name: string, ms: number, answerMs: number): void => {
+		const nextMs = Math.max(ms, (usualMs.get(name) ?? 0) * keptRatio);
+		if (nextMs * headroom > answerMs) {
+			usualMs.set(name, nextMs);
+		} else {
+			usualMs.delete(name);
+		}
+	};
+
+	const addLateCalls = (name: string, count: number): void => {
+		const total = lateCallsOf(name) + count;
+		if (total > 0) {
+			lateCalls.set(name, total);
+		} else {
+			lateCalls.delete(name);
+		}
+	};
+
+	return {
+		async call(name, {answerMs, waitMs = 0, mayEndLate}, start) {
+			const startedAt = performance.now();
+			let progressedAt = startedAt;
+			let isLate = false;
+			let isKept = false;
+			let timer: NodeJS.Timeout;
+			const abort = new AbortController();
+			const answerTimeMs = (): number => Math.max(0, performance.now() - startedAt - waitMs);
+
+			return new Promise((resolve, reject: (error: Error) => void) => {
+				const giveUp = (): void => {
+					abort.abort();
+					onLate(name, performance.now() - startedAt, false);
+				};
+
+				/** The limit may have grown since the call was made. */
+				const check = (): void => {
+					const limitMs = waitMs + Math.max(answerMs, Math.min(maxAnswerMs, (usualMs.get(name) ?? 0) * headroom));
+					const leftMs = progressedAt + limitMs - performance.now();
+					if (leftMs > 0) {
+						timer = setTimeout(check, leftMs);
+						return;
+					}
+
+					isLate = true;
+					reject(new LateAnswerError(`No answer within ${Math.round(limitMs)} ms.`));
+					if (mayEndLate && lateCallsOf(name) < maxLateCalls) {
+						isKept = true;
+						addLateCalls(name, 1);
+						timer = setTimeout(giveUp, startedAt + maxAnswerMs - performance.now());
+						return;
+					}
+
+					if (!mayEndLate) {
+						learn(name, Math.min(maxSilentMs, answerTimeMs()), answerMs);
+					}
+
+					giveUp();
+				};
+
+				const ended = (isAnswered: boolean): void => {
+					clearTimeout(timer);
+					if (isAnswered) {
+						learn(name, answerTimeMs(), answerMs);
+					}
+
+					if (isLate && !abort.signal.aborted) {
+						onLate(name, performance.now() - startedAt, isAnswered);
+					}
+
+					if (isKept) {
+						addLateCalls(name, -1);
+					}
+				};
+
+				const run = async (): Promise<void> => {
+					try {
+						const answer = await start({
+							signal: abort.signal,
+							progressed() {
+								progressedAt = performance.now();
+							},
+						});
+						ended(true);
+						resolve(answer);
+					} catch (error) {
+						ended(false);
+						reject(error as Error);
+					}
+				};
+
+				timer = setTimeout(check, waitMs + answerMs);
+				void run();
+			});
+		},
+	};
+}
