All servers of a daemon bound what a connection may hold and make it do

Callers saw: a process that ended by itself (SIGABRT), descriptors that ran out, and neither requests nor the readiness check answered for seconds. 60 connections with many readiness checks sent ahead were enough, or 4 with requests for metrics, or silent connections at any port, or chunks of one byte behind a GET.

Cause: bounds on requests sent ahead and on heads stood on the callers' server alone, and none on the number of connections. Node.js parses up to two megabytes of a connection before it reads from another one, and answers requests without a host or with an unknown expectation by itself; what a request or chunk costs is far more than what it takes to send.

Change: one mechanism for callers, readiness, metrics and the relay. The number of connections follows from the limit of descriptors, and the longest idle ones give way. Requests are counted before anything is made for them. A connection that causes much in one turn of the event loop is metered, with the others of its server: read in slices, and beyond its share only in time that others leave. Connections that nothing is known against are read by the runtime as before.

--- a/packages/entry/src/lib/daemon-metrics.ts
+++ b/packages/entry/src/lib/daemon-metrics.ts
@@ -41,6 +41,8 @@
 	hickorywalk_request_heap_limit_bytes: 'Limit of the heap of open requests.',
 	hickorywalk_memory_limit_bytes: 'Memory limit of the process; compare with process_resident_memory_bytes.',
 	hickorywalk_heap_limit_bytes: 'Heap size at which the runtime ends the process; compare with nodejs_heap_size_used_bytes.',
+	hickorywalk_connections_closed_total: 'Connections that were closed at a limit, by server and reason: idle, too_many, pipelined or expensive.',
+	hickorywalk_connections_waiting: 'Connections of which something has arrived that waits for its turn.',
 	hickorywalk_buffer_aborts_total: 'Requests that were aborted since their bytes were not read and buffers were full.',
 	hickorywalk_peers_heard: 'Daemons whose reports arrive.',
 	hickorywalk_event_loop_turns_total: 'Turns of the event loop; each wake-up of the process takes at least one.',
@@ -59,6 +61,7 @@
 	requestHeapBytes: () => number;
 	requestHeapLimitBytes: () => number;
 	memoryLimitBytes: () => number;
+	waitingConnections: () => number;
 	waiting: () => WaitingCount[];
 	enginesWaiting: () => number;
 	enginesChanging: () => number;
@@ -77,6 +80,7 @@
 	storeCalled: (call: string) => void;
 	storeLate: (call: string) => void;
 	rowSkipped: (table: string) => void;
+	connectionsClosed: (server: string, reason: string, count: number) => void;
 	logLinesDropped: (count: number) => void;
 	/** Registers the gauges; called once their sources exist. */
 	registerGauges: (sources: GaugeSources) => void;
@@ -118,6 +122,7 @@
 	const storeCallCounter = new Counter({...describe('hickorywalk_store_calls_total'), labelNames: ['call']});
 	const lateCallCounter = new Counter({...describe('hickorywalk_store_late_calls_total'), labelNames: ['call']});
 	const skippedRowCounter = new Counter({...describe('hickorywalk_store_rows_skipped_total'), labelNames: ['table']});
+	const closedConnectionCounter = new Counter({...describe('hickorywalk_connections_closed_total'), labelNames: ['server', 'reason']});
 	const droppedLineCounter = new Counter(describe('hickorywalk_log_lines_left_out_total'));
 	const firstByteSeconds = new Histogram({...describe('hickorywalk_request_first_seconds'), labelNames: ['service'], buckets: secondsBuckets});
 	const totalSeconds = new Histogram({...describe('hickorywalk_request_seconds'), labelNames: ['service'], buckets: secondsBuckets});
@@ -214,11 +219,14 @@
 		rowSkipped(table) {
 			skippedRowCounter.inc({table});
 		},
+		connectionsClosed(server, reason, count) {
+			closedConnectionCounter.inc({server, reason}, count);
+		},
 		logLinesDropped(count) {
 			droppedLineCounter.inc(count);
 		},
 		registerGauges({
-			requestsInFlight, livePeers, lostPaths, bufferedBytes, bufferAborts, requestHeapBytes, requestHeapLimitBytes, memoryLimitBytes, waiting,
+			requestsInFlight, livePeers, lostPaths, bufferedBytes, bufferAborts, requestHeapBytes, requestHeapLimitBytes, memoryLimitBytes, waitingConnections, waiting,
 			enginesWaiting, enginesChanging, uncaughtExceptions,
 		}) {
 			const registerGauge = (name: keyof typeof metricHelp, read: () => number) => new Gauge({
@@ -243,6 +251,7 @@
 			registerGauge('hickorywalk_peers_heard', livePeers);
 			registerGauge('hickorywalk_paths_lost', lostPaths);
 			registerGauge('hickorywalk_buffered_bytes', bufferedBytes);
+			registerGauge('hickorywalk_connections_waiting', waitingConnections);
 			registerTotal('hickorywalk_buffer_aborts_total', bufferAborts);
 			registerGauge('hickorywalk_request_heap_bytes', requestHeapBytes);
 			registerGauge('hickorywalk_request_heap_limit_bytes', requestHeapLimitBytes);
--- a/packages/entry/src/lib/entry-daemon.ts
+++ b/packages/entry/src/lib/entry-daemon.ts
@@ -36,7 +36,7 @@
 
 	let isListening = false;
 	const isReady = (): boolean => isListening && !state.isStopping && operatorFeed.newestChange() > 0 && endpointFeed.newestChange() > 0 && parts.documentGuard.current() !== undefined;
-	const readiness = createReadinessServer(isReady, [readinessPath], log);
+	const readiness = createReadinessServer(isReady, [readinessPath], parts.serverLimiters.readiness, log);
 	serveMetrics(readiness, metrics.text);
 	metrics.registerGauges({
 		requestsInFlight: parts.forwarder.inFlight,
@@ -47,6 +47,7 @@
 		requestHeapBytes: parts.requestHeap.bytes,
 		requestHeapLimitBytes: () => parts.requestHeap.maxBytes,
 		memoryLimitBytes: () => settings.memoryBytes,
+		waitingConnections: parts.turns.waiting,
 		waiting: parts.admission.waiting,
 		enginesWaiting: () => parts.weightsRollout.counts().waiting,
 		enginesChanging: () => parts.weightsRollout.counts().changing,
@@ -78,7 +79,7 @@
 	log.info('Daemon listens.', {ms: Math.round(performance.now())});
 	isListening = true;
 	if (metricsPort !== undefined) {
-		void listenForMetrics(metrics.text, {host: settings.peerPorts.host, port: metricsPort}, log);
+		void listenForMetrics(createMetricsServer(metrics.text, parts.serverLimiters.metrics, log), {host: settings.peerPorts.host, port: metricsPort}, log);
 	}
 
 	return {
@@ -90,9 +91,9 @@
 }
 
 /** Requests are served whether or not the port is available. */
-async function listenForMetrics(text: () => Promise<string>, address: BindAddress, log: Log): Promise<void> {
+async function listenForMetrics(server: ReturnType<typeof createMetricsServer>, address: BindAddress, log: Log): Promise<void> {
 	try {
-		await listenServer(createMetricsServer(text, log), address, {log, giveUpMs: Number.POSITIVE_INFINITY});
+		await listenServer(server, address, {log, giveUpMs: Number.POSITIVE_INFINITY});
 	} catch (error) {
 		log.warn('Metrics port could not be opened.', {err: error});
 	}
--- a/packages/entry/src/lib/entry-parts.ts
+++ b/packages/entry/src/lib/entry-parts.ts
@@ -29,6 +29,7 @@
 } from './wiring/path-wiring.js';
 import {wireCrashWatch, wireQuarantine, wireRefusalRows} from './wiring/quarantine-wiring.js';
 import {unfinishedHeadBytes, wireBufferAccount, wireRequestHeap} from './wiring/memory-wiring.js';
+import {wireConnectionTurns, wireServerLimiters} from './wiring/connection-wiring.js';
 import {
 	wireAdmission, wireBackoff, wireBrittle, wireBudgets, wireCapacityWait, wireChoice, wireConnectionShares, wireEvents, wireLimits, wireQuota,
 } from './wiring/request-wiring.js';
@@ -125,6 +126,8 @@
 		bufferAccount: asFunction(wireBufferAccount).singleton(),
 		requestHeap: asFunction(wireRequestHeap).singleton(),
 		eventLoopLag: asFunction(() => createEventLoopLag()).singleton(),
+		turns: asFunction(wireConnectionTurns).singleton(),
+		serverLimiters: asFunction(wireServerLimiters).singleton(),
 		forwarder: asFunction((parts: EntryParts) => createForwarder({
 			view: parts.view,
 			document: parts.documentGuard.current,
@@ -157,9 +160,16 @@
 			events: parts.events,
 		})).singleton(),
 		server: asFunction(({
-			settings, forwarder, state, bufferAccount, requestHeap, eventLoopLag, log,
+			settings, forwarder, state, bufferAccount, requestHeap, eventLoopLag, serverLimiters, log,
 		}: EntryParts) => createEntryServer({
-			forwarder, isStopping: () => state.isStopping, bufferAccount, requestHeap, maxUnfinishedHeadBytes: unfinishedHeadBytes(settings), eventLoopLag, log,
+			forwarder,
+			isStopping: () => state.isStopping,
+			bufferAccount,
+			requestHeap,
+			maxUnfinishedHeadBytes: unfinishedHeadBytes(settings),
+			eventLoopLag,
+			limitConnections: serverLimiters.callers,
+			log,
 		})).singleton(),
 	});
 	return container;
--- a/packages/entry/src/lib/wiring/parts.ts
+++ b/packages/entry/src/lib/wiring/parts.ts
@@ -5,7 +5,7 @@
 	type ChangeFeed, type DocumentGuard, type EndpointPresence, type FleetClock, type FleetView,
 } from 'hickorywalk/fleet.js';
 import {
-	type BufferAccount, type createEntryServer, type createForwarder, type ForwardingEvents, type RequestHeap,
+	type BufferAccount, type ConnectionTurns, type createEntryServer, type createForwarder, type ForwardingEvents, type RequestHeap,
 } from 'hickorywalk/forwarding.js';
 import {type DutyTimer, type LeaseHolder} from 'hickorywalk/leases.js';
 import {type LineBudget, type Log} from 'hickorywalk/observability.js';
@@ -29,6 +29,7 @@
 } from 'hickorywalk/weights.js';
 import {type DaemonMetrics} from '../daemon-metrics.js';
 import {type Timings} from '../timings.js';
+import {type ServerLimiters} from './connection-wiring.js';
 import {type StreamRoutes} from './stream-wiring.js';
 
 /** Shutdown state of the daemon. */
@@ -82,6 +83,8 @@
 	bufferAccount: BufferAccount;
 	requestHeap: RequestHeap;
 	eventLoopLag: EventLoopLag;
+	turns: ConnectionTurns;
+	serverLimiters: ServerLimiters;
 	connectionShares: ConnectionShares;
 	choice: ReturnType<typeof createEndpointChoice>;
 	admission: Admission;
--- a/packages/entry/src/lib/wiring/path-wiring.ts
+++ b/packages/entry/src/lib/wiring/path-wiring.ts
@@ -50,7 +50,7 @@
 
 /** Creates the server for requests that peers can't send themselves. */
 export const wireRelayServer = ({
-	view, presence, paths, transport, eventLoopLag, weightsDeadlines, limits, backoff, brittle, bufferAccount, opinionOn, originFinder, fleetKey, state, metrics, log,
+	view, presence, paths, transport, eventLoopLag, weightsDeadlines, limits, backoff, brittle, bufferAccount, opinionOn, originFinder, fleetKey, state, metrics, serverLimiters, log,
 }: EntryParts): RelayServer => createRelayServer({
 	view,
 	paths,
@@ -69,5 +69,6 @@
 	fleetKey: fleetKey.current,
 	isStopping: () => state.isStopping,
 	onDeclined: metrics.relayDeclined,
+	limitConnections: serverLimiters.relay,
 	log,
 });
--- a/packages/router/src/forwarding.ts
+++ b/packages/router/src/forwarding.ts
@@ -1,5 +1,7 @@
 /** Receives requests from callers and forwards them to endpoints. */
 export * from './lib/sockets/bind-address.js';
+export * from './lib/http/connection-limits.js';
+export * from './lib/http/connection-turns.js';
 export {listenServer} from './lib/http/http-server.js';
 export * from './lib/forwarding/buffer-account.js';
 export * from './lib/forwarding/endpoint-notices.js';
--- a/packages/router/src/lib/forwarding/entry-server.ts
+++ b/packages/router/src/lib/forwarding/entry-server.ts
@@ -7,9 +7,9 @@
 import {
 	type BindAddress, closeServer, listenServer, survivePassingErrors,
 } from '../http/http-server.js';
-import {limitPipelining} from '../http/pipelined-requests.js';
-import {recordArrivals} from '../http/request-arrivals.js';
+import {type LimitServer, limitedServerOptions} from '../http/connection-limits.js';
 import {discardBody, hasBody, readBodies} from '../http/request-bodies.js';
+import {recordArrivals} from '../http/request-arrivals.js';
 import {limitUnfinishedHeads} from '../http/unfinished-heads.js';
 import {type Log} from '../observability/log.js';
 import {type EventLoopLag} from '../time/event-loop-lag.js';
@@ -27,6 +27,7 @@
 	/** Upper bound on the bytes of heads that are not complete. */
 	maxUnfinishedHeadBytes: number;
 	eventLoopLag: EventLoopLag;
+	limitConnections: LimitServer;
 	log: Log;
 };
 
@@ -47,16 +48,12 @@
 /** Interval in milliseconds at which connections are checked for header timeouts. */
 const headerCheckMs = 2000;
 
-/** Upper bounds on the requests that wait for responses before them, on a connection and in total; callers on other connections come first. */
-const maxPipelined = 32;
-const maxPipelinedTotal = 512;
-
 /** Memory that a body takes from its head on, however little of it has arrived. */
 const uploadBytes = 1024;
 
 /** Creates a server that doesn't listen yet. */
 export function createEntryServer({
-	forwarder, isStopping, bufferAccount, requestHeap, maxUnfinishedHeadBytes, eventLoopLag, log,
+	forwarder, isStopping, bufferAccount, requestHeap, maxUnfinishedHeadBytes, eventLoopLag, limitConnections, log,
 }: EntryServerOptions): EntryServer {
 	const app = fastify({
 		bodyLimit: initialLimits.bodyBytes,
@@ -65,10 +62,11 @@
 		return503OnClosing: false,
 		keepAliveTimeout: initialLimits.idleMs,
 		http: {
-			maxHeaderSize: initialLimits.headerBytes, headersTimeout: initialLimits.headerMs, connectionsCheckingInterval: headerCheckMs, requestTimeout: 0, noDelay: true,
+			...limitedServerOptions, maxHeaderSize: initialLimits.headerBytes, headersTimeout: initialLimits.headerMs, connectionsCheckingInterval: headerCheckMs, requestTimeout: 0, noDelay: true,
 		},
 	});
 	survivePassingErrors(app, log);
+	const connections = limitConnections(app);
 	limitUnfinishedHeads(app, {
 		maxBytes: maxUnfinishedHeadBytes,
 		maxHeadBytes: initialLimits.headerBytes,
@@ -76,13 +74,6 @@
 			log.warn('Connections were closed, since their unfinished heads take too much memory.', {bytes, count});
 		},
 	});
-	limitPipelining(app, {
-		maxPerConnection: maxPipelined,
-		maxTotal: maxPipelinedTotal,
-		onExceeded(count) {
-			log.warn('Connection was closed, since too many of its requests wait.', {count});
-		},
-	});
 	const takeArrival = recordArrivals(app, eventLoopLag);
 	const closeWhenStopping = ({raw: req}: FastifyRequest, {raw: res}: FastifyReply): void => {
 		if (isStopping()) {
@@ -107,7 +98,7 @@
 			return;
 		}
 
-		discardBody(req.raw, () => undefined);
+		discardBody(req.raw, connections.recordChunk);
 		void reply.hijack();
 		closeWhenStopping(req, reply);
 		forwarder.refuseOverloaded(req.raw, reply.raw);
@@ -116,7 +107,7 @@
 	const bodyHashes = new WeakMap<IncomingMessage, Hash>();
 	readBodies(app, {
 		maxBytes: initialLimits.bodyBytes,
-		onChunk: () => undefined,
+		onChunk: connections.recordChunk,
 		watch(req) {
 			const hash = createHash('sha256');
 			bodyHashes.set(req, hash);
@@ -161,10 +152,32 @@
 	};
 }
 
-/** Creates the server for the load balancer's readiness checks; responds with 200 or 503. */
-export function createReadinessServer(isReady: () => boolean, paths: readonly string[], log: Log): FastifyInstance {
-	const app = fastify({forceCloseConnections: true, return503OnClosing: false});
+/** Options of the servers for checks and metrics, whose requests have no bodies. */
+const smallServerOptions = {
+	forceCloseConnections: true,
+	return503OnClosing: false,
+	bodyLimit: 1024,
+	keepAliveTimeout: 15_000,
+	http: {
+		...limitedServerOptions, maxHeaderSize: 16 * 1024, headersTimeout: 5000, requestTimeout: 10_000, connectionsCheckingInterval: headerCheckMs,
+	},
+} as const;
+
+function createSmallServer(limitConnections: LimitServer, log: Log): FastifyInstance {
+	const app = fastify(smallServerOptions);
 	survivePassingErrors(app, log);
+	const {recordChunk} = limitConnections(app);
+	app.removeAllContentTypeParsers();
+	app.addHook('onRequest', ({raw}, _reply, done) => {
+		discardBody(raw, recordChunk);
+		done();
+	});
+	return app;
+}
+
+/** Creates the server for the load balancer's readiness checks; responds with 200 or 503. */
+export function createReadinessServer(isReady: () => boolean, paths: readonly string[], limitConnections: LimitServer, log: Log): FastifyInstance {
+	const app = createSmallServer(limitConnections, log);
 	for (const path of paths) {
 		app.get(path, async (_req, reply) => reply.code(isReady() ? 200 : 503).send({ready: isReady()}));
 	}
@@ -178,9 +191,8 @@
 }
 
 /** Creates a server that serves only metrics. */
-export function createMetricsServer(text: () => Promise<string>, log: Log): FastifyInstance {
-	const app = fastify({forceCloseConnections: true, return503OnClosing: false});
-	survivePassingErrors(app, log);
+export function createMetricsServer(text: () => Promise<string>, limitConnections: LimitServer, log: Log): FastifyInstance {
+	const app = createSmallServer(limitConnections, log);
 	serveMetrics(app, text);
 	return app;
 }
--- a/packages/router/src/lib/relaying/relay-server.ts
+++ b/packages/router/src/lib/relaying/relay-server.ts
@@ -15,6 +15,7 @@
 import {
 	type BindAddress, closeServer, listenServer, survivePassingErrors,
 } from '../http/http-server.js';
+import {type LimitServer, limitedServerOptions} from '../http/connection-limits.js';
 import {recordArrivals} from '../http/request-arrivals.js';
 import {discardBody, readBodies} from '../http/request-bodies.js';
 import {type Log} from '../observability/log.js';
@@ -58,6 +59,7 @@
 	isStopping: () => boolean;
 	/** Called with the reason why a request was declined. */
 	onDeclined: (reason: string) => void;
+	limitConnections: LimitServer;
 	log: Log;
 };
 
@@ -82,6 +84,9 @@
 /** Larger than the headers of any request that a daemon accepts from a caller. */
 const maxHeaderBytes = 128 * 1024;
 
+/** Time in milliseconds in which the head of a request has to arrive. */
+const headMs = 5000;
+
 const statusOk = 200;
 const statusUnavailable = 503;
 
@@ -325,11 +330,14 @@
 	};
 
 	const app = fastify({
-		bodyLimit: maxBodyBytes, exposeHeadRoutes: false, forceCloseConnections: 'idle', return503OnClosing: false, http: {maxHeaderSize: maxHeaderBytes, requestTimeout: 0, noDelay: true},
+		bodyLimit: maxBodyBytes, exposeHeadRoutes: false, forceCloseConnections: 'idle', return503OnClosing: false, http: {
+			...limitedServerOptions, maxHeaderSize: maxHeaderBytes, headersTimeout: headMs, connectionsCheckingInterval: headMs / 2, requestTimeout: 0, noDelay: true,
+		},
 	});
 	const takeArrival = recordArrivals(app, eventLoopLag);
 	survivePassingErrors(app, log);
-	readBodies(app, {maxBytes: maxBodyBytes, onChunk: () => undefined});
+	const connections = options.limitConnections(app);
+	readBodies(app, {maxBytes: maxBodyBytes, onChunk: connections.recordChunk});
 	// Before the body is read.
 	app.addHook('onRequest', (req, reply, done) => {
 		if (isFromFleet(req.raw)) {
@@ -337,7 +345,7 @@
 			return;
 		}
 
-		discardBody(req.raw, () => undefined);
+		discardBody(req.raw, connections.recordChunk);
 		void reply.hijack();
 		decline(reply.raw, wrongKeyReason);
 	});
