A lease lasts longer beside a table that answers late

Callers saw: nothing of it in the reports; weights that were named beside a store 900 ms late were never loaded, since no daemon held the duty for long enough to order them.

A write was answered as its lease ended.

Change: the holder states a longer lease in its row, by the time of its latest write, and contenders wait for the length that the row states. A usual row is unchanged. After a restore, the longest lease that was seen counts.

--- a/packages/router/src/lib/leases/lease-holder.ts
+++ b/packages/router/src/lib/leases/lease-holder.ts
@@ -107,12 +107,14 @@
 };
 
 /** `row` is `undefined` if the row is unreadable or was removed (version 0); any daemon may hold the lease then. */
-type ObservedRow = {row: LeaseRow | undefined; version: number; unchangedSince: number};
+type ObservedRow = {row: LeaseRow | undefined; version: number; unchangedSince: number; leaseMs: number};
 type Held = {fencing: number; end: number; clockOffset: number};
 
 const defaultLeaseMs = 30_000;
 const defaultMarginMs = 5000;
 const roundsPerLease = 3;
+/** Longest lease beside a table that answers late, in multiples of the usual one. */
+const maxLeaseTimes = 6;
 /** Fencing tokens of one generation of the table. */
 const fencingPerGeneration = 2 ** 32;
 /** Milliseconds that a contender waits after the reported end of a lease; datagrams arrive much faster than this. */
@@ -156,8 +158,11 @@
 	const attempts = new Map<string, {attempt: number; end: number}>();
 	let readAt = Number.NEGATIVE_INFINITY;
 	let generation = 0;
-	/** `performance.now()` at which all leases of earlier generations have ended. */
-	let settledAt = Number.NEGATIVE_INFINITY;
+	let generationAt = Number.NEGATIVE_INFINITY;
+	/** Longest lease in milliseconds that any row has stated. */
+	let longestMs = leaseMs;
+	/** Time in milliseconds that the latest write of a row took. */
+	let writeMs = 0;
 	let busy = false;
 	let released = false;
 	let timer: NodeJS.Timeout | undefined;
@@ -177,12 +182,24 @@
 		const current = table.generation?.() ?? 0;
 		if (current > generation) {
 			generation = current;
-			settledAt = performance.now() + leaseMs + marginMs;
+			generationAt = performance.now();
 			observed.clear();
 		}
 	}
 
-	const isSettled = () => performance.now() >= settledAt;
+	/** Whether all leases of earlier generations have ended. */
+	const isSettled = () => performance.now() >= generationAt + longestMs + marginMs;
+
+	/** A lease that lasts until the renewal after the next round is answered, however late the table is. */
+	const nextLeaseMs = (): number => Math.min(leaseMs * maxLeaseTimes, Math.max(leaseMs, marginMs + (leaseMs / 2) + (writeMs * 2)));
+
+	const setObserved = (duty: string, {row, version}: Pick<ObservedRow, 'row' | 'version'>): void => {
+		const ofRowMs = row === undefined ? observed.get(duty)?.leaseMs ?? longestMs : row.leaseMs ?? leaseMs;
+		longestMs = Math.max(longestMs, ofRowMs);
+		observed.set(duty, {
+			row, version, unchangedSince: performance.now(), leaseMs: ofRowMs,
+		});
+	};
 
 	/** The largest fencing token that may have been given out by this version of a row, since each one takes a write. */
 	const maxFencingAt = (version: number): number => (generation * fencingPerGeneration) + (version % fencingPerGeneration);
@@ -206,7 +223,7 @@
 	/** Another writer removed a known row. Its holder may act until its lease has ended. */
 	function observeRemoval(duty: string): void {
 		if ((observed.get(duty)?.version ?? 0) > 0) {
-			observed.set(duty, {row: undefined, version: 0, unchangedSince: performance.now()});
+			setObserved(duty, {row: undefined, version: 0});
 		}
 	}
 
@@ -214,7 +231,7 @@
 		checkGeneration();
 		const row = parse(found);
 		if (observed.get(duty)?.version !== found.version) {
-			observed.set(duty, {row, version: found.version, unchangedSince: performance.now()});
+			setObserved(duty, {row, version: found.version});
 		}
 
 		if (row !== undefined) {
@@ -240,7 +257,7 @@
 		}
 
 		const known = observed.get(duty);
-		if (known === undefined || performance.now() >= known.unchangedSince + leaseMs + marginMs) {
+		if (known === undefined || performance.now() >= known.unchangedSince + known.leaseMs + marginMs) {
 			return true;
 		}
 
@@ -295,7 +312,7 @@
 		try {
 			const result = await table.transact([{key, value: JSON.stringify(row), ifVersion: observed.get(duty)?.version ?? 0}]);
 			if (result.committed) {
-				observed.set(duty, {row, version: result.versions[key], unchangedSince: performance.now()});
+				setObserved(duty, {row, version: result.versions[key]});
 				checkGeneration();
 				return generation === before;
 			}
@@ -316,15 +333,19 @@
 
 	async function acquireOrRenew(duty: string, fencing: number): Promise<void> {
 		attempt += 1;
-		const end = performance.now() + leaseMs - marginMs;
+		const sentAt = performance.now();
+		const lengthMs = nextLeaseMs();
+		const end = sentAt + lengthMs - marginMs;
 		const clockOffset = Date.now() - performance.now();
 		attempts.set(duty, {attempt, end});
 		options.onAttempt?.();
 		const row = {
-			holder: name, incarnation, fencing, attempt, note: options.note?.(duty),
+			holder: name, incarnation, fencing, attempt, note: options.note?.(duty), ...(lengthMs > leaseMs && {leaseMs: lengthMs}),
 		};
 		const isRenewal = held.has(duty);
-		if (await writeRow(duty, row) && !released) {
+		const isWritten = await writeRow(duty, row);
+		writeMs = performance.now() - sentAt;
+		if (isWritten && !released) {
 			// A process that never saw the row learns only from the version how many tokens may have been given out.
 			const granted = isRenewal ? fencing : Math.max(fencing, maxFencingAt(observed.get(duty)?.version ?? 0));
 			noteFencing(duty, granted);
--- a/packages/router/src/lib/leases/lease-row.ts
+++ b/packages/router/src/lib/leases/lease-row.ts
@@ -5,6 +5,9 @@
 
 const prefix = 'leases/';
 
+/** A row that states a longer lease is invalid; its duty would rest for as long. */
+const maxStoredLeaseMs = 3_600_000;
+
 const leaseSchema = z.object({
 	/** Daemon that holds the duty; empty when it was released. */
 	holder: z.string(),
@@ -14,6 +17,8 @@
 	fencing: z.number().int().nonnegative(),
 	/** Number of the write attempt of that process; never used twice. */
 	attempt: z.number().int(),
+	/** Duration of the lease in milliseconds, if it is longer than usual. */
+	leaseMs: z.number().positive().max(maxStoredLeaseMs).optional(),
 	/** Text that the holder stores for its successors. */
 	note: z.string().optional(),
 });
--- a/packages/router/src/test/leases/lease-holder.test.ts
+++ b/packages/router/src/test/leases/lease-holder.test.ts
@@ -84,6 +84,54 @@
 		assert.isDefined(b.held(duty));
 	});
 
+	/** The table, with answers that take this long. */
+	const lateTable = (latenessMs: () => number): typeof table => {
+		const late = <T extends unknown[], Result>(call: (...parameters: T) => Promise<Result>) => async (...parameters: T): Promise<Result> => {
+			const result = await call(...parameters);
+			await new Promise<void>(resolve => {
+				setTimeout(resolve, latenessMs());
+			});
+			return result;
+		};
+
+		return {
+			...table, get: late(table.get), list: late(table.list), transact: late(table.transact),
+		};
+	};
+
+	it('keeps a duty beside a table that takes half a lease to answer, and nobody takes it over before its end', async () => {
+		// Guards against a duty that nobody can do for as long as the table is late, and against one that two do at once.
+		let latenessMs = leaseMs / 2;
+		const options = {incarnation: 1n, table: lateTable(() => latenessMs)};
+		const [a, b] = ['a', 'b'].map(name => createLeaseHolder({name, ...options}));
+		for (const holder of [a, b]) {
+			holder.contend(duty);
+			void holder.start();
+		}
+
+		const isHeldBy = (holder: LeaseHolder): boolean => holder.held(duty) !== undefined;
+		let heldMs = 0;
+		for (let passed = 0; passed < leaseMs * 20; passed += 500) {
+			await clock.tickAsync(500);
+			assert.isFalse(isHeldBy(a) && isHeldBy(b));
+			heldMs += passed >= leaseMs * 4 && (isHeldBy(a) || isHeldBy(b)) ? 500 : 0;
+		}
+
+		assert.equal(heldMs, leaseMs * 16);
+		const [holder, contender] = isHeldBy(a) ? [a, b] : [b, a];
+		const {fencing} = holder.held(duty)!;
+		holder.close();
+		while (isHeldBy(holder)) {
+			await clock.tickAsync(500);
+			assert.isFalse(isHeldBy(contender));
+		}
+
+		latenessMs = 0;
+		await clock.tickAsync((leaseMs * 6) + (marginMs * 3));
+		assert.isAbove(contender.held(duty)!.fencing, fencing);
+		contender.close();
+	});
+
 	const checkTakeover = async (value: string): Promise<void> => {
 		const [a, b] = [contender('a'), contender('b')];
 		await a.tick();
