Bodies that have stopped arriving give way to other requests

Callers saw: 503 for as long as 2,500 connections kept a request of a few bytes open.

Cause: an open request takes its estimated heap from its head on, and the bound on that heap refused others; stalled requests were aborted for want of buffers only, which a few bytes don't fill.

Change: a refusal for want of memory aborts bodies without progress for a second, the oldest first, 64 at a time. Nothing of them has been sent on.

--- a/packages/router/src/lib/forwarding/buffer-account.ts
+++ b/packages/router/src/lib/forwarding/buffer-account.ts
@@ -14,6 +14,8 @@
 	takenBytes: () => number;
 	/** Ends the request and releases its bytes. */
 	abort: () => void;
+	/** The request's body is arriving, and nothing has been sent on. */
+	isUpload?: boolean;
 };
 
 /** The buffered bytes of one request. */
@@ -29,6 +31,8 @@
 	open: (owner: BufferOwner) => RequestBuffer;
 	/** Whether there is space for a new request; aborts requests without progress to make some. */
 	hasSpace: () => boolean;
+	/** Aborts requests whose bodies have stopped arriving, the oldest of them first, to make room for others. */
+	abortStalledUploads: () => void;
 	bytes: () => number;
 	/** Number of requests that were aborted. */
 	abortedCount: () => number;
@@ -50,6 +54,10 @@
 /** Time in milliseconds without progress after which a request is aborted in favour of new ones; callers on slow links read more often. */
 const stalledMs = 1000;
 
+/** Bodies that are aborted at a time, and the interval in milliseconds at which that may happen. */
+const stalledUploadsAtOnce = 64;
+const abortUploadsMs = 100;
+
 /** Progress is sampled this often from half of the limit on, so that it is known once space is needed. */
 const sampleMs = 250;
 const sampledRatio = 0.5;
@@ -60,6 +68,7 @@
 	let total = 0;
 	let aborted = 0;
 	let sampledAt = Number.NEGATIVE_INFINITY;
+	let uploadsAbortedAt = Number.NEGATIVE_INFINITY;
 
 	const updateProgress = (entry: Entry, now: number): void => {
 		const takenBytes = entry.owner.takenBytes();
@@ -154,6 +163,25 @@
 			abortUntilBelow(maxBytes * fullRatio, stalledMs);
 			return total < maxBytes * fullRatio;
 		},
+		abortStalledUploads() {
+			const now = performance.now();
+			if (now - uploadsAbortedAt < abortUploadsMs) {
+				return;
+			}
+
+			uploadsAbortedAt = now;
+			const stalled: Entry[] = [];
+			for (const entry of entries) {
+				updateProgress(entry, now);
+				if (entry.owner.isUpload === true && now - entry.progressAt >= stalledMs) {
+					stalled.push(entry);
+				}
+			}
+
+			for (const entry of stalled.toSorted((a, b) => a.progressAt - b.progressAt).slice(0, stalledUploadsAtOnce)) {
+				abort(entry, now);
+			}
+		},
 		bytes: () => total,
 		abortedCount: () => aborted,
 	};
--- a/packages/router/src/lib/forwarding/entry-server.ts
+++ b/packages/router/src/lib/forwarding/entry-server.ts
@@ -98,6 +98,7 @@
 			return;
 		}
 
+		bufferAccount.abortStalledUploads();
 		discardBody(req.raw, connections.recordChunk);
 		void reply.hijack();
 		closeWhenStopping(req, reply);
@@ -117,6 +118,7 @@
 				abort() {
 					req.destroy();
 				},
+				isUpload: true,
 			});
 			upload.add(uploadBytes);
 			return {
--- a/packages/router/src/test/forwarding/buffer-account.test.ts
+++ b/packages/router/src/test/forwarding/buffer-account.test.ts
@@ -102,4 +102,29 @@
 		assert.deepEqual(aborted, ['large']);
 		assert.equal(account.bytes(), 0);
 	});
+
+	it('aborts only bodies that have stopped arriving when others need room', () => {
+		// Guards against open bodies that hold the memory of requests for good, and against aborted answers.
+		const openUpload = (name: string): void => {
+			account.open({
+				mayRepeat: () => true,
+				takenBytes: () => takenBytes.get(name) ?? 0,
+				abort() {
+					aborted.push(name);
+				},
+				isUpload: true,
+			}).add(10);
+		};
+
+		open('answer').add(10);
+		openUpload('stopped');
+		openUpload('arriving');
+		account.abortStalledUploads();
+		assert.deepEqual(aborted, []);
+		clock.tick(1000);
+		takenBytes.set('arriving', 1);
+		account.abortStalledUploads();
+		assert.deepEqual(aborted, ['stopped']);
+		assert.equal(account.bytes(), 20);
+	});
 });
