--- a/packages/router/src/lib/leases/lease-holder.ts
+++ b/packages/router/src/lib/leases/lease-holder.ts
@@ -145,6 +145,7 @@
 	const incarnation = String(options.incarnation);
 	const leaseMs = options.leaseMs ?? defaultLeaseMs;
 	const marginMs = options.marginMs ?? defaultMarginMs;
+	const maxLeaseMs = leaseMs * maxLeaseTimes;
 	const duties = new Set<string>();
 	const observed = new Map<string, ObservedRow>();
 	const held = new Map<string, Held>();
@@ -191,7 +192,7 @@
 	const isSettled = () => performance.now() >= generationAt + longestMs + marginMs;
 
 	/** A lease that lasts until the renewal after the next round is answered, however late the table is. */
-	const nextLeaseMs = (): number => Math.min(leaseMs * maxLeaseTimes, Math.max(leaseMs, marginMs + (leaseMs / 2) + (writeMs * 2)));
+	const nextLeaseMs = (): number => Math.min(maxLeaseMs, Math.max(leaseMs, marginMs + (leaseMs / 2) + (writeMs * 2)));
 
 	const setObserved = (duty: string, {row, version}: Pick<ObservedRow, 'row' | 'version'>): void => {
 		const ofRowMs = row === undefined ? observed.get(duty)?.leaseMs ?? longestMs : row.leaseMs ?? leaseMs;
@@ -206,7 +207,7 @@
 
 	function parse(found: TableRow): LeaseRow | undefined {
 		try {
-			return parseLeaseRow(found, maxFencingAt(found.version));
+			return parseLeaseRow(found, {maxFencing: maxFencingAt(found.version), maxLeaseMs});
 		} catch (error) {
 			if (observed.get(dutyOf(found.key))?.version !== found.version) {
 				options.onError?.(new LeaseTableError(`The row ${found.key} is invalid. Its duty is free once a lease of this version has ended.`, {cause: error}));
--- a/packages/router/src/lib/leases/lease-row.ts
+++ b/packages/router/src/lib/leases/lease-row.ts
@@ -5,9 +5,6 @@
 
 const prefix = 'leases/';
 
-/** A row that states a longer lease is invalid; its duty would rest for as long. */
-const maxStoredLeaseMs = 3_600_000;
-
 const leaseSchema = z.object({
 	/** Daemon that holds the duty; empty when it was released. */
 	holder: z.string(),
@@ -18,7 +15,7 @@
 	/** Number of the write attempt of that process; never used twice. */
 	attempt: z.number().int(),
 	/** Duration of the lease in milliseconds, if it is longer than usual. */
-	leaseMs: z.number().positive().max(maxStoredLeaseMs).optional(),
+	leaseMs: z.number().positive().optional(),
 	/** Text that the holder stores for its successors. */
 	note: z.string().optional(),
 });
@@ -35,12 +32,19 @@
 /** The duty that a key belongs to. */
 export const dutyOf = (key: string) => key.slice(prefix.length);
 
-/** Parses a row. @throws when its value doesn't match the schema, or its fencing token is above `maxFencing`. */
-export function parseLeaseRow(row: TableRow, maxFencing: number): LeaseRow {
+/** What daemons may have written into a row. */
+export type LeaseRowLimits = {maxFencing: number; maxLeaseMs: number};
+
+/** Parses a row. @throws when its value doesn't match the schema, or is above a limit. */
+export function parseLeaseRow(row: TableRow, {maxFencing, maxLeaseMs}: LeaseRowLimits): LeaseRow {
 	const lease = leaseSchema.parse(JSON.parse(row.value));
 	if (lease.fencing > maxFencing) {
 		throw new LeaseTableError(`The row ${row.key} has the fencing token ${lease.fencing}, which no daemon has given out.`);
 	}
 
+	if (lease.leaseMs !== undefined && lease.leaseMs > maxLeaseMs) {
+		throw new LeaseTableError(`The row ${row.key} has a lease of ${lease.leaseMs} ms, which is longer than any.`);
+	}
+
 	return lease;
 }
--- a/packages/router/src/test/leases/lease-holder.test.ts
+++ b/packages/router/src/test/leases/lease-holder.test.ts
@@ -156,6 +156,9 @@
 		'has a fencing token that is too large': JSON.stringify({
 			holder: '', incarnation: '1', fencing: Number.MAX_SAFE_INTEGER, attempt: 1,
 		}),
+		'has a lease that is too long': JSON.stringify({
+			holder: 'x', incarnation: '1', fencing: 1, attempt: 1, leaseMs: 1e12,
+		}),
 		'has a negative fencing token': JSON.stringify({
 			holder: '', incarnation: '0', fencing: -7, attempt: 0,
 		}),
