--- a/packages/router/src/lib/forwarding/entry-server.ts
+++ b/packages/router/src/lib/forwarding/entry-server.ts
@@ -104,7 +104,7 @@
 		closeWhenStopping(req, reply);
 		forwarder.refuseOverloaded(req.raw, reply.raw);
 	});
-	/** Updated with each chunk, so that hashing a long body doesn't block the process at its end. */
+	/** Updated with each part, so that hashing a long body doesn't block the process at its end. */
 	const bodyHashes = new WeakMap<IncomingMessage, Hash>();
 	readBodies(app, {
 		maxBytes: initialLimits.bodyBytes,
@@ -122,10 +122,10 @@
 			});
 			upload.add(uploadBytes);
 			return {
-				chunk(chunk, takenBytes) {
-					hash.update(chunk);
-					upload.add(takenBytes);
+				part(part) {
+					hash.update(part);
 				},
+				taken: upload.add,
 				close: upload.close,
 			};
 		},
--- a/packages/router/src/lib/http/body-collector.ts
+++ b/packages/router/src/lib/http/body-collector.ts
@@ -17,16 +17,21 @@
 const minBlockBytes = 512;
 const maxBlockBytes = 64 * 1024;
 
-/** Creates a collector without any chunk. */
-export function createBodyCollector(): BodyCollector {
+/** Creates a collector without any chunk; `onPart` is called with each part of the body in order, the last one by `take`. */
+export function createBodyCollector(onPart: (part: Buffer) => void = () => undefined): BodyCollector {
 	const parts: Buffer[] = [];
 	let length = 0;
 	/** The latest part is a block with this many bytes used. */
 	let block: {bytes: Buffer; used: number} | undefined;
 
+	const addPart = (part: Buffer): void => {
+		parts.push(part);
+		onPart(part);
+	};
+
 	const closeBlock = (): void => {
 		if (block !== undefined) {
-			parts.push(block.bytes.subarray(0, block.used));
+			addPart(block.bytes.subarray(0, block.used));
 			block = undefined;
 		}
 	};
@@ -43,7 +48,7 @@
 			let takenBytes = 0;
 			if (isFirst || chunk.length >= minHeldBytes) {
 				closeBlock();
-				parts.push(chunk);
+				addPart(chunk);
 				takenBytes = chunk.length;
 			} else {
 				if (block === undefined || block.used + chunk.length > block.bytes.length) {
--- a/packages/router/src/lib/http/request-bodies.ts
+++ b/packages/router/src/lib/http/request-bodies.ts
@@ -7,8 +7,10 @@
 
 /** Follows one body while it arrives. */
 export type BodyWatch = {
-	/** Called with each chunk, and with the bytes of memory that it took. */
-	chunk: (chunk: Buffer, takenBytes: number) => void;
+	/** Called with each part of the body, which holds many chunks if they are small. */
+	part: (part: Buffer) => void;
+	/** Called with the bytes of memory that the body has taken in addition. */
+	taken: (bytes: number) => void;
 	/** Called once no more is read. */
 	close: () => void;
 };
@@ -25,7 +27,7 @@
 
 const statusBadRequest = 400;
 
-const unwatched: BodyWatch = {chunk: () => undefined, close: () => undefined};
+const unwatched: BodyWatch = {part: () => undefined, taken: () => undefined, close: () => undefined};
 
 /** Whether a request has a body that may be long. */
 export const hasBody = ({headers}: IncomingMessage): boolean => headers['transfer-encoding'] !== undefined || (headers['content-length'] ?? '0') !== '0';
@@ -60,8 +62,8 @@
 			return;
 		}
 
-		const body = createBodyCollector();
 		const watched = watch(req.raw);
+		const body = createBodyCollector(watched.part);
 		const stop = (): void => {
 			payload.off('data', add);
 			payload.off('end', end);
@@ -84,7 +86,9 @@
 				return;
 			}
 
-			watched.chunk(chunk, takenBytes);
+			if (takenBytes > 0) {
+				watched.taken(takenBytes);
+			}
 		};
 
 		const end = (): void => {
--- a/packages/router/src/test/http/body-collector.test.ts
+++ b/packages/router/src/test/http/body-collector.test.ts
@@ -9,7 +9,10 @@
 		const sizes = fc.array(fc.oneof(fc.integer({min: 0, max: 40}), fc.integer({min: 0, max: 9000})), {maxLength: 200});
 		fc.assert(fc.property(sizes, chunkSizes => {
 			const chunks = chunkSizes.map((size, index) => Buffer.alloc(size, index));
-			const body = createBodyCollector();
+			const parts: Buffer[] = [];
+			const body = createBodyCollector(part => {
+				parts.push(part);
+			});
 			let takenBytes = 0;
 			for (const chunk of chunks) {
 				takenBytes += body.add(chunk);
@@ -19,6 +22,7 @@
 			assert.equal(body.length(), whole.length);
 			assert.isAtLeast(takenBytes, whole.length);
 			assert.isTrue(body.take().equals(whole));
+			assert.isTrue(Buffer.concat(parts).equals(whole));
 		}));
 	});
 
