Bound the log lines about connections that are closed as expensive

On-call engineers would have seen a line for each such connection, while OPERATIONS says two a second; the counter was right.

Cause: of the two places that log closed connections, only one had a budget of lines. Found on reading the change again. Change: both use the same budget.

--- a/packages/entry/src/lib/wiring/connection-wiring.ts
+++ b/packages/entry/src/lib/wiring/connection-wiring.ts
@@ -3,7 +3,7 @@
  *
  * Limit of the platform = files (`fileDescriptors`) + connections to endpoints, peers and the store + those of the servers.
  */
-import {createLineBudget} from 'hickorywalk/observability.js';
+import {createLineBudget, type LineBudget} from 'hickorywalk/observability.js';
 import {
 	type ConnectionTurns, createConnectionTurns, limitConnections, type LimitServer, type ServerLimits,
 } from 'hickorywalk/forwarding.js';
@@ -27,8 +27,11 @@
 	readiness: {ratio: 0.1, max: 256}, metrics: {ratio: 0.02, max: 64}, relay: {ratio: 0.15, max: 512},
 } as const;
 
+/** Log lines about closed connections, per second and kind. */
 const closedLinesPerSecond = 2;
 
+const createClosedLines = (): LineBudget => createLineBudget({perSecond: {other: closedLinesPerSecond}});
+
 /** Upper bounds on open connections. */
 export function maxConnectionsOf(maxDescriptors: number): Record<ServerName, number> {
 	const total = Math.max(fileDescriptors, maxDescriptors - fileDescriptors) * acceptedRatio;
@@ -38,21 +41,28 @@
 }
 
 /** Creates the turns of all connections. */
-export const wireConnectionTurns = ({settings, eventLoopLag, metrics, log}: EntryParts): ConnectionTurns => createConnectionTurns({
-	turnOf: eventLoopLag.recordTurn,
-	maxWaitingBytes: unfinishedHeadBytes(settings),
-	onClosed({bytes, count}) {
-		metrics.connectionsClosed('any', 'expensive', 1);
-		log.warn('Connection was closed, since what has arrived on all takes too long to handle.', {bytes, count});
-	},
-});
+export function wireConnectionTurns({
+	settings, eventLoopLag, metrics, log,
+}: EntryParts): ConnectionTurns {
+	const lines = createClosedLines();
+	return createConnectionTurns({
+		turnOf: eventLoopLag.recordTurn,
+		maxWaitingBytes: unfinishedHeadBytes(settings),
+		onClosed({bytes, count}) {
+			metrics.connectionsClosed('any', 'expensive', 1);
+			if (lines.take('expensive')) {
+				log.warn('Connection was closed, since what has arrived on all takes too long to handle.', {bytes, count});
+			}
+		},
+	});
+}
 
 /** Creates the limits of each server. */
 export function wireServerLimiters({
 	settings, turns, metrics, log,
 }: EntryParts): ServerLimiters {
 	const maxConnections = maxConnectionsOf(settings.maxDescriptors);
-	const lines = createLineBudget({perSecond: {other: closedLinesPerSecond}});
+	const lines = createClosedLines();
 
 	const limiterOf = (name: ServerName, limits: Omit<ServerLimits, 'maxConnections'>): LimitServer => app => limitConnections(app, {
 		...limits,
