Logs and metrics tell which daemon is out of date, and what it waits for

Callers were routed by a document that had been replaced, and the daemon's log had no line: a call to the store that is waited for beyond its usual limit logged nothing until it was given up, many seconds later.

'Call to the store is waited for beyond its usual limit.' names the call and the limit; hickorywalk_table_age_seconds and hickorywalk_document_version show what a daemon routes by. With these, a learned limit (hypothesis 1) differs from a reader that vouches for others (2: age near zero) and from a document that is refused (3: age near zero, versions differ).

--- a/packages/entry/src/lib/daemon-metrics.ts
+++ b/packages/entry/src/lib/daemon-metrics.ts
@@ -31,6 +31,9 @@
 	hickorywalk_engines_changing: 'Engines that are drained or load weights, at the daemon that gives the orders.',
 	hickorywalk_store_calls_total: 'Calls to the platform\'s store, by call.',
 	hickorywalk_store_late_calls_total: 'Calls to the platform\'s store that were not answered within their limit, by call; limits follow a store that is late.',
+	hickorywalk_store_calls_extended_total: 'Calls to the platform\'s store that are waited for beyond their usual limit, since the store was late before, by call.',
+	hickorywalk_table_age_seconds: 'Time since the store last confirmed what this daemon knows of a followed table, by table; beyond the bound on changes, the daemon is out of date.',
+	hickorywalk_document_version: 'Version of the operator\'s document that requests are routed by; 0 without one.',
 	hickorywalk_store_rows_skipped_total: 'Rows of the platform\'s store that could not be decoded, by table; each time that one is read counts.',
 	hickorywalk_requests_waiting: 'Requests that wait until an endpoint can take them, by service and rank.',
 	hickorywalk_request_wait_seconds: 'Time for which a request waited until an endpoint could take it, by service and rank; of those that waited.',
@@ -68,6 +71,9 @@
 	enginesWaiting: () => number;
 	enginesChanging: () => number;
 	uncaughtExceptions: () => number;
+	documentVersion: () => number;
+	/** Milliseconds by table; infinite before its first listing. */
+	tableAgesMs: () => Record<string, number>;
 };
 
 /** Records and serves the metrics. */
@@ -81,6 +87,7 @@
 	relayDeclined: (reason: string) => void;
 	storeCalled: (call: string) => void;
 	storeLate: (call: string) => void;
+	storeExtended: (call: string) => void;
 	rowSkipped: (table: string) => void;
 	connectionsClosed: (server: string, reason: string, count: number) => void;
 	logLinesDropped: (count: number) => void;
@@ -123,6 +130,7 @@
 	const crashRefusalCounter = new Counter({...describe('hickorywalk_crash_refusals_total'), labelNames: ['kind']});
 	const storeCallCounter = new Counter({...describe('hickorywalk_store_calls_total'), labelNames: ['call']});
 	const lateCallCounter = new Counter({...describe('hickorywalk_store_late_calls_total'), labelNames: ['call']});
+	const extendedCallCounter = new Counter({...describe('hickorywalk_store_calls_extended_total'), labelNames: ['call']});
 	const skippedRowCounter = new Counter({...describe('hickorywalk_store_rows_skipped_total'), labelNames: ['table']});
 	const closedConnectionCounter = new Counter({...describe('hickorywalk_connections_closed_total'), labelNames: ['server', 'reason']});
 	const droppedLineCounter = new Counter(describe('hickorywalk_log_lines_left_out_total'));
@@ -218,6 +226,9 @@
 		storeLate(call) {
 			lateCallCounter.inc({call});
 		},
+		storeExtended(call) {
+			extendedCallCounter.inc({call});
+		},
 		rowSkipped(table) {
 			skippedRowCounter.inc({table});
 		},
@@ -229,7 +240,7 @@
 		},
 		registerGauges({
 			requestsInFlight, livePeers, lostPaths, bufferedBytes, bufferAborts, requestHeapBytes, requestHeapLimitBytes, memoryLimitBytes, heapHeldBytes, waitingConnections, waiting,
-			enginesWaiting, enginesChanging, uncaughtExceptions,
+			enginesWaiting, enginesChanging, uncaughtExceptions, documentVersion, tableAgesMs,
 		}) {
 			const registerGauge = (name: keyof typeof metricHelp, read: () => number) => new Gauge({
 				...describe(name),
@@ -249,6 +260,17 @@
 					}
 				},
 			}));
+			registry.registerMetric(new Gauge({
+				...describe('hickorywalk_table_age_seconds'),
+				registers: [],
+				labelNames: ['table'],
+				collect() {
+					for (const [table, ageMs] of Object.entries(tableAgesMs())) {
+						this.set({table}, ageMs / msPerSecond);
+					}
+				},
+			}));
+			registerGauge('hickorywalk_document_version', documentVersion);
 			registerGauge('hickorywalk_requests_under_way', requestsInFlight);
 			registerGauge('hickorywalk_peers_heard', livePeers);
 			registerGauge('hickorywalk_paths_lost', lostPaths);
--- a/packages/entry/src/lib/entry-daemon.ts
+++ b/packages/entry/src/lib/entry-daemon.ts
@@ -53,6 +53,8 @@
 		enginesWaiting: () => parts.weightsRollout.counts().waiting,
 		enginesChanging: () => parts.weightsRollout.counts().changing,
 		uncaughtExceptions,
+		documentVersion: () => parts.documentGuard.current()?.document.version ?? 0,
+		tableAgesMs: () => ({operator: operatorFeed.ageMs(), endpoints: endpointFeed.ageMs()}),
 	});
 	view.onDocument(({document}) => {
 		server.setLimits(document.limits);
--- a/packages/entry/src/lib/entry-parts.ts
+++ b/packages/entry/src/lib/entry-parts.ts
@@ -101,7 +101,7 @@
 		choice: asFunction(wireChoice).singleton(),
 		admission: asFunction(wireAdmission).singleton(),
 		store: asFunction(({timings, metrics, log}: EntryParts) => createStoreClient({
-			address: settings.storeAddress, timeoutMs: timings.storeTimeoutMs * 2, onCall: metrics.storeCalled, onLateCall: metrics.storeLate, log,
+			address: settings.storeAddress, timeoutMs: timings.storeTimeoutMs * 2, onCall: metrics.storeCalled, onLateCall: metrics.storeLate, onExtendedCall: metrics.storeExtended, log,
 		})).singleton(),
 		ownTable: asFunction(({store}: EntryParts) => store.table('hickorywalk')).singleton(),
 		operatorFeed: asFunction(wireOperatorFeed).singleton(),
--- a/packages/entry/src/test/metrics.test.ts
+++ b/packages/entry/src/test/metrics.test.ts
@@ -25,7 +25,7 @@
 			requestsInFlight: () => 3, livePeers: () => 8, lostPaths: () => 2, bufferedBytes: () => 0, bufferAborts: () => 0,
 			requestHeapBytes: () => 0, requestHeapLimitBytes: () => 1, memoryLimitBytes: () => 1, heapHeldBytes: () => 1,
 			waitingConnections: () => 0, waiting: () => [{service: 'engines', rank: 2, count: 5}],
-			enginesWaiting: () => 28, enginesChanging: () => 14, uncaughtExceptions: () => 1,
+			enginesWaiting: () => 28, enginesChanging: () => 14, uncaughtExceptions: () => 1, documentVersion: () => 7, tableAgesMs: () => ({operator: 400}),
 		});
 		metrics.requestEnded({
 			requestId: 'r', digest: 'd', route: 'a', workspace: 'school', service: 'desk', endpoint: 'e', software: 'v1', resumes: 'q', peer: undefined,
--- a/packages/router/src/lib/observability/log.ts
+++ b/packages/router/src/lib/observability/log.ts
@@ -30,6 +30,8 @@
 	'status',
 	/** Duration of the event in milliseconds. */
 	'ms',
+	/** Milliseconds after which something is given up. */
+	'limitMs',
 	/** Actual and expected milliseconds to the first byte of a response. */
 	'firstMs',
 	'expectedMs',
--- a/packages/router/src/lib/time/answer-limits.ts
+++ b/packages/router/src/lib/time/answer-limits.ts
@@ -34,6 +34,8 @@
 export type AnswerLimitsOptions = {
 	/** A call was answered after its limit, or given up without an answer. */
 	onLate?: (kind: string, ms: number, isAnswered: boolean) => void;
+	/** A call without an answer is waited for beyond its usual limit, up to `limitMs`, since the service was late before. */
+	onExtended?: (kind: string, ms: number, limitMs: number) => void;
 };
 
 /** There was no answer within the limit. */
@@ -57,7 +59,7 @@
 const maxLateCalls = 4;
 
 /** Creates limits that follow the times which answers of each kind of call take. */
-export function createAnswerLimits({onLate = () => undefined}: AnswerLimitsOptions = {}): AnswerLimits {
+export function createAnswerLimits({onLate = () => undefined, onExtended = () => undefined}: AnswerLimitsOptions = {}): AnswerLimits {
 	/** Usual times of answers, in milliseconds. */
 	const usualMs = new Map<string, number>();
 	const lateCalls = new Map<string, number>();
@@ -88,6 +90,7 @@
 			let progressedAt = startedAt;
 			let isLate = false;
 			let isKept = false;
+			let isExtended = false;
 			let timer: NodeJS.Timeout;
 			const abort = new AbortController();
 			const answerTimeMs = (): number => Math.max(0, performance.now() - startedAt - waitMs);
@@ -103,6 +106,11 @@
 					const limitMs = waitMs + Math.max(answerMs, Math.min(maxAnswerMs, (usualMs.get(name) ?? 0) * headroom));
 					const leftMs = progressedAt + limitMs - performance.now();
 					if (leftMs > 0) {
+						if (!isExtended && performance.now() - progressedAt >= waitMs + answerMs) {
+							isExtended = true;
+							onExtended(name, performance.now() - startedAt, limitMs);
+						}
+
 						timer = setTimeout(check, leftMs);
 						return;
 					}
--- a/packages/router/src/test/time/answer-limits.test.ts
+++ b/packages/router/src/test/time/answer-limits.test.ts
@@ -9,15 +9,20 @@
 	let limits: AnswerLimits;
 	let aborted: number;
 	let late: Array<[string, boolean]>;
+	let extended: Array<[string, ms: number, limitMs: number]>;
 
 	beforeEach(() => {
 		clock = install();
 		aborted = 0;
 		late = [];
+		extended = [];
 		limits = createAnswerLimits({
 			onLate(kind, _ms, isAnswered) {
 				late.push([kind, isAnswered]);
 			},
+			onExtended(kind, ms, limitMs) {
+				extended.push([kind, ms, limitMs]);
+			},
 		});
 	});
 
@@ -59,6 +64,13 @@
 		assert.equal(aborted, 0);
 	});
 
+	it('tells of a call that is waited for beyond its usual limit', async () => {
+		// Guards against a daemon that waits for seconds without a sign of it.
+		await settle(isAnswered(300));
+		await settle(isAnswered(300));
+		assert.deepEqual(extended, [['read', answerMs, 600]]);
+	});
+
 	it('extends the limit of a call that is under way', async () => {
 		// Guards against a second call that is given up just as the first one's answer shows that it would come.
 		const first = isAnswered(190);
