A read of the store that is waited for is made again on a new connection

Cause: the time limit of a call grows to twice the time of the latest late answer, so that a store that is always late is heard. An answer that a partition held up counted the same. The reader always has a call under way when a partition begins; its answer comes when the partition ends, and the call after it, on a connection that is silent for good, was waited for up to twice the outage. Nothing else was tried meanwhile: one call at a time, and hints of peers are left aside after a failure.

Change: once a read has no answer within its usual limit, it is made again on a new connection, without asking the store to hold it, and again twice that later, four attempts at a time; the first answer counts. The learned limit only decides when the call has failed. A change in the answer to a repeated read counts as unseen since the answer before, and the time without an answer as an outage, so that weights and expired entries are dated as after one.

The mechanism is shared by reads of tables and leases, engines' reports and the platform client of serve.

--- a/packages/router/src/lib/fleet/change-feed.ts
+++ b/packages/router/src/lib/fleet/change-feed.ts
@@ -125,8 +125,8 @@
 		respondedAt = Math.max(respondedAt, clock.now() - clock.sinceMs(storeMs));
 	};
 
-	const recordResponse = ({storeMs}: Changes<T>): void => {
-		if (failures > 0) {
+	const recordResponse = ({storeMs, isRepeated = false}: Changes<T>): void => {
+		if (failures > 0 || isRepeated) {
 			const outageMs = ageMs();
 			log.info('Store responds again.', {path: options.name, ms: Math.round(outageMs), count: failures});
 			handler.recovered?.(outageMs, 0);
@@ -195,7 +195,7 @@
 
 	/** Applies a response; `pollMs` is the time for which its poll waited. */
 	const apply = (update: Changes<T>, pollMs: number): void => {
-		const isPrompt = ageMs() - pollMs <= options.coalesceMs + maxGapMs;
+		const isPrompt = update.isRepeated !== true && ageMs() - pollMs <= options.coalesceMs + maxGapMs;
 		const unseenMs = isPrompt && failures === 0 ? 0 : ageMs();
 		recordResponse(update);
 		if (accept(update, unseenMs)) {
--- a/packages/router/src/lib/fleet/change-source.ts
+++ b/packages/router/src/lib/fleet/change-source.ts
@@ -42,6 +42,8 @@
 	version: number;
 	/** The store's clock when it answered, in milliseconds; `undefined` if it didn't say. */
 	storeMs?: number | undefined;
+	/** The store left an earlier attempt at this call without an answer, so that changes since the answer before were not awaited. */
+	isRepeated?: boolean | undefined;
 };
 
 /** A table that can be listed and followed. `list` and `changes` throw the platform's errors. */
--- a/packages/router/src/lib/platform/http-platform.ts
+++ b/packages/router/src/lib/platform/http-platform.ts
@@ -85,7 +85,7 @@
 
 		let answer: Answer;
 		try {
-			answer = await limits.call(kindOf(call), {answerMs: timeoutMs, mayEndLate: !call.writes}, async ({signal}) => {
+			answer = await limits.call(kindOf(call), {answerMs: timeoutMs, isRepeatable: !call.writes}, async ({signal}) => {
 				const res = await request(url, {
 					method: call.method,
 					headers: call.headers ?? {},
--- a/packages/router/src/lib/time/answer-limits.ts
+++ b/packages/router/src/lib/time/answer-limits.ts
@@ -1,7 +1,11 @@
 /**
  * Time limits of calls to a service that may answer late. An open connection may stay silent for good, so that a
  * call without an answer has to be given up; with a fixed limit, a service that always takes longer would never be heard.
+ *
+ * An answer that the network held up says nothing about the next connection. A call that is waited for beyond
+ * its usual limit is therefore made again meanwhile, so that a limit that has grown delays no answer over a new connection.
  */
+import {type CallAttempt, createCallAttempts} from './call-attempts.js';
 
 /** Limits of one call, in milliseconds. */
 export type CallLimits = {
@@ -9,25 +13,17 @@
 	answerMs: number;
 	/** Time for which the service may hold the call on purpose, such as a long poll. */
 	waitMs?: number;
-	/** Whether the call may go on after its limit. A write that takes effect after it was given up could revert a later one. */
-	mayEndLate: boolean;
-};
-
-/** A call in progress. */
-export type LimitedCall = {
-	/** Aborts the call. */
-	signal: AbortSignal;
-	/** Part of the answer has arrived; the limit counts from the latest one. */
-	progressed: () => void;
+	/** Whether the call may be made again, and end after its limit. A write that takes effect after it was given up could revert a later one. */
+	isRepeatable: boolean;
 };
 
 /** The limits of all calls to one service. */
 export type AnswerLimits = {
 	/**
-	 * Makes a call of a kind.
-	 * @throws {LateAnswerError} if there is no answer within the limit; a call that may end late is then timed on.
+	 * Makes a call of a kind; `start` makes each attempt.
+	 * @throws {LateAnswerError} if there is no answer within the limit; a repeatable call is then timed on.
 	 */
-	call: <T>(kind: string, limits: CallLimits, start: (call: LimitedCall) => Promise<T>) => Promise<T>;
+	call: <T>(kind: string, limits: CallLimits, start: (attempt: CallAttempt) => Promise<T>) => Promise<T>;
 };
 
 /** Options of {@link createAnswerLimits}. */
@@ -58,6 +54,9 @@
 /** Calls of one kind that may be late at a time. */
 const maxLateCalls = 4;
 
+/** Time between two repeats of a call, in multiples of the time within which an answer usually arrives. */
+const repeatTimes = 2;
+
 /** Creates limits that follow the times which answers of each kind of call take. */
 export function createAnswerLimits({onLate = () => undefined, onExtended = () => undefined}: AnswerLimitsOptions = {}): AnswerLimits {
 	/** Usual times of answers, in milliseconds. */
@@ -85,85 +84,88 @@
 	};
 
 	return {
-		async call(name, {answerMs, waitMs = 0, mayEndLate}, start) {
-			const startedAt = performance.now();
-			let progressedAt = startedAt;
-			let isLate = false;
-			let isKept = false;
-			let isExtended = false;
-			let timer: NodeJS.Timeout;
-			const abort = new AbortController();
-			const answerTimeMs = (): number => Math.max(0, performance.now() - startedAt - waitMs);
-
+		async call(name, {answerMs, waitMs = 0, isRepeatable}, start) {
 			return new Promise((resolve, reject: (error: Error) => void) => {
-				const giveUp = (): void => {
-					abort.abort();
-					onLate(name, performance.now() - startedAt, false);
-				};
+				const startedAt = performance.now();
+				let isLate = false;
+				let isKept = false;
+				let isExtended = false;
+				let timer: NodeJS.Timeout;
 
-				/** The limit may have grown since the call was made. */
-				const check = (): void => {
-					const limitMs = waitMs + Math.max(answerMs, Math.min(maxAnswerMs, (usualMs.get(name) ?? 0) * headroom));
-					const leftMs = progressedAt + limitMs - performance.now();
-					if (leftMs > 0) {
-						if (!isExtended && performance.now() - progressedAt >= waitMs + answerMs) {
-							isExtended = true;
-							onExtended(name, performance.now() - startedAt, limitMs);
-						}
-
-						timer = setTimeout(check, leftMs);
-						return;
+				const ended = (isAnswered: boolean): void => {
+					clearTimeout(timer);
+					if (isKept) {
+						addLateCalls(name, -1);
+					}
+
+					if (isLate) {
+						onLate(name, performance.now() - startedAt, isAnswered);
 					}
+				};
 
+				const attempts = createCallAttempts({
+					start,
+					onAnswer(answer, ms) {
+						learn(name, ms, answerMs);
+						ended(true);
+						resolve(answer);
+					},
+					onFailed(error) {
+						ended(false);
+						reject(error);
+					},
+				});
+
+				const giveUp = (): void => {
+					attempts.abortAllBut(0);
+					ended(false);
+				};
+
+				const endLate = (limitMs: number): void => {
 					isLate = true;
 					reject(new LateAnswerError(`No answer within ${Math.round(limitMs)} ms.`));
-					if (mayEndLate && lateCallsOf(name) < maxLateCalls) {
+					if (isRepeatable && lateCallsOf(name) < maxLateCalls) {
 						isKept = true;
 						addLateCalls(name, 1);
+						attempts.abortAllBut(1);
 						timer = setTimeout(giveUp, startedAt + maxAnswerMs - performance.now());
 						return;
 					}
 
-					if (!mayEndLate) {
-						learn(name, Math.min(maxSilentMs, answerTimeMs()), answerMs);
+					if (!isRepeatable) {
+						learn(name, Math.min(maxSilentMs, performance.now() - startedAt), answerMs);
 					}
 
 					giveUp();
 				};
 
-				const ended = (isAnswered: boolean): void => {
-					clearTimeout(timer);
-					if (isAnswered) {
-						learn(name, answerTimeMs(), answerMs);
+				/** The limit may have grown since the call was made. */
+				const check = (): void => {
+					const now = performance.now();
+					const limitMs = waitMs + Math.max(answerMs, Math.min(maxAnswerMs, (usualMs.get(name) ?? 0) * headroom));
+					const leftMs = attempts.progressedAt() + limitMs - now;
+					if (leftMs <= 0) {
+						endLate(limitMs);
+						return;
 					}
 
-					if (isLate && !abort.signal.aborted) {
-						onLate(name, performance.now() - startedAt, isAnswered);
+					if (!isExtended && now - attempts.progressedAt() >= waitMs + answerMs) {
+						isExtended = true;
+						onExtended(name, now - startedAt, limitMs);
 					}
 
-					if (isKept) {
-						addLateCalls(name, -1);
+					const gapMs = attempts.openCount() > 1 ? answerMs * repeatTimes : answerMs;
+					let repeatInMs = isRepeatable ? attempts.dueSince() + gapMs - now : leftMs;
+					if (repeatInMs <= 0) {
+						attempts.begin(0);
+						repeatInMs = answerMs * repeatTimes;
 					}
-				};
 
-				const run = async (): Promise<void> => {
-					try {
-						const answer = await start({
-							signal: abort.signal,
-							progressed() {
-								progressedAt = performance.now();
-							},
-						});
-						ended(true);
-						resolve(answer);
-					} catch (error) {
-						ended(false);
-						reject(error as Error);
-					}
+					timer = setTimeout(check, Math.min(leftMs, repeatInMs));
 				};
 
 				timer = setTimeout(check, waitMs + answerMs);
-				void run();
+				attempts.begin(waitMs);
 			});
 		},
 	};
--- a/packages/router/src/test/fleet/change-feed.test.ts
+++ b/packages/router/src/test/fleet/change-feed.test.ts
@@ -51,6 +51,43 @@
 		log: createSilentLog(),
 	});
 
+	it('counts changes in the answer to a repeated call as unseen since the answer before', async () => {
+		// Guards against replaced weights that count as newly named, though they were named while the call had no answer.
+		const outages: number[] = [];
+		let polls = 0;
+		feed = followChanges({
+			name: 'test',
+			source: {
+				decode,
+				list: async () => ({changes: [], version: 5}),
+				async changes(_after, waitMs) {
+					polls++;
+					const isRepeated = polls === 1;
+					await new Promise(resolve => {
+						setTimeout(resolve, isRepeated ? waitMs + 3000 : waitMs);
+					});
+					return {changes: [change('a', 5 + polls)], version: 5 + polls, isRepeated};
+				},
+			},
+			handler: {
+				replace: () => undefined,
+				update(_rows, unseenMs) {
+					seen.push(String(Math.round(unseenMs)));
+				},
+				recovered(outageMs) {
+					outages.push(Math.round(outageMs));
+				},
+			},
+			waitMs: () => 800,
+			timeoutMs: 400,
+			coalesceMs: 0,
+			log: createSilentLog(),
+		});
+		await clock.tickAsync(3800 + 800);
+		assert.deepEqual(seen, ['3800', '0']);
+		assert.deepEqual(outages, [3800]);
+	});
+
 	it('lists the table anew after its handler threw an error', async () => {
 		// Guards against changes that are lost because the feed goes on after them.
 		let lists = 0;
