Logs and metrics tell what each daemon may repeat, and among how many it counts itself

Repeats of requests piled up beyond the bound that all daemons share, and nothing showed what a daemon may repeat, has repeated, or how many daemons it counts.

hickorywalk_retry_part and hickorywalk_retry_part_holders show the first two hypotheses apart: parts that add up to more than the whole, or parts that fit while hickorywalk_retries_in_window is back at 0 within the rule's window. 'Retry budget is spent.' has the same figures for a request that wasn't tried again.

--- a/packages/entry/src/lib/daemon-metrics.ts
+++ b/packages/entry/src/lib/daemon-metrics.ts
@@ -17,6 +17,10 @@
 	hickorywalk_callers_left_total: 'Requests whose callers left before their answer, by whether an endpoint may have got the request (sent) or not (unsent).',
 	hickorywalk_request_seconds: 'Time from a whole request to the end of its answer.',
 	hickorywalk_attempts_failed_total: 'Attempts at endpoints that failed, by service and reason.',
+	hickorywalk_retries_total: 'Decisions of the retry budget, by service and result (granted or refused).',
+	hickorywalk_retries_in_window: 'Retries that this daemon counts in the current window, by service.',
+	hickorywalk_retry_part: 'Retries in a window that this daemon may grant for each service beyond a share of its requests: its part of the fixed number of all daemons.',
+	hickorywalk_retry_part_holders: 'Daemons among which this daemon knows that fixed number to be divided.',
 	hickorywalk_requests_left_data_centre_total: 'Requests whose latest attempt went to another data centre, by service and reason.',
 	hickorywalk_requests_relayed_total: 'Requests that ended after a peer passed them on, by service and result.',
 	hickorywalk_streams_resumed_total: 'Requests of callers that resume a stream, by service and result.',
@@ -68,6 +72,10 @@
 	heapHeldBytes: () => number;
 	waitingConnections: () => number;
 	waiting: () => WaitingCount[];
+	/** By service. */
+	retriesInWindow: () => ReadonlyArray<[service: string, count: number]>;
+	retryPart: () => number;
+	retryPartHolders: () => number;
 	enginesWaiting: () => number;
 	enginesChanging: () => number;
 	uncaughtExceptions: () => number;
@@ -80,6 +88,7 @@
 export type DaemonMetrics = {
 	requestEnded: (end: RequestEnd) => void;
 	attemptFailed: (service: string, reason: string) => void;
+	retryDecided: (service: string, isGranted: boolean) => void;
 	engineDrained: (service: string, ms: number, waiting: number) => void;
 	rejectedDuringLoad: (service: string, reason: string) => void;
 	endpointCrashed: () => void;
@@ -122,6 +131,7 @@
 
 	const requestCounter = new Counter({...describe('hickorywalk_requests_total'), labelNames: ['service', 'result']});
 	const failedAttemptCounter = new Counter({...describe('hickorywalk_attempts_failed_total'), labelNames: ['service', 'reason']});
+	const retryCounter = new Counter({...describe('hickorywalk_retries_total'), labelNames: ['service', 'result']});
 	const leftCounter = new Counter({...describe('hickorywalk_requests_left_data_centre_total'), labelNames: ['service', 'reason']});
 	const relayedCounter = new Counter({...describe('hickorywalk_requests_relayed_total'), labelNames: ['service', 'result']});
 	const resumedCounter = new Counter({...describe('hickorywalk_streams_resumed_total'), labelNames: ['service', 'result']});
@@ -202,6 +212,9 @@
 		attemptFailed(service, reason) {
 			failedAttemptCounter.inc({service, reason});
 		},
+		retryDecided(service, isGranted) {
+			retryCounter.inc({service, result: isGranted ? 'granted' : 'refused'});
+		},
 		engineDrained(service, ms, waiting) {
 			drainSeconds.observe({service}, ms / msPerSecond);
 			if (waiting > 0) {
@@ -240,7 +253,7 @@
 		},
 		registerGauges({
 			requestsInFlight, livePeers, lostPaths, bufferedBytes, bufferAborts, requestHeapBytes, requestHeapLimitBytes, memoryLimitBytes, heapHeldBytes, waitingConnections, waiting,
-			enginesWaiting, enginesChanging, uncaughtExceptions, documentVersion, tableAgesMs,
+			retriesInWindow, retryPart, retryPartHolders, enginesWaiting, enginesChanging, uncaughtExceptions, documentVersion, tableAgesMs,
 		}) {
 			const registerGauge = (name: keyof typeof metricHelp, read: () => number) => new Gauge({
 				...describe(name),
@@ -270,6 +283,18 @@
 					}
 				},
 			}));
+			registry.registerMetric(new Gauge({
+				...describe('hickorywalk_retries_in_window'),
+				registers: [],
+				labelNames: ['service'],
+				collect() {
+					for (const [service, count] of retriesInWindow()) {
+						this.set({service}, count);
+					}
+				},
+			}));
+			registerGauge('hickorywalk_retry_part', retryPart);
+			registerGauge('hickorywalk_retry_part_holders', retryPartHolders);
 			registerGauge('hickorywalk_document_version', documentVersion);
 			registerGauge('hickorywalk_requests_under_way', requestsInFlight);
 			registerGauge('hickorywalk_peers_heard', livePeers);
--- a/packages/entry/src/lib/entry-parts.ts
+++ b/packages/entry/src/lib/entry-parts.ts
@@ -33,7 +33,7 @@
 } from './wiring/memory-wiring.js';
 import {wireConnectionTurns, wireServerLimiters} from './wiring/connection-wiring.js';
 import {
-	wireAdmission, wireBackoff, wireBrittle, wireBudgets, wireCapacityWait, wireChoice, wireConnectionShares, wireEvents, wireLimits, wireQuota,
+	wireAdmission, wireBackoff, wireBrittle, wireCapacityWait, wireChoice, wireConnectionShares, wireEvents, wireLimits, wireQuota, wireRetries,
 } from './wiring/request-wiring.js';
 import {
 	wireOriginFinder, wireSoftwareHistory, wireSoftwareRecord, wireStreamOrigins, wireStreamRoutes, wireStreamRows,
@@ -121,7 +121,7 @@
 		transport: asFunction(({eventLoopLag}: EntryParts) => createUndiciTransport({
 			connectMs: connectTimeoutMs, connectionsPerPool: maxConnectionsPerEndpoint, eventLoopLag,
 		})).singleton(),
-		budgetOf: asFunction(wireBudgets).singleton(),
+		retries: asFunction(wireRetries).singleton(),
 		events: asFunction(wireEvents).singleton(),
 		metrics: asFunction(() => createDaemonMetrics()).singleton(),
 		logLineBudget: asFunction(() => createLineBudget({perSecond: logLinesPerSecond})).singleton(),
@@ -158,7 +158,7 @@
 			eventLoopLag: parts.eventLoopLag,
 			isClosed: () => parts.state.isClosed,
 			servesUntil: () => parts.state.servesUntil,
-			budgetOf: parts.budgetOf,
+			budgetOf: parts.retries.budgetOf,
 			random: Math.random,
 			events: parts.events,
 		})).singleton(),
--- a/packages/entry/src/lib/wiring/parts.ts
+++ b/packages/entry/src/lib/wiring/parts.ts
@@ -21,7 +21,7 @@
 import {type CrashWatch, type Quarantine, type RefusalRows} from 'hickorywalk/quarantine.js';
 import {type FleetQuota} from 'hickorywalk/quotas.js';
 import {type UnprovenVersions} from 'hickorywalk/releases.js';
-import {type AttemptBudget, type createHealthTracker} from 'hickorywalk/routing.js';
+import {type createHealthTracker} from 'hickorywalk/routing.js';
 import {type EventLoopLag, type PeriodicTask} from 'hickorywalk/time.js';
 import {type OriginFinder, type SoftwareHistory, type StreamOrigins} from 'hickorywalk/streams.js';
 import {
@@ -30,6 +30,7 @@
 import {type DaemonMetrics} from '../daemon-metrics.js';
 import {type Timings} from '../timings.js';
 import {type ServerLimiters} from './connection-wiring.js';
+import {type Retries} from './request-wiring.js';
 import {type StreamRoutes} from './stream-wiring.js';
 
 /** Shutdown state of the daemon. */
@@ -101,7 +102,7 @@
 	rolloutTimer: DutyTimer;
 	namingRecord: NamingRecord;
 	transport: ReturnType<typeof createUndiciTransport>;
-	budgetOf: (service: string) => AttemptBudget;
+	retries: Retries;
 	events: ForwardingEvents;
 	metrics: DaemonMetrics;
 	logLineBudget: LineBudget;
--- a/packages/entry/src/lib/wiring/request-wiring.ts
+++ b/packages/entry/src/lib/wiring/request-wiring.ts
@@ -102,10 +102,23 @@
 	view, loadTracker, health, presence, versions, weightsDeadlines, limits, backoff, brittle, paths, releases, choose: choice.choose, random: Math.random, log,
 });
 
-/** Returns a function that looks up the retry budget of a service. */
-export function wireBudgets(parts: EntryParts): (service: string) => AttemptBudget {
+/** Retry budgets of all services. */
+export type Retries = {
+	/** The budget of a service. */
+	budgetOf: (service: string) => AttemptBudget;
+	/** This daemon's part of the fixed number of retries. */
+	part: () => number;
+	/** Daemons among which that number is divided. */
+	partHolders: () => number;
+	/** Retries in the current window, by service. */
+	inWindow: () => ReadonlyArray<[service: string, count: number]>;
+};
+
+/** Creates the retry budgets. */
+export function wireRetries(parts: EntryParts): Retries {
+	const {settings, log, metrics, logLineBudget} = parts;
 	const budgets = new Map<string, AttemptBudget>();
-	const {isFirstStart, retries: {share, extra, windowMs}} = parts.settings;
+	const {isFirstStart, retries: {share, extra, windowMs}} = settings;
 	const openedAt = performance.now();
 
 	/**
@@ -117,16 +130,43 @@
 		return Math.floor(extra * retryBudgetRatio * knownShare / countDaemons(parts));
 	};
 
-	return service => {
-		let budget = budgets.get(service);
-		if (budget === undefined) {
-			budget = createRetryBudget({
-				share: share * retryBudgetRatio, minimum: ownAllowance, isMinimumAdded: true, windowMs,
+	const logRefusal = (service: string, {first, further}: ReturnType<AttemptBudget['counts']>): void => {
+		if (logLineBudget.take('retry refused')) {
+			log.info('Retry budget is spent.', {
+				service, requests: first, repeats: further, own: ownAllowance(), count: countDaemons(parts),
 			});
-			budgets.set(service, budget);
 		}
+	};
+
+	/** The budget, with its decisions in logs and metrics. */
+	const observed = (service: string, budget: AttemptBudget): AttemptBudget => ({
+		...budget,
+		withdraw() {
+			const isGranted = budget.withdraw();
+			metrics.retryDecided(service, isGranted);
+			if (!isGranted) {
+				logRefusal(service, budget.counts());
+			}
+
+			return isGranted;
+		},
+	});
 
-		return budget;
+	return {
+		budgetOf(service) {
+			let budget = budgets.get(service);
+			if (budget === undefined) {
+				budget = observed(service, createRetryBudget({
+					share: share * retryBudgetRatio, minimum: ownAllowance, isMinimumAdded: true, windowMs,
+				}));
+				budgets.set(service, budget);
+			}
+
+			return budget;
+		},
+		part: ownAllowance,
+		partHolders: () => countDaemons(parts),
+		inWindow: () => [...budgets].map(([service, budget]) => [service, budget.counts().further]),
 	};
 }
 
--- a/packages/entry/src/test/metrics.test.ts
+++ b/packages/entry/src/test/metrics.test.ts
@@ -25,6 +25,7 @@
 			requestsInFlight: () => 3, livePeers: () => 8, lostPaths: () => 2, bufferedBytes: () => 0, bufferAborts: () => 0,
 			requestHeapBytes: () => 0, requestHeapLimitBytes: () => 1, memoryLimitBytes: () => 1, heapHeldBytes: () => 1,
 			waitingConnections: () => 0, waiting: () => [{service: 'engines', rank: 2, count: 5}],
+			retriesInWindow: () => [['desk', 4]], retryPart: () => 6, retryPartHolders: () => 7,
 			enginesWaiting: () => 28, enginesChanging: () => 14, uncaughtExceptions: () => 1, documentVersion: () => 7, tableAgesMs: () => ({operator: 400}),
 		});
 		metrics.requestEnded({
@@ -32,6 +33,8 @@
 			status: 200, attempts: 1, ms: 40, firstMs: 30, sentMs: 1, writtenMs: 3, lagMs: 900, catchUps: 1, waitedMs: 0, rank: 2, expectedMs: 20, leaveReason: 'slower',
 			weights: 2, weightsAgeMs: 5800, begunWeightsAgeMs: 6100, isLeaving: false, reason: 'answered',
 		});
+		metrics.retryDecided('desk', true);
+		metrics.retryDecided('desk', false);
 		const text = await metrics.text();
 		const page = readFileSync(new URL('../../../../docs/metrics.md', import.meta.url), 'utf8');
 		for (const [name, help] of Object.entries(metricHelp)) {
@@ -48,6 +51,11 @@
 		assert.include(text, 'hickorywalk_begun_weights_age_seconds_bucket{le="8",service="desk"} 1');
 		assert.include(text, 'hickorywalk_requests_left_data_centre_total{service="desk",reason="slower"} 1');
 		assert.include(text, 'hickorywalk_streams_resumed_total{service="desk",result="answered"} 1');
+		assert.include(text, 'hickorywalk_retries_total{service="desk",result="granted"} 1');
+		assert.include(text, 'hickorywalk_retries_total{service="desk",result="refused"} 1');
+		assert.include(text, 'hickorywalk_retries_in_window{service="desk"} 4');
+		assert.include(text, 'hickorywalk_retry_part 6');
+		assert.include(text, 'hickorywalk_retry_part_holders 7');
 		assert.include(text, 'hickorywalk_peers_heard 8');
 		assert.include(text, 'hickorywalk_paths_lost 2');
 		assert.include(text, 'hickorywalk_engines_waiting 28');
--- a/packages/entry/src/test/retry-budgets.test.ts
+++ b/packages/entry/src/test/retry-budgets.test.ts
@@ -2,7 +2,7 @@
 import {assert} from 'chai';
 import fc from 'fast-check';
 import {type AttemptBudget} from 'hickorywalk/routing.js';
-import {wireBudgets} from '../lib/wiring/request-wiring.js';
+import {wireRetries} from '../lib/wiring/request-wiring.js';
 
 const windowMs = 10_000;
 const share = 0.2;
@@ -32,10 +32,12 @@
 		clock.uninstall();
 	});
 
-	const openBudget = (isFirstStart: boolean): AttemptBudget => wireBudgets({
+	const openBudget = (isFirstStart: boolean): AttemptBudget => wireRetries({
 		settings: {isFirstStart, retries: {share, windowMs, extra}},
 		peers: {known: () => new Map(Array.from({length: daemons - 1}, (_item, index) => [`d${index}`, {}]))},
-	} as unknown as Parameters<typeof wireBudgets>[0])('engines');
+		metrics: {retryDecided: () => undefined},
+		logLineBudget: {take: () => false},
+	} as unknown as Parameters<typeof wireRetries>[0]).budgetOf('engines');
 
 	/** Simulates daemons that retry as often as their budgets allow; returns requests and retries of each step. */
 	const simulate = (schedule: Schedule): {requests: number[]; retries: number[]} => {
--- a/packages/router/src/lib/observability/log.ts
+++ b/packages/router/src/lib/observability/log.ts
@@ -67,6 +67,9 @@
 	'units',
 	'level',
 	'own',
+	/** Requests and repeats of a service that a daemon counts against its retry budget. */
+	'requests',
+	'repeats',
 	'order',
 	/** Software version of an endpoint, and id of the caller's earlier attempt whose stream a request resumes. */
 	'software',
