Repeats are counted over the rule's window, at the time they are sent

Callers' requests were repeated beyond the bound of the fleet: bursts slightly less than a window apart got the whole allowance twice, 108 repeats in a window that allows 81 (six real daemons, arrivals counted at the endpoints).

Cause: ten slices, cleared as a whole, remember a repeat for 9 to 10 s only; requests were counted over another span than the rule's; and a repeat was counted when it was granted, although it may be sent seconds later, after a wait or a stop of the process.

Now a daemon checks each window that ends now: its repeats may be at most half the share of its requests of that window and the one before, plus its part of the fixed number. That adds up to the bound over all daemons, whatever they know of each other, and amounts to the whole share while traffic is steady. A granted repeat stays reserved until it is written to a connection and counts from then on; one that isn't sent is given back.

--- a/packages/entry/src/lib/wiring/request-wiring.ts
+++ b/packages/entry/src/lib/wiring/request-wiring.ts
@@ -6,11 +6,11 @@
 	createConnectionShares, createEndpointBackoff, createEndpointChoice, createEndpointLimits, type EndpointBackoff, type EndpointLimits,
 } from 'hickorywalk/placing.js';
 import {createFleetQuota, type FleetQuota} from 'hickorywalk/quotas.js';
-import {type AttemptBudget, createRetryBudget} from 'hickorywalk/routing.js';
+import {createRetryWindow, type RetryWindow} from 'hickorywalk/retries.js';
 import {maxLagMs} from 'hickorywalk/time.js';
 import {type EntryParts} from './parts.js';
 
-/** Fraction of the platform's retry budget that is used; the rest is a safety margin. */
+/** Fraction of the fixed number of retries that is used; the rest is a safety margin. */
 const retryBudgetRatio = 0.7;
 
 /** Fraction of the tolerated excess over a quota with which a restarted fleet starts. */
@@ -105,7 +105,7 @@
 /** Retry budgets of all services. */
 export type Retries = {
 	/** The budget of a service. */
-	budgetOf: (service: string) => AttemptBudget;
+	budgetOf: (service: string) => RetryWindow;
 	/** This daemon's part of the fixed number of retries. */
 	part: () => number;
 	/** Daemons among which that number is divided. */
@@ -116,8 +116,8 @@
 
 /** Creates the retry budgets. */
 export function wireRetries(parts: EntryParts): Retries {
-	const {settings, log, metrics, logLineBudget} = parts;
-	const budgets = new Map<string, AttemptBudget>();
+	const {settings, clock, log, metrics, logLineBudget} = parts;
+	const budgets = new Map<string, RetryWindow>();
 	const {isFirstStart, retries: {share, extra, windowMs}} = settings;
 	const openedAt = performance.now();
 
@@ -130,25 +130,25 @@
 		return Math.floor(extra * retryBudgetRatio * knownShare / countDaemons(parts));
 	};
 
-	const logRefusal = (service: string, {first, further}: ReturnType<AttemptBudget['counts']>): void => {
+	const logRefusal = (service: string, {requests, repeats}: ReturnType<RetryWindow['counts']>): void => {
 		if (logLineBudget.take('retry refused')) {
 			log.info('Retry budget is spent.', {
-				service, requests: first, repeats: further, own: ownAllowance(), count: countDaemons(parts),
+				service, requests, repeats, own: ownAllowance(), count: countDaemons(parts),
 			});
 		}
 	};
 
 	/** The budget, with its decisions in logs and metrics. */
-	const observed = (service: string, budget: AttemptBudget): AttemptBudget => ({
+	const observed = (service: string, budget: RetryWindow): RetryWindow => ({
 		...budget,
-		withdraw() {
-			const isGranted = budget.withdraw();
-			metrics.retryDecided(service, isGranted);
-			if (!isGranted) {
+		reserve() {
+			const grant = budget.reserve();
+			metrics.retryDecided(service, grant !== undefined);
+			if (grant === undefined) {
 				logRefusal(service, budget.counts());
 			}
 
-			return isGranted;
+			return grant;
 		},
 	});
 
@@ -156,8 +156,8 @@
 		budgetOf(service) {
 			let budget = budgets.get(service);
 			if (budget === undefined) {
-				budget = observed(service, createRetryBudget({
-					share: share * retryBudgetRatio, minimum: ownAllowance, isMinimumAdded: true, windowMs,
+				budget = observed(service, createRetryWindow({
+					share, windowMs, part: ownAllowance, now: clock.now,
 				}));
 				budgets.set(service, budget);
 			}
@@ -166,7 +166,7 @@
 		},
 		part: ownAllowance,
 		partHolders: () => countDaemons(parts),
-		inWindow: () => [...budgets].map(([service, budget]) => [service, budget.counts().further]),
+		inWindow: () => [...budgets].map(([service, budget]) => [service, budget.counts().repeats]),
 	};
 }
 
--- a/packages/entry/src/test/retry-budgets.test.ts
+++ b/packages/entry/src/test/retry-budgets.test.ts
@@ -1,7 +1,7 @@
 import FakeTimers from '@sinonjs/fake-timers';
 import {assert} from 'chai';
 import fc from 'fast-check';
-import {type AttemptBudget} from 'hickorywalk/routing.js';
+import {type RetryWindow} from 'hickorywalk/retries.js';
 import {wireRetries} from '../lib/wiring/request-wiring.js';
 
 const windowMs = 10_000;
@@ -32,9 +32,10 @@
 		clock.uninstall();
 	});
 
-	const openBudget = (isFirstStart: boolean): AttemptBudget => wireRetries({
+	const openBudget = (isFirstStart: boolean): RetryWindow => wireRetries({
 		settings: {isFirstStart, retries: {share, windowMs, extra}},
 		peers: {known: () => new Map(Array.from({length: daemons - 1}, (_item, index) => [`d${index}`, {}]))},
+		clock: {now: () => performance.now()},
 		metrics: {retryDecided: () => undefined},
 		logLineBudget: {take: () => false},
 	} as unknown as Parameters<typeof wireRetries>[0]).budgetOf('engines');
@@ -53,7 +54,7 @@
 					}
 
 					for (let index = 0; index < count; index++) {
-						budgets[daemon].deposit();
+						budgets[daemon].recordRequest(0);
 					}
 
 					requests[step] += count;
@@ -65,7 +66,7 @@
 			}
 
 			for (const budget of budgets) {
-				while (budget.withdraw()) {
+				while (budget.reserve()?.use() === true) {
 					retries[step]++;
 				}
 			}
--- a/packages/router/src/lib/forwarding/attempt-moves.ts
+++ b/packages/router/src/lib/forwarding/attempt-moves.ts
@@ -10,7 +10,7 @@
 
 /** Options of {@link createAttemptMoves}. */
 export type AttemptMovesOptions = {
-	/** Whether another endpoint may get the request; withdraws from the retry budget. */
+	/** Whether another endpoint may get the request, which is then reserved in the retry budget. */
 	mayTryElsewhere: (call: Call) => boolean;
 	standingOf: (call: Call) => Standing;
 	/** Whether the request must not be sent to any endpoint now. */
--- a/packages/router/src/lib/forwarding/attempt.ts
+++ b/packages/router/src/lib/forwarding/attempt.ts
@@ -68,6 +68,8 @@
 	mayLeavePath: () => boolean;
 	/** `performance.now()` at which the request times out. */
 	deadlineAt: number;
+	/** Asked right before the request is handed to a connection. */
+	maySend: () => boolean;
 	/** Called when the request is handed to a connection. */
 	onWritten: () => void;
 	/** Called with the facts of a response head that belongs to this request. */
@@ -309,7 +311,7 @@
 	const exchange = options.send({
 		beforeSend() {
 			// In a long turn, connections come about before the timer of the deadline runs.
-			if (reply.isDisconnected() || isSettled || performance.now() >= options.deadlineAt) {
+			if (reply.isDisconnected() || isSettled || performance.now() >= options.deadlineAt || !options.maySend()) {
 				return false;
 			}
 
--- a/packages/router/src/lib/forwarding/call.ts
+++ b/packages/router/src/lib/forwarding/call.ts
@@ -7,6 +7,7 @@
 import {type AcceptedDocument} from '../fleet/fleet-view.js';
 import {type PromptNeed} from '../placing/choice-request.js';
 import {type Choice} from '../placing/endpoint-choice.js';
+import {type RetryGrant} from '../retries/retry-window.js';
 import {type StreamOrigin} from '../streams/stream-origin.js';
 import {type AttemptProgress, type BufferedResponse} from './attempt.js';
 import {type PathKind} from './attempt-path.js';
@@ -80,8 +81,9 @@
 	onBegun: (() => void) | undefined;
 	/** It was refused, its term has ended, and this daemon may send it once. */
 	isClaimed: boolean;
-	/** The retry budget has granted the next attempt. */
-	isRetryGranted: boolean;
+	/** Permission for the next attempt, if it repeats the request, and for the current one. */
+	nextGrant: RetryGrant | undefined;
+	grant: RetryGrant | undefined;
 	progress: AttemptProgress;
 	/** The endpoint of the latest attempt. */
 	choice: Choice | undefined;
@@ -131,7 +133,8 @@
 		place: undefined,
 		onBegun: undefined,
 		isClaimed: false,
-		isRetryGranted: false,
+		nextGrant: undefined,
+		grant: undefined,
 		progress: {firstAt: undefined, lastEventId: undefined, facts: undefined},
 		choice: undefined,
 		waitedMs: 0,
--- a/packages/router/src/lib/forwarding/forwarder.ts
+++ b/packages/router/src/lib/forwarding/forwarder.ts
@@ -11,8 +11,9 @@
 import {sharedPartKeys} from '../quarantine/prompt-part-keys.js';
 import {type Quarantine, type Standing} from '../quarantine/quarantine.js';
 import {digestRequest} from '../quarantine/request-digest.js';
+import {failureClasses} from '../orders/failure-classes.js';
 import {type FleetQuota} from '../quotas/fleet-quota.js';
-import {type AttemptBudget} from '../routing/attempt-budget.js';
+import {type RetryWindow} from '../retries/retry-window.js';
 import {type OriginFinder} from '../streams/origin-finder.js';
 import {type StreamOrigin, streamKey} from '../streams/stream-origin.js';
 import {type EventLoopLag, maxLagMs} from '../time/event-loop-lag.js';
@@ -30,7 +31,7 @@
 import {finishResponse, type RefusalResponse, sendRefusal} from './router-response.js';
 import {createEndpointSender, type EndpointSenderOptions} from './send-to-endpoint.js';
 import {
-	decideNext, reasonOf, refuseForCrashes, refuseForStop, refuseOverloaded, type Decision, type DecisionOptions, decideWithoutEndpoint,
+	decideNext, reasonOf, refuseForCrashes, refuseForStop, refuseOverloaded, type Decision, type DecisionOptions, decideWithoutEndpoint, decideWithoutRepeat,
 } from './retry-decision.js';
 
 /** Options of {@link createForwarder}. */
@@ -49,7 +50,7 @@
 	/** `performance.now()` until which the process serves; infinite while it isn't about to stop. */
 	servesUntil: () => number;
 	/** The retry budget of a service. */
-	budgetOf: (service: string) => AttemptBudget;
+	budgetOf: (service: string) => RetryWindow;
 	/** Returns a number in [0, 1). */
 	random: () => number;
 	events: ForwardingEvents;
@@ -122,14 +123,19 @@
 		}
 	};
 
-	/** Whether another endpoint may get the request; withdraws from the retry budget once per attempt. */
+	/** Whether the retry budget permits another attempt; reserves a repeat once per attempt. */
+	const isGranted = (call: Call): boolean => {
+		call.nextGrant ??= budgetOf(call.service).reserve();
+		return call.nextGrant !== undefined;
+	};
+
+	/** Whether another endpoint may get the request, which is then reserved in the retry budget. */
 	const mayTryElsewhere = (call: Call): boolean => {
 		if (call.attempts >= call.route.maxEndpoints || performance.now() >= call.deadlineAt || call.reply.isDisconnected() || !dispatchBound.allows(call)) {
 			return false;
 		}
 
-		call.isRetryGranted ||= budgetOf(call.service).withdraw();
-		return call.isRetryGranted;
+		return isGranted(call);
 	};
 
 	/** A request that was claimed when its term had ended is sent once, although it is refused again meanwhile. */
@@ -174,6 +180,10 @@
 				return refuseForStop(call);
 			}
 
+			if (call.attempts > 0 && !isGranted(call)) {
+				return decideWithoutRepeat(call, options.capacityWait);
+			}
+
 			// What may have run isn't held back: its response, or its failure, is due.
 			const {place} = call;
 			call.place = undefined;
@@ -201,10 +211,12 @@
 			call.choice = chosen;
 			call.excluded.add(chosen.endpoint.id);
 			call.attempts++;
-			call.isRetryGranted = false;
+			call.grant = call.nextGrant;
+			call.nextGrant = undefined;
 			call.onBegun = admitted.begun;
 			const end = await send(call, chosen);
 			admitted.ended();
+			settleGrant(call, end);
 			dispatchBound.recordAttempt(call.route.name, call.sentAt!);
 			markCompleted(call, end);
 
@@ -244,6 +256,7 @@
 			return await run(call, ticket);
 		} finally {
 			calls.delete(call);
+			call.nextGrant?.release();
 			ticket.leave();
 		}
 	};
@@ -365,7 +378,7 @@
 		call.isClaimed = dueKeys.length > 0;
 		reply.onClose(buffer.close);
 		buffer.add(body?.content.length ?? 0);
-		budgetOf(service).deposit();
+		budgetOf(service).recordRequest(performance.now() - readAt + lagMs);
 		const decision = await runRegistered(call);
 		const reason = finishResponse(headers, call, decision);
 		if (!call.mayHaveRun && (decision.kind === 'refuse' || call.sentAt === undefined)) {
@@ -435,6 +448,19 @@
 	};
 }
 
+/** Keeps the permission for an attempt that has reached nothing for the next one. */
+function settleGrant(call: Call, end: AttemptEnd): void {
+	const {grant} = call;
+	call.grant = undefined;
+	if (end.kind === 'failed' && failureClasses[end.failure].reach === 'nothing' && grant?.isReleased() === false) {
+		call.nextGrant ??= grant;
+	}
+
+	if (call.nextGrant !== grant) {
+		grant?.release();
+	}
+}
+
 /** What the endpoint choice needs to know of a request. */
 const choiceRequestOf = (call: Call): ChoiceRequest => ({
 	service: call.service, prompt: call.prompt, excluded: call.excluded, software: call.origin?.software, distance: distanceOf(call),
--- a/packages/router/src/lib/forwarding/retry-decision.ts
+++ b/packages/router/src/lib/forwarding/retry-decision.ts
@@ -26,7 +26,7 @@
 
 /** Options of {@link decideNext}. */
 export type DecisionOptions = {
-	/** Whether another endpoint may get the request; withdraws from the retry budget. */
+	/** Whether another endpoint may get the request, which is then reserved in the retry budget. */
 	mayTryElsewhere: (call: Call) => boolean;
 	standingOf: (call: Call) => Standing;
 	capacityWait: CapacityWait;
@@ -45,6 +45,11 @@
 	return call.mayHaveRun ? {kind: 'refuse', name: 'endpoint_failed'} : refuseNotRun(call, 'no_endpoint', capacityWait);
 }
 
+/** Decision for a request that could be tried again, but may not be. */
+export function decideWithoutRepeat(call: Call, capacityWait: CapacityWait): Decision {
+	return call.mayHaveRun ? {kind: 'refuse', name: 'endpoint_failed'} : refuseNotRun(call, 'endpoint_refused', capacityWait);
+}
+
 /** Decision for a request that would not be served in its time. */
 export const refuseOverloaded = ({mayHaveRun}: Call, retryAfterMs: number): Decision =>
 	mayHaveRun ? {kind: 'refuse', name: 'endpoint_failed'} : {kind: 'refuse', name: 'overloaded', retryAfterMs};
@@ -64,7 +69,7 @@
 		return {kind: 'next', reason: 'not_run'};
 	}
 
-	return call.mayHaveRun ? {kind: 'refuse', name: 'endpoint_failed'} : refuseNotRun(call, 'endpoint_refused', capacityWait);
+	return decideWithoutRepeat(call, capacityWait);
 }
 
 function afterConnectFailure(call: Call, failure: FailureClass, {capacityWait}: DecisionOptions): Decision {
--- a/packages/router/src/lib/forwarding/send-to-endpoint.ts
+++ b/packages/router/src/lib/forwarding/send-to-endpoint.ts
@@ -278,6 +278,7 @@
 			mayLeavePath: () => options.mayLeavePath(call),
 			deadlineAt: call.deadlineAt,
 			buffer: call.buffer,
+			maySend: () => call.grant?.use() ?? true,
 			onWritten() {
 				call.writtenAt = performance.now();
 			},
--- a/packages/router/src/lib/routing/attempt-budget.ts
+++ b/packages/router/src/lib/routing/attempt-budget.ts
@@ -23,8 +23,6 @@
 	deposit: () => void;
 	/** Claims one further attempt; false when the budget is exhausted. */
 	withdraw: () => boolean;
-	/** First attempts and further ones in the current window. */
-	counts: () => {first: number; further: number};
 };
 
 const sliceCount = 10;
@@ -73,10 +71,6 @@
 			extraAttempts[index]++;
 			return true;
 		},
-		counts() {
-			advance();
-			return {first: sum(firstAttempts), further: sum(extraAttempts)};
-		},
 	};
 };
 
--- /dev/null
+++ b/packages/router/src/retries.ts
@@ -0,0 +1,2 @@
+/** Limits repeats of requests over all daemons. */
+export * from './lib/retries/retry-window.js';
--- a/packages/router/src/test/forwarding/attempt.test.ts
+++ b/packages/router/src/test/forwarding/attempt.test.ts
@@ -60,7 +60,7 @@
 			},
 			headers: headers as CallHeaders, requestId: 'a', reply: reply as CallerReply, isStream: true,
 			progress: {firstAt: undefined, lastEventId: undefined, facts: undefined}, eventBatchMs: 60, headTimeoutMs: 1000, eventTimeoutMs: 800,
-			buffer: {add: () => undefined}, mayMoveAway: () => true, mayLeavePath: () => false, deadlineAt: performance.now() + 5000,
+			buffer: {add: () => undefined}, mayMoveAway: () => true, mayLeavePath: () => false, deadlineAt: performance.now() + 5000, maySend: () => true,
 			onWritten: () => undefined, onHead: () => undefined, onResponseStart: () => undefined, onEvents: () => undefined, onBytes: undefined, onPathWatched: () => undefined, onAbortable: () => undefined,
 			...more,
 		});
