The fixed number of repeats is divided by leases, not by the daemons that one has heard of

Callers' requests were repeated beyond the bound of the fleet while daemons started (206 repeats in a window that allows 95, six real daemons) and after a mass restart (94 of 81): each daemon divided the fixed number by the peers whose reports it had, itself alone at first, and a restarted process, or the peers of one that stopped, used again what had been used up in the same window.

Class: a bound on the sum over a fleet, divided by each member's own idea of the fleet.

Now a row of the store divides the units: each has one holder, and none until a window after its last holder may have used it. A daemon without a lease repeats only a share of its own requests. A fifth of the units is left for daemons that start; predecessors' units rest first; after a restore from an older copy nothing is given out until all earlier leases have ended. Large fleets use a row for each 64 units.

--- a/packages/entry/src/lib/entry-daemon.ts
+++ b/packages/entry/src/lib/entry-daemon.ts
@@ -51,8 +51,8 @@
 		waitingConnections: parts.turns.waiting,
 		waiting: parts.admission.waiting,
 		retriesInWindow: parts.retries.inWindow,
-		retryPart: parts.retries.part,
-		retryPartHolders: parts.retries.partHolders,
+		retryPart: parts.retryPart.units,
+		retryPartHolders: parts.retryPart.holders,
 		enginesWaiting: () => parts.weightsRollout.counts().waiting,
 		enginesChanging: () => parts.weightsRollout.counts().changing,
 		uncaughtExceptions,
@@ -70,6 +70,7 @@
 	await parts.peers.start();
 	parts.fleetKey.refresh();
 	parts.directory.start();
+	parts.retryPart.start();
 	parts.refusalRows.start();
 	parts.softwareRecord.start();
 	parts.streamRows.start();
--- a/packages/entry/src/lib/entry-parts.ts
+++ b/packages/entry/src/lib/entry-parts.ts
@@ -33,7 +33,7 @@
 } from './wiring/memory-wiring.js';
 import {wireConnectionTurns, wireServerLimiters} from './wiring/connection-wiring.js';
 import {
-	wireAdmission, wireBackoff, wireBrittle, wireCapacityWait, wireChoice, wireConnectionShares, wireEvents, wireLimits, wireQuota, wireRetries,
+	wireAdmission, wireBackoff, wireBrittle, wireCapacityWait, wireChoice, wireConnectionShares, wireEvents, wireLimits, wireQuota, wireRetries, wireRetryPart,
 } from './wiring/request-wiring.js';
 import {
 	wireOriginFinder, wireSoftwareHistory, wireSoftwareRecord, wireStreamOrigins, wireStreamRoutes, wireStreamRows,
@@ -122,6 +122,7 @@
 			connectMs: connectTimeoutMs, connectionsPerPool: maxConnectionsPerEndpoint, eventLoopLag,
 		})).singleton(),
 		retries: asFunction(wireRetries).singleton(),
+		retryPart: asFunction(wireRetryPart).singleton(),
 		events: asFunction(wireEvents).singleton(),
 		metrics: asFunction(() => createDaemonMetrics()).singleton(),
 		logLineBudget: asFunction(() => createLineBudget({perSecond: logLinesPerSecond})).singleton(),
--- a/packages/entry/src/lib/stop-daemon.ts
+++ b/packages/entry/src/lib/stop-daemon.ts
@@ -41,7 +41,7 @@
 	state.isClosed = true;
 	const closed = [server.close(), parts.relayServer.close()];
 	await within(state.servesUntil - performance.now(), closed);
-	await within(stopReserveMs * leaveRatio, [released, parts.peers.leave(), parts.directory.leave()]);
+	await within(stopReserveMs * leaveRatio, [released, parts.peers.leave(), parts.directory.leave(), parts.retryPart.leave()]);
 	const cut = parts.forwarder.endCalls();
 	for (const {requestId, service, ms} of cut.slice(0, maxCutLines)) {
 		log.warn('Request was cut at the end of the stop timeout.', {requestId, service, ms});
--- a/packages/entry/src/lib/wiring/parts.ts
+++ b/packages/entry/src/lib/wiring/parts.ts
@@ -21,6 +21,7 @@
 import {type CrashWatch, type Quarantine, type RefusalRows} from 'hickorywalk/quarantine.js';
 import {type FleetQuota} from 'hickorywalk/quotas.js';
 import {type UnprovenVersions} from 'hickorywalk/releases.js';
+import {type RetryPartHolder} from 'hickorywalk/retries.js';
 import {type createHealthTracker} from 'hickorywalk/routing.js';
 import {type EventLoopLag, type PeriodicTask} from 'hickorywalk/time.js';
 import {type OriginFinder, type SoftwareHistory, type StreamOrigins} from 'hickorywalk/streams.js';
@@ -103,6 +104,7 @@
 	namingRecord: NamingRecord;
 	transport: ReturnType<typeof createUndiciTransport>;
 	retries: Retries;
+	retryPart: RetryPartHolder;
 	events: ForwardingEvents;
 	metrics: DaemonMetrics;
 	logLineBudget: LineBudget;
--- a/packages/entry/src/lib/wiring/request-wiring.ts
+++ b/packages/entry/src/lib/wiring/request-wiring.ts
@@ -6,13 +6,12 @@
 	createConnectionShares, createEndpointBackoff, createEndpointChoice, createEndpointLimits, type EndpointBackoff, type EndpointLimits,
 } from 'hickorywalk/placing.js';
 import {createFleetQuota, type FleetQuota} from 'hickorywalk/quotas.js';
-import {createRetryWindow, type RetryWindow} from 'hickorywalk/retries.js';
+import {
+	createRetryPartHolder, createRetryWindow, type RetryPartHolder, type RetryWindow,
+} from 'hickorywalk/retries.js';
 import {maxLagMs} from 'hickorywalk/time.js';
 import {type EntryParts} from './parts.js';
 
-/** Fraction of the fixed number of retries that is used; the rest is a safety margin. */
-const retryBudgetRatio = 0.7;
-
 /** Fraction of the tolerated excess over a quota with which a restarted fleet starts. */
 const initialExcessRatio = 0.5;
 
@@ -106,34 +105,19 @@
 export type Retries = {
 	/** The budget of a service. */
 	budgetOf: (service: string) => RetryWindow;
-	/** This daemon's part of the fixed number of retries. */
-	part: () => number;
-	/** Daemons among which that number is divided. */
-	partHolders: () => number;
 	/** Retries in the current window, by service. */
 	inWindow: () => ReadonlyArray<[service: string, count: number]>;
 };
 
 /** Creates the retry budgets. */
-export function wireRetries(parts: EntryParts): Retries {
-	const {settings, clock, log, metrics, logLineBudget} = parts;
+export function wireRetries({settings, clock, retryPart, log, metrics, logLineBudget}: EntryParts): Retries {
 	const budgets = new Map<string, RetryWindow>();
-	const {isFirstStart, retries: {share, extra, windowMs}} = settings;
-	const openedAt = performance.now();
-
-	/**
-	 * This daemon's part of the fixed allowance. A restarted process doesn't know what its
-	 * predecessor spent, so its part grows from zero over one window.
-	 */
-	const ownAllowance = (): number => {
-		const knownShare = isFirstStart ? 1 : Math.min(1, (performance.now() - openedAt) / windowMs);
-		return Math.floor(extra * retryBudgetRatio * knownShare / countDaemons(parts));
-	};
+	const {share, windowMs} = settings.retries;
 
 	const logRefusal = (service: string, {requests, repeats}: ReturnType<RetryWindow['counts']>): void => {
 		if (logLineBudget.take('retry refused')) {
 			log.info('Retry budget is spent.', {
-				service, requests, repeats, own: ownAllowance(), count: countDaemons(parts),
+				service, requests, repeats, own: retryPart.units(), count: retryPart.holders(),
 			});
 		}
 	};
@@ -157,19 +141,30 @@
 			let budget = budgets.get(service);
 			if (budget === undefined) {
 				budget = observed(service, createRetryWindow({
-					share, windowMs, part: ownAllowance, now: clock.now,
+					share, windowMs, part: retryPart.units, now: clock.now,
 				}));
 				budgets.set(service, budget);
 			}
 
 			return budget;
 		},
-		part: ownAllowance,
-		partHolders: () => countDaemons(parts),
 		inWindow: () => [...budgets].map(([service, budget]) => [service, budget.counts().repeats]),
 	};
 }
 
+/** Creates the holder of this daemon's part of the retries that all daemons share. */
+export const wireRetryPart = ({settings, incarnation, ownTable, store, log}: EntryParts): RetryPartHolder => createRetryPartHolder({
+	name: settings.name,
+	incarnation,
+	total: settings.retries.extra,
+	windowMs: settings.retries.windowMs,
+	isFirstStart: settings.isFirstStart,
+	table: ownTable,
+	tableMs: store.clockMs,
+	random: Math.random,
+	log,
+});
+
 /** Logs requests and records their metrics. */
 export function wireEvents({
 	view, versions, log, metrics, logLineBudget,
