--- a/packages/router/src/lib/retries/retry-part-row.ts
+++ b/packages/router/src/lib/retries/retry-part-row.ts
@@ -63,7 +63,7 @@
 };
 
 /** Part of the units that is divided; the rest is left for daemons that start. */
-const dividedRatio = 0.8;
+const dividedRatio = 0.85;
 
 /** The first part of a daemon, as a share of all units: how many others are starting isn't known yet. */
 const firstRatio = 1 / 16;
