Daemons that run but aren't heard count where quotas and rate limits are divided

Six daemons whose datagrams don't reach each other admitted 72,000 units of a workspace in 8 s, where its quota allows 13,200 beside the fixed tolerance, and sent an endpoint 117 requests in 4 s, where its limit allows 35: the same cause as with repeats, a sum over the fleet that each member divides by the members it has heard.

The leases of retry parts tell who runs, whether or not reports arrive.

--- a/packages/entry/src/lib/wiring/peer-wiring.ts
+++ b/packages/entry/src/lib/wiring/peer-wiring.ts
@@ -25,6 +25,7 @@
 		if (report.isLeaving) {
 			quota.removePeer(report.daemon);
 			loadTracker.removePeer(report.daemon);
+			parts.retryPart.forget(report.daemon);
 			return;
 		}
 
--- a/packages/entry/src/lib/wiring/request-wiring.ts
+++ b/packages/entry/src/lib/wiring/request-wiring.ts
@@ -21,8 +21,28 @@
 /** Prompt parts in one log line. */
 const maxLoggedParts = 8;
 
-/** Known daemons, including this one. */
-const countDaemons = (parts: EntryParts): number => parts.peers.known().size + 1;
+/** Time in milliseconds by which a report may be older than a renewal that its sender made before. */
+const reportDelayMs = 1000;
+
+/** Daemons that run by what they write to the store, but whose reports don't arrive. */
+function unheardDaemons({peers, retryPart}: EntryParts): string[] {
+	const known = peers.known();
+	const now = performance.now();
+	return retryPart.others().filter(({name, renewedMsAgo}) => {
+		const heardAt = known.get(name)?.heardAt;
+		return heardAt === undefined || now - heardAt > renewedMsAgo + reportDelayMs;
+	}).map(({name}) => name);
+}
+
+/** Of a large fleet, this daemon knows those that share a row with it. */
+const countUnheard = (parts: EntryParts): number => unheardDaemons(parts).length * parts.retryPart.rowCount;
+
+/** Known daemons, including this one and those that are not heard. */
+const countDaemons = (parts: EntryParts): number => {
+	const known = parts.peers.known();
+	const forgotten = unheardDaemons(parts).filter(name => !known.has(name)).length;
+	return known.size + (forgotten * parts.retryPart.rowCount) + 1;
+};
 
 /** Creates the fleet-wide quota. */
 export function wireQuota(parts: EntryParts): FleetQuota {
@@ -41,21 +61,25 @@
 		},
 		startUnits: settings.quota.extraUnits * initialExcessRatio,
 		daemons: () => countDaemons(parts),
+		unheard: () => countUnheard(parts),
 		silenceMs,
 		goneMs: () => silenceMs() + timings.minPeerGoneMs - timings.minPeerSilenceMs,
 	});
 }
 
 /** Creates the limits of endpoints. */
-export const wireLimits = ({settings, peers, view, log}: EntryParts): EndpointLimits => createEndpointLimits({
-	name: settings.name,
-	peers: () => peers.live().map(({report}) => report.daemon),
-	isListed: (id, startedAt) => view.endpoint(id)?.startedAt === startedAt,
-	onUpdate() {
-		peers.sendSoonTo('all');
-	},
-	log,
-});
+export function wireLimits(parts: EntryParts): EndpointLimits {
+	const {settings, peers, view, log} = parts;
+	return createEndpointLimits({
+		name: settings.name,
+		peers: () => [...new Set([...peers.live().map(({report}) => report.daemon), ...unheardDaemons(parts)])],
+		isListed: (id, startedAt) => view.endpoint(id)?.startedAt === startedAt,
+		onUpdate() {
+			peers.sendSoonTo('all');
+		},
+		log,
+	});
+}
 
 /** Creates the protection of brittle endpoints. */
 export const wireBrittle = ({peers, log}: EntryParts): BrittleEndpoints => createBrittleEndpoints({
--- a/packages/router/src/lib/quotas/bucket.ts
+++ b/packages/router/src/lib/quotas/bucket.ts
@@ -46,6 +46,8 @@
 export type BucketFleet = {
 	/** Number of known daemons, including this one. */
 	daemons: () => number;
+	/** Number of daemons among them whose reports don't arrive at all, so that their use is unknown; 0 by default. */
+	unheard?: () => number;
 	/** Silence after which a peer is assumed to keep admitting although its reports don't arrive. */
 	silenceMs: () => number;
 	/** Silence after which a peer is assumed to have stopped. */
@@ -79,9 +81,15 @@
 
 export const msPerSecond = 1000;
 
+const isAnyUnheard = (fleet: BucketFleet): boolean => (fleet.unheard?.() ?? 0) > 0;
+
 /** This daemon's share of the bucket, between 0 and 1. */
 function shareOf(bucket: Bucket, fleet: BucketFleet): number {
 	const daemons = Math.max(1, fleet.daemons());
+	if (isAnyUnheard(fleet)) {
+		return 1 / daemons;
+	}
+
 	const even = evenShareRatio * bucket.rate / daemons;
 	const all = bucket.reportedDemand + peersDemand(bucket) + (even * daemons);
 	return all <= 0 ? 1 / daemons : (bucket.reportedDemand + even) / all;
@@ -156,6 +164,11 @@
 
 /** Whether a request of this many units is admitted. */
 export function mayAdmit(bucket: Bucket, fleet: BucketFleet, units: number): boolean {
+	if (isAnyUnheard(fleet)) {
+		// The level doesn't tell what they have admitted.
+		return bucket.level > 0 && bucket.localLevel >= Math.min(units, bucket.burst) * minAvailableRatio;
+	}
+
 	if (bucket.level - units >= bucket.burst * lowLevelRatio) {
 		return true;
 	}
--- a/packages/router/src/lib/retries/retry-part-holder.ts
+++ b/packages/router/src/lib/retries/retry-part-holder.ts
@@ -39,6 +39,15 @@
 	units: () => number;
 	/** Daemons among which the row divided its units when the part was renewed; 0 before. */
 	holders: () => number;
+	/**
+	 * Other daemons that hold a part of the same row, as it was when this one's was renewed, with the milliseconds since they have
+	 * renewed theirs: they run, whether or not their reports arrive.
+	 */
+	others: () => Array<{name: string; renewedMsAgo: number}>;
+	/** Number of rows, over which the daemons are spread. */
+	rowCount: number;
+	/** Another daemon has stopped, so that its part is no sign of it any more. */
+	forget: (name: string) => void;
 	start: () => void;
 	/** Returns the part, for a planned stop. Never rejects. */
 	leave: () => Promise<void>;
@@ -88,6 +97,8 @@
 	const restMs = options.windowMs + latenessMs;
 	let part: Part | undefined;
 	let holders = 0;
+	/** When other holders' parts end, on the table's clock. */
+	let otherEnds = new Map<string, number>();
 	let hasLeft = false;
 	let timer: NodeJS.Timeout | undefined;
 	let isRenewing = false;
@@ -178,6 +189,7 @@
 
 					part = next;
 					({holders} = renewal);
+					otherEnds = new Map(renewal.row.holders.filter(holder => holder.name !== name).map(holder => [holder.name, holder.until]));
 					isLapseLogged = false;
 					growsInMs = renewal.growsAt === undefined ? undefined : Math.max(0, renewal.growsAt - now);
 				},
@@ -221,6 +233,14 @@
 			return heldUnits();
 		},
 		holders: () => holders,
+		others() {
+			const now = options.tableMs() ?? Number.POSITIVE_INFINITY;
+			return [...otherEnds].filter(([, until]) => until > now).map(([other, until]) => ({name: other, renewedMsAgo: now + leaseMs - until}));
+		},
+		rowCount: rowUnits.length,
+		forget(other) {
+			otherEnds.delete(other);
+		},
 		start() {
 			if (rowUnits[rowIndex] > 0) {
 				void renew();
