Further attempts of a process are remembered for a whole window

The gateway's retry and hedge budgets cleared slices as a whole, so that what they grant in a window could be spent again after 9 of its 10 s: the cause of the fleet's repeats beyond their bound, here within one process.

--- a/packages/router/src/lib/routing/attempt-budget.ts
+++ b/packages/router/src/lib/routing/attempt-budget.ts
@@ -27,30 +27,33 @@
 
 const sliceCount = 10;
 
+/** Further attempts are kept for one slice more, since the oldest and the current one are only partly within a window. */
+const keptSlices = sliceCount + 1;
+
 /** Creates a budget over a sliding window of ten slices, on the monotonic clock. */
 const createAttemptBudget = ({share, minimum, windowMs, isMinimumAdded = false}: AttemptBudgetOptions): AttemptBudget => {
-	const firstAttempts = new Float64Array(sliceCount);
-	const extraAttempts = new Float64Array(sliceCount);
+	const firstAttempts = new Float64Array(keptSlices);
+	const extraAttempts = new Float64Array(keptSlices);
 	const sliceMs = windowMs / sliceCount;
 	const currentMinimum = typeof minimum === 'number' ? () => minimum : minimum;
 	let slice = Math.floor(performance.now() / sliceMs);
 
-	/** Clears the slices that have left the window and returns the index of the current one. */
+	/** Clears the slices that are no longer kept and returns the index of the current one. */
 	const advance = (): number => {
 		const current = Math.floor(performance.now() / sliceMs);
-		for (let passed = Math.max(slice + 1, current - sliceCount + 1); passed <= current; passed++) {
-			firstAttempts[passed % sliceCount] = 0;
-			extraAttempts[passed % sliceCount] = 0;
+		for (let passed = Math.max(slice + 1, current - keptSlices + 1); passed <= current; passed++) {
+			firstAttempts[passed % keptSlices] = 0;
+			extraAttempts[passed % keptSlices] = 0;
 		}
 
 		slice = Math.max(slice, current);
-		return slice % sliceCount;
+		return slice % keptSlices;
 	};
 
-	const sum = (values: Float64Array): number => {
+	const sum = (values: Float64Array, slices: number): number => {
 		let total = 0;
-		for (const value of values) {
-			total += value;
+		for (let passed = Math.max(0, slice - slices + 1); passed <= slice; passed++) {
+			total += values[passed % keptSlices];
 		}
 
 		return total;
@@ -63,8 +66,8 @@
 		},
 		withdraw() {
 			const index = advance();
-			const allowedByShare = sum(firstAttempts) * share;
-			if (sum(extraAttempts) + 1 > (isMinimumAdded ? currentMinimum() + allowedByShare : Math.max(currentMinimum(), allowedByShare))) {
+			const allowedByShare = sum(firstAttempts, sliceCount) * share;
+			if (sum(extraAttempts, keptSlices) + 1 > (isMinimumAdded ? currentMinimum() + allowedByShare : Math.max(currentMinimum(), allowedByShare))) {
 				return false;
 			}
 
--- a/packages/router/src/test/routing/attempt-budget.test.ts
+++ b/packages/router/src/test/routing/attempt-budget.test.ts
@@ -35,6 +35,17 @@
 		assert.equal(spend(budget), 4);
 	});
 
+	it('remembers further attempts for a whole window, wherever its slices begin', () => {
+		// Guards against a budget that is spent twice within a window.
+		const budget = createRetryBudget({minimum: 3});
+		clock.tick(990);
+		assert.equal(spend(budget), 3);
+		clock.tick(9990);
+		assert.equal(spend(budget), 0);
+		clock.tick(1020);
+		assert.equal(spend(budget), 3);
+	});
+
 	it('calls the function for the minimum at each withdrawal, as it grows with the uptime of a restarted process', () => {
 		let minimum = 0;
 		const budget = createRetryBudget({share: 0.2, minimum: () => minimum, isMinimumAdded: true});
