Times in the row of retry parts are bounded by the clock that reads them

After a restore, the store's clock may be behind the one that wrote the row, or a row may hold anything: units would have stayed without a holder for as long. No lease, rest or settling can end later than one that begins now.

--- a/packages/router/src/lib/retries/retry-part-row.ts
+++ b/packages/router/src/lib/retries/retry-part-row.ts
@@ -83,16 +83,18 @@
 		};
 	}
 
-	const others = row.holders.filter(({name, until}) => name !== claim.name && until + restMs > now);
-	const predecessors = row.holders.filter(({name, incarnation, until}) => name === claim.name && incarnation !== claim.incarnation && until + restMs > now);
+	// Later times can't have been written by this clock; a table that comes back may have another.
+	const holders = row.holders.map(holder => ({...holder, until: Math.min(holder.until, latest + leaseMs)})).filter(({until}) => until + restMs > now);
+	const returned = row.returned.map(({units, at}) => ({units, at: Math.min(at, latest + restMs)}));
+	const predecessors = holders.filter(({name, incarnation}) => name === claim.name && incarnation !== claim.incarnation);
 	return {
 		generation,
-		settledAt: row.generation === generation ? row.settledAt : unsettledUntil,
-		holders: others,
+		settledAt: row.generation === generation ? Math.min(row.settledAt, unsettledUntil) : unsettledUntil,
+		holders: holders.filter(({name}) => name !== claim.name),
 		returned: [
-			...row.returned.filter(({at}) => at > now),
+			...returned,
 			...predecessors.map(({units, until}) => ({units, at: Math.min(until, latest) + restMs})),
-		].filter(({units}) => units > 0),
+		].filter(({units, at}) => units > 0 && at > now),
 	};
 }
 
--- a/packages/router/src/test/retries/retry-part-row.test.ts
+++ b/packages/router/src/test/retries/retry-part-row.test.ts
@@ -62,6 +62,18 @@
 		assert.equal(renewPart(restored.row, claimOf('vm-1', 200, {generation: 2, held: 20})).units, 20);
 	});
 
+	it('frees what was written by another clock no later than by its own', () => {
+		// Guards against units that are lost for as long as the clock of a restored table is behind.
+		const row: PartRow = {
+			generation: 1, settledAt: 9e12, holders: [{
+				name: 'vm-9', incarnation: 1, units: 30, until: 9e12,
+			}], returned: [{units: 34, at: 9e12}],
+		};
+		const restored = renewPart(row, claimOf('vm-1', 0, {generation: 2})).row;
+		assert.deepInclude(restored, {settledAt: leaseMs + restMs, returned: [{units: 34, at: restMs}]});
+		assert.equal(renewPart(restored, claimOf('vm-2', leaseMs + restMs, {held: 64, generation: 2})).units, 54);
+	});
+
 	it('never counts more units than there are, whatever is renewed or returned', () => {
 		let row: PartRow | undefined;
 		for (let now = 0; now < 300_000; now += 5000) {
