Daemons that don't hear each other divide the room at brittle endpoints

Three daemons without a path to each other had brittle endpoints turn away 7 and 10 requests in a second, where they bear 3: each took itself for the gatekeeper, with all the room and all the rejections. Nothing changes while reports arrive.

--- a/packages/entry/src/lib/wiring/request-wiring.ts
+++ b/packages/entry/src/lib/wiring/request-wiring.ts
@@ -82,12 +82,16 @@
 }
 
 /** Creates the protection of brittle endpoints. */
-export const wireBrittle = ({peers, log}: EntryParts): BrittleEndpoints => createBrittleEndpoints({
-	onUpdate() {
-		peers.sendSoonTo('all');
-	},
-	log,
-});
+export function wireBrittle(parts: EntryParts): BrittleEndpoints {
+	const {peers, log} = parts;
+	return createBrittleEndpoints({
+		onUpdate() {
+			peers.sendSoonTo('all');
+		},
+		gatekeepers: () => 1 + countUnheard(parts),
+		log,
+	});
+}
 
 /** Creates the record of the pauses that endpoints ask for. */
 export const wireBackoff = ({log}: EntryParts): EndpointBackoff => createEndpointBackoff({random: Math.random, log});
--- a/packages/router/src/lib/placing/brittle-endpoints.ts
+++ b/packages/router/src/lib/placing/brittle-endpoints.ts
@@ -14,6 +14,8 @@
 export type BrittleEndpointsOptions = {
 	/** Called when peers should learn of a change at once. */
 	onUpdate: () => void;
+	/** Daemons that may take themselves for the same endpoint's gatekeeper, since they don't hear each other; 1 by default. */
+	gatekeepers?: () => number;
 	log: Log;
 };
 
@@ -70,7 +72,7 @@
 const maxServices = 1024;
 
 /** Creates the record of one daemon. */
-export function createBrittleEndpoints({onUpdate, log}: BrittleEndpointsOptions): BrittleEndpoints {
+export function createBrittleEndpoints({onUpdate, gatekeepers = () => 1, log}: BrittleEndpointsOptions): BrittleEndpoints {
 	const statements = new Map<string, Statement>();
 	const processes = new LRUCache<string, Process>({max: maxProcesses});
 
@@ -124,7 +126,7 @@
 			}
 
 			const {inFlight, pausedUntil} = processOf(endpoint);
-			return inFlight < endpoint.slots && performance.now() >= pausedUntil;
+			return inFlight < Math.max(1, Math.floor(endpoint.slots / gatekeepers())) && performance.now() >= pausedUntil;
 		},
 		started(endpoint) {
 			const process = processOf(endpoint);
@@ -136,7 +138,7 @@
 		turnedAway(endpoint) {
 			const bearable = bearableOf(endpoint.service);
 			if (bearable !== undefined) {
-				pause(endpoint, Math.max(minPauseMs, msPerSecond / Math.max(1, bearable * usedRatio)));
+				pause(endpoint, Math.max(minPauseMs, msPerSecond * gatekeepers() / Math.max(1, bearable * usedRatio)));
 			}
 		},
 		declined(endpoint) {
