A daemon counts as unheard only after the silence that its fleet's size allows

In a fleet of many rounds, a report may be seconds older than its sender's lease, and a daemon that has just started hears of most peers late. Neither is a lost path; quotas would be kept to equal shares meanwhile.

--- a/packages/entry/src/lib/wiring/request-wiring.ts
+++ b/packages/entry/src/lib/wiring/request-wiring.ts
@@ -21,16 +21,16 @@
 /** Prompt parts in one log line. */
 const maxLoggedParts = 8;
 
-/** Time in milliseconds by which a report may be older than a renewal that its sender made before. */
-const reportDelayMs = 1000;
-
 /** Daemons that run by what they write to the store, but whose reports don't arrive. */
 function unheardDaemons({peers, retryPart}: EntryParts): string[] {
 	const known = peers.known();
 	const now = performance.now();
+	const silenceMs = peers.silenceMs();
+	/** The first reports of a large fleet take their time, counted here from the start of the process. */
+	const isAwaitingReports = peers.peersBeyondRound() > 0 && now < silenceMs;
 	return retryPart.others().filter(({name, renewedMsAgo}) => {
 		const heardAt = known.get(name)?.heardAt;
-		return heardAt === undefined || now - heardAt > renewedMsAgo + reportDelayMs;
+		return heardAt === undefined ? !isAwaitingReports : now - heardAt > renewedMsAgo + silenceMs;
 	}).map(({name}) => name);
 }
 
