--- a/packages/entry/src/lib/entry-parts.ts
+++ b/packages/entry/src/lib/entry-parts.ts
@@ -33,8 +33,9 @@
 } from './wiring/memory-wiring.js';
 import {wireConnectionTurns, wireServerLimiters} from './wiring/connection-wiring.js';
 import {
-	wireAdmission, wireBackoff, wireBrittle, wireCapacityWait, wireChoice, wireConnectionShares, wireEvents, wireLimits, wireQuota, wireRetries, wireRetryPart,
+	wireAdmission, wireBackoff, wireBrittle, wireCapacityWait, wireChoice, wireConnectionShares, wireEvents, wireLimits, wireQuota,
 } from './wiring/request-wiring.js';
+import {wireRetries, wireRetryPart} from './wiring/retry-wiring.js';
 import {
 	wireOriginFinder, wireSoftwareHistory, wireSoftwareRecord, wireStreamOrigins, wireStreamRoutes, wireStreamRows,
 } from './wiring/stream-wiring.js';
--- a/packages/entry/src/lib/wiring/parts.ts
+++ b/packages/entry/src/lib/wiring/parts.ts
@@ -31,7 +31,7 @@
 import {type DaemonMetrics} from '../daemon-metrics.js';
 import {type Timings} from '../timings.js';
 import {type ServerLimiters} from './connection-wiring.js';
-import {type Retries} from './request-wiring.js';
+import {type Retries} from './retry-wiring.js';
 import {type StreamRoutes} from './stream-wiring.js';
 
 /** Shutdown state of the daemon. */
--- a/packages/entry/src/lib/wiring/request-wiring.ts
+++ b/packages/entry/src/lib/wiring/request-wiring.ts
@@ -1,4 +1,4 @@
-/** Wires the request path: quotas, endpoint choice, retry budgets, logs and metrics. */
+/** Wires the request path: quotas, endpoint choice, logs and metrics. */
 import {type Admission, createAdmission} from 'hickorywalk/admission.js';
 import {type ForwardingEvents} from 'hickorywalk/forwarding.js';
 import {
@@ -6,10 +6,8 @@
 	createConnectionShares, createEndpointBackoff, createEndpointChoice, createEndpointLimits, type EndpointBackoff, type EndpointLimits,
 } from 'hickorywalk/placing.js';
 import {createFleetQuota, type FleetQuota} from 'hickorywalk/quotas.js';
-import {
-	createRetryPartHolder, createRetryWindow, type RetryPartHolder, type RetryWindow,
-} from 'hickorywalk/retries.js';
 import {maxLagMs} from 'hickorywalk/time.js';
+import {countDaemons, countUnheard, unheardDaemons} from './fleet-size.js';
 import {type EntryParts} from './parts.js';
 
 /** Fraction of the tolerated excess over a quota with which a restarted fleet starts. */
@@ -21,29 +19,6 @@
 /** Prompt parts in one log line. */
 const maxLoggedParts = 8;
 
-/** Daemons that run by what they write to the store, but whose reports don't arrive. */
-function unheardDaemons({peers, retryPart}: EntryParts): string[] {
-	const known = peers.known();
-	const now = performance.now();
-	const silenceMs = peers.silenceMs();
-	/** The first reports of a large fleet take their time, counted here from the start of the process. */
-	const isAwaitingReports = peers.peersBeyondRound() > 0 && now < silenceMs;
-	return retryPart.others().filter(({name, renewedMsAgo}) => {
-		const heardAt = known.get(name)?.heardAt;
-		return heardAt === undefined ? !isAwaitingReports : now - heardAt > renewedMsAgo + silenceMs;
-	}).map(({name}) => name);
-}
-
-/** Of a large fleet, this daemon knows those that share a row with it. */
-const countUnheard = (parts: EntryParts): number => unheardDaemons(parts).length * parts.retryPart.rowCount;
-
-/** Known daemons, including this one and those that are not heard. */
-const countDaemons = (parts: EntryParts): number => {
-	const known = parts.peers.known();
-	const forgotten = unheardDaemons(parts).filter(name => !known.has(name)).length;
-	return known.size + (forgotten * parts.retryPart.rowCount) + 1;
-};
-
 /** Creates the fleet-wide quota. */
 export function wireQuota(parts: EntryParts): FleetQuota {
 	const {settings, timings} = parts;
@@ -129,70 +104,6 @@
 	view, loadTracker, health, presence, versions, weightsDeadlines, limits, backoff, brittle, paths, releases, choose: choice.choose, random: Math.random, log,
 });
 
-/** Retry budgets of all services. */
-export type Retries = {
-	/** The budget of a service. */
-	budgetOf: (service: string) => RetryWindow;
-	/** Retries in the current window, by service. */
-	inWindow: () => ReadonlyArray<[service: string, count: number]>;
-};
-
-/** Creates the retry budgets. */
-export function wireRetries({settings, clock, retryPart, log, metrics, logLineBudget}: EntryParts): Retries {
-	const budgets = new Map<string, RetryWindow>();
-	const {share, windowMs} = settings.retries;
-
-	const logRefusal = (service: string, {requests, repeats}: ReturnType<RetryWindow['counts']>): void => {
-		if (logLineBudget.take('retry refused')) {
-			log.info('Retry budget is spent.', {
-				service, requests, repeats, own: retryPart.units(), count: retryPart.holders(),
-			});
-		}
-	};
-
-	/** The budget, with its decisions in logs and metrics. */
-	const observed = (service: string, budget: RetryWindow): RetryWindow => ({
-		...budget,
-		reserve() {
-			const grant = budget.reserve();
-			metrics.retryDecided(service, grant !== undefined);
-			if (grant === undefined) {
-				logRefusal(service, budget.counts());
-			}
-
-			return grant;
-		},
-	});
-
-	return {
-		budgetOf(service) {
-			let budget = budgets.get(service);
-			if (budget === undefined) {
-				budget = observed(service, createRetryWindow({
-					share, windowMs, part: retryPart.units, now: clock.now,
-				}));
-				budgets.set(service, budget);
-			}
-
-			return budget;
-		},
-		inWindow: () => [...budgets].map(([service, budget]) => [service, budget.counts().repeats]),
-	};
-}
-
-/** Creates the holder of this daemon's part of the retries that all daemons share. */
-export const wireRetryPart = ({settings, incarnation, ownTable, store, log}: EntryParts): RetryPartHolder => createRetryPartHolder({
-	name: settings.name,
-	incarnation,
-	total: settings.retries.extra,
-	windowMs: settings.retries.windowMs,
-	isFirstStart: settings.isFirstStart,
-	table: ownTable,
-	tableMs: store.clockMs,
-	random: Math.random,
-	log,
-});
-
 /** Logs requests and records their metrics. */
 export function wireEvents({
 	view, versions, log, metrics, logLineBudget,
--- a/packages/entry/src/test/retry-history.ts
+++ b/packages/entry/src/test/retry-history.ts
@@ -4,7 +4,7 @@
 import {type RetryGrant, type RetryPartHolder, type RetryWindow} from 'hickorywalk/retries.js';
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
-import {wireRetries, wireRetryPart} from '../lib/wiring/request-wiring.js';
+import {wireRetries, wireRetryPart} from '../lib/wiring/retry-wiring.js';
 import {createSharedTable, type TableAccess} from './shared-table.js';
 
 /** What happens to a daemon, or to all; `count` are requests, or seconds that a state lasts. */
--- a/packages/router/src/lib/forwarding/call.ts
+++ b/packages/router/src/lib/forwarding/call.ts
@@ -81,9 +81,10 @@
 	onBegun: (() => void) | undefined;
 	/** It was refused, its term has ended, and this daemon may send it once. */
 	isClaimed: boolean;
-	/** Permission for the next attempt, if it repeats the request, and for the current one. */
-	nextGrant: RetryGrant | undefined;
+	/** Permission for the current attempt; `undefined` for the first one. */
 	grant: RetryGrant | undefined;
+	/** Permission for the next attempt, once it has been decided on. */
+	nextGrant: RetryGrant | undefined;
 	progress: AttemptProgress;
 	/** The endpoint of the latest attempt. */
 	choice: Choice | undefined;
@@ -133,8 +134,8 @@
 		place: undefined,
 		onBegun: undefined,
 		isClaimed: false,
-		nextGrant: undefined,
 		grant: undefined,
+		nextGrant: undefined,
 		progress: {firstAt: undefined, lastEventId: undefined, facts: undefined},
 		choice: undefined,
 		waitedMs: 0,
